--- /dev/null
+++ b/Makefile
@@ -0,0 +1,63 @@
+# Everything that is not on a fresh machine (Go, gcc, make, git) is installed
+# below, at pinned versions, into .tools.
+
+TOOLS := $(CURDIR)/.tools/bin
+BIN := $(CURDIR)/bin
+GOLANGCI_LINT_VERSION := v2.15.0
+BUF_VERSION := v1.75.0
+PROTOC_GEN_GO_VERSION := v1.36.12
+PROTOC_GEN_CONNECT_VERSION := v1.21.1
+TEST_FLAGS ?=
+
+export CGO_ENABLED = 1
+export GOFLAGS = -buildvcs=false
+
+.PHONY: run test build lint format check-format check-generated generate bench
+
+# run starts a deployment on this machine, plays load and checks the promises.
+run: build
+	scripts/run.sh $(BIN)
+
+# test runs every test.
+test: build
+	TAMARACK_BIN=$(BIN) go test -count=1 $(TEST_FLAGS) ./...
+
+build:
+	mkdir -p $(BIN)
+	go build -o $(BIN)/ ./cmd/...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./internal/...
+
+check-format:
+	@out=$$(gofmt -l $$(git ls-files '*.go' | grep -v '^gen/')); if [ -n "$$out" ]; then echo "gofmt would change: $$out"; exit 1; fi
+
+format:
+	gofmt -w $$(git ls-files '*.go' | grep -v '^gen/')
+
+lint: $(TOOLS)/golangci-lint
+	$(TOOLS)/golangci-lint run ./...
+
+# check-generated looks that the code of every .proto file is committed.
+check-generated:
+	@for f in proto/tamarack/v1/*.proto; do \
+		g=gen/tamarack/v1/$$(basename $$f .proto).pb.go; \
+		git ls-files --error-unmatch $$g >/dev/null || exit 1; \
+	done
+
+generate: $(TOOLS)/buf $(TOOLS)/protoc-gen-go $(TOOLS)/protoc-gen-connect-go
+	PATH="$(TOOLS):$$PATH" $(TOOLS)/buf lint
+	rm -rf gen
+	PATH="$(TOOLS):$$PATH" $(TOOLS)/buf generate
+
+$(TOOLS)/golangci-lint:
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+
+$(TOOLS)/buf:
+	GOBIN=$(TOOLS) go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
+
+$(TOOLS)/protoc-gen-go:
+	GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+
+$(TOOLS)/protoc-gen-connect-go:
+	GOBIN=$(TOOLS) go install connectrpc.com/connect/cmd/protoc-gen-connect-go@$(PROTOC_GEN_CONNECT_VERSION)
--- /dev/null
+++ b/cmd/standin-engine/main.go
@@ -0,0 +1,31 @@
+// Command standin-engine plays one or more model engines.
+package main
+
+import (
+	"flag"
+	"net"
+
+	"github.com/sirupsen/logrus"
+
+	"tamarackreach/internal/rpc"
+	"tamarackreach/internal/standin/control"
+	"tamarackreach/internal/standin/engine"
+)
+
+func main() {
+	path := flag.String("config", "", "configuration `file` (JSON)")
+	flag.Parse()
+	var config engine.HostConfig
+	if err := control.LoadJSON(*path, &config); err != nil {
+		logrus.Fatal(err)
+	}
+	host, err := engine.NewHost(config)
+	if err != nil {
+		logrus.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", config.ControlAddress)
+	if err != nil {
+		logrus.Fatal(err)
+	}
+	logrus.Fatal(rpc.NewServer(host.Handler()).Serve(listener))
+}
--- /dev/null
+++ b/cmd/standin-platform/main.go
@@ -0,0 +1,27 @@
+// Command standin-platform plays the platform: table, objects, VM list, weights.
+package main
+
+import (
+	"flag"
+	"net"
+
+	"github.com/sirupsen/logrus"
+
+	"tamarackreach/internal/rpc"
+	"tamarackreach/internal/standin/control"
+	"tamarackreach/internal/standin/platform"
+)
+
+func main() {
+	path := flag.String("config", "", "configuration `file` (JSON)")
+	flag.Parse()
+	var config platform.Config
+	if err := control.LoadJSON(*path, &config); err != nil {
+		logrus.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", config.Address)
+	if err != nil {
+		logrus.Fatal(err)
+	}
+	logrus.Fatal(rpc.NewServer(platform.New(config).Handler()).Serve(listener))
+}
--- /dev/null
+++ b/cmd/standin-service/main.go
@@ -0,0 +1,27 @@
+// Command standin-service plays a plain service that counts its calls.
+package main
+
+import (
+	"flag"
+	"net"
+
+	"github.com/sirupsen/logrus"
+
+	"tamarackreach/internal/rpc"
+	"tamarackreach/internal/standin/control"
+	"tamarackreach/internal/standin/service"
+)
+
+func main() {
+	path := flag.String("config", "", "configuration `file` (JSON)")
+	flag.Parse()
+	var config service.Config
+	if err := control.LoadJSON(*path, &config); err != nil {
+		logrus.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", config.Address)
+	if err != nil {
+		logrus.Fatal(err)
+	}
+	logrus.Fatal(rpc.NewServer(service.New(config).Handler()).Serve(listener))
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,177 @@
+// Package config reads the settings of a daemon process: its addresses, its
+// zone and whom it trusts. What operators change while it runs stands in
+// package settings.
+package config
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"tamarackreach/internal/model"
+)
+
+// Entry is the configuration of tamarack-entry.
+type Entry struct {
+	NodeID model.NodeID           `json:"node_id"`
+	Zone   model.AvailabilityZone `json:"zone"`
+	// CallerAddress serves callers, IP:port.
+	CallerAddress string `json:"caller_address"`
+	// OperatorAddress serves operators, IP:port.
+	OperatorAddress string `json:"operator_address"`
+	// PeerAddress serves other entry VMs over UDP, IP:port.
+	PeerAddress string `json:"peer_address"`
+	// MetricsAddress serves counters and readiness, IP:port.
+	MetricsAddress string `json:"metrics_address"`
+	// PlatformAddress is where the platform's services are, IP:port.
+	PlatformAddress string `json:"platform_address"`
+	// EntryNodes is the number of entry VMs that quotas are split over.
+	EntryNodes uint32 `json:"entry_nodes"`
+	// Seeds are entry VMs to greet first.
+	Seeds []Seed `json:"seeds"`
+	// Operators are the teams that may change settings.
+	Operators []Operator `json:"operators"`
+	PeerTLS   PeerTLS    `json:"peer_tls"`
+	// SpanFile takes spans as JSON lines; empty turns them off.
+	SpanFile string `json:"span_file"`
+	// EventFile takes a recording of the reducer; empty turns it off.
+	EventFile string `json:"event_file"`
+	// ShutdownLagMs is how long the balancer may go on sending after the node
+	// said that it is not ready.
+	ShutdownLagMs uint32 `json:"shutdown_lag_ms"`
+}
+
+// Seed is an entry VM known from the start.
+type Seed struct {
+	NodeID  model.NodeID `json:"node_id"`
+	Address string       `json:"address"`
+}
+
+// Operator is a team with the hex SHA-256 of its token.
+type Operator struct {
+	Team        model.TeamID `json:"team"`
+	TokenSHA256 string       `json:"token_sha256"`
+}
+
+// PeerTLS names the files of the mutual TLS between entry VMs.
+type PeerTLS struct {
+	CAFile   string `json:"ca_file"`
+	CertFile string `json:"cert_file"`
+	KeyFile  string `json:"key_file"`
+}
+
+const (
+	defaultEntryNodes    = 4
+	defaultShutdownLagMs = 1000
+	tokenHashBytes       = 32
+)
+
+// Problem is one thing wrong with a configuration.
+type Problem struct {
+	Field  string
+	Value  string
+	Remedy string
+}
+
+// String formats the problem for operators.
+func (p Problem) String() string {
+	return fmt.Sprintf("field %s: value %q; remedy: %s", p.Field, p.Value, p.Remedy)
+}
+
+// Load reads and checks a configuration file; the error lists every problem.
+func Load(path string) (*Entry, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read configuration; name a readable file with -config")
+	}
+	return Decode(data)
+}
+
+// Decode decodes a configuration, fills in defaults and checks it.
+func Decode(data []byte) (*Entry, error) {
+	entry := &Entry{EntryNodes: defaultEntryNodes, ShutdownLagMs: defaultShutdownLagMs}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(entry); err != nil {
+		return nil, errors.Wrap(err, "decode configuration; the fields are in docs/OPERATIONS.md")
+	}
+	problems := entry.Check()
+	if len(problems) == 0 {
+		return entry, nil
+	}
+	lines := make([]string, 0, len(problems))
+	for _, problem := range problems {
+		lines = append(lines, problem.String())
+	}
+	return nil, errors.Newf("configuration has %d problems:\n%s", len(problems), strings.Join(lines, "\n"))
+}
+
+// Check returns everything wrong with the configuration.
+func (e *Entry) Check() []Problem {
+	var problems []Problem
+	add := func(field, value, remedy string) {
+		problems = append(problems, Problem{Field: field, Value: value, Remedy: remedy})
+	}
+	if e.NodeID == "" {
+		add("node_id", "", "give the VM a name of its own")
+	}
+	if e.Zone == "" {
+		add("zone", "", "name the availability zone of the VM")
+	}
+	if e.EntryNodes == 0 {
+		add("entry_nodes", "0", "give the number of entry VMs")
+	}
+	addresses := []struct{ field, value string }{
+		{"caller_address", e.CallerAddress},
+		{"operator_address", e.OperatorAddress},
+		{"peer_address", e.PeerAddress},
+		{"metrics_address", e.MetricsAddress},
+		{"platform_address", e.PlatformAddress},
+	}
+	for _, address := range addresses {
+		if !isIPPort(address.value) {
+			add(address.field, address.value, "give an IP number and a port, such as 10.0.0.1:7000")
+		}
+	}
+	for i, seed := range e.Seeds {
+		if !isIPPort(seed.Address) {
+			add(fmt.Sprintf("seeds[%d].address", i), seed.Address, "give an IP number and a port")
+		}
+	}
+	if len(e.Operators) == 0 {
+		add("operators", "", "list at least one team with its token's SHA-256")
+	}
+	for i, operator := range e.Operators {
+		if hash, err := hex.DecodeString(operator.TokenSHA256); err != nil || len(hash) != tokenHashBytes {
+			add(fmt.Sprintf("operators[%d].token_sha256", i), operator.TokenSHA256, "give the hex SHA-256 of the team's token")
+		}
+		if operator.Team == "" {
+			add(fmt.Sprintf("operators[%d].team", i), "", "name the team")
+		}
+	}
+	return append(problems, e.PeerTLS.check()...)
+}
+
+func (t PeerTLS) check() []Problem {
+	var problems []Problem
+	files := []struct{ field, value string }{
+		{"peer_tls.ca_file", t.CAFile}, {"peer_tls.cert_file", t.CertFile}, {"peer_tls.key_file", t.KeyFile},
+	}
+	for _, file := range files {
+		if _, err := os.Stat(file.value); err != nil {
+			problems = append(problems, Problem{Field: file.field, Value: file.value, Remedy: "name a readable PEM file; tamarackctl keys makes a test set"})
+		}
+	}
+	return problems
+}
+
+func isIPPort(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,146 @@
+// Package entry wires the daemon of an entry VM together: one reducer, its
+// drivers and the servers for callers, operators and metrics.
+package entry
+
+import (
+	"context"
+	"expvar"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"tamarackreach/internal/callerapi"
+	"tamarackreach/internal/config"
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/node"
+	"tamarackreach/internal/operatorapi"
+	"tamarackreach/internal/peerlink"
+	"tamarackreach/internal/platformclient"
+	"tamarackreach/internal/reducer"
+	"tamarackreach/internal/rpc"
+	"tamarackreach/internal/targetclient"
+	"tamarackreach/internal/trace"
+
+	"tamarackreach/internal/event"
+)
+
+// Daemon is the process of an entry VM.
+type Daemon struct {
+	config   *config.Entry
+	node     *node.Node
+	drivers  node.Drivers
+	servers  []*listeningServer
+	recorder io.Closer
+}
+
+type listeningServer struct {
+	server  *http.Server
+	address string
+}
+
+// New builds a daemon; Run starts it.
+func New(cfg *config.Entry) (*Daemon, error) {
+	life := model.Incarnation(time.Now().UnixMilli())
+	reducerConfig := reducer.Config{
+		Node:        cfg.NodeID,
+		Incarnation: life,
+		Zone:        cfg.Zone,
+		PeerAddress: cfg.PeerAddress,
+		EntryNodes:  cfg.EntryNodes,
+		ShutdownLag: time.Duration(cfg.ShutdownLagMs) * time.Millisecond,
+		Seed:        uint64(life),
+	}
+	d := &Daemon{config: cfg}
+	recorder, err := d.openRecorder(reducerConfig)
+	if err != nil {
+		return nil, err
+	}
+	d.node = node.New(reducer.New(reducerConfig), recorder)
+	callers := callerapi.New(cfg.NodeID, life, d.node.Post)
+	operators := operatorapi.New(cfg.Operators, d.node.Post, d.node.Query)
+	d.drivers = node.Drivers{
+		Callers:   callers,
+		Operators: operators,
+		Targets:   targetclient.New(d.node.Post, d.node.Now),
+		Platform:  platformclient.New(cfg.PlatformAddress, cfg.Zone, d.node.Post),
+		Peers:     peerlink.New(d.node.Post),
+	}
+	d.servers = []*listeningServer{
+		{server: rpc.NewServer(callers.Handler()), address: cfg.CallerAddress},
+		{server: rpc.NewServer(operators.Handler()), address: cfg.OperatorAddress},
+		{server: rpc.NewServer(d.metricsHandler()), address: cfg.MetricsAddress},
+	}
+	return d, nil
+}
+
+func (d *Daemon) openRecorder(header reducer.Config) (*trace.Writer, error) {
+	if d.config.EventFile == "" {
+		return nil, nil
+	}
+	file, err := os.Create(d.config.EventFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "create event file; check event_file")
+	}
+	d.recorder = file
+	return trace.NewWriter(file, trace.Header{Config: header})
+}
+
+// metricsHandler serves counters and, at /ready, what the balancer asks.
+func (d *Daemon) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/debug/vars", expvar.Handler())
+	mux.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
+		ready := false
+		d.node.Query(func(s *reducer.State) { ready = s.Ready() })
+		if !ready {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// Run serves until the context ends, then shuts down gracefully: the node says
+// that it is not ready, goes on accepting for the balancer's lag and runs every
+// request in progress to its end.
+func (d *Daemon) Run(ctx context.Context) error {
+	failed := make(chan error, len(d.servers))
+	for _, s := range d.servers {
+		listener, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s; check the addresses of the configuration", s.address)
+		}
+		go func() { failed <- s.server.Serve(listener) }()
+	}
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	finished := make(chan struct{})
+	go func() {
+		d.node.Run(running, d.drivers)
+		close(finished)
+	}()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	d.node.Post(event.ShutdownRequested{})
+	<-finished
+	return d.close()
+}
+
+// close lets answers that were handed to the servers reach their callers.
+func (d *Daemon) close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, s := range d.servers {
+		_ = s.server.Shutdown(ctx)
+	}
+	if d.recorder != nil {
+		return errors.Wrap(d.recorder.Close(), "close event file")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/event/effect.go
@@ -0,0 +1,231 @@
+package event
+
+import (
+	"time"
+
+	"tamarackreach/internal/fault"
+	"tamarackreach/internal/model"
+)
+
+// Effect is something that the reducer wants done outside.
+type Effect interface{ isEffect() }
+
+type (
+	// RefuseRequest ends a request with a fault.
+	RefuseRequest struct {
+		Request model.RequestID `json:"request"`
+		Fault   fault.Fault     `json:"fault"`
+	}
+
+	// OpenChain starts an attempt on a chain of targets.
+	OpenChain struct {
+		Request   model.RequestID     `json:"request"`
+		Attempt   model.AttemptNumber `json:"attempt"`
+		Model     model.ModelName     `json:"model"`
+		Version   model.ModelVersion  `json:"version"`
+		Prompt    string              `json:"prompt"`
+		PrefixKey string              `json:"prefix_key"`
+		// Tokens were already delivered; generation goes on after them.
+		Tokens    []string    `json:"tokens"`
+		MaxTokens uint32      `json:"max_tokens"`
+		Priority  uint32      `json:"priority"`
+		Chain     []model.Hop `json:"chain"`
+		// FreshConnection asks for new connections to the targets of the chain.
+		FreshConnection bool `json:"fresh_connection"`
+	}
+
+	// RedialStream collects the same attempt again over a new connection.
+	RedialStream struct {
+		Request model.RequestID     `json:"request"`
+		Attempt model.AttemptNumber `json:"attempt"`
+		Last    model.Hop           `json:"last"`
+	}
+
+	// CancelChain ends an attempt and all before it on a chain.
+	CancelChain struct {
+		Request model.RequestID     `json:"request"`
+		Attempt model.AttemptNumber `json:"attempt"`
+		Chain   []model.Hop         `json:"chain"`
+	}
+
+	// RetireConnections closes idle connections to a target and makes new
+	// streams use new ones.
+	RetireConnections struct {
+		Target  model.TargetID `json:"target"`
+		Address string         `json:"address"`
+	}
+
+	// ForwardToken sends a token to the caller.
+	ForwardToken struct {
+		Request  model.RequestID     `json:"request"`
+		Attempt  model.AttemptNumber `json:"attempt"`
+		Index    model.TokenIndex    `json:"index"`
+		Text     string              `json:"text"`
+		Receipts []model.Receipt     `json:"receipts"`
+		Last     bool                `json:"last"`
+	}
+
+	// SendCall sends a call to a service.
+	SendCall struct {
+		Request        model.RequestID      `json:"request"`
+		Target         model.TargetID       `json:"target"`
+		Address        string               `json:"address"`
+		Workspace      model.WorkspaceID    `json:"workspace"`
+		Method         model.MethodName     `json:"method"`
+		IdempotencyKey model.IdempotencyKey `json:"idempotency_key"`
+		Body           []byte               `json:"body"`
+		Within         time.Duration        `json:"within_ns"`
+		// Deadline is checked again just before the first byte leaves.
+		Deadline model.Instant `json:"deadline"`
+	}
+
+	// AnswerCall ends a call with its answer.
+	AnswerCall struct {
+		Request  model.RequestID `json:"request"`
+		Body     []byte          `json:"body"`
+		Recorded bool            `json:"recorded"`
+	}
+
+	// Transact sends a table transaction.
+	Transact struct {
+		Transaction string      `json:"transaction"`
+		Conditions  []Condition `json:"conditions"`
+		Writes      []Write     `json:"writes"`
+	}
+
+	// ReadRows reads table rows, by key or by prefix.
+	ReadRows struct {
+		Read     string   `json:"read"`
+		Keys     []string `json:"keys"`
+		Prefix   string   `json:"prefix"`
+		StartKey string   `json:"start_key"`
+		Limit    uint32   `json:"limit"`
+	}
+
+	// ReadObject reads an object of the object store.
+	ReadObject struct {
+		Key string `json:"key"`
+	}
+
+	// WriteObject writes an object of the object store.
+	WriteObject struct {
+		Key  string `json:"key"`
+		Body []byte `json:"body"`
+	}
+
+	// ListVMs reads the platform's VM list.
+	ListVMs struct{}
+
+	// WatchTarget opens or keeps a stream of reports from an engine.
+	WatchTarget struct {
+		Target      model.TargetID    `json:"target"`
+		Incarnation model.Incarnation `json:"incarnation"`
+		Address     string            `json:"address"`
+	}
+
+	// UnwatchTarget closes it.
+	UnwatchTarget struct {
+		Target model.TargetID `json:"target"`
+	}
+
+	// SendOrder asks an engine for an absolute desired state.
+	SendOrder struct {
+		Target   model.TargetID      `json:"target"`
+		Address  string              `json:"address"`
+		Order    string              `json:"order"`
+		Pipeline model.PipelineID    `json:"pipeline"`
+		Fencing  model.FencingNumber `json:"fencing"`
+		Model    model.ModelName     `json:"model"`
+		Version  model.ModelVersion  `json:"version"`
+		Layers   model.LayerRange    `json:"layers"`
+	}
+
+	// AnswerChange tells an operator the fate of a change or a drain; Fault is
+	// nil on success.
+	AnswerChange struct {
+		Request  model.RequestID `json:"request"`
+		Revision model.Revision  `json:"revision"`
+		Fault    *fault.Fault    `json:"fault"`
+	}
+
+	// SettingsInForce reports that a revision came into force on this node.
+	SettingsInForce struct {
+		Revision model.Revision `json:"revision"`
+	}
+
+	// SendHeartbeat sends this node's heartbeat to a peer.
+	SendHeartbeat struct {
+		To         model.NodeID     `json:"to"`
+		Address    string           `json:"address"`
+		Sequence   uint64           `json:"sequence"`
+		Reply      bool             `json:"reply"`
+		Revision   model.Revision   `json:"revision"`
+		Peers      []PeerState      `json:"peers"`
+		Quarantine []QuarantineNote `json:"quarantine"`
+		Targets    []TargetNote     `json:"targets"`
+		Quotas     []QuotaNote      `json:"quotas"`
+	}
+
+	// RequestSettings asks a peer for the changes after a revision.
+	RequestSettings struct {
+		To      model.NodeID   `json:"to"`
+		Address string         `json:"address"`
+		After   model.Revision `json:"after"`
+	}
+
+	// OfferSettings serves settings to a peer.
+	OfferSettings struct {
+		To               model.NodeID   `json:"to"`
+		Address          string         `json:"address"`
+		SnapshotRevision model.Revision `json:"snapshot_revision"`
+		TreeJSON         []byte         `json:"tree_json"`
+		Changes          []Change       `json:"changes"`
+	}
+
+	// LogChange writes one log line for a change of state.
+	LogChange struct {
+		Message string `json:"message"`
+		Subject string `json:"subject"`
+		Detail  string `json:"detail"`
+	}
+
+	// ShutdownReady says that nothing is in progress and the process may exit.
+	ShutdownReady struct{}
+)
+
+// Condition requires a row to be at a version; 0 requires it to be absent.
+type Condition struct {
+	Key     string           `json:"key"`
+	Version model.RowVersion `json:"version"`
+}
+
+// Write sets or deletes a row.
+type Write struct {
+	Key    string `json:"key"`
+	Value  []byte `json:"value"`
+	Delete bool   `json:"delete"`
+}
+
+func (RefuseRequest) isEffect()     {}
+func (OpenChain) isEffect()         {}
+func (RedialStream) isEffect()      {}
+func (CancelChain) isEffect()       {}
+func (RetireConnections) isEffect() {}
+func (*ForwardToken) isEffect()     {}
+func (SendCall) isEffect()          {}
+func (AnswerCall) isEffect()        {}
+func (Transact) isEffect()          {}
+func (ReadRows) isEffect()          {}
+func (ReadObject) isEffect()        {}
+func (WriteObject) isEffect()       {}
+func (ListVMs) isEffect()           {}
+func (WatchTarget) isEffect()       {}
+func (UnwatchTarget) isEffect()     {}
+func (SendOrder) isEffect()         {}
+func (AnswerChange) isEffect()      {}
+func (SettingsInForce) isEffect()   {}
+func (SendHeartbeat) isEffect()     {}
+func (RequestSettings) isEffect()   {}
+func (OfferSettings) isEffect()     {}
+func (LogChange) isEffect()         {}
+func (ShutdownReady) isEffect()     {}
--- /dev/null
+++ b/internal/event/parts.go
@@ -0,0 +1,120 @@
+package event
+
+import (
+	"encoding/json"
+	"time"
+
+	"tamarackreach/internal/model"
+)
+
+// Role says what a VM runs.
+type Role string
+
+// The roles of VMs.
+const (
+	RoleEntry   Role = "entry"
+	RoleEngine  Role = "engine"
+	RoleService Role = "service"
+)
+
+// VM is one entry of the platform's VM list.
+type VM struct {
+	ID          string                 `json:"id"`
+	Incarnation model.Incarnation      `json:"incarnation"`
+	Zone        model.AvailabilityZone `json:"zone"`
+	Role        Role                   `json:"role"`
+	Address     string                 `json:"address"`
+	PeerAddress string                 `json:"peer_address"`
+	Accelerator model.AcceleratorKind  `json:"accelerator"`
+	Leaving     bool                   `json:"leaving"`
+}
+
+// Link is a measured link from one target to another.
+type Link struct {
+	To      model.TargetID `json:"to"`
+	Latency time.Duration  `json:"latency_ns"`
+}
+
+// CacheEvent reports that a target holds or dropped a prompt prefix.
+type CacheEvent struct {
+	PrefixKey string `json:"prefix_key"`
+	Evicted   bool   `json:"evicted"`
+}
+
+// Edit sets (Value) or removes (nil Value) one object of a team's subtree.
+type Edit struct {
+	Path  string          `json:"path"`
+	Value json.RawMessage `json:"value,omitempty"`
+}
+
+// Change is a set of edits to one team's subtree, accepted whole or not at all.
+type Change struct {
+	ID             model.ChangeID `json:"id"`
+	Team           model.TeamID   `json:"team"`
+	Author         string         `json:"author"`
+	Reason         string         `json:"reason"`
+	BaseRevision   model.Revision `json:"base_revision"`
+	Edits          []Edit         `json:"edits"`
+	Revision       model.Revision `json:"revision"`
+	AcceptedUnixMs int64          `json:"accepted_unix_ms"`
+}
+
+// PeerStatus is what one node believes of another.
+type PeerStatus uint8
+
+// The peer states, in the order in which a later one overrides an earlier one
+// of the same incarnation.
+const (
+	PeerAlive PeerStatus = iota
+	PeerSuspected
+	PeerDead
+	PeerLeaving
+)
+
+// PeerState is what one node knows of another.
+type PeerState struct {
+	Node          model.NodeID           `json:"node"`
+	Incarnation   model.Incarnation      `json:"incarnation"`
+	Zone          model.AvailabilityZone `json:"zone"`
+	Address       string                 `json:"address"`
+	Status        PeerStatus             `json:"status"`
+	Revision      model.Revision         `json:"revision"`
+	InForceUnixMs int64                  `json:"in_force_unix_ms"`
+}
+
+// QuarantineNote shares what is known of a request that crashes targets.
+type QuarantineNote struct {
+	Fingerprint model.Fingerprint `json:"fingerprint"`
+	Crashes     uint32            `json:"crashes"`
+	Quarantined bool              `json:"quarantined"`
+	Remaining   time.Duration     `json:"remaining_ns"`
+}
+
+// TargetStatus is what is known of a target's life.
+type TargetStatus uint8
+
+// The target states, in the order in which a later one overrides an earlier
+// one of the same incarnation.
+const (
+	TargetLive TargetStatus = iota
+	TargetLeaving
+	TargetGone
+)
+
+// TargetNote shares that a target is leaving or gone.
+type TargetNote struct {
+	Target      model.TargetID    `json:"target"`
+	Incarnation model.Incarnation `json:"incarnation"`
+	Status      TargetStatus      `json:"status"`
+}
+
+// QuotaNote shares a node's share and demand of a workspace quota.
+type QuotaNote struct {
+	Workspace model.WorkspaceID `json:"workspace"`
+	// SharePerMille is the part of the quota that the sender holds.
+	SharePerMille uint32 `json:"share_per_mille"`
+	// DemandTokensPerS is what the sender would use.
+	DemandTokensPerS uint32 `json:"demand_tokens_per_s"`
+	// Epoch numbers the allocation that the share belongs to.
+	Epoch uint64 `json:"epoch"`
+}
--- /dev/null
+++ b/internal/model/model.go
@@ -0,0 +1,102 @@
+// Package model holds the domain types that every decision shares. Each
+// identifier is its own type, so that the compiler refuses a mix-up.
+package model
+
+import (
+	"fmt"
+	"time"
+)
+
+// Instant is a monotonic time in nanoseconds since an arbitrary origin that is
+// fixed for the life of a process.
+type Instant int64
+
+// Add returns the instant d later.
+func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
+
+// Sub returns the time from other to i.
+func (i Instant) Sub(other Instant) time.Duration { return time.Duration(i - other) }
+
+type (
+	// RequestID identifies a model request or a call on the node it entered.
+	RequestID string
+	// AttemptNumber counts the chains tried for a request, from 1.
+	AttemptNumber uint32
+	// TokenIndex is the position of a token in an answer, from 0.
+	TokenIndex uint32
+	// TargetID identifies a back end.
+	TargetID string
+	// Incarnation tells lives of the same VM apart; it only grows.
+	Incarnation uint64
+	// PipelineID names a pipeline.
+	PipelineID string
+	// ModelName names a model.
+	ModelName string
+	// ModelVersion names a version of a model.
+	ModelVersion string
+	// WorkspaceID names a customer.
+	WorkspaceID string
+	// TeamID names the owner of a settings subtree.
+	TeamID string
+	// ServiceID names a plain service.
+	ServiceID string
+	// MethodName names a method of a plain service.
+	MethodName string
+	// IdempotencyKey is chosen by the caller of a method that may not be repeated.
+	IdempotencyKey string
+	// Revision numbers accepted settings changes, from 1 without gaps.
+	Revision uint64
+	// ChangeID identifies a proposed settings change; the client chooses it.
+	ChangeID string
+	// FencingNumber orders the holders of a lease; it only grows.
+	FencingNumber uint64
+	// NodeID identifies an entry VM.
+	NodeID string
+	// AvailabilityZone names a failure domain.
+	AvailabilityZone string
+	// AcceleratorKind names a kind of accelerator.
+	AcceleratorKind string
+	// Fingerprint identifies the content of a request (workspace, model and
+	// prompt), whatever its request id.
+	Fingerprint uint64
+	// RowVersion is the version of a table row; 0 means the row is absent.
+	RowVersion uint64
+	// Nonce tells writes of the same row by different owners apart.
+	Nonce string
+)
+
+// LayerRange is a half-open range of model layers.
+type LayerRange struct {
+	First uint32 `json:"first"`
+	End   uint32 `json:"end"`
+}
+
+// Len returns the number of layers.
+func (r LayerRange) Len() uint32 { return r.End - r.First }
+
+// String formats the range as [first,end).
+func (r LayerRange) String() string { return fmt.Sprintf("[%d,%d)", r.First, r.End) }
+
+// Receipt states that a target ran a layer range of a model version for one token.
+type Receipt struct {
+	Target  TargetID     `json:"target"`
+	Layers  LayerRange   `json:"layers"`
+	Version ModelVersion `json:"version"`
+}
+
+// Hop is one target of a chain.
+type Hop struct {
+	Target      TargetID    `json:"target"`
+	Incarnation Incarnation `json:"incarnation"`
+	Address     string      `json:"address"`
+	Layers      LayerRange  `json:"layers"`
+	// Rebuild is true when the target has no state of the request.
+	Rebuild bool `json:"rebuild"`
+}
+
+// Row is a table row; Version 0 means that the row is absent.
+type Row struct {
+	Key     string     `json:"key"`
+	Value   []byte     `json:"value"`
+	Version RowVersion `json:"version"`
+}
--- /dev/null
+++ b/internal/reducer/calls.go
@@ -0,0 +1,174 @@
+package reducer
+
+import (
+	"fmt"
+	"time"
+
+	"tamarackreach/internal/decision"
+	"tamarackreach/internal/event"
+	"tamarackreach/internal/fault"
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/once"
+	"tamarackreach/internal/settings"
+)
+
+// maxCallTries is how often a repeatable call is sent.
+const maxCallTries = 2
+
+// plainCall is a call in progress that may be repeated.
+type plainCall struct {
+	send     event.SendCall
+	tries    int
+	targets  []model.TargetID
+	deadline model.Instant
+}
+
+func (s *State) callArrived(c *decision.Context, ev event.CallArrived) {
+	if refusal := s.startCall(c, ev); refusal != nil {
+		s.counters.RequestsRefused++
+		c.Emit(event.RefuseRequest{Request: ev.Request, Fault: *refusal})
+	}
+}
+
+func (s *State) startCall(c *decision.Context, ev event.CallArrived) *fault.Fault {
+	if refusal := s.notReady(); refusal != nil {
+		return refusal
+	}
+	view := s.follower.View()
+	workspaceID, _, ok := view.WorkspaceByKey(ev.WorkspaceKey)
+	if !ok {
+		return badKeyFault()
+	}
+	service, method, refusal := findMethod(view, ev)
+	if refusal != nil {
+		return refusal
+	}
+	live := s.liveTargets(service)
+	if len(live) == 0 {
+		return capacityFault(fault.NotRun)
+	}
+	deadline := c.Now.Add(callDeadline(ev.Within, method))
+	if method.Once {
+		return s.startOnce(c, ev, workspaceID, live[0], deadline)
+	}
+	call := &plainCall{
+		send: event.SendCall{
+			Request: ev.Request, Workspace: workspaceID, Method: ev.Method, Body: ev.Body,
+			IdempotencyKey: ev.IdempotencyKey, Deadline: deadline,
+		},
+		targets:  live,
+		deadline: deadline,
+	}
+	s.calls[ev.Request] = call
+	s.sendPlain(c, call)
+	return nil
+}
+
+func findMethod(view *settings.View, ev event.CallArrived) (*settings.Service, settings.Method, *fault.Fault) {
+	service, ok := view.Service(ev.Service)
+	if !ok {
+		return nil, settings.Method{}, &fault.Fault{
+			Kind: fault.NotRun, Code: fault.UnknownService, Message: fmt.Sprintf("no service %q", ev.Service),
+			Remedy: "name a service of the settings",
+		}
+	}
+	method, ok := service.Methods[ev.Method]
+	if !ok {
+		return nil, settings.Method{}, &fault.Fault{
+			Kind: fault.NotRun, Code: fault.UnknownMethod, Message: fmt.Sprintf("service %q has no method %q", ev.Service, ev.Method),
+			Remedy: "name a method of the service",
+		}
+	}
+	if method.Once && ev.IdempotencyKey == "" {
+		return nil, settings.Method{}, &fault.Fault{
+			Kind: fault.NotRun, Code: fault.KeyMissing, Message: fmt.Sprintf("method %q may not be repeated", ev.Method),
+			Remedy: "send an idempotency key of your own choice",
+		}
+	}
+	return service, method, nil
+}
+
+func callDeadline(within time.Duration, method settings.Method) time.Duration {
+	if within <= 0 || within > method.Deadline() {
+		return method.Deadline()
+	}
+	return within
+}
+
+// liveTargets returns the targets of a service that may get a call, those of
+// this node's zone first.
+func (s *State) liveTargets(service *settings.Service) []model.TargetID {
+	var near, far []model.TargetID
+	for _, id := range service.Targets {
+		target, ok := s.targets.Get(id)
+		switch {
+		case !ok || !target.Usable():
+		case target.Zone == s.config.Zone:
+			near = append(near, id)
+		default:
+			far = append(far, id)
+		}
+	}
+	return append(near, far...)
+}
+
+func (s *State) startOnce(c *decision.Context, ev event.CallArrived, workspace model.WorkspaceID, id model.TargetID, deadline model.Instant) *fault.Fault {
+	target, _ := s.targets.Get(id)
+	s.counters.CallsSent++
+	s.ledger.Begin(c, &once.Call{
+		Request:   ev.Request,
+		Workspace: workspace,
+		Service:   ev.Service,
+		Method:    ev.Method,
+		Key:       ev.IdempotencyKey,
+		Body:      ev.Body,
+		Deadline:  deadline,
+		Target:    id,
+		Address:   target.Address,
+	})
+	return nil
+}
+
+func (s *State) sendPlain(c *decision.Context, call *plainCall) {
+	id := call.targets[call.tries%len(call.targets)]
+	target, _ := s.targets.Get(id)
+	call.tries++
+	call.send.Target = id
+	call.send.Address = target.Address
+	call.send.Within = call.deadline.Sub(c.Now)
+	s.counters.CallsSent++
+	c.Emit(call.send)
+}
+
+func (s *State) callAnswered(c *decision.Context, ev event.CallAnswered) {
+	call, ok := s.calls[ev.Request]
+	if !ok {
+		s.ledger.Answered(c, ev)
+		return
+	}
+	delete(s.calls, call.send.Request)
+	if !ev.Failed {
+		c.Emit(event.AnswerCall{Request: ev.Request, Body: ev.Body})
+		return
+	}
+	c.Emit(event.RefuseRequest{Request: ev.Request, Fault: fault.Fault{
+		Kind: fault.Failed, Code: fault.CallFailed, Message: ev.Message, Remedy: "correct the call",
+	}})
+}
+
+func (s *State) callCut(c *decision.Context, ev event.CallCut) {
+	call, ok := s.calls[ev.Request]
+	if !ok {
+		s.ledger.Cut(c, ev)
+		return
+	}
+	if call.tries < maxCallTries && c.Now < call.deadline {
+		s.sendPlain(c, call)
+		return
+	}
+	delete(s.calls, call.send.Request)
+	c.Emit(event.RefuseRequest{Request: ev.Request, Fault: fault.Fault{
+		Kind: fault.Failed, Code: fault.CallFailed, Message: "no target of the service answered: " + ev.Reason,
+		Remedy: "send the call again; this method may be repeated", RetryAfter: capacityRetryAfter,
+	}})
+}
--- /dev/null
+++ b/internal/reducer/dispatch.go
@@ -0,0 +1,139 @@
+package reducer
+
+import (
+	"tamarackreach/internal/commit"
+	"tamarackreach/internal/decision"
+	"tamarackreach/internal/event"
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/once"
+	"tamarackreach/internal/spread"
+	"tamarackreach/internal/timer"
+)
+
+// dispatch hands an event to the decision that it concerns.
+func (s *State) dispatch(c *decision.Context, ev event.Event) {
+	switch ev := ev.(type) {
+	case *event.TokenArrived:
+		s.tokenArrived(c, ev)
+	case event.StreamHeartbeat:
+		s.streamHeartbeat(c, ev)
+	case event.Tick:
+		s.tick(c)
+	case event.RequestArrived:
+		s.requestArrived(c, ev)
+	case event.CallerGone:
+		s.callerGone(c, ev)
+	case event.StreamBroken:
+		s.streamBroken(c, ev)
+	case event.CallArrived:
+		s.callArrived(c, ev)
+	case event.CallAnswered:
+		s.callAnswered(c, ev)
+	case event.CallCut:
+		s.callCut(c, ev)
+	case event.EngineReported:
+		s.targets.Reported(c, ev)
+	case event.TargetLost:
+		s.targets.Lost(c, ev)
+	case event.VMsListed:
+		s.vmsListed(c, ev)
+	case event.DrainRequested:
+		s.drainRequested(c, ev)
+	case event.ChangeProposed:
+		s.changeProposed(c, ev)
+	case event.NodeStarted:
+		s.nodeStarted(c)
+	case event.ShutdownRequested:
+		s.shutdownRequested(c)
+	default:
+		s.dispatchPlatform(c, ev)
+	}
+}
+
+// dispatchPlatform hands an answer of the platform to the decision that asked.
+func (s *State) dispatchPlatform(c *decision.Context, ev event.Event) {
+	switch ev := ev.(type) {
+	case event.TransactionDone:
+		s.transactionDone(c, ev)
+	case event.TransactionUnknown:
+		s.transactionUnknown(c, ev)
+	case event.RowsRead:
+		s.rowsRead(c, ev)
+	case event.ReadFailed:
+		s.readFailed(c, ev)
+	}
+}
+
+func (s *State) transactionDone(c *decision.Context, ev event.TransactionDone) {
+	switch {
+	case once.Owns(ev.Transaction):
+		s.ledger.TransactionDone(c, ev)
+	case commit.Owns(ev.Transaction):
+		s.committer.TransactionDone(c, ev)
+	}
+}
+
+func (s *State) transactionUnknown(c *decision.Context, ev event.TransactionUnknown) {
+	switch {
+	case once.Owns(ev.Transaction):
+		s.ledger.TransactionUnknown(c, ev)
+	case commit.Owns(ev.Transaction):
+		s.committer.TransactionUnknown(c, ev)
+	}
+}
+
+func (s *State) rowsRead(c *decision.Context, ev event.RowsRead) {
+	switch {
+	case once.Owns(ev.Read):
+		s.ledger.RowsRead(c, ev)
+	case commit.Owns(ev.Read):
+		s.committer.RowsRead(c, ev)
+	case spread.Owns(ev.Read):
+		s.settingsRead(c, ev)
+	}
+}
+
+func (s *State) readFailed(c *decision.Context, ev event.ReadFailed) {
+	switch {
+	case once.Owns(ev.Read):
+		s.ledger.ReadFailed(c, ev)
+	case commit.Owns(ev.Read):
+		s.committer.ReadFailed(c, ev)
+	case spread.Owns(ev.Read):
+		s.follower.ReadFailed(ev)
+	}
+}
+
+// tick fires every due timer, in order.
+func (s *State) tick(c *decision.Context) {
+	for {
+		key, ok := c.Timers.PopDue(c.Now)
+		if !ok {
+			return
+		}
+		s.fire(c, key)
+	}
+}
+
+func (s *State) fire(c *decision.Context, key timer.Key) {
+	switch key.Kind {
+	case timer.StreamSilent:
+		s.streamSilent(c, model.RequestID(key.ID))
+	case timer.RetryRequest:
+		s.retryDue(c, model.RequestID(key.ID))
+	case timer.CallDeadline:
+		s.ledger.DeadlineDue(c, model.RequestID(key.ID))
+	case timer.ClaimRead:
+		s.ledger.ReadDue(c, model.RequestID(key.ID))
+	case timer.SettingsPoll:
+		s.follower.Poll(c)
+	case timer.ChangeRetry:
+		s.committer.RetryDue(c, model.ChangeID(key.ID))
+	case timer.VMPoll:
+		s.pollVMs(c)
+	case timer.ShutdownLag:
+		s.refusing = true
+	case timer.TargetProbe:
+		s.targets.ProbeDue(c, model.TargetID(key.ID))
+	}
+}
--- /dev/null
+++ b/internal/reducer/lifecycle.go
@@ -0,0 +1,79 @@
+package reducer
+
+import (
+	"time"
+
+	"tamarackreach/internal/decision"
+	"tamarackreach/internal/event"
+	"tamarackreach/internal/fault"
+	"tamarackreach/internal/timer"
+)
+
+// vmPollInterval is the time between two reads of the VM list.
+const vmPollInterval = time.Second
+
+func (s *State) nodeStarted(c *decision.Context) {
+	s.follower.Start(c)
+	s.pollVMs(c)
+}
+
+func (s *State) pollVMs(c *decision.Context) {
+	c.After(timer.VMPoll, "", c.Jitter(vmPollInterval))
+	c.Emit(event.ListVMs{})
+}
+
+func (s *State) vmsListed(c *decision.Context, ev event.VMsListed) {
+	if !ev.Failed {
+		s.targets.Listed(c, ev.VMs)
+	}
+}
+
+func (s *State) drainRequested(c *decision.Context, ev event.DrainRequested) {
+	target, ok := s.targets.Get(ev.Target)
+	if !ok {
+		c.Emit(event.AnswerChange{Request: ev.Request, Fault: &fault.Fault{
+			Kind: fault.NotRun, Code: fault.UnknownTarget, Message: "no target " + string(ev.Target),
+			Remedy: "name a target that tamarackctl status lists",
+		}})
+		return
+	}
+	s.targets.Mark(c, ev.Target, target.Incarnation, event.TargetLeaving)
+	c.Emit(event.AnswerChange{Request: ev.Request, Revision: s.follower.Revision()})
+}
+
+func (s *State) changeProposed(c *decision.Context, ev event.ChangeProposed) {
+	if refusal := s.notReady(); refusal != nil {
+		c.Emit(event.AnswerChange{Request: ev.Request, Fault: refusal})
+		return
+	}
+	s.committer.Propose(c, ev)
+}
+
+// settingsRead takes in a read of the follower and goes on with the changes
+// that waited for a newer revision.
+func (s *State) settingsRead(c *decision.Context, ev event.RowsRead) {
+	before := s.follower.Revision()
+	s.follower.RowsRead(c, ev)
+	if now := s.follower.Revision(); now > before {
+		s.counters.ChangesInForce += uint64(now - before)
+		s.committer.RevisionInForce(c, now)
+	}
+}
+
+func (s *State) shutdownRequested(c *decision.Context) {
+	s.shuttingDown = true
+	c.After(timer.ShutdownLag, "", s.config.ShutdownLag)
+	c.Emit(event.LogChange{Message: "shutting down; requests in progress run to their end"})
+}
+
+// settleShutdown reports once that nothing is in progress any more.
+func (s *State) settleShutdown(c *decision.Context) {
+	if !s.refusing || s.shutdownDone {
+		return
+	}
+	if len(s.requests) > 0 || len(s.calls) > 0 || s.ledger.InProgress() > 0 {
+		return
+	}
+	s.shutdownDone = true
+	c.Emit(event.ShutdownReady{})
+}
--- /dev/null
+++ b/internal/reducer/state.go
@@ -0,0 +1,122 @@
+// Package reducer is the state machine of an entry VM. Reduce takes one event
+// and returns the effects to carry out. It is pure and deterministic: it has no
+// clock, goroutine, I/O or global random source, and depends on no map order.
+package reducer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"tamarackreach/internal/attempt"
+	"tamarackreach/internal/commit"
+	"tamarackreach/internal/decision"
+	"tamarackreach/internal/event"
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/once"
+	"tamarackreach/internal/quarantine"
+	"tamarackreach/internal/quota"
+	"tamarackreach/internal/spread"
+	"tamarackreach/internal/targets"
+	"tamarackreach/internal/timer"
+)
+
+// Config is what a state is made from; it is recorded with every trace.
+type Config struct {
+	Node        model.NodeID           `json:"node"`
+	Incarnation model.Incarnation      `json:"incarnation"`
+	Zone        model.AvailabilityZone `json:"zone"`
+	PeerAddress string                 `json:"peer_address"`
+	// EntryNodes is the number of entry VMs that quotas are split over.
+	EntryNodes uint32 `json:"entry_nodes"`
+	// ShutdownLag is how long the balancer may go on sending after SIGTERM.
+	ShutdownLag time.Duration `json:"shutdown_lag_ns"`
+	// Seed seeds the generator.
+	Seed uint64 `json:"seed"`
+}
+
+// Counters count what happened; telemetry publishes them.
+type Counters struct {
+	RequestsAdmitted  uint64
+	RequestsRefused   uint64
+	RequestsCompleted uint64
+	RequestsFailed    uint64
+	TokensForwarded   uint64
+	FramesDropped     uint64
+	StagesReplaced    uint64
+	StreamsRedialled  uint64
+	CallsSent         uint64
+	ChangesInForce    uint64
+}
+
+// State is the whole state of an entry VM.
+type State struct {
+	config   Config
+	context  decision.Context
+	counters Counters
+
+	follower   *spread.Follower
+	committer  *commit.Committer
+	targets    *targets.Table
+	ledger     *once.Ledger
+	quarantine *quarantine.List
+	quotas     *quota.Shares
+	requests   map[model.RequestID]*attempt.Request
+	calls      map[model.RequestID]*plainCall
+
+	// shuttingDown is true from SIGTERM on; the balancer is told.
+	shuttingDown bool
+	// refusing is true once the balancer's lag has passed after SIGTERM.
+	refusing     bool
+	shutdownDone bool
+}
+
+// New returns the state of a node that has just started.
+func New(config Config) *State {
+	follower := spread.New()
+	return &State{
+		config: config,
+		context: decision.Context{
+			Timers: timer.New(),
+			Rand:   rand.New(rand.NewPCG(config.Seed, uint64(config.Incarnation))),
+		},
+		follower:   follower,
+		committer:  commit.New(follower),
+		targets:    targets.New(),
+		ledger:     once.New(config.Node, config.Incarnation),
+		quarantine: quarantine.New(),
+		quotas:     quota.New(),
+		requests:   make(map[model.RequestID]*attempt.Request),
+		calls:      make(map[model.RequestID]*plainCall),
+	}
+}
+
+// Reduce takes one event at a monotonic instant and returns its effects. The
+// returned slice is valid until the next call.
+func (s *State) Reduce(now model.Instant, unixMs int64, ev event.Event) []event.Effect {
+	c := &s.context
+	c.Now = now
+	c.UnixMs = unixMs
+	clear(c.Effects)
+	c.Effects = c.Effects[:0]
+	s.dispatch(c, ev)
+	s.settleShutdown(c)
+	return c.Effects
+}
+
+// NextTimer returns the instant at which a Tick is due.
+func (s *State) NextTimer() (model.Instant, bool) { return s.context.Timers.Next() }
+
+// Counters returns what happened so far.
+func (s *State) Counters() Counters { return s.counters }
+
+// Follower returns the settings state, for queries.
+func (s *State) Follower() *spread.Follower { return s.follower }
+
+// Targets returns the target table, for queries.
+func (s *State) Targets() *targets.Table { return s.targets }
+
+// Ready is true when the node may get requests from the balancer.
+func (s *State) Ready() bool { return s.follower.Ready() && !s.shuttingDown }
+
+// Config returns what the state was made from.
+func (s *State) Config() Config { return s.config }
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,162 @@
+package settings
+
+import (
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"slices"
+
+	"tamarackreach/internal/model"
+)
+
+// keyHashBytes is the length of a SHA-256 hash.
+const keyHashBytes = 32
+
+// Check returns everything wrong with the tree, in a fixed order.
+func (t *Tree) Check() []Problem {
+	c := checker{
+		owners: make(map[string]model.TeamID),
+		shares: make(map[model.PipelineID]uint64),
+	}
+	c.collect(t)
+	for _, teamID := range slices.Sorted(maps.Keys(t.Teams)) {
+		c.team(teamID, t.Teams[teamID])
+	}
+	c.shareSums()
+	return c.problems
+}
+
+type checker struct {
+	owners    map[string]model.TeamID
+	models    map[model.ModelName]*Model
+	pipelines map[model.PipelineID]*Pipeline
+	shares    map[model.PipelineID]uint64
+	problems  []Problem
+}
+
+func (c *checker) add(path, value, remedy string) {
+	c.problems = append(c.problems, Problem{Path: path, Value: value, Remedy: remedy})
+}
+
+// collect indexes the objects that others refer to across teams.
+func (c *checker) collect(t *Tree) {
+	c.models = make(map[model.ModelName]*Model)
+	c.pipelines = make(map[model.PipelineID]*Pipeline)
+	for _, team := range t.Teams {
+		maps.Copy(c.models, team.Models)
+		maps.Copy(c.pipelines, team.Pipelines)
+	}
+}
+
+// own reports an object whose name another team uses already.
+func (c *checker) own(team model.TeamID, path string) string {
+	full := fmt.Sprintf("teams/%s/%s", team, path)
+	if owner, taken := c.owners[path]; taken {
+		c.add(full, fmt.Sprintf("name is taken by team %s", owner), "choose another name")
+	}
+	c.owners[path] = team
+	return full
+}
+
+func (c *checker) team(id model.TeamID, team *Team) {
+	for _, name := range slices.Sorted(maps.Keys(team.Models)) {
+		c.model(c.own(id, sectionModels+"/"+string(name)), team.Models[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(team.Pipelines)) {
+		c.pipeline(c.own(id, sectionPipelines+"/"+string(name)), team.Pipelines[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(team.Workspaces)) {
+		c.workspace(c.own(id, sectionWorkspaces+"/"+string(name)), team.Workspaces[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(team.Services)) {
+		c.service(c.own(id, sectionServices+"/"+string(name)), team.Services[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(team.Targets)) {
+		c.own(id, sectionTargets+"/"+string(name))
+	}
+}
+
+func (c *checker) model(path string, m *Model) {
+	if len(m.Versions) == 0 {
+		c.add(path+"/versions", "is empty", "list at least one version")
+	}
+	if m.Layers == 0 {
+		c.add(path+"/layers", "0", "give the number of layers of the model")
+	}
+}
+
+func (c *checker) pipeline(path string, p *Pipeline) {
+	if p.Recovery != RecoverStage && p.Recovery != RecoverRestart {
+		c.add(path+"/recovery", string(p.Recovery), `use "stage" or "restart"`)
+	}
+	if p.MaxPromptBytes == 0 {
+		c.add(path+"/max_prompt_bytes", "0", "give the longest prompt in bytes")
+	}
+	m, ok := c.models[p.Model]
+	if !ok {
+		c.add(path+"/model", string(p.Model), "name a model that a team lists under models")
+		return
+	}
+	if !slices.Contains(m.Versions, p.Version) {
+		c.add(path+"/version", string(p.Version), "use a listed version; a version in use can't be withdrawn")
+	}
+	c.stages(path, p.Stages, m.Layers)
+}
+
+// stages checks that the stages join up to the whole model.
+func (c *checker) stages(path string, stages []Stage, layers uint32) {
+	next := uint32(0)
+	for i, stage := range stages {
+		at := fmt.Sprintf("%s/stages/%d", path, i)
+		if stage.Layers.First != next || stage.Layers.End <= stage.Layers.First {
+			c.add(at+"/layers", stage.Layers.String(), fmt.Sprintf("start at layer %d and hold at least one layer", next))
+		}
+		if len(stage.Targets) == 0 {
+			c.add(at+"/targets", "is empty", "name at least one target")
+		}
+		next = stage.Layers.End
+	}
+	if next != layers {
+		c.add(path+"/stages", fmt.Sprintf("end at layer %d", next), fmt.Sprintf("cover all %d layers of the model", layers))
+	}
+}
+
+func (c *checker) workspace(path string, w *Workspace) {
+	if hash, err := hex.DecodeString(w.KeySHA256); err != nil || len(hash) != keyHashBytes {
+		c.add(path+"/key_sha256", w.KeySHA256, "give the hex SHA-256 of the workspace key")
+	}
+	if w.FirstTokenMs == 0 {
+		c.add(path+"/first_token_ms", "0", "give how long callers wait for the first token, in ms")
+	}
+	for _, pipeline := range slices.Sorted(maps.Keys(w.SharesTokensPerS)) {
+		if _, ok := c.pipelines[pipeline]; !ok {
+			c.add(path+"/shares_tokens_per_s", string(pipeline), "name a pipeline that exists")
+		}
+		c.shares[pipeline] += uint64(w.SharesTokensPerS[pipeline])
+	}
+}
+
+func (c *checker) service(path string, s *Service) {
+	if len(s.Targets) == 0 {
+		c.add(path+"/targets", "is empty", "name at least one target")
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Methods)) {
+		if s.Methods[name].DeadlineMs == 0 {
+			c.add(path+"/methods/"+string(name)+"/deadline_ms", "0", "give the longest a call may take, in ms")
+		}
+	}
+}
+
+// shareSums checks the invariant that crosses subtrees: the shares of a
+// pipeline sum to at most its capacity.
+func (c *checker) shareSums() {
+	for _, id := range slices.Sorted(maps.Keys(c.shares)) {
+		pipeline, ok := c.pipelines[id]
+		if !ok || c.shares[id] <= uint64(pipeline.CapacityTokensPerS) {
+			continue
+		}
+		c.add("pipelines/"+string(id)+"/capacity_tokens_per_s",
+			fmt.Sprintf("shares sum to %d of %d tokens/s", c.shares[id], pipeline.CapacityTokensPerS),
+			"lower a share or raise the capacity")
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/server.go
@@ -0,0 +1,155 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	tamarackv1 "tamarackreach/gen/tamarack/v1"
+	"tamarackreach/internal/model"
+)
+
+// heartbeatInterval is the time between two heartbeats of a token stream.
+const heartbeatInterval = 200 * time.Millisecond
+
+// Start hands a request to this engine, the first of its chain.
+func (e *Engine) Start(ctx context.Context, request *connect.Request[tamarackv1.StartRequest]) (*connect.Response[tamarackv1.StartResponse], error) {
+	if err := e.startChain(ctx, request.Msg); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&tamarackv1.StartResponse{}), nil
+}
+
+// Prepare makes this engine ready for its part of an attempt.
+func (e *Engine) Prepare(_ context.Context, request *connect.Request[tamarackv1.PrepareRequest]) (*connect.Response[tamarackv1.PrepareResponse], error) {
+	if err := e.prepare(request.Msg.Start, int(request.Msg.Position)); err != nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	return connect.NewResponse(&tamarackv1.PrepareResponse{}), nil
+}
+
+// Step takes one token's activations.
+func (e *Engine) Step(_ context.Context, request *connect.Request[tamarackv1.StepRequest]) (*connect.Response[tamarackv1.StepResponse], error) {
+	if lost := request.Msg.LostTargetId; lost != "" {
+		e.frameLog(attemptKey{request: request.Msg.RequestId, attempt: request.Msg.Attempt}).add(&tamarackv1.CollectResponse{
+			RequestId: request.Msg.RequestId, Attempt: request.Msg.Attempt, LostTargetId: lost,
+		})
+		return connect.NewResponse(&tamarackv1.StepResponse{}), nil
+	}
+	if err := e.step(request.Msg); err != nil {
+		return nil, connect.NewError(connect.CodeNotFound, err)
+	}
+	return connect.NewResponse(&tamarackv1.StepResponse{}), nil
+}
+
+// Collect streams the frames of an attempt, with heartbeats between them.
+func (e *Engine) Collect(ctx context.Context, request *connect.Request[tamarackv1.CollectRequest], stream *connect.ServerStream[tamarackv1.CollectResponse]) error {
+	log := e.frameLog(attemptKey{request: request.Msg.RequestId, attempt: request.Msg.Attempt})
+	heartbeat := time.NewTicker(heartbeatInterval)
+	defer heartbeat.Stop()
+	sent := 0
+	for {
+		frames, changed := log.from(sent)
+		for _, frame := range frames {
+			if err := stream.Send(frame); err != nil {
+				return err
+			}
+			sent++
+			if frame.Last || frame.LostTargetId != "" {
+				return nil
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-heartbeat.C:
+			beat := &tamarackv1.CollectResponse{RequestId: request.Msg.RequestId, Attempt: request.Msg.Attempt, Heartbeat: true}
+			if err := stream.Send(beat); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// Cancel ends every attempt of a request up to the given one.
+func (e *Engine) Cancel(_ context.Context, request *connect.Request[tamarackv1.CancelRequest]) (*connect.Response[tamarackv1.CancelResponse], error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.logs, attemptKey{request: request.Msg.RequestId, attempt: request.Msg.Attempt})
+	return connect.NewResponse(&tamarackv1.CancelResponse{}), nil
+}
+
+// Order asks for an absolute desired state.
+func (e *Engine) Order(ctx context.Context, request *connect.Request[tamarackv1.OrderRequest]) (*connect.Response[tamarackv1.OrderResponse], error) {
+	if !e.acceptOrder(request.Msg) {
+		return connect.NewResponse(&tamarackv1.OrderResponse{Reason: "the fencing number is old"}), nil
+	}
+	want := model.LayerRange{First: request.Msg.Layers.GetFirst(), End: request.Msg.Layers.GetEnd()}
+	if err := e.host.fetchWeights(ctx, request.Msg, e.config.ID, want.Len()); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.model = request.Msg.Model
+	e.version = model.ModelVersion(request.Msg.Version)
+	e.layers = want
+	e.sessions = make(map[string]*session)
+	return connect.NewResponse(&tamarackv1.OrderResponse{Accepted: true}), nil
+}
+
+func (e *Engine) acceptOrder(order *tamarackv1.OrderRequest) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.config.ChecksFencing && order.FencingNumber < e.fencing {
+		return false
+	}
+	e.fencing = max(e.fencing, order.FencingNumber)
+	return true
+}
+
+// Watch streams load reports and cache events.
+func (e *Engine) Watch(ctx context.Context, _ *connect.Request[tamarackv1.WatchRequest], stream *connect.ServerStream[tamarackv1.WatchResponse]) error {
+	ticker := time.NewTicker(e.config.reportInterval())
+	defer ticker.Stop()
+	cursor := 0
+	for sequence := uint64(1); ; sequence++ {
+		report := e.report(sequence, &cursor)
+		if err := stream.Send(report); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (e *Engine) report(sequence uint64, cursor *int) *tamarackv1.WatchResponse {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	running, waiting := e.batches.load()
+	report := &tamarackv1.WatchResponse{
+		TargetId:      e.config.ID,
+		Incarnation:   e.life,
+		Sequence:      sequence,
+		Model:         e.model,
+		Version:       string(e.version),
+		Layers:        &tamarackv1.LayerRange{First: e.layers.First, End: e.layers.End},
+		Accelerator:   e.config.Accelerator,
+		StepUs:        e.config.StepUs,
+		MaxBatch:      e.config.MaxBatch,
+		Running:       uint32(running),
+		Queued:        uint32(waiting),
+		Leaving:       e.leaving,
+		FencingNumber: e.fencing,
+		CacheEvents:   e.cache.since(cursor),
+	}
+	for target := range e.config.LinkUs {
+		latency := e.host.linkLatency(e, target)
+		report.Links = append(report.Links, &tamarackv1.LinkReport{ToTargetId: target, LatencyUs: uint32(latency.Microseconds())})
+	}
+	return report
+}
--- /dev/null
+++ b/internal/standin/engine/session.go
@@ -0,0 +1,54 @@
+package engine
+
+import (
+	"sync"
+
+	tamarackv1 "tamarackreach/gen/tamarack/v1"
+)
+
+// session is an engine's part in one attempt of a request.
+type session struct {
+	start    *tamarackv1.StartRequest
+	position int
+	// next is the index of the token that the engine runs next; an earlier
+	// one was run already.
+	next uint32
+}
+
+func (s *session) hop() *tamarackv1.Hop   { return s.start.Chain[s.position] }
+func (s *session) first() *tamarackv1.Hop { return s.start.Chain[0] }
+func (s *session) lastHop() *tamarackv1.Hop {
+	return s.start.Chain[len(s.start.Chain)-1]
+}
+func (s *session) isLast() bool { return s.position == len(s.start.Chain)-1 }
+
+// frameLog holds the frames of one attempt at the last engine of its chain, so
+// that a stream can be collected again.
+type frameLog struct {
+	mu      sync.Mutex
+	frames  []*tamarackv1.CollectResponse
+	changed chan struct{}
+}
+
+func newFrameLog() *frameLog { return &frameLog{changed: make(chan struct{})} }
+
+func (l *frameLog) add(frame *tamarackv1.CollectResponse) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.frames = append(l.frames, frame)
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// from returns the frames from position n on, and what closes when there are
+// more.
+func (l *frameLog) from(n int) ([]*tamarackv1.CollectResponse, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.frames[n:], l.changed
+}
+
+type attemptKey struct {
+	request string
+	attempt uint32
+}
--- /dev/null
+++ b/internal/targetclient/stream.go
@@ -0,0 +1,166 @@
+package targetclient
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	tamarackv1 "tamarackreach/gen/tamarack/v1"
+	"tamarackreach/internal/event"
+	"tamarackreach/internal/model"
+)
+
+const (
+	// startTimeout bounds the start of an attempt, rebuilding included.
+	startTimeout = 5 * time.Second
+	// cancelTimeout bounds one cancel.
+	cancelTimeout = time.Second
+)
+
+// Open collects an attempt from its last target, then starts it at its first.
+func (c *Client) Open(effect event.OpenChain) {
+	key := streamKey{request: effect.Request, attempt: effect.Attempt}
+	ctx := c.track(key)
+	last := effect.Chain[len(effect.Chain)-1]
+	go c.collect(ctx, key, last)
+	go c.start(ctx, effect)
+}
+
+// Redial collects the same attempt again.
+func (c *Client) Redial(effect event.RedialStream) {
+	key := streamKey{request: effect.Request, attempt: effect.Attempt}
+	ctx := c.track(key)
+	go c.collect(ctx, key, effect.Last)
+}
+
+func (c *Client) start(ctx context.Context, effect event.OpenChain) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	first := effect.Chain[0]
+	_, err := c.engine(first.Address).Start(ctx, connect.NewRequest(startRequest(effect)))
+	if err == nil || ctx.Err() == context.Canceled {
+		return
+	}
+	c.post(brokenBy(effect.Request, effect.Attempt, first.Target, err))
+}
+
+func startRequest(effect event.OpenChain) *tamarackv1.StartRequest {
+	request := &tamarackv1.StartRequest{
+		RequestId: string(effect.Request),
+		Attempt:   uint32(effect.Attempt),
+		Model:     string(effect.Model),
+		Version:   string(effect.Version),
+		Prompt:    effect.Prompt,
+		Tokens:    effect.Tokens,
+		MaxTokens: effect.MaxTokens,
+		Priority:  effect.Priority,
+		PrefixKey: effect.PrefixKey,
+	}
+	for _, hop := range effect.Chain {
+		request.Chain = append(request.Chain, &tamarackv1.Hop{
+			TargetId:    string(hop.Target),
+			Address:     hop.Address,
+			Layers:      &tamarackv1.LayerRange{First: hop.Layers.First, End: hop.Layers.End},
+			Rebuild:     hop.Rebuild,
+			Incarnation: uint64(hop.Incarnation),
+		})
+	}
+	return request
+}
+
+// brokenBy reports a failed call to a target. An engine that names another
+// target of the chain as lost does so in its error's metadata.
+func brokenBy(request model.RequestID, attempt model.AttemptNumber, target model.TargetID, err error) event.StreamBroken {
+	broken := event.StreamBroken{Request: request, Attempt: attempt, Lost: target, Reason: err.Error()}
+	var connectErr *connect.Error
+	if !asWireError(err, &connectErr) {
+		return broken
+	}
+	broken.Refused = true
+	if named := connectErr.Meta().Get(LostTargetHeader); named != "" {
+		broken.Lost = model.TargetID(named)
+		broken.Refused = false
+	}
+	return broken
+}
+
+// LostTargetHeader names the target of a chain that an engine could not reach.
+const LostTargetHeader = "Tamarack-Lost-Target"
+
+func (c *Client) collect(ctx context.Context, key streamKey, last model.Hop) {
+	request := &tamarackv1.CollectRequest{RequestId: string(key.request), Attempt: uint32(key.attempt)}
+	stream, err := c.engine(last.Address).Collect(ctx, connect.NewRequest(request))
+	if err == nil {
+		defer func() { _ = stream.Close() }()
+		for stream.Receive() {
+			if ended := c.frame(key, stream.Msg()); ended {
+				return
+			}
+		}
+		err = stream.Err()
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if err == nil {
+		c.post(event.StreamBroken{Request: key.request, Attempt: key.attempt, Reason: "stream ended early", Refused: true})
+		return
+	}
+	c.post(brokenBy(key.request, key.attempt, last.Target, err))
+}
+
+// frame posts one frame; it returns true when the stream has ended.
+func (c *Client) frame(key streamKey, frame *tamarackv1.CollectResponse) bool {
+	switch {
+	case frame.LostTargetId != "":
+		c.post(event.StreamBroken{
+			Request: key.request, Attempt: key.attempt,
+			Lost: model.TargetID(frame.LostTargetId), Reason: "target unreachable from the chain",
+		})
+		return true
+	case frame.Heartbeat:
+		c.post(event.StreamHeartbeat{Request: key.request, Attempt: key.attempt})
+		return false
+	}
+	c.post(tokenEvent(frame))
+	if frame.Last {
+		c.forget(key)
+	}
+	return frame.Last
+}
+
+func tokenEvent(frame *tamarackv1.CollectResponse) *event.TokenArrived {
+	ev := &event.TokenArrived{
+		Request:  model.RequestID(frame.RequestId),
+		Attempt:  model.AttemptNumber(frame.Attempt),
+		Index:    model.TokenIndex(frame.Index),
+		Text:     frame.Text,
+		Receipts: make([]model.Receipt, len(frame.Receipts)),
+		Last:     frame.Last,
+	}
+	for i, receipt := range frame.Receipts {
+		ev.Receipts[i] = model.Receipt{
+			Target:  model.TargetID(receipt.TargetId),
+			Layers:  model.LayerRange{First: receipt.Layers.GetFirst(), End: receipt.Layers.GetEnd()},
+			Version: model.ModelVersion(receipt.Version),
+		}
+	}
+	return ev
+}
+
+// Cancel ends an attempt on every target of its chain.
+func (c *Client) Cancel(effect event.CancelChain) {
+	c.forget(streamKey{request: effect.Request, attempt: effect.Attempt})
+	for _, hop := range effect.Chain {
+		go c.cancel(hop, effect)
+	}
+}
+
+func (c *Client) cancel(hop model.Hop, effect event.CancelChain) {
+	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+	defer stop()
+	request := &tamarackv1.CancelRequest{RequestId: string(effect.Request), Attempt: uint32(effect.Attempt)}
+	// A target that cannot be reached has nothing left to cancel.
+	_, _ = c.engine(hop.Address).Cancel(ctx, connect.NewRequest(request))
+}
--- /dev/null
+++ b/internal/timer/timer.go
@@ -0,0 +1,149 @@
+// Package timer is the ordered set of timeouts of the reducer. Timers with the
+// same deadline fire in the order in which they were set.
+package timer
+
+import (
+	"container/heap"
+
+	"tamarackreach/internal/model"
+)
+
+// Kind says which decision a timer belongs to.
+type Kind uint8
+
+// The kinds of timer.
+const (
+	// StreamSilent fires when a stream had no frame for too long.
+	StreamSilent Kind = iota + 1
+	// FirstToken fires when a request passed its first-token deadline.
+	FirstToken
+	// RetryRequest fires when a request may try its next chain.
+	RetryRequest
+	// CallDeadline fires when a call passed its deadline.
+	CallDeadline
+	// ClaimRead fires when a claim whose write was lost is to be read.
+	ClaimRead
+	// SettingsPoll fires when the head revision is to be read.
+	SettingsPoll
+	// ChangeRetry fires when a settings commit is to be retried.
+	ChangeRetry
+	// PeerHeartbeat fires when heartbeats are due.
+	PeerHeartbeat
+	// PeerSuspect fires when a peer was silent for too long.
+	PeerSuspect
+	// LeaseRenew fires when a lease is to be written.
+	LeaseRenew
+	// LeaseExpire fires when a held lease lapses.
+	LeaseExpire
+	// OrderRetry fires when an order is to be sent again.
+	OrderRetry
+	// QuotaRebalance fires when quota shares are to be exchanged.
+	QuotaRebalance
+	// VMPoll fires when the VM list is to be read.
+	VMPoll
+	// TargetProbe fires when a target is to be watched again.
+	TargetProbe
+	// ShutdownLag fires when the balancer sends nothing new any more.
+	ShutdownLag
+	// QuarantineLapse fires when quarantine records lapse.
+	QuarantineLapse
+)
+
+// Key identifies a timer; setting a key again replaces its deadline.
+type Key struct {
+	Kind Kind
+	ID   string
+}
+
+type entry struct {
+	key      Key
+	deadline model.Instant
+	sequence uint64
+	index    int
+}
+
+type entries []*entry
+
+func (e entries) Len() int { return len(e) }
+
+func (e entries) Less(i, j int) bool {
+	if e[i].deadline != e[j].deadline {
+		return e[i].deadline < e[j].deadline
+	}
+	return e[i].sequence < e[j].sequence
+}
+
+func (e entries) Swap(i, j int) {
+	e[i], e[j] = e[j], e[i]
+	e[i].index = i
+	e[j].index = j
+}
+
+func (e *entries) Push(x any) {
+	item := x.(*entry)
+	item.index = len(*e)
+	*e = append(*e, item)
+}
+
+func (e *entries) Pop() any {
+	old := *e
+	item := old[len(old)-1]
+	old[len(old)-1] = nil
+	*e = old[:len(old)-1]
+	return item
+}
+
+// Set is an ordered set of timers. The zero value is not usable; call New.
+type Set struct {
+	heap     entries
+	byKey    map[Key]*entry
+	sequence uint64
+}
+
+// New returns an empty set.
+func New() *Set { return &Set{byKey: make(map[Key]*entry)} }
+
+// Len returns the number of timers.
+func (s *Set) Len() int { return len(s.heap) }
+
+// Put sets the deadline of key, replacing an earlier one.
+func (s *Set) Put(key Key, deadline model.Instant) {
+	s.sequence++
+	if item, ok := s.byKey[key]; ok {
+		item.deadline = deadline
+		item.sequence = s.sequence
+		heap.Fix(&s.heap, item.index)
+		return
+	}
+	item := &entry{key: key, deadline: deadline, sequence: s.sequence}
+	s.byKey[key] = item
+	heap.Push(&s.heap, item)
+}
+
+// Remove deletes key if it is set.
+func (s *Set) Remove(key Key) {
+	item, ok := s.byKey[key]
+	if !ok {
+		return
+	}
+	heap.Remove(&s.heap, item.index)
+	delete(s.byKey, key)
+}
+
+// PopDue removes and returns the earliest timer due at now.
+func (s *Set) PopDue(now model.Instant) (Key, bool) {
+	if len(s.heap) == 0 || s.heap[0].deadline > now {
+		return Key{}, false
+	}
+	item := heap.Pop(&s.heap).(*entry)
+	delete(s.byKey, item.key)
+	return item.key, true
+}
+
+// Next returns the earliest deadline.
+func (s *Set) Next() (model.Instant, bool) {
+	if len(s.heap) == 0 {
+		return 0, false
+	}
+	return s.heap[0].deadline, true
+}
