--- /dev/null
+++ b/internal/fakes/platform.go
@@ -0,0 +1,58 @@
+// Package fakes holds small fakes for tests of the reducer and its decisions.
+package fakes
+
+import (
+	"tamarackreach/internal/event"
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/standin/platform"
+)
+
+// Platform answers the effects towards the table service at once.
+type Platform struct {
+	Table *platform.Table
+	// Down makes every call fail without effect.
+	Down bool
+	// LoseAnswers makes transactions take effect and their answers vanish.
+	LoseAnswers bool
+}
+
+// NewPlatform returns a platform with an empty table.
+func NewPlatform() *Platform { return &Platform{Table: platform.NewTable()} }
+
+// Answer returns the event that an effect results in; ok is false for effects
+// that are not for the table service.
+func (p *Platform) Answer(effect event.Effect) (answer event.Event, ok bool) {
+	switch effect := effect.(type) {
+	case event.Transact:
+		return p.transact(effect), true
+	case event.ReadRows:
+		return p.read(effect), true
+	}
+	return nil, false
+}
+
+func (p *Platform) transact(effect event.Transact) event.Event {
+	if p.Down {
+		return event.TransactionUnknown{Transaction: effect.Transaction, Reason: "outage"}
+	}
+	version, conflicts := p.Table.Transact(effect.Conditions, effect.Writes)
+	if p.LoseAnswers {
+		return event.TransactionUnknown{Transaction: effect.Transaction, Reason: "answer lost"}
+	}
+	return event.TransactionDone{
+		Transaction: effect.Transaction, Committed: len(conflicts) == 0, Version: version, Conflicts: conflicts,
+	}
+}
+
+func (p *Platform) read(effect event.ReadRows) event.Event {
+	if p.Down {
+		return event.ReadFailed{Read: effect.Read, Reason: "outage"}
+	}
+	var rows []model.Row
+	if effect.Prefix == "" {
+		rows = p.Table.Read(effect.Keys)
+	} else {
+		rows = p.Table.Scan(effect.Prefix, effect.StartKey, int(effect.Limit))
+	}
+	return event.RowsRead{Read: effect.Read, Rows: rows}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -4,10 +4,13 @@
 
 import (
 	"hash"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"tamarackreach/internal/event"
 	"tamarackreach/internal/model"
 )
 
@@ -68,3 +71,31 @@
 	}
 	return r.until.Sub(now)
 }
+
+// Notes returns what peers are to hear, in a fixed order.
+func (l *List) Notes(now model.Instant) []event.QuarantineNote {
+	notes := make([]event.QuarantineNote, 0, len(l.records))
+	for _, content := range slices.Sorted(maps.Keys(l.records)) {
+		r := l.records[content]
+		if now >= r.until {
+			continue
+		}
+		notes = append(notes, event.QuarantineNote{
+			Fingerprint: content, Crashes: r.crashes, Quarantined: r.crashes >= crashLimit, Remaining: r.until.Sub(now),
+		})
+	}
+	return notes
+}
+
+// Heard takes in what a peer knows.
+func (l *List) Heard(now model.Instant, notes []event.QuarantineNote) {
+	for _, note := range notes {
+		r, ok := l.records[note.Fingerprint]
+		if !ok {
+			r = &record{}
+			l.records[note.Fingerprint] = r
+		}
+		r.crashes = max(r.crashes, note.Crashes)
+		r.until = max(r.until, now.Add(note.Remaining))
+	}
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"tamarackreach/internal/event"
 	"tamarackreach/internal/model"
 )
 
@@ -51,3 +52,9 @@
 	b.tokens -= float64(tokens)
 	return 0, true
 }
+
+// Notes returns this node's shares and demand, for peers.
+func (s *Shares) Notes(_ model.Instant) []event.QuotaNote { return nil }
+
+// Heard takes in a peer's shares and demand.
+func (s *Shares) Heard(_ model.Instant, _ model.NodeID, _ []event.QuotaNote) {}
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -206,3 +206,21 @@
 		}
 	}
 }
+
+// Notes returns the targets that are leaving or gone, for peers.
+func (t *Table) Notes() []event.TargetNote {
+	var notes []event.TargetNote
+	for _, id := range t.IDs() {
+		if target := t.targets[id]; target.Status != event.TargetLive {
+			notes = append(notes, event.TargetNote{Target: id, Incarnation: target.Incarnation, Status: target.Status})
+		}
+	}
+	return notes
+}
+
+// Heard takes in what a peer knows of targets.
+func (t *Table) Heard(c *decision.Context, notes []event.TargetNote) {
+	for _, note := range notes {
+		t.Mark(c, note.Target, note.Incarnation, note.Status)
+	}
+}
