--- a/internal/reducer/admit.go
+++ b/internal/reducer/admit.go
@@ -143,4 +143,3 @@
 	s.open(c, request, chain.Hops, false)
 	return nil
 }
-
