Go on without a target that died after it took a step

Cause: an engine that crashes with a step in its batch has already accepted it, so that the engine before it saw a success, and the last engine of the chain goes on sending heartbeats. The request waited for ever. Ruled out: a port collision (all targets were live), the caller's stream (the other specs passed over it). Change: when the watch of a target breaks, every request on it replaces that stage. Left: a target whose watch stays open and whose step is lost is not found yet.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -4,6 +4,8 @@
 package attempt
 
 import (
+	"slices"
+
 	"tamarackreach/internal/event"
 	"tamarackreach/internal/model"
 )
@@ -117,6 +119,11 @@
 	}
 }
 
+// Uses is true when the current chain runs on the target.
+func (r *Request) Uses(target model.TargetID) bool {
+	return slices.ContainsFunc(r.Chain, func(hop model.Hop) bool { return hop.Target == target })
+}
+
 // Keep returns, by stage, the targets that still hold the request's state
 // after the loss of one.
 func (r *Request) Keep(lost model.TargetID) map[int]model.TargetID {
--- a/internal/reducer/dispatch.go
+++ b/internal/reducer/dispatch.go
@@ -34,7 +34,7 @@
 	case event.EngineReported:
 		s.targets.Reported(c, ev)
 	case event.TargetLost:
-		s.targets.Lost(c, ev)
+		s.targetLost(c, ev)
 	case event.VMsListed:
 		s.vmsListed(c, ev)
 	case event.DrainRequested:
--- a/internal/reducer/stream.go
+++ b/internal/reducer/stream.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"tamarackreach/internal/attempt"
@@ -82,6 +84,19 @@
 	s.replace(c, request, ev.Lost)
 }
 
+// targetLost takes in that a target's watch broke. A target that died after it
+// took a step leaves the rest of the chain alive and waiting, so that the
+// requests on it go on without it.
+func (s *State) targetLost(c *decision.Context, ev event.TargetLost) {
+	s.targets.Lost(c, ev)
+	for _, id := range slices.Sorted(maps.Keys(s.requests)) {
+		request := s.requests[id]
+		if request.Uses(ev.Target) {
+			s.replace(c, request, ev.Target)
+		}
+	}
+}
+
 // replace goes on after the loss of a target: its stage alone gets another.
 func (s *State) replace(c *decision.Context, request *attempt.Request, lost model.TargetID) {
 	s.targets.Ended(request.Chain)
