--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -55,17 +55,26 @@
 	const first, span, tries, step = 20000, 12000, 50, 100
 	for range tries {
 		base := first + rand.IntN(span/step)*step
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base))
-		if err != nil {
-			continue
+		if allFree(base, step) {
+			return base
 		}
-		_ = listener.Close()
-		return base
 	}
 	Fail("no free ports")
 	return 0
 }
 
+// allFree is true when nothing listens on any of a range of ports.
+func allFree(base, count int) bool {
+	for port := base; port < base+count; port++ {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			return false
+		}
+		_ = listener.Close()
+	}
+	return true
+}
+
 // startCluster starts every process of a shape and gives it its settings; all
 // are stopped when the spec ends.
 func startCluster(ctx context.Context, shape deployment.Shape) *cluster {
