Check a target before going on without it, and hold suspects apart

Cause: a broken watch took the place of a live target and recomputed every request on it; a step lost inside a chain stalled a request for good; refused attempts and dead links counted as crashes of the content; a crash of an engine in its second life on a watch opened in its first was never noticed; cancelling an attempt left the engines' state, and cancelled kept targets too; the frames of an attempt vanished 30 s after its first one.

Ruled out: deciding from the broken stream alone (path and target look alike); cancelling the whole chain before each next attempt (kept targets then have no state); counting every crash alike (an innocent neighbour of a poison request that is replaced next to it would be refused with it).

Change: a sign of loss opens a new watch; only its outcome (same incarnation, no report in 300 ms, nothing listening, later incarnation) moves requests. Watches are numbered. Attempts have a progress timeout from the expected pace. Refusals rebuild. Work of recovery is bounded by a budget in stage steps. Content is blamed if its attempt began before the first sign; content that had given no token there is held, run isolated and cleared by its next token. Engines prepare once per attempt, check the incarnation, and keep state until it is cancelled or replaced.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -4,7 +4,7 @@
 package attempt
 
 import (
-	"slices"
+	"time"
 
 	"tamarackreach/internal/event"
 	"tamarackreach/internal/model"
@@ -32,12 +32,45 @@
 	Tokens []string
 	// LastFrame is when the current attempt was last heard of.
 	LastFrame model.Instant
+	// LastToken is when the current attempt began or gave its last token.
+	LastToken model.Instant
+	// Begun is when the current attempt began.
+	Begun model.Instant
+	// Collected is when the current stream was opened.
+	Collected model.Instant
 	// Redialled is true when the stream was silent and collected anew.
 	Redialled bool
+	// Pace is the expected time between two tokens of the chain.
+	Pace time.Duration
+	// Delivered counts the tokens accepted in the current attempt.
+	Delivered int
+	// Stalls counts the attempts in a row that gave no token in time.
+	Stalls int
+	// Refusals counts the attempts in a row that a target refused.
+	Refusals int
+	// Doubt is the target that may be lost; it is being checked.
+	Doubt Doubt
+	// Avoided are the targets that the request does not go back to.
+	Avoided []model.TargetID
+	// Held is true while the request waits to run isolated.
+	Held bool
+	// HeldUntil is when a held request is given up on.
+	HeldUntil model.Instant
+	// Isolated is true while the request runs away from other suspects.
+	Isolated bool
 	// Replacements counts the attempts after the first.
 	Replacements int
 }
 
+// Doubt is a sign that a target of the chain may be lost.
+type Doubt struct {
+	Target model.TargetID
+	// Direct is true when this node's own connection to the target broke.
+	Direct bool
+	// NotRun is true when the attempt surely did not run on the target.
+	NotRun bool
+}
+
 // Verdict says what became of a token frame.
 type Verdict uint8
 
@@ -53,12 +86,15 @@
 	OutOfOrder
 	// BadReceipts means the receipts do not join up to the whole model.
 	BadReceipts
+	// Beyond means the token is past the length that the caller asked for.
+	Beyond
 )
 
 // Next returns the index of the token that the caller waits for.
 func (r *Request) Next() model.TokenIndex { return model.TokenIndex(len(r.Tokens)) }
 
-// Take judges a token frame and, if it is accepted, appends its token.
+// Take judges a token frame and, if it is accepted, appends its token. A frame
+// of the current attempt that is not accepted only shows that the stream lives.
 func (r *Request) Take(now model.Instant, ev *event.TokenArrived) Verdict {
 	if ev.Attempt != r.Number {
 		return Stale
@@ -71,15 +107,24 @@
 	if ev.Index > r.Next() {
 		return OutOfOrder
 	}
+	if uint32(ev.Index) >= r.MaxTokens {
+		return Beyond
+	}
 	if !r.whole(ev.Receipts) {
 		return BadReceipts
 	}
+	r.LastToken = now
+	r.Delivered++
+	r.Stalls = 0
+	r.Refusals = 0
 	r.Tokens = append(r.Tokens, ev.Text)
 	return Accepted
 }
 
-// whole is true when the receipts are those of the chain and join up to every
-// layer of the model, once and in order, under the request's version.
+// whole is true when the receipts are those of the chain, target by target and
+// range by range, and join up to every layer of the model, once and in order,
+// under the request's version. A target runs an attempt only in the incarnation
+// that the chain names, so that the attempt number stands for the incarnations.
 func (r *Request) whole(receipts []model.Receipt) bool {
 	if len(receipts) != len(r.Chain) {
 		return false
@@ -90,7 +135,7 @@
 		if receipt.Target != r.Chain[i].Target || receipt.Version != r.Version {
 			return false
 		}
-		if receipt.Layers.First != next || receipt.Layers.End <= next {
+		if receipt.Layers != r.Chain[i].Layers || receipt.Layers.First != next || receipt.Layers.End <= next {
 			return false
 		}
 		next = receipt.Layers.End
@@ -103,7 +148,13 @@
 	r.Number++
 	r.Chain = chain
 	r.LastFrame = now
+	r.LastToken = now
+	r.Begun = now
+	r.Collected = now
 	r.Redialled = false
+	r.Delivered = 0
+	r.Held = false
+	r.Doubt = Doubt{}
 	return event.OpenChain{
 		Request:         r.ID,
 		Attempt:         r.Number,
@@ -118,30 +169,3 @@
 		FreshConnection: fresh,
 	}
 }
-
-// Uses is true when the current chain runs on the target.
-func (r *Request) Uses(target model.TargetID) bool {
-	return slices.ContainsFunc(r.Chain, func(hop model.Hop) bool { return hop.Target == target })
-}
-
-// Keep returns, by stage, the targets that still hold the request's state
-// after the loss of one.
-func (r *Request) Keep(lost model.TargetID) map[int]model.TargetID {
-	keep := make(map[int]model.TargetID, len(r.Chain))
-	for i := range r.Chain {
-		if r.Chain[i].Target != lost {
-			keep[i] = r.Chain[i].Target
-		}
-	}
-	return keep
-}
-
-// MarkKept clears the rebuild flag of the targets that held the request's
-// state in the chain before.
-func (r *Request) MarkKept(chain []model.Hop) {
-	for i := range chain {
-		if i < len(r.Chain) && chain[i].Target == r.Chain[i].Target && chain[i].Incarnation == r.Chain[i].Incarnation {
-			chain[i].Rebuild = false
-		}
-	}
-}
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -121,6 +121,8 @@
 		Target      model.TargetID    `json:"target"`
 		Incarnation model.Incarnation `json:"incarnation"`
 		Address     string            `json:"address"`
+		// Watch numbers the watches of the target.
+		Watch uint64 `json:"watch"`
 	}
 
 	// UnwatchTarget closes it.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -67,6 +67,11 @@
 		Reason string         `json:"reason"`
 		// Refused is true when the target answered and would not run it.
 		Refused bool `json:"refused"`
+		// Direct is true when this node's own connection to Lost broke.
+		Direct bool `json:"direct"`
+		// NotListening is true when no process listened at Lost, so that the
+		// attempt did not run there.
+		NotListening bool `json:"not_listening"`
 	}
 
 	// CallArrived reports a service call from a caller.
@@ -165,6 +170,8 @@
 		Fencing  model.FencingNumber `json:"fencing"`
 		Links    []Link              `json:"links"`
 		Cache    []CacheEvent        `json:"cache"`
+		// Watch is the number of the watch that brought the report.
+		Watch uint64 `json:"watch"`
 	}
 
 	// TargetLost reports that a target's watch connection broke.
@@ -172,6 +179,11 @@
 		Target      model.TargetID    `json:"target"`
 		Incarnation model.Incarnation `json:"incarnation"`
 		Reason      string            `json:"reason"`
+		// Watch is the number of the watch that broke.
+		Watch uint64 `json:"watch"`
+		// NotListening is true when the target's VM answered that no process
+		// listens at the address.
+		NotListening bool `json:"not_listening"`
 	}
 
 	// OrderAnswered reports an engine's answer to an order.
--- a/internal/reducer/dispatch.go
+++ b/internal/reducer/dispatch.go
@@ -32,7 +32,7 @@
 	case event.CallCut:
 		s.callCut(c, ev)
 	case event.EngineReported:
-		s.targets.Reported(c, ev)
+		s.engineReported(c, ev)
 	case event.TargetLost:
 		s.targetLost(c, ev)
 	case event.VMsListed:
@@ -134,6 +134,8 @@
 	case timer.ShutdownLag:
 		s.refusing = true
 	case timer.TargetProbe:
-		s.targets.ProbeDue(c, model.TargetID(key.ID))
+		s.probeDue(c, model.TargetID(key.ID))
+	case timer.QuarantineLapse:
+		s.quarantineLapse(c)
 	}
 }
--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -6,6 +6,7 @@
 	"tamarackreach/internal/decision"
 	"tamarackreach/internal/event"
 	"tamarackreach/internal/fault"
+	"tamarackreach/internal/quarantine"
 	"tamarackreach/internal/timer"
 )
 
@@ -15,6 +16,14 @@
 func (s *State) nodeStarted(c *decision.Context) {
 	s.follower.Start(c)
 	s.pollVMs(c)
+	s.quarantineLapse(c)
+}
+
+// quarantineLapse forgets content that was held against its caller for long
+// enough.
+func (s *State) quarantineLapse(c *decision.Context) {
+	s.quarantine.Lapse(c.Now)
+	c.After(timer.QuarantineLapse, "", quarantine.Lapse)
 }
 
 func (s *State) pollVMs(c *decision.Context) {
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -44,8 +44,13 @@
 	FramesDropped     uint64
 	StagesReplaced    uint64
 	StreamsRedialled  uint64
-	CallsSent         uint64
-	ChangesInForce    uint64
+	StreamsStalled    uint64
+	RetriesRefused    uint64
+	// RequestsQuarantined counts requests ended because their content crashes
+	// targets.
+	RequestsQuarantined uint64
+	CallsSent           uint64
+	ChangesInForce      uint64
 }
 
 // State is the whole state of an entry VM.
@@ -62,6 +67,10 @@
 	quotas     *quota.Shares
 	requests   map[model.RequestID]*attempt.Request
 	calls      map[model.RequestID]*plainCall
+	// budget bounds the work that recovery adds.
+	budget *attempt.Budget
+	// isolated holds, by target, the suspect that runs there alone.
+	isolated map[model.TargetID]model.RequestID
 
 	// shuttingDown is true from SIGTERM on; the balancer is told.
 	shuttingDown bool
@@ -87,6 +96,8 @@
 		quotas:     quota.New(),
 		requests:   make(map[model.RequestID]*attempt.Request),
 		calls:      make(map[model.RequestID]*plainCall),
+		budget:     attempt.NewBudget(),
+		isolated:   make(map[model.TargetID]model.RequestID),
 	}
 }
 
--- a/internal/standin/engine/chain.go
+++ b/internal/standin/engine/chain.go
@@ -14,7 +14,9 @@
 const (
 	// forwardTimeout bounds one message to another engine.
 	forwardTimeout = 500 * time.Millisecond
-	// prepareTimeout bounds a prepare, rebuilding included.
+	// prepareTry bounds a prepare over a connection that may be silent.
+	prepareTry = 700 * time.Millisecond
+	// prepareTimeout bounds a prepare over a new one, rebuilding included.
 	prepareTimeout = 4 * time.Second
 )
 
@@ -41,23 +43,37 @@
 func (e *Engine) prepareAt(ctx context.Context, start *tamarackv1.StartRequest, position int) error {
 	if position == 0 {
 		if err := e.prepare(start, 0); err != nil {
-			return connect.NewError(connect.CodeFailedPrecondition, err)
+			return e.refusal(err)
 		}
 		return nil
 	}
 	hop := start.Chain[position]
-	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
-	defer cancel()
 	request := &tamarackv1.PrepareRequest{Start: start, Position: uint32(position)}
-	_, err := e.host.client(hop.Address).Prepare(ctx, connect.NewRequest(request))
-	if err == nil || connect.IsWireError(err) {
-		return err
+	err := e.sendPrepare(ctx, hop, request, prepareTry)
+	if err != nil && !connect.IsWireError(err) {
+		e.host.retire(hop.Address)
+		err = e.sendPrepare(ctx, hop, request, prepareTimeout)
+	}
+	if err == nil {
+		return nil
+	}
+	if connect.IsWireError(err) {
+		refused := connect.NewError(connect.CodeFailedPrecondition, err)
+		refused.Meta().Set(targetclient.RefusedTargetHeader, hop.TargetId)
+		return refused
 	}
 	lost := connect.NewError(connect.CodeUnavailable, errors.Newf("%s is unreachable", hop.TargetId))
 	lost.Meta().Set(targetclient.LostTargetHeader, hop.TargetId)
 	return lost
 }
 
+func (e *Engine) sendPrepare(ctx context.Context, to *tamarackv1.Hop, request *tamarackv1.PrepareRequest, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	_, err := e.host.client(to.Address).Prepare(ctx, connect.NewRequest(request))
+	return err
+}
+
 // forward sends a step over a link; a target that cannot be reached is
 // reported to the last engine of the chain, which tells the entry VM.
 func (e *Engine) forward(s *session, to *tamarackv1.Hop, request *tamarackv1.StepRequest) {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -102,34 +102,58 @@
 	e.leaving = leaving
 }
 
-// prepare makes the engine ready for its part of an attempt.
+// prepare makes the engine ready for its part of an attempt. Preparing the same
+// attempt twice changes nothing.
 func (e *Engine) prepare(start *tamarackv1.StartRequest, position int) error {
 	hop := start.Chain[position]
 	if err := e.holds(start, hop); err != nil {
 		return err
 	}
+	s, fresh, hit, err := e.openSession(start, position)
+	if err != nil {
+		return err
+	}
+	if fresh {
+		e.rebuild(start, hit)
+		close(s.built)
+	}
+	<-s.built
+	return nil
+}
+
+// openSession registers the engine's part of an attempt; fresh is true when its
+// state has to be built, hit when the cache holds the prompt's prefix.
+func (e *Engine) openSession(start *tamarackv1.StartRequest, position int) (s *session, fresh, hit bool, err error) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	old := e.sessions[start.RequestId]
-	if old != nil && old.start.Attempt >= start.Attempt {
-		e.mu.Unlock()
-		return errors.Newf("attempt %d is not newer than %d", start.Attempt, old.start.Attempt)
+	if old != nil && old.start.Attempt == start.Attempt {
+		return old, false, false, nil
 	}
-	if old == nil && !hop.Rebuild {
-		e.mu.Unlock()
-		return errors.Newf("no state of request %s to go on with", start.RequestId)
+	if old != nil && old.start.Attempt > start.Attempt {
+		return nil, false, false, errors.Newf("attempt %d is not newer than %d", start.Attempt, old.start.Attempt)
 	}
-	hit := e.cache.use(start.PrefixKey)
-	e.sessions[start.RequestId] = &session{start: start, position: position, next: uint32(len(start.Tokens))}
-	e.mu.Unlock()
-	if hop.Rebuild {
-		e.rebuild(start, hit)
+	rebuild := start.Chain[position].Rebuild
+	if old == nil && !rebuild {
+		return nil, false, false, errors.Newf("no state of request %s to go on with", start.RequestId)
 	}
-	return nil
+	s = &session{start: start, position: position, next: uint32(len(start.Tokens)), built: make(chan struct{})}
+	if !rebuild {
+		s.built = old.built
+	}
+	e.sessions[start.RequestId] = s
+	if old != nil {
+		delete(e.logs, attemptKey{request: start.RequestId, attempt: old.start.Attempt})
+	}
+	return s, rebuild, e.cache.use(start.PrefixKey), nil
 }
 
 func (e *Engine) holds(start *tamarackv1.StartRequest, hop *tamarackv1.Hop) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if hop.Incarnation != e.life {
+		return errors.Newf("is incarnation %d, not %d", e.life, hop.Incarnation)
+	}
 	want := model.LayerRange{First: hop.Layers.First, End: hop.Layers.End}
 	if start.Model != e.model || model.ModelVersion(start.Version) != e.version || want != e.layers {
 		return errors.Newf("holds %s %s %s, not %s %s %s", e.model, e.version, e.layers, start.Model, start.Version, want)
@@ -227,7 +251,8 @@
 	}
 }
 
-// frameLogLife is how long the frames of an attempt can be collected.
+// frameLogLife is how long the frames of an attempt that has ended, or whose
+// start never came, can be collected.
 const frameLogLife = 30 * time.Second
 
 func (e *Engine) frameLog(key attemptKey) *frameLog {
@@ -237,15 +262,36 @@
 	if !ok {
 		log = newFrameLog()
 		e.logs[key] = log
-		time.AfterFunc(frameLogLife, func() {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			delete(e.logs, key)
-		})
+		time.AfterFunc(frameLogLife, func() { e.expireLog(key, log) })
 	}
 	return log
 }
 
+// expireLog removes the frames of an attempt unless it is still running.
+func (e *Engine) expireLog(key attemptKey, log *frameLog) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.logs[key] != log {
+		return
+	}
+	if s, ok := e.sessions[key.request]; ok && s.start.Attempt == key.attempt {
+		time.AfterFunc(frameLogLife, func() { e.expireLog(key, log) })
+		return
+	}
+	delete(e.logs, key)
+}
+
+// cancel drops the state of every attempt of a request up to the given one.
+func (e *Engine) cancel(request string, attempt uint32) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s, ok := e.sessions[request]; ok && s.start.Attempt <= attempt {
+		delete(e.sessions, request)
+		delete(e.logs, attemptKey{request: request, attempt: s.start.Attempt})
+	}
+	delete(e.logs, attemptKey{request: request, attempt: attempt})
+}
+
 func (e *Engine) emit(s *session, frame *tamarackv1.CollectResponse) {
 	e.frameLog(attemptKey{request: s.start.RequestId, attempt: s.start.Attempt}).add(frame)
 }
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -8,6 +8,7 @@
 
 	tamarackv1 "tamarackreach/gen/tamarack/v1"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/targetclient"
 )
 
 // heartbeatInterval is the time between two heartbeats of a token stream.
@@ -24,11 +25,18 @@
 // Prepare makes this engine ready for its part of an attempt.
 func (e *Engine) Prepare(_ context.Context, request *connect.Request[tamarackv1.PrepareRequest]) (*connect.Response[tamarackv1.PrepareResponse], error) {
 	if err := e.prepare(request.Msg.Start, int(request.Msg.Position)); err != nil {
-		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+		return nil, e.refusal(err)
 	}
 	return connect.NewResponse(&tamarackv1.PrepareResponse{}), nil
 }
 
+// refusal names this engine as the one that would not run an attempt.
+func (e *Engine) refusal(err error) error {
+	refused := connect.NewError(connect.CodeFailedPrecondition, err)
+	refused.Meta().Set(targetclient.RefusedTargetHeader, e.config.ID)
+	return refused
+}
+
 // Step takes one token's activations.
 func (e *Engine) Step(_ context.Context, request *connect.Request[tamarackv1.StepRequest]) (*connect.Response[tamarackv1.StepResponse], error) {
 	if lost := request.Msg.LostTargetId; lost != "" {
@@ -75,9 +83,7 @@
 
 // Cancel ends every attempt of a request up to the given one.
 func (e *Engine) Cancel(_ context.Context, request *connect.Request[tamarackv1.CancelRequest]) (*connect.Response[tamarackv1.CancelResponse], error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	delete(e.logs, attemptKey{request: request.Msg.RequestId, attempt: request.Msg.Attempt})
+	e.cancel(request.Msg.RequestId, request.Msg.Attempt)
 	return connect.NewResponse(&tamarackv1.CancelResponse{}), nil
 }
 
--- a/internal/standin/engine/session.go
+++ b/internal/standin/engine/session.go
@@ -13,6 +13,8 @@
 	// next is the index of the token that the engine runs next; an earlier
 	// one was run already.
 	next uint32
+	// built is closed once the engine holds the state of the request.
+	built chan struct{}
 }
 
 func (s *session) hop() *tamarackv1.Hop   { return s.start.Chain[s.position] }
--- a/internal/targetclient/stream.go
+++ b/internal/targetclient/stream.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 
 	tamarackv1 "tamarackreach/gen/tamarack/v1"
 	"tamarackreach/internal/event"
@@ -21,17 +23,22 @@
 // Open collects an attempt from its last target, then starts it at its first.
 func (c *Client) Open(effect event.OpenChain) {
 	key := streamKey{request: effect.Request, attempt: effect.Attempt}
-	ctx := c.track(key)
 	last := effect.Chain[len(effect.Chain)-1]
-	go c.collect(ctx, key, last)
-	go c.start(ctx, effect)
+	if effect.FreshConnection {
+		c.retire(effect.Chain[0].Address)
+		c.retire(last.Address)
+	}
+	start, collect := c.track(key)
+	go c.collect(collect, key, last)
+	go c.start(start, effect)
 }
 
 // Redial collects the same attempt again.
 func (c *Client) Redial(effect event.RedialStream) {
 	key := streamKey{request: effect.Request, attempt: effect.Attempt}
-	ctx := c.track(key)
-	go c.collect(ctx, key, effect.Last)
+	if ctx, ok := c.recollect(key); ok {
+		go c.collect(ctx, key, effect.Last)
+	}
 }
 
 func (c *Client) start(ctx context.Context, effect event.OpenChain) {
@@ -39,7 +46,7 @@
 	defer cancel()
 	first := effect.Chain[0]
 	_, err := c.engine(first.Address).Start(ctx, connect.NewRequest(startRequest(effect)))
-	if err == nil || ctx.Err() == context.Canceled {
+	if err == nil || errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
 	c.post(brokenBy(effect.Request, effect.Attempt, first.Target, err))
@@ -69,25 +76,35 @@
 	return request
 }
 
-// brokenBy reports a failed call to a target. An engine that names another
-// target of the chain as lost does so in its error's metadata.
+// The headers in which an engine names a target of the chain.
+const (
+	// LostTargetHeader names a target that an engine could not reach.
+	LostTargetHeader = "Tamarack-Lost-Target"
+	// RefusedTargetHeader names a target that would not run the attempt.
+	RefusedTargetHeader = "Tamarack-Refused-Target"
+)
+
+// brokenBy reports a failed call to a target. An error that the engine sent
+// itself is a refusal, unless it names another target of the chain as lost.
 func brokenBy(request model.RequestID, attempt model.AttemptNumber, target model.TargetID, err error) event.StreamBroken {
 	broken := event.StreamBroken{Request: request, Attempt: attempt, Lost: target, Reason: err.Error()}
 	var connectErr *connect.Error
 	if !asWireError(err, &connectErr) {
+		broken.Direct = true
+		broken.NotListening = errors.Is(err, syscall.ECONNREFUSED)
+		return broken
+	}
+	if lost := connectErr.Meta().Get(LostTargetHeader); lost != "" {
+		broken.Lost = model.TargetID(lost)
 		return broken
 	}
 	broken.Refused = true
-	if named := connectErr.Meta().Get(LostTargetHeader); named != "" {
-		broken.Lost = model.TargetID(named)
-		broken.Refused = false
+	if refused := connectErr.Meta().Get(RefusedTargetHeader); refused != "" {
+		broken.Lost = model.TargetID(refused)
 	}
 	return broken
 }
 
-// LostTargetHeader names the target of a chain that an engine could not reach.
-const LostTargetHeader = "Tamarack-Lost-Target"
-
 func (c *Client) collect(ctx context.Context, key streamKey, last model.Hop) {
 	request := &tamarackv1.CollectRequest{RequestId: string(key.request), Attempt: uint32(key.attempt)}
 	stream, err := c.engine(last.Address).Collect(ctx, connect.NewRequest(request))
--- a/internal/targetclient/targetclient.go
+++ b/internal/targetclient/targetclient.go
@@ -21,7 +21,7 @@
 
 	mu      sync.Mutex
 	pools   map[string]*http.Client
-	streams map[streamKey]context.CancelFunc
+	streams map[streamKey]*stream
 	watches map[model.TargetID]context.CancelFunc
 }
 
@@ -36,7 +36,7 @@
 		post:    post,
 		now:     now,
 		pools:   make(map[string]*http.Client),
-		streams: make(map[streamKey]context.CancelFunc),
+		streams: make(map[streamKey]*stream),
 		watches: make(map[model.TargetID]context.CancelFunc),
 	}
 }
@@ -58,36 +58,57 @@
 }
 
 // Retire makes new streams to a target use new connections.
-func (c *Client) Retire(effect event.RetireConnections) {
+func (c *Client) Retire(effect event.RetireConnections) { c.retire(effect.Address) }
+
+func (c *Client) retire(address string) {
 	c.mu.Lock()
-	old := c.pools[effect.Address]
-	delete(c.pools, effect.Address)
+	old := c.pools[address]
+	delete(c.pools, address)
 	c.mu.Unlock()
 	if old != nil {
 		old.CloseIdleConnections()
 	}
 }
 
-// track registers the context of a stream, so that it can be cancelled; an
-// earlier stream of the same attempt is cancelled.
-func (c *Client) track(key streamKey) context.Context {
+// stream is what runs for an attempt: its start, and the collection of its
+// tokens, which may be replaced while the start goes on.
+type stream struct {
+	context     context.Context
+	cancel      context.CancelFunc
+	stopCollect context.CancelFunc
+}
+
+// track registers an attempt, so that it can be cancelled.
+func (c *Client) track(key streamKey) (start, collect context.Context) {
 	ctx, cancel := context.WithCancel(context.Background())
+	collect, stop := context.WithCancel(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streams[key] = &stream{context: ctx, cancel: cancel, stopCollect: stop}
+	return ctx, collect
+}
+
+// recollect ends the collection of an attempt and registers the next one; ok is
+// false when the attempt has ended.
+func (c *Client) recollect(key streamKey) (collect context.Context, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if earlier, ok := c.streams[key]; ok {
-		earlier()
+	running, ok := c.streams[key]
+	if !ok {
+		return nil, false
 	}
-	c.streams[key] = cancel
-	return ctx
+	running.stopCollect()
+	collect, running.stopCollect = context.WithCancel(running.context)
+	return collect, true
 }
 
-// forget cancels a stream.
+// forget ends an attempt.
 func (c *Client) forget(key streamKey) {
 	c.mu.Lock()
-	cancel, ok := c.streams[key]
+	running, ok := c.streams[key]
 	delete(c.streams, key)
 	c.mu.Unlock()
 	if ok {
-		cancel()
+		running.cancel()
 	}
 }
--- a/internal/targetclient/watch.go
+++ b/internal/targetclient/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -53,7 +54,9 @@
 	if err == nil {
 		defer func() { _ = stream.Close() }()
 		for stream.Receive() {
-			c.post(reportEvent(stream.Msg()))
+			report := reportEvent(stream.Msg())
+			report.Watch = effect.Watch
+			c.post(report)
 		}
 		err = stream.Err()
 	}
@@ -64,7 +67,10 @@
 	if err != nil {
 		reason = err.Error()
 	}
-	c.post(event.TargetLost{Target: effect.Target, Incarnation: effect.Incarnation, Reason: reason})
+	c.post(event.TargetLost{
+		Target: effect.Target, Incarnation: effect.Incarnation, Watch: effect.Watch,
+		Reason: reason, NotListening: errors.Is(err, syscall.ECONNREFUSED),
+	})
 }
 
 func reportEvent(report *tamarackv1.WatchResponse) event.EngineReported {
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -14,8 +14,14 @@
 	"tamarackreach/internal/timer"
 )
 
-// watchRetry is the time until a broken watch is opened again.
-const watchRetry = 500 * time.Millisecond
+const (
+	// goneAfterLists is the number of lists in a row without a target after
+	// which the target is gone.
+	goneAfterLists = 3
+	// forgetAfterLists is the number of lists in a row without a target after
+	// which nothing is kept of it.
+	forgetAfterLists = 60
+)
 
 // Target is one back end.
 type Target struct {
@@ -28,19 +34,34 @@
 	Status      event.TargetStatus
 	// Reported is true once this incarnation said what it holds.
 	Reported bool
-	// Connected is false while its watch connection is broken.
+	// Connected is false once a check found the target unreachable.
 	Connected bool
-	Model     model.ModelName
-	Version   model.ModelVersion
-	Layers    model.LayerRange
-	StepTime  time.Duration
-	MaxBatch  uint32
-	Running   uint32
-	Queued    uint32
-	Sequence  uint64
-	Fencing   model.FencingNumber
-	Links     map[model.TargetID]time.Duration
-	Cache     map[string]bool
+	// Watch numbers the watches of the target; reports and failures of earlier
+	// ones say nothing of the present.
+	Watch uint64
+	// Checking is true while a new watch is to show whether the target lives.
+	Checking bool
+	// CheckedAt is when the last check began.
+	CheckedAt model.Instant
+	// ReportedAt is when the last report came, ReportEvery the time between
+	// the last two.
+	ReportedAt  model.Instant
+	ReportEvery time.Duration
+	// Listed is the newest incarnation that the VM list showed.
+	Listed model.Incarnation
+	// Missing counts the VM lists in a row that did not show the target.
+	Missing  int
+	Model    model.ModelName
+	Version  model.ModelVersion
+	Layers   model.LayerRange
+	StepTime time.Duration
+	MaxBatch uint32
+	Running  uint32
+	Queued   uint32
+	Sequence uint64
+	Fencing  model.FencingNumber
+	Links    map[model.TargetID]time.Duration
+	Cache    map[string]bool
 	// InFlight counts the requests of this node that run on the target.
 	InFlight uint32
 	// SentSince counts what this node sent since the last report.
@@ -72,37 +93,6 @@
 // IDs returns all targets, sorted.
 func (t *Table) IDs() []model.TargetID { return slices.Sorted(maps.Keys(t.targets)) }
 
-// Listed takes in the platform's list of VMs.
-func (t *Table) Listed(c *decision.Context, vms []event.VM) {
-	for _, vm := range vms {
-		if vm.Role != event.RoleEntry {
-			t.listed(c, vm)
-		}
-	}
-}
-
-func (t *Table) listed(c *decision.Context, vm event.VM) {
-	id := model.TargetID(vm.ID)
-	target, known := t.targets[id]
-	if known && vm.Incarnation < target.Incarnation {
-		return
-	}
-	if !known || vm.Incarnation > target.Incarnation {
-		target = &Target{ID: id, Incarnation: vm.Incarnation}
-		t.targets[id] = target
-		if vm.Role == event.RoleEngine {
-			c.Emit(event.WatchTarget{Target: id, Incarnation: vm.Incarnation, Address: vm.Address})
-		}
-	}
-	target.Zone = vm.Zone
-	target.Role = vm.Role
-	target.Address = vm.Address
-	target.Accelerator = vm.Accelerator
-	if vm.Leaving {
-		t.Mark(c, id, target.Incarnation, event.TargetLeaving)
-	}
-}
-
 // Mark records that an incarnation of a target is leaving or gone.
 func (t *Table) Mark(c *decision.Context, id model.TargetID, life model.Incarnation, status event.TargetStatus) {
 	target, ok := t.targets[id]
@@ -110,38 +100,13 @@
 		return
 	}
 	target.Status = status
-	c.Emit(event.LogChange{Message: "target is leaving", Subject: string(id)})
-}
-
-// Reported takes in an engine's report.
-func (t *Table) Reported(c *decision.Context, ev event.EngineReported) {
-	target, ok := t.targets[ev.Target]
-	if !ok || ev.Incarnation < target.Incarnation {
+	if status == event.TargetGone {
+		c.Emit(event.UnwatchTarget{Target: id})
+		c.Stop(timer.TargetProbe, string(id))
+		c.Emit(event.LogChange{Message: "target is gone", Subject: string(id)})
 		return
 	}
-	if ev.Incarnation > target.Incarnation {
-		target.Incarnation = ev.Incarnation
-		target.Status = event.TargetLive
-		target.Cache = nil
-		target.Sequence = 0
-	}
-	target.Reported = true
-	target.Connected = true
-	target.Model = ev.Model
-	target.Version = ev.Version
-	target.Layers = ev.Layers
-	target.Accelerator = ev.Accelerator
-	target.StepTime = ev.StepTime
-	target.MaxBatch = ev.MaxBatch
-	target.Running = ev.Running
-	target.Queued = ev.Queued
-	target.Fencing = ev.Fencing
-	target.SentSince = 0
-	target.takeLinks(ev.Links)
-	target.takeCache(ev.Sequence, ev.Cache)
-	if ev.Leaving {
-		t.Mark(c, ev.Target, target.Incarnation, event.TargetLeaving)
-	}
+	c.Emit(event.LogChange{Message: "target is leaving", Subject: string(id)})
 }
 
 func (t *Target) takeLinks(links []event.Link) {
@@ -169,29 +134,10 @@
 	}
 }
 
-// Lost takes in that a watch connection broke; it is opened again.
-func (t *Table) Lost(c *decision.Context, ev event.TargetLost) {
-	target, ok := t.targets[ev.Target]
-	if !ok || ev.Incarnation < target.Incarnation {
-		return
-	}
-	target.Connected = false
-	c.After(timer.TargetProbe, string(ev.Target), c.Jitter(watchRetry))
-}
-
-// ProbeDue opens the watch of a target again.
-func (t *Table) ProbeDue(c *decision.Context, id model.TargetID) {
-	target, ok := t.targets[id]
-	if !ok || target.Status == event.TargetGone {
-		return
-	}
-	c.Emit(event.WatchTarget{Target: id, Incarnation: target.Incarnation, Address: target.Address})
-}
-
 // Sent counts work sent to the targets of a chain.
 func (t *Table) Sent(chain []model.Hop) {
 	for _, hop := range chain {
-		if target, ok := t.targets[hop.Target]; ok {
+		if target, ok := t.targets[hop.Target]; ok && target.Incarnation == hop.Incarnation {
 			target.InFlight++
 			target.SentSince++
 		}
@@ -201,7 +147,7 @@
 // Ended counts work that ended on the targets of a chain.
 func (t *Table) Ended(chain []model.Hop) {
 	for _, hop := range chain {
-		if target, ok := t.targets[hop.Target]; ok && target.InFlight > 0 {
+		if target, ok := t.targets[hop.Target]; ok && target.Incarnation == hop.Incarnation && target.InFlight > 0 {
 			target.InFlight--
 		}
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -27,6 +27,9 @@
 	publish("tamarack_frames_dropped_total", func(c *reducer.Counters) uint64 { return c.FramesDropped })
 	publish("tamarack_stages_replaced_total", func(c *reducer.Counters) uint64 { return c.StagesReplaced })
 	publish("tamarack_streams_redialled_total", func(c *reducer.Counters) uint64 { return c.StreamsRedialled })
+	publish("tamarack_streams_stalled_total", func(c *reducer.Counters) uint64 { return c.StreamsStalled })
+	publish("tamarack_retries_refused_total", func(c *reducer.Counters) uint64 { return c.RetriesRefused })
+	publish("tamarack_requests_quarantined_total", func(c *reducer.Counters) uint64 { return c.RequestsQuarantined })
 	publish("tamarack_calls_sent_total", func(c *reducer.Counters) uint64 { return c.CallsSent })
 	publish("tamarack_changes_in_force_total", func(c *reducer.Counters) uint64 { return c.ChangesInForce })
 }
