Give orders to targets under one lease for each pipeline

Need: the settings in force say what a target holds, but nothing made it so, and two entry VMs must not order a target back and forth. Weighed: confirming the fencing number to every target on a takeover (12,000 orders) against correcting what a report shows; the latter, since routing and receipts refuse a wrong version anyhow. Left: orders to unload, and orders of role.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,6 +33,9 @@
 	PlatformAddress string `json:"platform_address"`
 	// EntryNodes is the number of entry VMs that quotas are split over.
 	EntryNodes uint32 `json:"entry_nodes"`
+	// WeightLayersPerS is the rate of loads from the weight store, in layers,
+	// that this VM may order for one pipeline.
+	WeightLayersPerS uint32 `json:"weight_layers_per_s"`
 	// Seeds are entry VMs to greet first.
 	Seeds []Seed `json:"seeds"`
 	// Operators are the teams that may change settings.
@@ -67,9 +70,10 @@
 }
 
 const (
-	defaultEntryNodes    = 4
-	defaultShutdownLagMs = 1000
-	tokenHashBytes       = 32
+	defaultEntryNodes       = 4
+	defaultShutdownLagMs    = 1000
+	defaultWeightLayersPerS = 50
+	tokenHashBytes          = 32
 )
 
 // Problem is one thing wrong with a configuration.
@@ -95,7 +99,7 @@
 
 // Decode decodes a configuration, fills in defaults and checks it.
 func Decode(data []byte) (*Entry, error) {
-	entry := &Entry{EntryNodes: defaultEntryNodes, ShutdownLagMs: defaultShutdownLagMs}
+	entry := &Entry{EntryNodes: defaultEntryNodes, ShutdownLagMs: defaultShutdownLagMs, WeightLayersPerS: defaultWeightLayersPerS}
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(entry); err != nil {
@@ -127,6 +131,9 @@
 	if e.EntryNodes == 0 {
 		add("entry_nodes", "0", "give the number of entry VMs")
 	}
+	if e.WeightLayersPerS == 0 {
+		add("weight_layers_per_s", "0", "give the rate of loads in layers a second")
+	}
 	addresses := []struct{ field, value string }{
 		{"caller_address", e.CallerAddress},
 		{"operator_address", e.OperatorAddress},
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -318,7 +318,7 @@
 	c := config.Entry{
 		NodeID: e.NodeID, Zone: e.Zone,
 		CallerAddress: e.Caller, OperatorAddress: e.Operator, PeerAddress: e.Peer, MetricsAddress: e.Metrics,
-		PlatformAddress: d.Platform, EntryNodes: uint32(d.Shape.Entries), ShutdownLagMs: 500,
+		PlatformAddress: d.Platform, EntryNodes: uint32(d.Shape.Entries), ShutdownLagMs: 500, WeightLayersPerS: 200,
 		PeerTLS: config.PeerTLS{
 			CAFile:   filepath.Join(d.dir, "ca.pem"),
 			CertFile: filepath.Join(d.dir, string(e.NodeID)+".pem"),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,13 +46,14 @@
 func New(cfg *config.Entry) (*Daemon, error) {
 	life := model.Incarnation(time.Now().UnixMilli())
 	reducerConfig := reducer.Config{
-		Node:        cfg.NodeID,
-		Incarnation: life,
-		Zone:        cfg.Zone,
-		PeerAddress: cfg.PeerAddress,
-		EntryNodes:  cfg.EntryNodes,
-		ShutdownLag: time.Duration(cfg.ShutdownLagMs) * time.Millisecond,
-		Seed:        uint64(life),
+		Node:             cfg.NodeID,
+		Incarnation:      life,
+		Zone:             cfg.Zone,
+		PeerAddress:      cfg.PeerAddress,
+		EntryNodes:       cfg.EntryNodes,
+		ShutdownLag:      time.Duration(cfg.ShutdownLagMs) * time.Millisecond,
+		WeightLayersPerS: float64(cfg.WeightLayersPerS),
+		Seed:             uint64(life),
 	}
 	d := &Daemon{config: cfg}
 	recorder, err := d.openRecorder(reducerConfig)
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -138,6 +138,12 @@
 		Model    model.ModelName     `json:"model"`
 		Version  model.ModelVersion  `json:"version"`
 		Layers   model.LayerRange    `json:"layers"`
+		// Node is the holder of the pipeline's lease, who gives the order.
+		Node model.NodeID `json:"node"`
+		// ValidUntil is checked again just before the order leaves.
+		ValidUntil model.Instant `json:"valid_until"`
+		// Within is how long the answer may take.
+		Within time.Duration `json:"within_ns"`
 	}
 
 	// AnswerChange tells an operator the fate of a change or a drain; Fault is
--- a/internal/reducer/dispatch.go
+++ b/internal/reducer/dispatch.go
@@ -4,6 +4,7 @@
 	"tamarackreach/internal/commit"
 	"tamarackreach/internal/decision"
 	"tamarackreach/internal/event"
+	"tamarackreach/internal/leases"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/once"
 	"tamarackreach/internal/spread"
@@ -37,6 +38,8 @@
 		s.targetLost(c, ev)
 	case event.VMsListed:
 		s.vmsListed(c, ev)
+	case event.OrderAnswered:
+		s.orders.Answered(c, ev)
 	case event.DrainRequested:
 		s.drainRequested(c, ev)
 	case event.ChangeProposed:
@@ -66,6 +69,8 @@
 
 func (s *State) transactionDone(c *decision.Context, ev event.TransactionDone) {
 	switch {
+	case leases.Owns(ev.Transaction):
+		s.leases.TransactionDone(c, ev)
 	case once.Owns(ev.Transaction):
 		s.ledger.TransactionDone(c, ev)
 	case commit.Owns(ev.Transaction):
@@ -75,6 +80,8 @@
 
 func (s *State) transactionUnknown(c *decision.Context, ev event.TransactionUnknown) {
 	switch {
+	case leases.Owns(ev.Transaction):
+		s.leases.TransactionUnknown(c, ev)
 	case once.Owns(ev.Transaction):
 		s.ledger.TransactionUnknown(c, ev)
 	case commit.Owns(ev.Transaction):
@@ -84,6 +91,8 @@
 
 func (s *State) rowsRead(c *decision.Context, ev event.RowsRead) {
 	switch {
+	case leases.Owns(ev.Read):
+		s.leases.RowsRead(c, ev)
 	case once.Owns(ev.Read):
 		s.ledger.RowsRead(c, ev)
 	case commit.Owns(ev.Read):
@@ -133,6 +142,10 @@
 		s.pollVMs(c)
 	case timer.ShutdownLag:
 		s.refusing = true
+	case timer.LeaseRenew:
+		s.leases.RenewDue(c, model.PipelineID(key.ID), s.liveNodes())
+	case timer.OrderRetry:
+		s.orders.Reconcile(c, model.PipelineID(key.ID), s.follower.View(), s.targets)
 	case timer.TargetProbe:
 		s.targets.ProbeDue(c, model.TargetID(key.ID))
 	}
--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -57,6 +57,7 @@
 	if now := s.follower.Revision(); now > before {
 		s.counters.ChangesInForce += uint64(now - before)
 		s.committer.RevisionInForce(c, now)
+		s.trackLeases(c)
 	}
 }
 
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -11,6 +11,7 @@
 	"tamarackreach/internal/commit"
 	"tamarackreach/internal/decision"
 	"tamarackreach/internal/event"
+	"tamarackreach/internal/leases"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/once"
 	"tamarackreach/internal/quarantine"
@@ -30,6 +31,9 @@
 	EntryNodes uint32 `json:"entry_nodes"`
 	// ShutdownLag is how long the balancer may go on sending after SIGTERM.
 	ShutdownLag time.Duration `json:"shutdown_lag_ns"`
+	// WeightLayersPerS is the rate of loads, in layers, that this node may
+	// order for one pipeline.
+	WeightLayersPerS float64 `json:"weight_layers_per_s"`
 	// Seed seeds the generator.
 	Seed uint64 `json:"seed"`
 }
@@ -58,6 +62,8 @@
 	committer  *commit.Committer
 	targets    *targets.Table
 	ledger     *once.Ledger
+	leases     *leases.Table
+	orders     *leases.Orders
 	quarantine *quarantine.List
 	quotas     *quota.Shares
 	requests   map[model.RequestID]*attempt.Request
@@ -73,6 +79,7 @@
 // New returns the state of a node that has just started.
 func New(config Config) *State {
 	follower := spread.New()
+	leaseTable := leases.New(config.Node, config.Incarnation)
 	return &State{
 		config: config,
 		context: decision.Context{
@@ -83,6 +90,8 @@
 		committer:  commit.New(follower),
 		targets:    targets.New(),
 		ledger:     once.New(config.Node, config.Incarnation),
+		leases:     leaseTable,
+		orders:     leases.NewOrders(config.Node, leaseTable, config.WeightLayersPerS),
 		quarantine: quarantine.New(),
 		quotas:     quota.New(),
 		requests:   make(map[model.RequestID]*attempt.Request),
--- a/internal/targetclient/watch.go
+++ b/internal/targetclient/watch.go
@@ -13,9 +13,6 @@
 	"tamarackreach/internal/rpc"
 )
 
-// orderTimeout bounds an order; it covers a load from the weight store.
-const orderTimeout = 30 * time.Second
-
 // asWireError is true for an error that the other end sent itself.
 func asWireError(err error, target **connect.Error) bool {
 	return errors.As(err, target) && connect.IsWireError(err)
@@ -97,7 +94,13 @@
 // Order asks an engine for an absolute desired state.
 func (c *Client) Order(effect event.SendOrder) {
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		answer := event.OrderAnswered{Target: effect.Target, Order: effect.Order, Fencing: effect.Fencing}
+		if c.now() >= effect.ValidUntil {
+			answer.Reason = "the lease lapsed before the order was sent"
+			c.post(answer)
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), effect.Within)
 		defer cancel()
 		response, err := c.engine(effect.Address).Order(ctx, connect.NewRequest(&tamarackv1.OrderRequest{
 			OrderId:       effect.Order,
@@ -106,8 +109,8 @@
 			Model:         string(effect.Model),
 			Version:       string(effect.Version),
 			Layers:        &tamarackv1.LayerRange{First: effect.Layers.First, End: effect.Layers.End},
+			NodeId:        string(effect.Node),
 		}))
-		answer := event.OrderAnswered{Target: effect.Target, Order: effect.Order, Fencing: effect.Fencing}
 		if err != nil {
 			answer.Unknown = true
 			answer.Reason = err.Error()
