Answer every bad body with a typed error and a remedy

Cause: a body that is too long, cut off or broken was answered by the codec, without a fault detail, and unknown JSON fields were dropped silently. Ruled out: an interceptor, since the codec runs before it. Change: bodies are read and decoded once before the handler sees them.

--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	tamarackv1 "tamarackreach/gen/tamarack/v1"
 	"tamarackreach/gen/tamarack/v1/tamarackv1connect"
@@ -59,7 +60,10 @@
 	mux := http.NewServeMux()
 	options = append(options, connect.WithReadMaxBytes(maxMessageBytes))
 	mux.Handle(tamarackv1connect.NewCallerServiceHandler(s, options...))
-	return mux
+	return rpc.Strict(mux, maxMessageBytes, map[string]proto.Message{
+		tamarackv1connect.CallerServiceGenerateProcedure: &tamarackv1.GenerateRequest{},
+		tamarackv1connect.CallerServiceCallProcedure:     &tamarackv1.CallRequest{},
+	})
 }
 
 // nextID returns an id that no other request has, on any node.
