Make spans of each request, attempt, hop and table call

Need: operators ask where a request spent its time; the trace id has to come back to the caller. Weighed: interceptors in each driver (they do not see which attempt a stream belongs to) against an observer of events and effects; the latter, so that no driver changes and a node without span_file pays one nil check.

--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -20,6 +20,7 @@
 	"tamarackreach/internal/fault"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/rpc"
+	"tamarackreach/internal/tracing"
 )
 
 const (
@@ -44,15 +45,16 @@
 	node     model.NodeID
 	life     model.Incarnation
 	post     func(event.Event)
+	tracer   *tracing.Tracer
 	sequence atomic.Uint64
 
 	mu      sync.Mutex
 	waiting map[model.RequestID]chan outcome
 }
 
-// New returns a server. Requests go to post.
-func New(node model.NodeID, life model.Incarnation, post func(event.Event)) *Server {
-	return &Server{node: node, life: life, post: post, waiting: make(map[model.RequestID]chan outcome)}
+// New returns a server. Requests go to post; the tracer may be nil.
+func New(node model.NodeID, life model.Incarnation, post func(event.Event), tracer *tracing.Tracer) *Server {
+	return &Server{node: node, life: life, post: post, tracer: tracer, waiting: make(map[model.RequestID]chan outcome)}
 }
 
 // Handler returns the HTTP handler.
@@ -71,6 +73,14 @@
 	return model.RequestID(string(s.node) + "-" + strconv.FormatUint(uint64(s.life), 36) + "-" + strconv.FormatUint(s.sequence.Add(1), 36))
 }
 
+// begin opens the span of a request and names both in the response's header.
+func (s *Server) begin(id model.RequestID, name string, request, response http.Header) {
+	response.Set(RequestIDHeader, string(id))
+	if traceID := s.tracer.Begin(id, name, request); traceID != "" {
+		response.Set(tracing.TraceIDHeader, traceID)
+	}
+}
+
 func (s *Server) await(id model.RequestID) chan outcome {
 	outcomes := make(chan outcome, tokenBuffer)
 	s.mu.Lock()
@@ -83,6 +93,7 @@
 	s.mu.Lock()
 	delete(s.waiting, id)
 	s.mu.Unlock()
+	s.tracer.End(id)
 }
 
 func (s *Server) deliver(id model.RequestID, message outcome) {
@@ -115,7 +126,7 @@
 	id := s.nextID()
 	outcomes := s.await(id)
 	defer s.forget(id)
-	stream.ResponseHeader().Set(RequestIDHeader, string(id))
+	s.begin(id, "generate", request.Header(), stream.ResponseHeader())
 	s.post(event.RequestArrived{
 		Request:          id,
 		WorkspaceKey:     strings.TrimPrefix(request.Header().Get("Authorization"), bearer),
@@ -168,6 +179,8 @@
 	id := s.nextID()
 	outcomes := s.await(id)
 	defer s.forget(id)
+	response := connect.NewResponse(&tamarackv1.CallResponse{})
+	s.begin(id, "call", request.Header(), response.Header())
 	s.post(event.CallArrived{
 		Request:        id,
 		WorkspaceKey:   strings.TrimPrefix(request.Header().Get("Authorization"), bearer),
@@ -182,10 +195,10 @@
 		return nil, ctx.Err()
 	case message := <-outcomes:
 		if message.fault != nil {
-			return nil, rpc.Error(message.fault)
+			return nil, rpc.ErrorWith(message.fault, response.Header())
 		}
-		response := connect.NewResponse(&tamarackv1.CallResponse{Body: message.answer.Body, Recorded: message.answer.Recorded})
-		response.Header().Set(RequestIDHeader, string(id))
+		response.Msg.Body = message.answer.Body
+		response.Msg.Recorded = message.answer.Recorded
 		return response, nil
 	}
 }
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -53,7 +53,7 @@
 	// TableWritesPerS and TableReadsPerS limit the stand-in table.
 	TableWritesPerS float64 `json:"table_writes_per_s"`
 	TableReadsPerS  float64 `json:"table_reads_per_s"`
-	// RecordEvents turns on the event files of the entry VMs.
+	// RecordEvents turns on the event and span files of the entry VMs.
 	RecordEvents bool `json:"record_events"`
 }
 
@@ -327,6 +327,7 @@
 	}
 	if d.Shape.RecordEvents {
 		c.EventFile = filepath.Join(d.dir, string(e.NodeID)+"-events.jsonl")
+		c.SpanFile = filepath.Join(d.dir, string(e.NodeID)+"-spans.jsonl")
 	}
 	for _, other := range d.Entries {
 		if other.NodeID != e.NodeID {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"tamarackreach/internal/callerapi"
 	"tamarackreach/internal/config"
+	"tamarackreach/internal/event"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/node"
 	"tamarackreach/internal/operatorapi"
@@ -24,8 +25,7 @@
 	"tamarackreach/internal/rpc"
 	"tamarackreach/internal/targetclient"
 	"tamarackreach/internal/trace"
-
-	"tamarackreach/internal/event"
+	"tamarackreach/internal/tracing"
 )
 
 // Daemon is the process of an entry VM.
@@ -35,6 +35,7 @@
 	drivers  node.Drivers
 	servers  []*listeningServer
 	recorder io.Closer
+	tracer   *tracing.Tracer
 }
 
 type listeningServer struct {
@@ -60,8 +61,11 @@
 	if err != nil {
 		return nil, err
 	}
-	d.node = node.New(reducer.New(reducerConfig), recorder)
-	callers := callerapi.New(cfg.NodeID, life, d.node.Post)
+	if err := d.openTracer(); err != nil {
+		return nil, err
+	}
+	d.node = node.New(reducer.New(reducerConfig), recorder, d.tracer)
+	callers := callerapi.New(cfg.NodeID, life, d.node.Post, d.tracer)
 	operators := operatorapi.New(cfg.Operators, d.node.Post, d.node.Query)
 	d.drivers = node.Drivers{
 		Callers:   callers,
@@ -90,6 +94,18 @@
 	return trace.NewWriter(file, trace.Header{Config: header})
 }
 
+func (d *Daemon) openTracer() error {
+	if d.config.SpanFile == "" {
+		return nil
+	}
+	file, err := os.Create(d.config.SpanFile)
+	if err != nil {
+		return errors.Wrap(err, "create span file; check span_file")
+	}
+	d.tracer, err = tracing.New(file, d.config.NodeID)
+	return err
+}
+
 // metricsHandler serves counters and, at /ready, what the balancer asks.
 func (d *Daemon) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -140,6 +156,9 @@
 	for _, s := range d.servers {
 		_ = s.server.Shutdown(ctx)
 	}
+	if err := d.tracer.Close(); err != nil {
+		return err
+	}
 	if d.recorder != nil {
 		return errors.Wrap(d.recorder.Close(), "close event file")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"tamarackreach/internal/reducer"
 	"tamarackreach/internal/telemetry"
 	"tamarackreach/internal/trace"
+	"tamarackreach/internal/tracing"
 )
 
 // queueLength is the number of events that may wait for the reducer.
@@ -73,17 +74,19 @@
 	queries  chan func(*reducer.State)
 	origin   time.Time
 	recorder *trace.Writer
+	tracer   *tracing.Tracer
 	done     chan struct{}
 }
 
-// New returns a node; Run starts it. The recorder may be nil.
-func New(state *reducer.State, recorder *trace.Writer) *Node {
+// New returns a node; Run starts it. The recorder and the tracer may be nil.
+func New(state *reducer.State, recorder *trace.Writer, tracer *tracing.Tracer) *Node {
 	return &Node{
 		state:    state,
 		events:   make(chan event.Event, queueLength),
 		queries:  make(chan func(*reducer.State)),
 		origin:   time.Now(),
 		recorder: recorder,
+		tracer:   tracer,
 		done:     make(chan struct{}),
 	}
 }
@@ -159,6 +162,7 @@
 			n.recorder = nil
 		}
 	}
+	n.tracer.Observe(ev, effects)
 	for _, effect := range effects {
 		n.carryOut(effect)
 	}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -3,6 +3,7 @@
 package rpc
 
 import (
+	"maps"
 	"net"
 	"net/http"
 	"time"
@@ -66,6 +67,16 @@
 	return err
 }
 
+// ErrorWith is Error with headers for the response.
+func ErrorWith(f *fault.Fault, header http.Header) error {
+	err := Error(f)
+	var connectErr *connect.Error
+	if errors.As(err, &connectErr) {
+		maps.Copy(connectErr.Meta(), header)
+	}
+	return err
+}
+
 func faultKind(k fault.Kind) tamarackv1.FaultKind {
 	switch k {
 	case fault.NotRun:
