Route over layer boundaries with bounded candidate sets

Cause: a stage took only targets whose range equals the stage's, so that a chain over ranges that join up in another way was not found, and one decision looked at every pair of targets of adjacent stages.

Change: targets.Pool groups a pipeline's targets by what they report and is kept up one report at a time. filter draws at most 16 candidates for a range (own zone first, a preferred one for the prefix), score weighs step time, averaged load, own slots and prefill, pick finds the shortest way over the boundaries, the link back to the first target included.

--- a/internal/reducer/admit.go
+++ b/internal/reducer/admit.go
@@ -129,7 +129,7 @@
 		within = workspace.FirstToken()
 	}
 	request.FirstTokenBy = c.Now.Add(within)
-	chain, ok := routing.Pick(s.targets, &routing.Request{Pipeline: pipeline, PrefixKey: request.PrefixKey})
+	chain, ok := routing.Pick(s.targets, s.route(c, request, pipeline))
 	if !ok {
 		return capacityFault(fault.NotRun)
 	}
@@ -143,3 +143,16 @@
 	s.open(c, request, chain.Hops, false)
 	return nil
 }
+
+// route describes a request, with the answer still to come, to routing.
+func (s *State) route(c *decision.Context, request *attempt.Request, pipeline *settings.Pipeline) *routing.Request {
+	return &routing.Request{
+		Pipeline:    pipeline,
+		PrefixKey:   request.PrefixKey,
+		PromptBytes: len(request.Prompt),
+		Tokens:      request.MaxTokens - uint32(len(request.Tokens)),
+		Zone:        s.config.Zone,
+		Nodes:       s.config.EntryNodes,
+		Rand:        c.Rand,
+	}
+}
--- a/internal/reducer/stream.go
+++ b/internal/reducer/stream.go
@@ -119,7 +119,7 @@
 		s.fail(c, request, capacityFault(fault.Failed))
 		return
 	}
-	want := &routing.Request{Pipeline: pipeline, PrefixKey: request.PrefixKey}
+	want := s.route(c, request, pipeline)
 	if lost != "" {
 		want.Avoid = map[model.TargetID]bool{lost: true}
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -1,10 +1,11 @@
-// Package routing picks a chain of targets for a request: candidates are
-// filtered for each stage, scored by expected time, and the chain with the
-// shortest expected completion is picked.
+// Package routing picks a chain of targets for a request. It works in three
+// steps: filter takes a bounded set of candidates for each layer range, score
+// gives each the time that a token is expected to spend there, and pick finds
+// the chain with the shortest expected completion over the layer boundaries.
 package routing
 
 import (
-	"slices"
+	"math/rand/v2"
 	"time"
 
 	"tamarackreach/internal/model"
@@ -12,19 +13,26 @@
 	"tamarackreach/internal/targets"
 )
 
-// defaultLink is the cost of a link that no engine has reported.
-const defaultLink = 200 * time.Microsecond
-
-// cacheHitFactor scales the wait at a target that holds the prompt's prefix.
-const cacheHitFactor = 0.5
+// defaultTokens is the answer length that is planned for when none is stated.
+const defaultTokens = 64
 
 // Request is what routing needs to know of a model request.
 type Request struct {
 	Pipeline  *settings.Pipeline
 	PrefixKey string
+	// PromptBytes is the length of the prompt that targets have to compute.
+	PromptBytes int
+	// Tokens is the length of the answer.
+	Tokens uint32
+	// Zone is this node's zone; its targets come first.
+	Zone model.AvailabilityZone
+	// Nodes is the number of entry VMs that send to the same targets.
+	Nodes uint32
+	// Rand draws candidates from large groups; nil takes the first.
+	Rand *rand.Rand
 	// Avoid holds targets that must not be used.
 	Avoid map[model.TargetID]bool
-	// Keep holds, by stage, targets that must be used again.
+	// Keep holds, by position in the chain, targets that must be used again.
 	Keep map[int]model.TargetID
 }
 
@@ -35,119 +43,35 @@
 	FirstToken time.Duration
 	// PerToken is the expected time between tokens.
 	PerToken time.Duration
-}
-
-// candidate is a target that could hold a stage, with its best chain so far.
-type candidate struct {
-	target *targets.Target
-	// reach is the expected time from the start to the end of this stage.
-	reach time.Duration
-	// previous is the index of the best candidate of the stage before.
-	previous int
+	// IdlePerToken is the time between tokens when nothing else runs.
+	IdlePerToken time.Duration
+	// Fullness is the part of this node's slots that is in use on the fullest
+	// target of the chain; from 1 on the chain takes no more.
+	Fullness float64
 }
 
 // Pick returns the chain with the shortest expected completion; ok is false
-// when some stage has no usable target.
+// when the usable targets do not join up to the whole model.
 func Pick(table *targets.Table, request *Request) (chain Chain, ok bool) {
-	stages := make([][]candidate, len(request.Pipeline.Stages))
-	for i, stage := range request.Pipeline.Stages {
-		stages[i] = filter(table, request, i, stage)
-		if len(stages[i]) == 0 {
-			return Chain{}, false
-		}
-		relax(stages, i, request.PrefixKey)
-	}
-	return trace(stages), true
-}
-
-// filter returns the targets that may run the stage.
-func filter(table *targets.Table, request *Request, index int, stage settings.Stage) []candidate {
-	candidates := make([]candidate, 0, len(stage.Targets))
-	keep, mustKeep := request.Keep[index]
-	for _, id := range stage.Targets {
-		target, known := table.Get(id)
-		if !known || !holds(target, request.Pipeline, stage) || request.Avoid[id] {
-			continue
-		}
-		if mustKeep && id != keep || !mustKeep && !target.Usable() {
-			continue
-		}
-		candidates = append(candidates, candidate{target: target})
-	}
-	return candidates
-}
-
-// holds is true when the target reported that it holds what the stage needs.
-func holds(target *targets.Target, pipeline *settings.Pipeline, stage settings.Stage) bool {
-	return target.Model == pipeline.Model && target.Version == pipeline.Version && target.Layers == stage.Layers
-}
-
-// relax computes the shortest way to each candidate of a stage.
-func relax(stages [][]candidate, index int, prefixKey string) {
-	for i := range stages[index] {
-		current := &stages[index][i]
-		own := score(current.target, prefixKey)
-		if index == 0 {
-			current.reach = own
-			continue
-		}
-		best := time.Duration(-1)
-		for j := range stages[index-1] {
-			before := &stages[index-1][j]
-			reach := before.reach + link(before.target, current.target) + own
-			if best < 0 || reach < best {
-				best = reach
-				current.previous = j
-			}
-		}
-		current.reach = best
-	}
-}
-
-// score is the expected time that a request spends at a target.
-func score(target *targets.Target, prefixKey string) time.Duration {
-	load := float64(target.Queued + target.Running + target.SentSince)
-	batch := float64(max(target.MaxBatch, 1))
-	wait := load / batch
-	if prefixKey != "" && target.Cache[prefixKey] {
-		wait *= cacheHitFactor
-	}
-	return time.Duration((1 + wait) * float64(target.StepTime))
-}
-
-func link(from, to *targets.Target) time.Duration {
-	if latency, ok := from.Links[to.ID]; ok {
-		return latency
+	g := newGraph(table, request)
+	best, ok := g.shortest()
+	if !ok {
+		return Chain{}, false
 	}
-	return defaultLink
+	return g.chain(g.path(best)), true
 }
 
-// trace walks back from the best candidate of the last stage.
-func trace(stages [][]candidate) Chain {
-	last := len(stages) - 1
-	best := 0
-	for i := range stages[last] {
-		if stages[last][i].reach < stages[last][best].reach {
-			best = i
-		}
-	}
-	chain := Chain{FirstToken: stages[last][best].reach}
-	for i := last; i >= 0; i-- {
-		picked := &stages[i][best]
-		chain.Hops = append(chain.Hops, hop(picked.target))
-		chain.PerToken += picked.target.StepTime
-		best = picked.previous
+func newGraph(table *targets.Table, request *Request) *graph {
+	g := &graph{
+		table:   table,
+		request: request,
+		tokens:  int64(request.Tokens),
+		nodes:   float64(max(request.Nodes, 1)),
 	}
-	slices.Reverse(chain.Hops)
-	return chain
-}
-
-func hop(target *targets.Target) model.Hop {
-	return model.Hop{
-		Target:      target.ID,
-		Incarnation: target.Incarnation,
-		Address:     target.Address,
-		Layers:      target.Layers,
-		Rebuild:     true,
+	if g.tokens == 0 {
+		g.tokens = defaultTokens
 	}
+	g.filter()
+	g.score()
+	return g
 }
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -43,8 +43,11 @@
 	Cache     map[string]bool
 	// InFlight counts the requests of this node that run on the target.
 	InFlight uint32
-	// SentSince counts what this node sent since the last report.
+	// SentSince counts what this node sent since the last report, and half of
+	// what it counted before, for a report lags behind what was sent.
 	SentSince uint32
+	// LoadAverage is the running average of the jobs that reports state.
+	LoadAverage float64
 }
 
 // Usable is true for a target that may get new work.
@@ -58,6 +61,7 @@
 // Table is what this node knows of all targets.
 type Table struct {
 	targets map[model.TargetID]*Target
+	pools   []*Pool
 }
 
 // New returns an empty table.
@@ -125,6 +129,7 @@
 		target.Cache = nil
 		target.Sequence = 0
 	}
+	target.averageLoad(ev)
 	target.Reported = true
 	target.Connected = true
 	target.Model = ev.Model
@@ -136,9 +141,10 @@
 	target.Running = ev.Running
 	target.Queued = ev.Queued
 	target.Fencing = ev.Fencing
-	target.SentSince = 0
+	target.SentSince /= 2
 	target.takeLinks(ev.Links)
 	target.takeCache(ev.Sequence, ev.Cache)
+	t.regroup(target)
 	if ev.Leaving {
 		t.Mark(c, ev.Target, target.Incarnation, event.TargetLeaving)
 	}
