Spread settings and node states among peers

Cause: nodes knew nothing of each other. A replaced node could not start while the platform was down, a platform restored from an older state was followed by new nodes, and each node polled the head on its own.

Change: peers ping a few others each second (suspicion, refutation by a sequence number, death, forgetting), carry notes and the revision in force over QUIC with mutual TLS, and serve each other changes. A digest is chained through the change log. A starting node is ready once it has the newest revision that anyone reachable knows of. The polling of a large zone is shared by drawing the time of each poll.

The proof on four reducers failed first for the age of settings: a node replaced in an outage of one hour said that its settings were 2.3 s old, now it tells the age that its peers know (go test ./internal/spread, 8 specs).

Ruled out: a chosen reader per zone; it can fail or be cut off unnoticed. A commit that meets a head older than the one in force now waits for the retry timer; it used to send the transaction again at once, without end.

--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -197,14 +197,18 @@
 	m.follower.Poll(c)
 }
 
-// headMoved tries again once the head that won is in force here.
+// headMoved tries again once the head that won is in force here, and later when
+// the table holds an older head than this node knows of.
 func (m *Committer) headMoved(c *decision.Context, p *proposal, row model.Row) {
 	var head spread.RevisionRow
 	if err := json.Unmarshal(row.Value, &head); err != nil {
 		m.end(c, p, doubtFault(p.change.ID))
 		return
 	}
-	m.follower.SawHead(c, head.Revision, row.Version)
+	if !m.follower.SawHead(c, head.Revision, row.Version) {
+		c.After(timer.ChangeRetry, string(p.change.ID), readRetry)
+		return
+	}
 	m.try(c, p)
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"tamarackreach/internal/node"
 	"tamarackreach/internal/operatorapi"
 	"tamarackreach/internal/peerlink"
+	"tamarackreach/internal/peers"
 	"tamarackreach/internal/platformclient"
 	"tamarackreach/internal/reducer"
 	"tamarackreach/internal/rpc"
@@ -33,6 +34,7 @@
 	config   *config.Entry
 	node     *node.Node
 	drivers  node.Drivers
+	peers    *peerlink.Link
 	servers  []*listeningServer
 	recorder io.Closer
 }
@@ -53,6 +55,7 @@
 		EntryNodes:  cfg.EntryNodes,
 		ShutdownLag: time.Duration(cfg.ShutdownLagMs) * time.Millisecond,
 		Seed:        uint64(life),
+		Seeds:       seedContacts(cfg.Seeds),
 	}
 	d := &Daemon{config: cfg}
 	recorder, err := d.openRecorder(reducerConfig)
@@ -62,12 +65,15 @@
 	d.node = node.New(reducer.New(reducerConfig), recorder)
 	callers := callerapi.New(cfg.NodeID, life, d.node.Post)
 	operators := operatorapi.New(cfg.Operators, d.node.Post, d.node.Query)
+	d.peers = peerlink.New(peerlink.Config{
+		Node: cfg.NodeID, Incarnation: life, Address: cfg.PeerAddress, TLS: cfg.PeerTLS,
+	}, d.node.Post)
 	d.drivers = node.Drivers{
 		Callers:   callers,
 		Operators: operators,
 		Targets:   targetclient.New(d.node.Post, d.node.Now),
 		Platform:  platformclient.New(cfg.PlatformAddress, cfg.Zone, d.node.Post),
-		Peers:     peerlink.New(d.node.Post),
+		Peers:     d.peers,
 	}
 	d.servers = []*listeningServer{
 		{server: rpc.NewServer(callers.Handler()), address: cfg.CallerAddress},
@@ -77,6 +83,14 @@
 	return d, nil
 }
 
+func seedContacts(seeds []config.Seed) []peers.Contact {
+	contacts := make([]peers.Contact, 0, len(seeds))
+	for _, seed := range seeds {
+		contacts = append(contacts, peers.Contact{Node: seed.NodeID, Address: seed.Address})
+	}
+	return contacts
+}
+
 func (d *Daemon) openRecorder(header reducer.Config) (*trace.Writer, error) {
 	if d.config.EventFile == "" {
 		return nil, nil
@@ -115,6 +129,9 @@
 		}
 		go func() { failed <- s.server.Serve(listener) }()
 	}
+	if err := d.peers.Start(); err != nil {
+		return err
+	}
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	finished := make(chan struct{})
@@ -139,6 +156,7 @@
 	for _, s := range d.servers {
 		_ = s.server.Shutdown(ctx)
 	}
+	_ = d.peers.Close()
 	if d.recorder != nil {
 		return errors.Wrap(d.recorder.Close(), "close event file")
 	}
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -164,6 +164,10 @@
 		Quarantine []QuarantineNote `json:"quarantine"`
 		Targets    []TargetNote     `json:"targets"`
 		Quotas     []QuotaNote      `json:"quotas"`
+		// Digest is the digest of the changes up to Revision.
+		Digest LogDigest `json:"digest"`
+		// ConfirmedAgo is how long ago the platform confirmed the revision.
+		ConfirmedAgo time.Duration `json:"confirmed_ago_ns"`
 	}
 
 	// RequestSettings asks a peer for the changes after a revision.
@@ -171,6 +175,8 @@
 		To      model.NodeID   `json:"to"`
 		Address string         `json:"address"`
 		After   model.Revision `json:"after"`
+		// Digest is the digest of this node's changes up to After.
+		Digest LogDigest `json:"digest"`
 	}
 
 	// OfferSettings serves settings to a peer.
@@ -180,6 +186,8 @@
 		SnapshotRevision model.Revision `json:"snapshot_revision"`
 		TreeJSON         []byte         `json:"tree_json"`
 		Changes          []Change       `json:"changes"`
+		// Digest is the digest of the changes up to SnapshotRevision.
+		Digest LogDigest `json:"digest"`
 	}
 
 	// LogChange writes one log line for a change of state.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -210,6 +210,10 @@
 		Quarantine []QuarantineNote `json:"quarantine"`
 		Targets    []TargetNote     `json:"targets"`
 		Quotas     []QuotaNote      `json:"quotas"`
+		// Digest is the digest of the changes up to Revision.
+		Digest LogDigest `json:"digest"`
+		// ConfirmedAgo is how long ago the platform confirmed the revision.
+		ConfirmedAgo time.Duration `json:"confirmed_ago_ns"`
 	}
 
 	// PeerUnreachable reports that a message to a peer could not be sent.
@@ -221,6 +225,8 @@
 	SettingsRequested struct {
 		From  model.NodeID   `json:"from"`
 		After model.Revision `json:"after"`
+		// Digest is the digest of the peer's changes up to After.
+		Digest LogDigest `json:"digest"`
 	}
 
 	// SettingsOffered reports changes served by a peer.
@@ -229,6 +235,8 @@
 		SnapshotRevision model.Revision `json:"snapshot_revision"`
 		TreeJSON         []byte         `json:"tree_json"`
 		Changes          []Change       `json:"changes"`
+		// Digest is the digest of the changes up to SnapshotRevision.
+		Digest LogDigest `json:"digest"`
 	}
 )
 
--- a/internal/event/parts.go
+++ b/internal/event/parts.go
@@ -80,8 +80,14 @@
 	Status        PeerStatus             `json:"status"`
 	Revision      model.Revision         `json:"revision"`
 	InForceUnixMs int64                  `json:"in_force_unix_ms"`
+	// Sequence is raised by the node itself; a state with a higher one is newer.
+	Sequence uint64 `json:"sequence"`
 }
 
+// LogDigest is a hash over all accepted changes up to a revision; two nodes
+// with the same revision and digest have the same settings.
+type LogDigest uint64
+
 // QuarantineNote shares what is known of a request that crashes targets.
 type QuarantineNote struct {
 	Fingerprint model.Fingerprint `json:"fingerprint"`
--- a/internal/fakes/platform.go
+++ b/internal/fakes/platform.go
@@ -14,10 +14,14 @@
 	Down bool
 	// LoseAnswers makes transactions take effect and their answers vanish.
 	LoseAnswers bool
+	// Objects is the object store.
+	Objects map[string][]byte
 }
 
 // NewPlatform returns a platform with an empty table.
-func NewPlatform() *Platform { return &Platform{Table: platform.NewTable()} }
+func NewPlatform() *Platform {
+	return &Platform{Table: platform.NewTable(), Objects: make(map[string][]byte)}
+}
 
 // Answer returns the event that an effect results in; ok is false for effects
 // that are not for the table service.
@@ -27,6 +31,14 @@
 		return p.transact(effect), true
 	case event.ReadRows:
 		return p.read(effect), true
+	case event.ReadObject:
+		body, found := p.Objects[effect.Key]
+		return event.ObjectRead{Key: effect.Key, Body: body, Found: found && !p.Down, Failed: p.Down}, true
+	case event.WriteObject:
+		if !p.Down {
+			p.Objects[effect.Key] = effect.Body
+		}
+		return event.ObjectWritten{Key: effect.Key, Failed: p.Down}, true
 	}
 	return nil, false
 }
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -63,6 +63,7 @@
 	UnknownTarget       Code = "unknown_target"
 	UnknownRevision     Code = "unknown_revision"
 	SettingInvalid      Code = "setting_invalid"
+	SettingsDiverged    Code = "settings_diverged"
 )
 
 // Fault is a refusal with its remedy.
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -1,25 +1,202 @@
-// Package peerlink carries messages between entry VMs.
+// Package peerlink carries messages between entry VMs over QUIC with mutual
+// TLS. Each message is one short stream. A peer whose certificate does not name
+// its node id is refused.
 package peerlink
 
 import (
+	"context"
+	"crypto/sha256"
+	"expvar"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+	"google.golang.org/protobuf/proto"
+
+	tamarackv1 "tamarackreach/gen/tamarack/v1"
+	"tamarackreach/internal/config"
 	"tamarackreach/internal/event"
+	"tamarackreach/internal/model"
+)
+
+const (
+	// maxMessageBytes is the largest message; a whole settings tree fits.
+	maxMessageBytes = 8 << 20
+	// sendTimeout bounds dialling and sending one message.
+	sendTimeout = 2 * time.Second
+	// maxSends is the number of messages that may be on their way out.
+	maxSends = 64
+	// maxStreams is the number of messages that a peer may have on its way in.
+	maxStreams = 16
+	// idleTimeout closes connections that nothing uses. It is long, because in
+	// large deployments a pair of nodes talks seldom and a handshake costs more
+	// than all of its messages in between.
+	idleTimeout = 10 * time.Minute
+	// silentAfter is how long a peer may leave messages unanswered before the
+	// next one goes over a new connection.
+	silentAfter = 1200 * time.Millisecond
 )
 
-// Link sends messages to peers.
+var (
+	messagesDropped = expvar.NewInt("tamarack_peer_messages_dropped_total")
+	peersRefused    = expvar.NewInt("tamarack_peer_connections_refused_total")
+	bytesSent       = expvar.NewInt("tamarack_peer_bytes_sent_total")
+)
+
+// Config is what a link is made from.
+type Config struct {
+	Node        model.NodeID
+	Incarnation model.Incarnation
+	// Address receives messages over UDP, IP:port.
+	Address string
+	TLS     config.PeerTLS
+}
+
+// Link sends messages to peers and posts those that they send.
 type Link struct {
-	post func(event.Event)
+	config      Config
+	post        func(event.Event)
+	credentials *credentials
+	transport   *quic.Transport
+	sends       chan struct{}
+	ctx         context.Context
+	stop        context.CancelFunc
+
+	mu    sync.Mutex
+	peers map[model.NodeID]*peer
+}
+
+// New returns a link; Start opens it. Messages from peers go to post.
+func New(cfg Config, post func(event.Event)) *Link {
+	ctx, stop := context.WithCancel(context.Background())
+	return &Link{
+		config: cfg, post: post, credentials: &credentials{files: cfg.TLS},
+		sends: make(chan struct{}, maxSends), ctx: ctx, stop: stop,
+		peers: make(map[model.NodeID]*peer),
+	}
+}
+
+// Start listens for peers.
+func (l *Link) Start() error {
+	if _, err := l.credentials.load(); err != nil {
+		return err
+	}
+	address, err := net.ResolveUDPAddr("udp", l.config.Address)
+	if err != nil {
+		return errors.Wrap(err, "resolve peer_address")
+	}
+	socket, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s; check peer_address", l.config.Address)
+	}
+	l.transport = &quic.Transport{Conn: socket, StatelessResetKey: l.resetKey()}
+	listener, err := l.transport.Listen(l.credentials.server(), quicConfig())
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	go l.accept(listener)
+	return nil
 }
 
-// New returns a link. Messages from peers go to post.
-func New(post func(event.Event)) *Link { return &Link{post: post} }
+// resetKey is the same after a restart of the node, so that its peers notice at
+// once that it no longer knows their connections.
+func (l *Link) resetKey() *quic.StatelessResetKey {
+	key := quic.StatelessResetKey(sha256.Sum256(append([]byte("stateless reset "), l.credentials.keyPEM()...)))
+	return &key
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:  sendTimeout,
+		MaxIdleTimeout:        idleTimeout,
+		MaxIncomingStreams:    -1,
+		MaxIncomingUniStreams: maxStreams,
+	}
+}
+
+// Close ends every connection.
+func (l *Link) Close() error {
+	l.stop()
+	if l.transport == nil {
+		return nil
+	}
+	return errors.CombineErrors(l.transport.Close(), l.transport.Conn.Close())
+}
 
 // Heartbeat sends this node's heartbeat to a peer.
 func (l *Link) Heartbeat(effect event.SendHeartbeat) {
-	l.post(event.PeerUnreachable{Peer: effect.To})
+	l.send(effect, effect.Address, !effect.Reply)
 }
 
 // RequestSettings asks a peer for the changes after a revision.
-func (l *Link) RequestSettings(event.RequestSettings) {}
+func (l *Link) RequestSettings(effect event.RequestSettings) {
+	l.send(effect, effect.Address, true)
+}
 
 // OfferSettings serves settings to a peer.
-func (l *Link) OfferSettings(event.OfferSettings) {}
+func (l *Link) OfferSettings(effect event.OfferSettings) {
+	l.send(effect, effect.Address, false)
+}
+
+// send sends a message in the background. When too many are on their way, the
+// message is dropped; heartbeats and requests are repeated by the reducer.
+func (l *Link) send(effect event.Effect, address string, expectsAnswer bool) {
+	select {
+	case l.sends <- struct{}{}:
+	default:
+		messagesDropped.Add(1)
+		return
+	}
+	to, message := Encode(l.config.Node, l.config.Incarnation, effect)
+	go func() {
+		defer func() { <-l.sends }()
+		if err := l.deliver(to, address, message, expectsAnswer); err != nil && l.ctx.Err() == nil {
+			l.post(event.PeerUnreachable{Peer: to})
+		}
+	}()
+}
+
+func (l *Link) deliver(to model.NodeID, address string, message *tamarackv1.PeerMessage, expectsAnswer bool) error {
+	data, err := proto.Marshal(message)
+	if err != nil {
+		return errors.Wrap(err, "encode message")
+	}
+	ctx, cancel := context.WithTimeout(l.ctx, sendTimeout)
+	defer cancel()
+	p := l.peer(to)
+	conn, err := p.connection(ctx, l, address)
+	if err != nil {
+		return err
+	}
+	stream, err := conn.OpenUniStreamSync(ctx)
+	if err != nil {
+		p.drop(conn)
+		return errors.Wrap(err, "open stream")
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = stream.SetWriteDeadline(deadline)
+	}
+	if _, err := stream.Write(data); err != nil {
+		stream.CancelWrite(0)
+		p.drop(conn)
+		return errors.Wrap(err, "write message")
+	}
+	bytesSent.Add(int64(len(data)))
+	if expectsAnswer {
+		p.awaitAnswer(time.Now())
+	}
+	return errors.Wrap(stream.Close(), "end message")
+}
+
+func (l *Link) peer(id model.NodeID) *peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p, ok := l.peers[id]
+	if !ok {
+		p = &peer{id: id}
+		l.peers[id] = p
+	}
+	return p
+}
--- a/internal/reducer/dispatch.go
+++ b/internal/reducer/dispatch.go
@@ -61,6 +61,24 @@
 		s.rowsRead(c, ev)
 	case event.ReadFailed:
 		s.readFailed(c, ev)
+	case event.ObjectRead:
+		s.objectRead(c, ev)
+	default:
+		s.dispatchPeers(c, ev)
+	}
+}
+
+// dispatchPeers hands a message of a peer to the decision that it concerns.
+func (s *State) dispatchPeers(c *decision.Context, ev event.Event) {
+	switch ev := ev.(type) {
+	case event.PeerHeartbeatReceived:
+		s.peerHeartbeat(c, ev)
+	case event.PeerUnreachable:
+		s.peerUnreachable(ev)
+	case event.SettingsRequested:
+		s.settingsRequested(c, ev)
+	case event.SettingsOffered:
+		s.settingsOffered(c, ev)
 	}
 }
 
@@ -100,7 +118,7 @@
 	case commit.Owns(ev.Read):
 		s.committer.ReadFailed(c, ev)
 	case spread.Owns(ev.Read):
-		s.follower.ReadFailed(ev)
+		s.follower.ReadFailed(c, ev)
 	}
 }
 
@@ -126,7 +144,15 @@
 	case timer.ClaimRead:
 		s.ledger.ReadDue(c, model.RequestID(key.ID))
 	case timer.SettingsPoll:
-		s.follower.Poll(c)
+		s.pollSettings(c)
+	case timer.SettingsFetch:
+		s.follower.FetchDue(c)
+	case timer.SettingsGreet:
+		s.greetDue()
+	case timer.PeerHeartbeat:
+		s.heartbeatDue(c)
+	case timer.PeerSuspect:
+		s.peers.SuspectDue(c, model.NodeID(key.ID), s.update())
 	case timer.ChangeRetry:
 		s.committer.RetryDue(c, model.ChangeID(key.ID))
 	case timer.VMPoll:
--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -14,6 +14,7 @@
 
 func (s *State) nodeStarted(c *decision.Context) {
 	s.follower.Start(c)
+	s.peers.Start(c)
 	s.pollVMs(c)
 }
 
@@ -25,6 +26,7 @@
 func (s *State) vmsListed(c *decision.Context, ev event.VMsListed) {
 	if !ev.Failed {
 		s.targets.Listed(c, ev.VMs)
+		s.peers.Listed(c, ev.VMs)
 	}
 }
 
@@ -41,27 +43,10 @@
 	c.Emit(event.AnswerChange{Request: ev.Request, Revision: s.follower.Revision()})
 }
 
-func (s *State) changeProposed(c *decision.Context, ev event.ChangeProposed) {
-	if refusal := s.notReady(); refusal != nil {
-		c.Emit(event.AnswerChange{Request: ev.Request, Fault: refusal})
-		return
-	}
-	s.committer.Propose(c, ev)
-}
-
-// settingsRead takes in a read of the follower and goes on with the changes
-// that waited for a newer revision.
-func (s *State) settingsRead(c *decision.Context, ev event.RowsRead) {
-	before := s.follower.Revision()
-	s.follower.RowsRead(c, ev)
-	if now := s.follower.Revision(); now > before {
-		s.counters.ChangesInForce += uint64(now - before)
-		s.committer.RevisionInForce(c, now)
-	}
-}
-
 func (s *State) shutdownRequested(c *decision.Context) {
 	s.shuttingDown = true
+	s.peers.Leave()
+	s.peers.Tell(c, s.update())
 	c.After(timer.ShutdownLag, "", s.config.ShutdownLag)
 	c.Emit(event.LogChange{Message: "shutting down; requests in progress run to their end"})
 }
--- a/internal/reducer/query.go
+++ b/internal/reducer/query.go
@@ -4,21 +4,38 @@
 	"fmt"
 
 	tamarackv1 "tamarackreach/gen/tamarack/v1"
+	"tamarackreach/internal/event"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/peers"
 )
 
-// NodeStatuses returns what this node knows of the entry VMs.
+// NodeStatuses returns what this node knows of the entry VMs, itself first.
 func (s *State) NodeStatuses() []*tamarackv1.NodeStatus {
-	age := s.context.Now.Sub(s.follower.Confirmed())
-	return []*tamarackv1.NodeStatus{{
+	own := event.PeerAlive
+	if s.shuttingDown {
+		own = event.PeerLeaving
+	}
+	statuses := []*tamarackv1.NodeStatus{{
 		NodeId:        string(s.config.Node),
 		Zone:          string(s.config.Zone),
 		Incarnation:   uint64(s.config.Incarnation),
 		Revision:      uint64(s.follower.Revision()),
 		InForceUnixMs: s.follower.InForceUnixMs(),
-		State:         "alive",
-		SettingsAgeMs: uint64(age.Milliseconds()),
+		State:         peers.StatusName(own),
+		SettingsAgeMs: uint64(s.settingsAge(s.follower.Confirmed()).Milliseconds()),
 	}}
+	for _, peer := range s.peers.All() {
+		statuses = append(statuses, &tamarackv1.NodeStatus{
+			NodeId:        string(peer.Node),
+			Zone:          string(peer.Zone),
+			Incarnation:   uint64(peer.Incarnation),
+			Revision:      uint64(peer.Revision),
+			InForceUnixMs: peer.InForceUnixMs,
+			State:         peers.StatusName(peer.Status),
+			SettingsAgeMs: uint64(s.settingsAge(peer.Confirmed).Milliseconds()),
+		})
+	}
+	return statuses
 }
 
 // Explain tells how a request in progress was routed.
--- /dev/null
+++ b/internal/reducer/settings.go
@@ -0,0 +1,76 @@
+package reducer
+
+import (
+	"time"
+
+	"tamarackreach/internal/decision"
+	"tamarackreach/internal/event"
+	"tamarackreach/internal/fault"
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/spread"
+)
+
+// divergedRetryAfter tells operators when to come back after the platform was
+// restored from an older state.
+const divergedRetryAfter = 30 * time.Second
+
+func (s *State) changeProposed(c *decision.Context, ev event.ChangeProposed) {
+	refusal := s.notReady()
+	if refusal == nil && s.follower.Diverged() {
+		refusal = &fault.Fault{
+			Kind: fault.NotRun, Code: fault.SettingsDiverged, Message: "the platform holds other or older settings than those in force",
+			Remedy: "see the alarms of tamarackctl status and restore the platform's table", RetryAfter: divergedRetryAfter,
+		}
+	}
+	if refusal != nil {
+		c.Emit(event.AnswerChange{Request: ev.Request, Fault: refusal})
+		return
+	}
+	s.committer.Propose(c, ev)
+}
+
+// afterSettings runs an input of the follower. If a newer revision came into
+// force, it is told to peers at once and the changes that waited go on.
+func (s *State) afterSettings(c *decision.Context, input func()) {
+	before := s.follower.Revision()
+	input()
+	now := s.follower.Revision()
+	if now == before {
+		return
+	}
+	s.counters.ChangesInForce += uint64(now - before)
+	s.peers.InForce(now, s.follower.InForceUnixMs())
+	s.peers.Tell(c, s.update())
+	s.follower.WriteSnapshot(c, s.peers.First())
+	s.committer.RevisionInForce(c, now)
+}
+
+func (s *State) settingsRead(c *decision.Context, ev event.RowsRead) {
+	s.afterSettings(c, func() { s.follower.RowsRead(c, ev) })
+}
+
+func (s *State) objectRead(c *decision.Context, ev event.ObjectRead) {
+	if ev.Key == spread.SnapshotKey {
+		s.afterSettings(c, func() { s.follower.SnapshotRead(c, ev) })
+	}
+}
+
+func (s *State) settingsRequested(c *decision.Context, ev event.SettingsRequested) {
+	if peer, ok := s.peers.Get(ev.From); ok {
+		s.follower.Requested(c, ev, peer.Address)
+	}
+}
+
+func (s *State) settingsOffered(c *decision.Context, ev event.SettingsOffered) {
+	s.afterSettings(c, func() { s.follower.Offered(c, ev) })
+}
+
+func (s *State) pollSettings(c *decision.Context) {
+	s.follower.SetZoneNodes(s.peers.LiveInZone())
+	s.follower.Poll(c)
+}
+
+// settingsAge returns how long ago the platform confirmed the settings.
+func (s *State) settingsAge(confirmed model.Instant) time.Duration {
+	return max(0, s.context.Now.Sub(confirmed))
+}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -13,6 +13,7 @@
 	"tamarackreach/internal/event"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/once"
+	"tamarackreach/internal/peers"
 	"tamarackreach/internal/quarantine"
 	"tamarackreach/internal/quota"
 	"tamarackreach/internal/spread"
@@ -32,6 +33,8 @@
 	ShutdownLag time.Duration `json:"shutdown_lag_ns"`
 	// Seed seeds the generator.
 	Seed uint64 `json:"seed"`
+	// Seeds are entry VMs to greet first.
+	Seeds []peers.Contact `json:"seeds"`
 }
 
 // Counters count what happened; telemetry publishes them.
@@ -46,6 +49,8 @@
 	StreamsRedialled  uint64
 	CallsSent         uint64
 	ChangesInForce    uint64
+	// PeerMessages counts heartbeats received.
+	PeerMessages uint64
 }
 
 // State is the whole state of an entry VM.
@@ -60,6 +65,8 @@
 	ledger     *once.Ledger
 	quarantine *quarantine.List
 	quotas     *quota.Shares
+	peers      *peers.Members
+	news       news
 	requests   map[model.RequestID]*attempt.Request
 	calls      map[model.RequestID]*plainCall
 
@@ -85,8 +92,12 @@
 		ledger:     once.New(config.Node, config.Incarnation),
 		quarantine: quarantine.New(),
 		quotas:     quota.New(),
-		requests:   make(map[model.RequestID]*attempt.Request),
-		calls:      make(map[model.RequestID]*plainCall),
+		peers: peers.New(event.PeerState{
+			Node: config.Node, Incarnation: config.Incarnation, Zone: config.Zone, Address: config.PeerAddress,
+		}, config.Seeds),
+		news:     newNews(),
+		requests: make(map[model.RequestID]*attempt.Request),
+		calls:    make(map[model.RequestID]*plainCall),
 	}
 }
 
@@ -99,6 +110,7 @@
 	clear(c.Effects)
 	c.Effects = c.Effects[:0]
 	s.dispatch(c, ev)
+	s.shareNews(c, ev)
 	s.settleShutdown(c)
 	return c.Effects
 }
@@ -115,6 +127,9 @@
 // Targets returns the target table, for queries.
 func (s *State) Targets() *targets.Table { return s.targets }
 
+// Peers returns what is known of the other entry VMs, for queries.
+func (s *State) Peers() *peers.Members { return s.peers }
+
 // Ready is true when the node may get requests from the balancer.
 func (s *State) Ready() bool { return s.follower.Ready() && !s.shuttingDown }
 
--- /dev/null
+++ b/internal/spread/snapshot.go
@@ -0,0 +1,88 @@
+package spread
+
+import (
+	"encoding/json"
+
+	"tamarackreach/internal/decision"
+	"tamarackreach/internal/event"
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/settings"
+)
+
+const (
+	// SnapshotKey is the object that holds the newest snapshot of the tree.
+	SnapshotKey = "settings/snapshot"
+	// snapshotEvery is the number of revisions from one snapshot to the next.
+	snapshotEvery = 256
+)
+
+// Snapshot is the tree at a revision, so that a starting node need not read
+// every change.
+type Snapshot struct {
+	Revision model.Revision  `json:"revision"`
+	Digest   event.LogDigest `json:"digest"`
+	Tree     json.RawMessage `json:"tree"`
+}
+
+// WriteSnapshot writes a snapshot if one is due and this node is to write it.
+func (f *Follower) WriteSnapshot(c *decision.Context, writer bool) {
+	if !f.snapshotDue {
+		return
+	}
+	f.snapshotDue = false
+	if !writer {
+		return
+	}
+	body, err := json.Marshal(Snapshot{Revision: f.revision, Digest: f.digest, Tree: encodeTree(f.view.Tree())})
+	if err != nil {
+		panic(err)
+	}
+	c.Emit(event.WriteObject{Key: SnapshotKey, Body: body})
+}
+
+// SnapshotRead takes in the snapshot; later changes are fetched as rows.
+func (f *Follower) SnapshotRead(c *decision.Context, ev event.ObjectRead) {
+	f.snapshotReading = false
+	before := f.revision
+	if ev.Found {
+		var snapshot Snapshot
+		if err := json.Unmarshal(ev.Body, &snapshot); err != nil {
+			f.raise(c, "settings snapshot is unreadable", err.Error())
+		} else {
+			f.install(c, snapshot.Revision, snapshot.Digest, snapshot.Tree)
+		}
+	}
+	f.fetched(c, f.revision > before)
+	f.fetch(c)
+	f.settle()
+}
+
+// install puts a whole tree in force if it is newer than what is.
+func (f *Follower) install(c *decision.Context, revision model.Revision, digest event.LogDigest, treeJSON []byte) {
+	if revision <= f.revision {
+		return
+	}
+	tree := settings.NewTree()
+	if err := json.Unmarshal(treeJSON, tree); err != nil {
+		f.raise(c, "settings tree is unreadable", err.Error())
+		return
+	}
+	f.view = settings.NewView(tree)
+	f.revision = revision
+	f.digest = digest
+	f.baseDigest = digest
+	f.history = nil
+	f.digests = nil
+	f.head = max(f.head, revision)
+	f.inForceUnixMs = c.UnixMs
+	c.Emit(event.SettingsInForce{Revision: revision})
+}
+
+// encodeTree returns a tree as JSON; every tree encodes.
+func encodeTree(tree *settings.Tree) []byte {
+	data, err := json.Marshal(tree)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- /dev/null
+++ b/internal/spread/spread_test.go
@@ -0,0 +1,200 @@
+package spread_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tamarackreach/internal/event"
+	"tamarackreach/internal/fakes"
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/spread"
+)
+
+func TestSpread(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "spread")
+}
+
+// inForceWithin is the users' bound from acceptance to in force everywhere.
+const inForceWithin = 3 * time.Second
+
+// propose proposes a change that adds a model.
+func propose(n *fakes.Network, node int, id string) {
+	n.Send(node, 0, event.ChangeProposed{Request: model.RequestID(id), Change: event.Change{
+		ID: model.ChangeID(id), Team: "a", Author: "x", Reason: "y",
+		Edits: []event.Edit{{Path: "models/" + id, Value: json.RawMessage(`{"versions":["1"],"layers":4}`)}},
+	}})
+}
+
+func revisions(n *fakes.Network) []int {
+	var all []int
+	for _, node := range n.Nodes {
+		if !node.State.Ready() {
+			all = append(all, -1)
+			continue
+		}
+		all = append(all, int(node.State.Follower().Revision()))
+	}
+	return all
+}
+
+func expectNoFault(n *fakes.Network) {
+	GinkgoHelper()
+	for _, node := range n.Nodes {
+		Expect(node.Fault).To(BeEmpty())
+	}
+}
+
+// started returns four nodes that are ready, with some revisions in force.
+func started(changes int) *fakes.Network {
+	GinkgoHelper()
+	n := fakes.NewNetwork(4, uint64(GinkgoRandomSeed()))
+	n.Run(5 * time.Second)
+	Expect(revisions(n)).To(HaveEach(0), "a first start is ready at revision 0")
+	for i := range changes {
+		propose(n, i%4, fmt.Sprintf("c%d", i))
+		n.Run(inForceWithin)
+	}
+	Expect(revisions(n)).To(HaveEach(changes))
+	return n
+}
+
+var _ = Describe("settings in force everywhere", func() {
+	It("is not ready without a platform and peers that have settings", func() {
+		n := fakes.NewNetwork(4, uint64(GinkgoRandomSeed()))
+		n.Platform.Down = true
+		n.Run(time.Minute)
+		Expect(revisions(n)).To(HaveEach(-1))
+		n.Platform.Down = false
+		n.Run(5 * time.Second)
+		Expect(revisions(n)).To(HaveEach(0))
+	})
+
+	It("brings a change into force within the bound on a slow platform", func() {
+		n := started(1)
+		n.PlatformDelay = 500 * time.Millisecond
+		propose(n, 0, "slow")
+		n.Run(inForceWithin)
+		Expect(revisions(n)).To(HaveEach(2))
+		expectNoFault(n)
+	})
+
+	It("starts a replaced node from peers in a long outage", func() {
+		n := started(3)
+		n.Platform.Down = true
+		n.Run(time.Hour)
+		n.Start(2, 4)
+		n.Run(inForceWithin)
+		Expect(revisions(n)).To(HaveEach(3))
+		age := n.Now.Sub(n.Nodes[2].State.Follower().Confirmed())
+		Expect(age).To(BeNumerically(">=", 59*time.Minute), "a peer's settings are as old as the peer says")
+		expectNoFault(n)
+	})
+
+	It("starts a replaced node from the snapshot and later changes", func() {
+		n := fakes.NewNetwork(1, uint64(GinkgoRandomSeed()))
+		n.Run(5 * time.Second)
+		for i := range 258 {
+			propose(n, 0, fmt.Sprintf("c%d", i))
+			n.Run(10 * time.Millisecond)
+		}
+		n.Run(inForceWithin)
+		Expect(revisions(n)).To(HaveEach(258))
+		rows := 0
+		n.Effect = func(_ int, effect event.Effect) {
+			if read, ok := effect.(event.ReadRows); ok && read.Prefix != "" {
+				rows += len(n.Platform.Table.Scan(read.Prefix, read.StartKey, int(read.Limit)))
+			}
+		}
+		digest := n.Nodes[0].State.Follower().Digest()
+		n.Start(0, 1)
+		n.Run(5 * time.Second)
+		Expect(revisions(n)).To(HaveEach(258))
+		Expect(n.Nodes[0].State.Follower().Digest()).To(Equal(digest))
+		Expect(rows).To(BeNumerically("<=", 6))
+	})
+
+	It("does not follow a platform that comes back with an older head", func() {
+		n := started(2)
+		old := n.Platform.Table.Read([]string{spread.HeadKey})[0]
+		propose(n, 1, "newest")
+		n.Run(inForceWithin)
+		now := n.Platform.Table.Read([]string{spread.HeadKey})[0]
+		_, conflicts := n.Platform.Table.Transact(nil, []event.Write{
+			{Key: spread.HeadKey, Value: old.Value}, {Key: spread.ChangeKey(3), Delete: true},
+		})
+		Expect(conflicts).To(BeEmpty())
+		n.Start(3, 4)
+		n.Run(10 * time.Second)
+		Expect(revisions(n)).To(HaveEach(3))
+		for _, node := range n.Nodes {
+			Expect(node.State.Follower().Alarms()).NotTo(BeEmpty())
+		}
+		var refusal *event.AnswerChange
+		n.Effect = func(_ int, effect event.Effect) {
+			if answer, ok := effect.(event.AnswerChange); ok {
+				refusal = &answer
+			}
+		}
+		propose(n, 0, "refused")
+		n.Run(inForceWithin)
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.Fault.Code).To(BeEquivalentTo("settings_diverged"))
+		n.Platform.Table.Transact(nil, []event.Write{{Key: spread.HeadKey, Value: now.Value}})
+		n.Run(10 * time.Second)
+		Expect(n.Nodes[0].State.Follower().Alarms()).To(BeEmpty())
+		expectNoFault(n)
+	})
+
+	It("raises an alarm for another change under a revision in force", func() {
+		n := started(2)
+		digest := n.Nodes[0].State.Follower().Digest()
+		row := n.Platform.Table.Read([]string{spread.ChangeKey(2)})[0]
+		var change event.Change
+		Expect(json.Unmarshal(row.Value, &change)).To(Succeed())
+		change.ID = "other"
+		other, err := json.Marshal(change)
+		Expect(err).NotTo(HaveOccurred())
+		n.Platform.Table.Transact(nil, []event.Write{{Key: spread.ChangeKey(2), Value: other}})
+		n.Run(inForceWithin)
+		for _, node := range n.Nodes {
+			Expect(node.State.Follower().Alarms()).To(ContainElement(ContainSubstring("another change")))
+			Expect(node.State.Follower().Digest()).To(Equal(digest))
+		}
+		expectNoFault(n)
+	})
+
+	It("serves on in a zone that is cut off and catches up when it heals", func() {
+		n := started(2)
+		n.Cut[fakes.Zone(1)] = true
+		propose(n, 0, "during")
+		n.Run(time.Minute)
+		Expect(revisions(n)).To(Equal([]int{3, 2, 3, 3}))
+		cut := n.Nodes[1].State.NodeStatuses()[0]
+		Expect(cut.SettingsAgeMs).To(BeNumerically(">=", 59*1000))
+		Expect(n.Nodes[0].State.NodeStatuses()[1].State).To(Equal("dead"))
+		delete(n.Cut, fakes.Zone(1))
+		n.Run(inForceWithin)
+		Expect(revisions(n)).To(HaveEach(3))
+		n.Run(10 * time.Second)
+		Expect(n.Nodes[0].State.NodeStatuses()[1].State).To(Equal("alive"))
+		expectNoFault(n)
+	})
+
+	It("catches up on a node that was frozen", func() {
+		n := started(1)
+		n.Nodes[2].Frozen = true
+		n.Run(20 * time.Second)
+		propose(n, 0, "while-frozen")
+		n.Run(20 * time.Second)
+		n.Nodes[2].Frozen = false
+		n.Run(inForceWithin)
+		Expect(revisions(n)).To(HaveEach(2))
+		expectNoFault(n)
+	})
+})
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -29,6 +29,7 @@
 	publish("tamarack_streams_redialled_total", func(c *reducer.Counters) uint64 { return c.StreamsRedialled })
 	publish("tamarack_calls_sent_total", func(c *reducer.Counters) uint64 { return c.CallsSent })
 	publish("tamarack_changes_in_force_total", func(c *reducer.Counters) uint64 { return c.ChangesInForce })
+	publish("tamarack_peer_messages_total", func(c *reducer.Counters) uint64 { return c.PeerMessages })
 }
 
 func publish(name string, read func(*reducer.Counters) uint64) {
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -47,6 +47,10 @@
 	ShutdownLag
 	// QuarantineLapse fires when quarantine records lapse.
 	QuarantineLapse
+	// SettingsFetch fires when a fetch of changes got no answer.
+	SettingsFetch
+	// SettingsGreet fires when a starting node has waited for its peers.
+	SettingsGreet
 )
 
 // Key identifies a timer; setting a key again replaces its deadline.
