--- a/internal/reducer/leases.go
+++ b/internal/reducer/leases.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"tamarackreach/internal/decision"
+	"tamarackreach/internal/event"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/timer"
 )
@@ -25,4 +26,12 @@
 }
 
 // liveNodes returns the entry VMs taken for alive, this node included.
-func (s *State) liveNodes() []model.NodeID { return nil }
+func (s *State) liveNodes() []model.NodeID {
+	nodes := []model.NodeID{s.config.Node}
+	for _, peer := range s.peers.All() {
+		if peer.Status == event.PeerAlive {
+			nodes = append(nodes, peer.Node)
+		}
+	}
+	return nodes
+}
