Check a run against the engines' and services' logs and read scenarios

Cause: make run compared answers with the services' log only, used fixed ports, left the closing line out when the set-up failed, and had no failures to play.

Change: tamarack-load reads a checked JSON scenario, plays open-loop Poisson arrivals from a seed through the ready entry VMs, injects failures, compares each delivered token with the engines' logs (the receipts' targets ran exactly those layers, once, for that request, attempt and index; nothing refused as not run appears in a log), and writes a JSON report and SVG plots. scripts/run.sh supervises each process by its id, so that a scenario can kill, freeze and replace it, and stops all on interrupt or error.

--- a/Makefile
+++ b/Makefile
@@ -12,11 +12,11 @@
 export CGO_ENABLED = 1
 export GOFLAGS = -buildvcs=false
 
-.PHONY: run test build lint format check-format check-generated generate bench
+.PHONY: run experiment experiments test build lint format check-format check-generated generate bench
 
 # run starts a deployment on this machine, plays load and checks the promises.
 run: build
-	scripts/run.sh $(BIN)
+	scripts/run.sh $(BIN) scenarios/smoke.json
 
 # test runs every test.
 test: build
@@ -26,6 +26,19 @@
 	mkdir -p $(BIN)
 	go build -o $(BIN)/ ./cmd/...
 
+# experiment plays one scenario: make experiment SCENARIO=scenarios/NAME.json
+SCENARIO ?= scenarios/smoke.json
+OUT ?= $(CURDIR)/experiments
+experiment: build
+	mkdir -p $(OUT)
+	scripts/run.sh $(BIN) $(SCENARIO) $(OUT)/$(basename $(notdir $(SCENARIO))).json $(OUT)
+
+# experiments plays every scenario RUNS times and prints the table of
+# docs/EXPERIMENTS.md.
+RUNS ?= 3
+experiments: build
+	scripts/experiments.sh $(BIN) $(OUT) $(RUNS)
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/...
 
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -3,6 +3,7 @@
 package deployment
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -19,7 +20,6 @@
 	"tamarackreach/internal/event"
 	"tamarackreach/internal/keys"
 	"tamarackreach/internal/model"
-	"tamarackreach/internal/settings"
 	"tamarackreach/internal/standin/engine"
 	"tamarackreach/internal/standin/platform"
 	"tamarackreach/internal/standin/service"
@@ -31,6 +31,8 @@
 	publicFile = 0o644
 	// weightLayersPerS is the rate of the stand-in weight store.
 	weightLayersPerS = 2000
+	// defaultMaxBatch is the number of tokens that an engine runs in one step.
+	defaultMaxBatch = 8
 	// Poison is the marker that crashes every engine that runs it.
 	Poison = "POISON"
 )
@@ -55,6 +57,12 @@
 	TableReadsPerS  float64 `json:"table_reads_per_s"`
 	// RecordEvents turns on the event files of the entry VMs.
 	RecordEvents bool `json:"record_events"`
+	// StepScale multiplies the step time of every engine; 0 is 1.
+	StepScale uint32 `json:"step_scale"`
+	// MaxBatch is the batch size of every engine; 0 is the default.
+	MaxBatch uint32 `json:"max_batch"`
+	// WorkspacePrefix begins the name of every workspace.
+	WorkspacePrefix string `json:"workspace_prefix"`
 }
 
 // LinhaDourada is the shape of a directory-enquiry deployment.
@@ -71,9 +79,18 @@
 		BasePort:        basePort,
 		TableWritesPerS: 300,
 		TableReadsPerS:  2000,
+		WorkspacePrefix: "callcentre",
 	}
 }
 
+// KootenayLacing is the shape of a shoe-shop deployment.
+func KootenayLacing(basePort int) Shape {
+	shape := LinhaDourada(basePort)
+	shape.Zones = []model.AvailabilityZone{"bc-west-a", "bc-west-b", "bc-west-c"}
+	shape.WorkspacePrefix = "shop"
+	return shape
+}
+
 // Accelerator is a kind of accelerator with the speed of its engines.
 type Accelerator struct {
 	Kind   model.AcceleratorKind
@@ -120,6 +137,8 @@
 
 	// VMs is the platform's list of VMs.
 	VMs []*tamarackv1.Vm `json:"vms"`
+	// BoundTokensPerS is the most tokens that the engines can run.
+	BoundTokensPerS float64 `json:"bound_tokens_per_s"`
 
 	dir     string
 	port    int
@@ -154,7 +173,7 @@
 		return nil, errors.Wrap(err, "make deployment directory")
 	}
 	for i := range shape.Workspaces {
-		id := model.WorkspaceID(fmt.Sprintf("callcentre-%d", i+1))
+		id := model.WorkspaceID(fmt.Sprintf("%s-%d", shape.WorkspacePrefix, i+1))
 		d.Workspaces[id] = "key-" + string(id)
 	}
 	steps := []func() error{d.writePlatform, d.writeEngines, d.writeServices, d.writeEntries, d.writeSelf}
@@ -210,6 +229,7 @@
 	for i := range d.engines {
 		d.engines[i].LinkUs = d.links(i)
 	}
+	d.BoundTokensPerS = bound(d.engines)
 	perProcess := (len(d.engines) + d.Shape.EngineProcesses - 1) / d.Shape.EngineProcesses
 	for i, group := range slices.Collect(slices.Chunk(d.engines, perProcess)) {
 		control := d.address()
@@ -238,8 +258,8 @@
 		Model:         string(ModelName),
 		Version:       ModelVersion,
 		Layers:        model.LayerRange{First: first, End: first + perStage},
-		StepUs:        accelerator.StepUs,
-		MaxBatch:      8,
+		StepUs:        accelerator.StepUs * max(d.Shape.StepScale, 1),
+		MaxBatch:      cmp.Or(d.Shape.MaxBatch, defaultMaxBatch),
 		DefaultLinkUs: 2000,
 		ReportMs:      300,
 		CachePrefixes: 64,
@@ -271,9 +291,12 @@
 	return links
 }
 
+// ServiceTarget returns the name of a service, counted from 0.
+func ServiceTarget(i int) model.TargetID { return model.TargetID(fmt.Sprintf("desk-%d", i+1)) }
+
 func (d *Deployment) writeServices() error {
 	for i := range d.Shape.Services {
-		c := service.Config{ID: fmt.Sprintf("desk-%d", i+1), Address: d.address()}
+		c := service.Config{ID: string(ServiceTarget(i)), Address: d.address()}
 		d.ServiceControls = append(d.ServiceControls, c.Address)
 		d.VMs = append(d.VMs, &tamarackv1.Vm{
 			Id: c.ID, Incarnation: 1, Zone: string(d.zone(i)), Role: string(event.RoleService), Address: c.Address,
@@ -366,76 +389,3 @@
 	hash := sha256.Sum256([]byte(secret))
 	return hex.EncodeToString(hash[:])
 }
-
-// FirstChanges returns the changes that give a new deployment its settings.
-func (d *Deployment) FirstChanges() ([]event.Change, error) {
-	infrastructure, err := d.platformChange()
-	if err != nil {
-		return nil, err
-	}
-	customers, err := d.salesChange()
-	if err != nil {
-		return nil, err
-	}
-	return []event.Change{infrastructure, customers}, nil
-}
-
-// capacityTokensPerS is the stated capacity of the pipeline.
-const capacityTokensPerS = 100_000
-
-func (d *Deployment) platformChange() (event.Change, error) {
-	pipeline := settings.Pipeline{
-		Model: ModelName, Version: ModelVersion, CapacityTokensPerS: capacityTokensPerS,
-		Recovery: settings.RecoverStage, MaxPromptBytes: 16 << 10,
-	}
-	perStage := d.Shape.Layers / uint32(d.Shape.Stages)
-	for i := range uint32(d.Shape.Stages) {
-		pipeline.Stages = append(pipeline.Stages, settings.Stage{Layers: model.LayerRange{First: i * perStage, End: (i + 1) * perStage}})
-	}
-	for i := range d.Shape.Engines {
-		stage := &pipeline.Stages[i%d.Shape.Stages]
-		stage.Targets = append(stage.Targets, model.TargetID(fmt.Sprintf("engine-%02d", i+1)))
-	}
-	desk := settings.Service{Methods: map[model.MethodName]settings.Method{
-		"connect": {Once: true, DeadlineMs: 3000},
-		"lookup":  {DeadlineMs: 2000},
-	}}
-	for i := range d.Shape.Services {
-		desk.Targets = append(desk.Targets, model.TargetID(fmt.Sprintf("desk-%d", i+1)))
-	}
-	change := event.Change{ID: "first-platform", Team: PlatformTeam, Author: "deployment", Reason: "first settings"}
-	err := addEdits(&change, map[string]any{
-		"models/" + string(ModelName):     settings.Model{Versions: []model.ModelVersion{ModelVersion}, Layers: d.Shape.Layers},
-		"pipelines/" + string(Pipeline):   pipeline,
-		"services/" + string(ServiceName): desk,
-	})
-	return change, err
-}
-
-func (d *Deployment) salesChange() (event.Change, error) {
-	change := event.Change{ID: "first-sales", Team: SalesTeam, Author: "deployment", Reason: "first workspaces"}
-	edits := make(map[string]any, len(d.Workspaces))
-	share := uint32(capacityTokensPerS / max(1, len(d.Workspaces)))
-	for id, key := range d.Workspaces {
-		edits["workspaces/"+string(id)] = settings.Workspace{
-			KeySHA256:        hashOf(key),
-			SharesTokensPerS: map[model.PipelineID]uint32{Pipeline: share},
-			Priority:         1,
-			FirstTokenMs:     1900,
-		}
-	}
-	err := addEdits(&change, edits)
-	return change, err
-}
-
-func addEdits(change *event.Change, objects map[string]any) error {
-	for path, object := range objects {
-		value, err := json.Marshal(object)
-		if err != nil {
-			return errors.Wrapf(err, "encode %s", path)
-		}
-		change.Edits = append(change.Edits, event.Edit{Path: path, Value: value})
-	}
-	slices.SortFunc(change.Edits, func(a, b event.Edit) int { return strings.Compare(a.Path, b.Path) })
-	return nil
-}
--- /dev/null
+++ b/internal/load/callers.go
@@ -0,0 +1,113 @@
+package load
+
+import (
+	"context"
+	"time"
+
+	tamarackv1 "tamarackreach/gen/tamarack/v1"
+	"tamarackreach/internal/callerapi"
+	"tamarackreach/internal/deployment"
+	"tamarackreach/internal/load/audit"
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/rpc"
+)
+
+const (
+	// answerTimeout is how long a caller waits for a whole answer.
+	answerTimeout = 20 * time.Second
+	// callTimeout is how long a caller waits for a call's answer.
+	callTimeout = 5 * time.Second
+	// callTries is how often a caller sends the same key when it is cut off.
+	callTries = 3
+)
+
+// generate sends one model request and notes what came back.
+func (p *Player) generate(ctx context.Context, workspace model.WorkspaceID, prompt string, tokens uint32) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	entry := p.balancer.pick()
+	a := audit.Answer{Entry: entry, Prompt: prompt, MaxTokens: tokens, Sent: p.observed.now()}
+	stream, err := p.caller(entry).Generate(ctx, withToken(&tamarackv1.GenerateRequest{
+		Model: string(deployment.ModelName), Prompt: prompt, MaxTokens: tokens, PrefixKey: string(workspace),
+	}, p.deployment.Workspaces[workspace]))
+	if err == nil {
+		for stream.Receive() {
+			a.Tokens = append(a.Tokens, tokenOf(stream.Msg(), p.observed.now()))
+		}
+		a.Request = model.RequestID(stream.ResponseHeader().Get(callerapi.RequestIDHeader))
+		err = stream.Err()
+		_ = stream.Close()
+	}
+	a.Ended = p.observed.now()
+	a.Outcome, a.Code = outcomeOf(err)
+	if a.Outcome == audit.Cut {
+		a.Error = err.Error()
+		a.CutAllowed = p.balancer.wasTouched(entry)
+	}
+	p.observed.addAnswer(a)
+}
+
+func tokenOf(message *tamarackv1.GenerateResponse, at time.Duration) audit.Token {
+	token := audit.Token{
+		Index: model.TokenIndex(message.Index), Attempt: model.AttemptNumber(message.Attempt),
+		At: at, Text: message.Text, Last: message.Last,
+	}
+	for _, receipt := range message.Receipts {
+		token.Receipts = append(token.Receipts, model.Receipt{
+			Target:  model.TargetID(receipt.TargetId),
+			Layers:  model.LayerRange{First: receipt.Layers.GetFirst(), End: receipt.Layers.GetEnd()},
+			Version: model.ModelVersion(receipt.Version),
+		})
+	}
+	return token
+}
+
+// outcomeOf says what a caller may conclude from an error; one without a typed
+// refusal cut it off.
+func outcomeOf(err error) (outcome audit.Outcome, code string) {
+	if err == nil {
+		return audit.Complete, ""
+	}
+	refusal, ok := rpc.FaultOf(err)
+	if !ok {
+		return audit.Cut, ""
+	}
+	switch refusal.Kind {
+	case tamarackv1.FaultKind_FAULT_KIND_NOT_RUN:
+		return audit.RefusedNotRun, refusal.Code
+	case tamarackv1.FaultKind_FAULT_KIND_FAILED:
+		return audit.RefusedFailed, refusal.Code
+	case tamarackv1.FaultKind_FAULT_KIND_IN_DOUBT:
+		return audit.RefusedInDoubt, refusal.Code
+	}
+	return audit.Cut, refusal.Code
+}
+
+// callOnce makes one call that may not be repeated. A caller that is cut off
+// sends the same key again through another entry VM.
+func (p *Player) callOnce(ctx context.Context, workspace model.WorkspaceID, key string) {
+	call := audit.Call{Workspace: workspace, Key: model.IdempotencyKey(key), Sent: p.observed.now()}
+	cut := false
+	for range callTries {
+		call.Outcome, call.Code = p.tryCall(ctx, workspace, key)
+		if call.Outcome != audit.Cut {
+			break
+		}
+		cut = true
+	}
+	if cut && call.Outcome == audit.RefusedNotRun {
+		// The refusal covers the last try; an earlier one may have run.
+		call.Outcome = audit.RefusedInDoubt
+	}
+	call.Ended = p.observed.now()
+	p.observed.addCall(call)
+}
+
+func (p *Player) tryCall(ctx context.Context, workspace model.WorkspaceID, key string) (outcome audit.Outcome, code string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := p.caller(p.balancer.pick()).Call(ctx, withToken(&tamarackv1.CallRequest{
+		Service: string(deployment.ServiceName), Method: "connect", Body: []byte(key), IdempotencyKey: key,
+	}, p.deployment.Workspaces[workspace]))
+	return outcomeOf(err)
+}
--- /dev/null
+++ b/internal/load/finish.go
@@ -0,0 +1,125 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+
+	tamarackv1 "tamarackreach/gen/tamarack/v1"
+	"tamarackreach/internal/deployment"
+	"tamarackreach/internal/load/audit"
+	"tamarackreach/internal/load/scenario"
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/report"
+	"tamarackreach/internal/standin/engine"
+)
+
+// Result is what a run came to.
+type Result struct {
+	Report report.Report
+}
+
+// engineSteps returns what every engine logged.
+func (p *Player) engineSteps(ctx context.Context) ([]*tamarackv1.EngineStep, error) {
+	var steps []*tamarackv1.EngineStep
+	for _, address := range p.deployment.EngineControls {
+		response, err := p.control(address).EngineLog(ctx, connect.NewRequest(&tamarackv1.EngineLogRequest{}))
+		if err != nil {
+			return nil, err
+		}
+		steps = append(steps, response.Msg.Steps...)
+	}
+	return steps, nil
+}
+
+// requestsOn returns the requests that an engine ran so far.
+func (p *Player) requestsOn(ctx context.Context, target string) (map[string]bool, error) {
+	steps, err := p.engineSteps(ctx)
+	if err != nil {
+		return nil, err
+	}
+	requests := make(map[string]bool)
+	for _, step := range steps {
+		if step.TargetId == target {
+			requests[step.RequestId] = true
+		}
+	}
+	return requests, nil
+}
+
+func (p *Player) serviceCalls(ctx context.Context) ([]*tamarackv1.ServiceCall, error) {
+	var calls []*tamarackv1.ServiceCall
+	for _, address := range p.deployment.ServiceControls {
+		response, err := p.control(address).ServiceLog(ctx, connect.NewRequest(&tamarackv1.ServiceLogRequest{}))
+		if err != nil {
+			return nil, err
+		}
+		calls = append(calls, response.Msg.Calls...)
+	}
+	return calls, nil
+}
+
+// check compares what callers saw with what engines and services logged.
+func (p *Player) check(ctx context.Context) []audit.Violation {
+	o := &p.observed
+	violations := append([]audit.Violation(nil), o.violations...)
+	violations = append(violations, audit.Answers(audit.Model{
+		Version: deployment.ModelVersion,
+		Layers:  p.deployment.Shape.Layers,
+		Text: func(prompt string, index model.TokenIndex) string {
+			return engine.TokenText(prompt, string(deployment.ModelVersion), uint32(index))
+		},
+	}, o.answers)...)
+	steps, err := p.engineSteps(ctx)
+	if err != nil {
+		violations = append(violations, audit.Violation{Promise: audit.LayersOnce, Detail: fmt.Sprintf("engine logs: %v", err)})
+	} else {
+		violations = append(violations, audit.Engines(o.answers, steps)...)
+	}
+	calls, err := p.serviceCalls(ctx)
+	if err != nil {
+		return append(violations, audit.Violation{Promise: audit.AtMostOnce, Detail: fmt.Sprintf("service logs: %v", err)})
+	}
+	return append(violations, audit.Services(o.calls, calls)...)
+}
+
+// logCheckTimeout bounds the reading of the logs of the stand-ins.
+const logCheckTimeout = 10 * time.Second
+
+// finish checks the promises and sums the run up.
+func (p *Player) finish(ctx context.Context, s *scenario.Scenario, injected []Injected) Result {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), logCheckTimeout)
+	defer cancel()
+	violations := p.check(ctx)
+	o := &p.observed
+	failures := make([]report.Failure, 0, len(injected))
+	for _, one := range injected {
+		failures = append(failures, report.Failure{Name: one.Failure.String(), At: one.At, Ended: one.Ended})
+	}
+	return Result{Report: report.Build(report.Run{
+		Scenario: s.Name, Seed: s.Seed, Length: s.Length(), BoundTokensPerS: p.deployment.BoundTokensPerS,
+		Answers: o.answers, Calls: o.calls, Changes: o.changes, Violations: violations, Failures: failures,
+	})}
+}
+
+// Line formats the result as the closing line of a run.
+func (r Result) Line() string {
+	verdict := "failed"
+	if r.OK() {
+		verdict = "ok"
+	}
+	s := r.Report
+	return fmt.Sprintf("RESULT %s requests=%d tokens=%d once_calls=%d config_in_force_ms=%d first_token_p95_ms=%d violations=%d",
+		verdict, s.Requests.Complete, s.Tokens, s.Calls.Complete, int(s.ConfigInForceMs), int(s.FirstTokenMs.P95), len(s.Violations))
+}
+
+// OK is true for a run that kept every promise and did something.
+func (r Result) OK() bool {
+	s := r.Report
+	return len(s.Violations) == 0 && s.Requests.Complete > 0 && s.Calls.Complete > 0 && s.ConfigInForceMs > 0
+}
+
+// FailedLine is the closing line of a run that could not be played.
+func FailedLine() string { return Result{}.Line() }
--- /dev/null
+++ b/internal/load/injector.go
@@ -0,0 +1,232 @@
+package load
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	tamarackv1 "tamarackreach/gen/tamarack/v1"
+	"tamarackreach/internal/deployment"
+	"tamarackreach/internal/load/audit"
+	"tamarackreach/internal/load/scenario"
+	"tamarackreach/internal/model"
+)
+
+const (
+	// leavingWithin is how long a leaving target may get new work.
+	leavingWithin = 3 * time.Second
+	// poisonTries is how often a caller sends a poison request.
+	poisonTries = 4
+	poisonGap   = 500 * time.Millisecond
+)
+
+// Injected is a failure that was brought about.
+type Injected struct {
+	Failure scenario.Failure
+	// At and Ended count from the start of the load.
+	At    time.Duration
+	Ended time.Duration
+}
+
+// injector brings about the failures of a scenario at their times.
+type injector struct {
+	player   *Player
+	failures []scenario.Failure
+
+	mu   sync.Mutex
+	done []Injected
+	// faults are the failures in force at each control endpoint.
+	faults map[string]*tamarackv1.Faults
+}
+
+func newInjector(p *Player, s *scenario.Scenario) *injector {
+	return &injector{player: p, failures: s.Failures, faults: make(map[string]*tamarackv1.Faults)}
+}
+
+func (n *injector) run(ctx context.Context) {
+	var running sync.WaitGroup
+	for _, failure := range n.failures {
+		running.Go(func() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(failure.At() - n.player.observed.now()):
+			}
+			n.inject(ctx, failure)
+		})
+	}
+	running.Wait()
+}
+
+// injected returns what was brought about, by time.
+func (n *injector) injected() []Injected {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	slices.SortFunc(n.done, func(a, b Injected) int {
+		return cmp.Or(cmp.Compare(a.Failure.AtMs, b.Failure.AtMs), cmp.Compare(a.Failure.String(), b.Failure.String()))
+	})
+	return n.done
+}
+
+func (n *injector) inject(ctx context.Context, failure scenario.Failure) {
+	n.player.say("%5d ms: %s", n.player.observed.now().Milliseconds(), failure)
+	injected := Injected{Failure: failure, At: n.player.observed.now()}
+	if err := n.bringAbout(ctx, failure); err != nil {
+		n.player.observed.violate("failure injected", fmt.Sprintf("%s: %v", failure, err))
+		return
+	}
+	injected.Ended = n.player.observed.now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.done = append(n.done, injected)
+}
+
+func (n *injector) bringAbout(ctx context.Context, f scenario.Failure) error {
+	switch f.Kind {
+	case scenario.KillProcess:
+		return n.killProcess(f.Target, false)
+	case scenario.ReplaceProcess:
+		return n.killProcess(f.Target, true)
+	case scenario.FreezeProcess:
+		return n.freezeProcess(f.Target, f.Lasts())
+	case scenario.PoisonRequest:
+		return n.sendPoison(ctx, f)
+	case scenario.OperatorRace:
+		return n.player.raceOperators(ctx, fmt.Sprintf("race-%d", f.AtMs))
+	case scenario.CrashTarget, scenario.SilenceTarget, scenario.LeavingTarget:
+		return n.failTarget(ctx, f)
+	case scenario.SlowLinks:
+		return n.failAll(ctx, n.player.deployment.EngineControls, f.Lasts(), func(faults *tamarackv1.Faults, on bool) {
+			faults.LinkSlowdown = when(on, f.Factor)
+		})
+	case scenario.CutService:
+		return n.cutService(ctx, f)
+	default:
+		return n.failPlatform(ctx, f)
+	}
+}
+
+func when(on bool, value uint32) uint32 {
+	if on {
+		return value
+	}
+	return 0
+}
+
+// change sets the failures of a control endpoint to what they were, changed by
+// edit. Crashes and silences are asked for once and not kept.
+func (n *injector) change(ctx context.Context, address string, edit func(*tamarackv1.Faults)) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	faults, ok := n.faults[address]
+	if !ok {
+		faults = &tamarackv1.Faults{}
+		n.faults[address] = faults
+	}
+	edit(faults)
+	_, err := n.player.control(address).SetFaults(ctx, connect.NewRequest(&tamarackv1.SetFaultsRequest{Faults: faults}))
+	faults.CrashTargetIds = nil
+	faults.SilentTargetIds = nil
+	return err
+}
+
+// failAll turns a failure on at several endpoints and off after a time.
+func (n *injector) failAll(ctx context.Context, addresses []string, lasts time.Duration, edit func(faults *tamarackv1.Faults, on bool)) error {
+	for _, on := range []bool{true, false} {
+		for _, address := range addresses {
+			if err := n.change(ctx, address, func(faults *tamarackv1.Faults) { edit(faults, on) }); err != nil {
+				return err
+			}
+		}
+		if on {
+			time.Sleep(lasts)
+		}
+	}
+	return nil
+}
+
+func (n *injector) failPlatform(ctx context.Context, f scenario.Failure) error {
+	return n.failAll(ctx, []string{n.player.deployment.Platform}, f.Lasts(), func(faults *tamarackv1.Faults, on bool) {
+		switch f.Kind {
+		case scenario.PlatformOutage:
+			faults.Outage = on
+		case scenario.LoseAnswers:
+			faults.LoseAnswers = on
+		case scenario.SlowPlatform:
+			faults.DelayMs = when(on, f.Factor)
+		case scenario.CutZone:
+			faults.CutZones = slices.DeleteFunc(faults.CutZones, func(zone string) bool { return zone == f.Target })
+			if on {
+				faults.CutZones = append(faults.CutZones, f.Target)
+			}
+		}
+	})
+}
+
+func (n *injector) cutService(ctx context.Context, f scenario.Failure) error {
+	for i, address := range n.player.deployment.ServiceControls {
+		if deployment.ServiceTarget(i) == model.TargetID(f.Target) {
+			return n.failAll(ctx, []string{address}, f.Lasts(), func(faults *tamarackv1.Faults, on bool) { faults.CutAfterRun = on })
+		}
+	}
+	return errors.Newf("no service %s; name one of the deployment", f.Target)
+}
+
+func (n *injector) failTarget(ctx context.Context, f scenario.Failure) error {
+	host, ok := n.player.deployment.EngineHosts[model.TargetID(f.Target)]
+	if !ok {
+		return errors.Newf("no engine %s; name one of the deployment", f.Target)
+	}
+	err := n.change(ctx, n.player.deployment.EngineControls[host], func(faults *tamarackv1.Faults) {
+		switch f.Kind {
+		case scenario.CrashTarget:
+			faults.CrashTargetIds = []string{f.Target}
+		case scenario.SilenceTarget:
+			faults.SilentTargetIds = []string{f.Target}
+		case scenario.LeavingTarget:
+			faults.LeavingTargetIds = append(faults.LeavingTargetIds, f.Target)
+		}
+	})
+	if err != nil || f.Kind != scenario.LeavingTarget {
+		return err
+	}
+	return n.checkLeaving(ctx, f.Target)
+}
+
+// checkLeaving looks that a leaving target runs no request that it did not have
+// after the time allowed.
+func (n *injector) checkLeaving(ctx context.Context, target string) error {
+	time.Sleep(leavingWithin)
+	before, err := n.player.requestsOn(ctx, target)
+	if err != nil {
+		return err
+	}
+	time.Sleep(leavingWithin)
+	after, err := n.player.requestsOn(ctx, target)
+	if err != nil {
+		return err
+	}
+	for request := range after {
+		if !before[request] {
+			n.player.observed.violate(audit.LeavingTarget, fmt.Sprintf("%s got %s more than %s after it said that it is leaving", target, request, leavingWithin))
+		}
+	}
+	return nil
+}
+
+// sendPoison sends a poison request again and again, as its caller would.
+func (n *injector) sendPoison(ctx context.Context, f scenario.Failure) error {
+	workspace := n.player.workspaces()[0]
+	prompt := fmt.Sprintf("%s %d", deployment.Poison, f.AtMs)
+	for range poisonTries {
+		n.player.generate(ctx, workspace, prompt, 1)
+		time.Sleep(poisonGap)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/operators.go
@@ -0,0 +1,102 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"tamarackreach/internal/event"
+	"tamarackreach/internal/fault"
+	"tamarackreach/internal/load/audit"
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/rpc"
+)
+
+// inForceTimeout bounds the wait for an accepted change.
+const inForceTimeout = 10 * time.Second
+
+// salesChange returns a change of one workspace.
+func (p *Player) salesChange(id string, workspace string) (event.Change, error) {
+	changes, err := p.deployment.FirstChanges()
+	if err != nil {
+		return event.Change{}, err
+	}
+	change := changes[1]
+	change.ID = model.ChangeID(id)
+	change.Reason = "measured change"
+	change.Edits = slices.DeleteFunc(slices.Clone(change.Edits), func(e event.Edit) bool {
+		return !strings.HasSuffix(e.Path, "/"+workspace)
+	})
+	return change, nil
+}
+
+// changeSettings makes one change and measures the time until it is in force
+// on every entry VM.
+func (p *Player) changeSettings(ctx context.Context, id string) {
+	ctx, cancel := context.WithTimeout(ctx, inForceTimeout)
+	defer cancel()
+	change, err := p.salesChange(id, p.deployment.Shape.WorkspacePrefix+"-1")
+	if err != nil {
+		p.observed.violate(audit.SettingsInForce, err.Error())
+		return
+	}
+	start := time.Now()
+	revision, err := p.Apply(ctx, p.balancer.pick(), change)
+	if err != nil {
+		p.observed.violate(audit.SettingsInForce, fmt.Sprintf("change %s was not accepted: %v", id, err))
+		return
+	}
+	if _, err := p.AwaitRevision(ctx, revision); err != nil {
+		p.observed.violate(audit.SettingsInForce, err.Error())
+		return
+	}
+	p.observed.addChange(time.Since(start))
+}
+
+// raceOperators sends conflicting changes of one workspace on the same base
+// revision through different entry VMs; one is accepted and the other is told.
+func (p *Player) raceOperators(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, inForceTimeout)
+	defer cancel()
+	base, err := p.status(ctx, 0)
+	if err != nil {
+		return err
+	}
+	workspace := p.deployment.Shape.WorkspacePrefix + "-1"
+	const operators = 2
+	errs := make([]error, operators)
+	var done sync.WaitGroup
+	for i := range operators {
+		change, err := p.salesChange(fmt.Sprintf("%s-%d", id, i), workspace)
+		if err != nil {
+			return err
+		}
+		change.Author = fmt.Sprintf("operator-%d", i)
+		change.BaseRevision = model.Revision(base.Nodes[0].Revision)
+		entry := i % len(p.deployment.Entries)
+		done.Go(func() { _, errs[i] = p.Apply(ctx, entry, change) })
+	}
+	done.Wait()
+	p.judgeRace(id, errs)
+	return nil
+}
+
+func (p *Player) judgeRace(id string, errs []error) {
+	accepted := 0
+	for _, err := range errs {
+		if err == nil {
+			accepted++
+			continue
+		}
+		refusal, ok := rpc.FaultOf(err)
+		if !ok || refusal.Code != string(fault.ChangeConflict) && refusal.Code != string(fault.PlatformDown) {
+			p.observed.violate(audit.SettingsInForce, fmt.Sprintf("race %s: the loser was told %v", id, err))
+		}
+	}
+	if accepted > 1 {
+		p.observed.violate(audit.SettingsInForce, fmt.Sprintf("race %s: %d conflicting changes were accepted", id, accepted))
+	}
+}
--- /dev/null
+++ b/internal/load/scenario/check.go
@@ -0,0 +1,90 @@
+package scenario
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+const (
+	maxLengthMs     = 600_000
+	maxRequestsPerS = 5_000
+	maxAnswerTokens = 4_096
+)
+
+// needs states which fields a kind of failure asks for.
+type needs struct{ target, length, factor bool }
+
+var kinds = map[Kind]needs{
+	CrashTarget:    {target: true},
+	KillProcess:    {target: true},
+	ReplaceProcess: {target: true},
+	FreezeProcess:  {target: true, length: true},
+	CutZone:        {target: true, length: true},
+	SilenceTarget:  {target: true},
+	SlowLinks:      {length: true, factor: true},
+	PlatformOutage: {length: true},
+	SlowPlatform:   {length: true, factor: true},
+	LoseAnswers:    {length: true},
+	CutService:     {target: true, length: true},
+	LeavingTarget:  {target: true},
+	PoisonRequest:  {},
+	OperatorRace:   {},
+}
+
+// Check returns everything wrong with the scenario.
+func (s *Scenario) Check() []Problem {
+	c := checker{length: s.LengthMs}
+	c.require(s.Name != "", "name", s.Name, "name the scenario")
+	known := s.Deployment == LinhaDourada || s.Deployment == KootenayLacing
+	c.require(known, "deployment", string(s.Deployment), fmt.Sprintf("give %q or %q", LinhaDourada, KootenayLacing))
+	c.require(s.Seed > 0, "seed", fmt.Sprint(s.Seed), "give a seed of at least 1, so that arrivals can be repeated")
+	c.require(s.LengthMs > 0 && s.LengthMs <= maxLengthMs, "length_ms", fmt.Sprint(s.LengthMs), fmt.Sprintf("give 1 to %d", maxLengthMs))
+	c.require(s.RequestsPerS > 0 && s.RequestsPerS <= maxRequestsPerS, "requests_per_s", fmt.Sprint(s.RequestsPerS), fmt.Sprintf("give more than 0 and at most %d", maxRequestsPerS))
+	c.require(s.CallsPerS >= 0 && s.CallsPerS <= maxRequestsPerS, "calls_per_s", fmt.Sprint(s.CallsPerS), fmt.Sprintf("give 0 to %d", maxRequestsPerS))
+	c.require(s.AnswerTokens > 0 && s.AnswerTokens <= maxAnswerTokens, "answer_tokens", fmt.Sprint(s.AnswerTokens), fmt.Sprintf("give 1 to %d", maxAnswerTokens))
+	for i, failure := range s.Failures {
+		c.failure(fmt.Sprintf("failures[%d]", i), failure)
+	}
+	return c.problems
+}
+
+type checker struct {
+	length   uint32
+	problems []Problem
+}
+
+func (c *checker) require(ok bool, field, value, remedy string) {
+	if !ok {
+		c.problems = append(c.problems, Problem{Field: field, Value: value, Remedy: remedy})
+	}
+}
+
+func (c *checker) failure(field string, f Failure) {
+	need, known := kinds[f.Kind]
+	if !known {
+		c.require(false, field+".kind", string(f.Kind), "give one of "+kindNames())
+		return
+	}
+	ends := uint64(f.AtMs) + uint64(f.LengthMs)
+	c.require(ends < uint64(c.length), field+".at_ms", fmt.Sprint(f.AtMs), "let the failure end before the load does")
+	c.present(need.target, f.Target != "", field+".target", f.Target, f.Kind)
+	c.present(need.length, f.LengthMs > 0, field+".length_ms", fmt.Sprint(f.LengthMs), f.Kind)
+	c.present(need.factor, f.Factor > 0, field+".factor", fmt.Sprint(f.Factor), f.Kind)
+}
+
+// present requires a field that the kind asks for and refuses one that it does
+// not know, which would have no effect.
+func (c *checker) present(needed, given bool, field, value string, kind Kind) {
+	c.require(!needed || given, field, value, fmt.Sprintf("%s needs it", kind))
+	c.require(needed || !given, field, value, fmt.Sprintf("%s does not use it; remove it", kind))
+}
+
+func kindNames() string {
+	names := make([]string, 0, len(kinds))
+	for _, kind := range slices.Sorted(maps.Keys(kinds)) {
+		names = append(names, string(kind))
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/internal/report/report.go
@@ -0,0 +1,205 @@
+// Package report sums up what callers saw of a run: throughput against its
+// bound, latencies, recovery times and broken promises. Reports are JSON files
+// that can be plotted and compared.
+package report
+
+import (
+	"encoding/json"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"tamarackreach/internal/load/audit"
+)
+
+const (
+	// warmUp is left out of the throughput: streams are still being opened.
+	warmUp = 2 * time.Second
+	// binWidth is the width of a throughput bin.
+	binWidth = 100 * time.Millisecond
+	// The range of the latency histograms, in microseconds.
+	lowestUs, highestUs, digits = 1, 60_000_000, 3
+	publicFile                  = 0o644
+)
+
+// Run is what a report is made from.
+type Run struct {
+	Scenario        string
+	Seed            uint64
+	Length          time.Duration
+	BoundTokensPerS float64
+	Answers         []audit.Answer
+	Calls           []audit.Call
+	// Changes are the times until settings changes were in force.
+	Changes    []time.Duration
+	Violations []audit.Violation
+	Failures   []Failure
+}
+
+// Failure is a failure that was injected.
+type Failure struct {
+	Name  string
+	At    time.Duration
+	Ended time.Duration
+}
+
+// Report is the summary of a run.
+type Report struct {
+	Scenario        string  `json:"scenario"`
+	Seed            uint64  `json:"seed"`
+	LengthMs        int64   `json:"length_ms"`
+	BoundTokensPerS float64 `json:"bound_tokens_per_s"`
+	OfferedTokensPS float64 `json:"offered_tokens_per_s"`
+	TokensPerS      float64 `json:"tokens_per_s"`
+	// ThroughputOverBound is TokensPerS over BoundTokensPerS.
+	ThroughputOverBound float64           `json:"throughput_over_bound"`
+	Tokens              int               `json:"tokens"`
+	Requests            Outcomes          `json:"requests"`
+	Calls               Outcomes          `json:"calls"`
+	Refusals            map[string]int    `json:"refusals"`
+	ConfigInForceMs     float64           `json:"config_in_force_ms"`
+	FirstTokenMs        Percentiles       `json:"first_token_ms"`
+	BetweenTokensMs     Percentiles       `json:"between_tokens_ms"`
+	Recoveries          []Recovery        `json:"recoveries"`
+	Violations          []audit.Violation `json:"violations"`
+	// ThroughputBins are tokens in each tenth of a second.
+	ThroughputBins []int `json:"throughput_bins"`
+}
+
+// Outcomes count how requests or calls ended.
+type Outcomes struct {
+	Complete int `json:"complete"`
+	NotRun   int `json:"not_run"`
+	Failed   int `json:"failed"`
+	InDoubt  int `json:"in_doubt"`
+	Cut      int `json:"cut"`
+}
+
+func (o *Outcomes) add(outcome audit.Outcome) {
+	switch outcome {
+	case audit.Complete:
+		o.Complete++
+	case audit.RefusedNotRun:
+		o.NotRun++
+	case audit.RefusedFailed:
+		o.Failed++
+	case audit.RefusedInDoubt:
+		o.InDoubt++
+	case audit.Cut:
+		o.Cut++
+	}
+}
+
+// Percentiles are latencies in milliseconds.
+type Percentiles struct {
+	P50 float64 `json:"p50"`
+	P90 float64 `json:"p90"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+// Build sums a run up.
+func Build(run Run) Report {
+	r := Report{
+		Scenario: run.Scenario, Seed: run.Seed, LengthMs: run.Length.Milliseconds(),
+		BoundTokensPerS: run.BoundTokensPerS, Violations: run.Violations,
+		Refusals: make(map[string]int), ThroughputBins: make([]int, run.Length/binWidth),
+	}
+	first, between := newHistogram(), newHistogram()
+	offered := 0
+	for i := range run.Answers {
+		a := &run.Answers[i]
+		r.Requests.add(a.Outcome)
+		r.refusal(a.Code)
+		offered += int(a.MaxTokens)
+		r.addTokens(a, first, between)
+	}
+	for _, call := range run.Calls {
+		r.Calls.add(call.Outcome)
+		r.refusal(call.Code)
+	}
+	if len(run.Changes) > 0 {
+		r.ConfigInForceMs = milliseconds(slices.Max(run.Changes))
+	}
+	r.FirstTokenMs = percentiles(first)
+	r.BetweenTokensMs = percentiles(between)
+	if run.Length > 0 {
+		r.OfferedTokensPS = float64(offered) / run.Length.Seconds()
+	}
+	r.throughput(run.Length)
+	r.Recoveries = recoveries(run, r.ThroughputBins, between)
+	return r
+}
+
+func (r *Report) refusal(code string) {
+	if code != "" {
+		r.Refusals[code]++
+	}
+}
+
+func (r *Report) addTokens(a *audit.Answer, first, between *hdrhistogram.Histogram) {
+	r.Tokens += len(a.Tokens)
+	previous := a.Sent
+	for i, token := range a.Tokens {
+		histogram := between
+		if i == 0 {
+			histogram = first
+		}
+		_ = histogram.RecordValue(min(max((token.At-previous).Microseconds(), lowestUs), highestUs))
+		previous = token.At
+		if bin := int(token.At / binWidth); bin < len(r.ThroughputBins) {
+			r.ThroughputBins[bin]++
+		}
+	}
+}
+
+// throughput counts the tokens between the warm-up and the end of the load.
+func (r *Report) throughput(length time.Duration) {
+	if length <= warmUp {
+		return
+	}
+	counted := 0
+	for _, tokens := range r.ThroughputBins[warmUp/binWidth:] {
+		counted += tokens
+	}
+	r.TokensPerS = float64(counted) / (length - warmUp).Seconds()
+	if r.BoundTokensPerS > 0 {
+		r.ThroughputOverBound = r.TokensPerS / r.BoundTokensPerS
+	}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestUs, highestUs, digits)
+}
+
+func percentiles(h *hdrhistogram.Histogram) Percentiles {
+	at := func(q float64) float64 {
+		return milliseconds(time.Duration(h.ValueAtQuantile(q)) * time.Microsecond)
+	}
+	return Percentiles{P50: at(50), P90: at(90), P95: at(95), P99: at(99), Max: at(100)}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// Write writes a report as JSON.
+func (r *Report) Write(path string) error {
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode report")
+	}
+	return errors.Wrap(os.WriteFile(path, append(data, '\n'), publicFile), "write report")
+}
+
+// Read reads a report that Write wrote.
+func Read(path string) (*Report, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read report")
+	}
+	r := &Report{}
+	return r, errors.Wrapf(json.Unmarshal(data, r), "decode report %s", path)
+}
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -1,17 +1,53 @@
 #!/bin/sh
-# Starts a deployment of daemons and stand-ins, plays load against it and stops
-# everything it started. Usage: scripts/run.sh BIN-DIRECTORY [SECONDS]
+# Starts a scenario's deployment of daemons and stand-ins, plays the scenario
+# against it and stops everything it started, also on an interrupt or an error.
+# Usage: scripts/run.sh BIN-DIRECTORY SCENARIO [REPORT-FILE [PLOT-DIRECTORY]]
 set -eu
 bin=$1
-seconds=${2:-8}
+scenario=$2
+report=${3:-}
+plots=${4:-}
 dir=$(mktemp -d)
-pids=
+supervisors=
+player=
+
+# stop_child ends the process of a supervisor: gently, then at once.
+stop_child() {
+	kill -CONT "$1" 2>/dev/null || return 0
+	kill "$1" 2>/dev/null || return 0
+	tries=0
+	while kill -0 "$1" 2>/dev/null && [ "$tries" -lt 30 ]; do
+		sleep 0.1
+		tries=$((tries + 1))
+	done
+	kill -KILL "$1" 2>/dev/null || true
+}
+
+# supervise runs a process and runs it again when it ended and the player left
+# a restart mark. The process id is in NAME.pid.
+supervise() {
+	name=$1
+	program=$2
+	shift 2
+	child=
+	trap 'if [ -n "$child" ]; then stop_child "$child"; fi; exit 0' TERM INT
+	while :; do
+		"$bin/$program" "$@" >>"$dir/$name.log" 2>&1 &
+		child=$!
+		echo "$child" >"$dir/$name.pid"
+		wait "$child" || true
+		child=
+		[ -e "$dir/$name.restart" ] || exit 0
+		rm "$dir/$name.restart"
+	done
+}
 
 stop() {
-	for pid in $pids; do
+	trap '' INT TERM
+	for pid in $player $supervisors; do
 		kill "$pid" 2>/dev/null || true
 	done
-	for pid in $pids; do
+	for pid in $player $supervisors; do
 		wait "$pid" 2>/dev/null || true
 	done
 	rm -rf "$dir"
@@ -19,16 +55,20 @@
 trap stop EXIT
 trap 'exit 1' INT TERM
 
-"$bin/tamarack-load" -write -dir "$dir"
+"$bin/tamarack-load" -write -scenario "$scenario" -dir "$dir"
 while read -r name program args; do
 	# shellcheck disable=SC2086 # args is a list of words
-	"$bin/$program" $args >"$dir/$name.log" 2>&1 &
-	pids="$pids $!"
+	supervise "$name" "$program" $args &
+	supervisors="$supervisors $!"
 done <"$dir/processes.txt"
 echo "started $(wc -l <"$dir/processes.txt") processes"
 
-if "$bin/tamarack-load" -dir "$dir" -seconds "$seconds"; then
-	exit 0
+"$bin/tamarack-load" -scenario "$scenario" -dir "$dir" -report "$report" -plots "$plots" &
+player=$!
+code=0
+wait "$player" || code=$?
+player=
+if [ "$code" -ne 0 ]; then
+	find "$dir" -name '*.log' -size +0 -exec tail -n 5 {} + >&2
 fi
-tail -n 5 "$dir"/*.log
-exit 1
+exit "$code"
