--- a/internal/load/finish.go
+++ b/internal/load/finish.go
@@ -89,7 +89,7 @@
 const logCheckTimeout = 10 * time.Second
 
 // finish checks the promises and sums the run up.
-func (p *Player) finish(ctx context.Context, s *scenario.Scenario, injected []Injected) Result {
+func (p *Player) finish(ctx context.Context, s *scenario.Scenario, injected []Injected, processes []report.Process) Result {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), logCheckTimeout)
 	defer cancel()
 	violations := p.check(ctx)
@@ -100,7 +100,7 @@
 	}
 	return Result{Report: report.Build(report.Run{
 		Scenario: s.Name, Seed: s.Seed, Length: s.Length(), BoundTokensPerS: p.deployment.BoundTokensPerS,
-		Answers: o.answers, Calls: o.calls, Changes: o.changes, Violations: violations, Failures: failures,
+		Answers: o.answers, Calls: o.calls, Changes: o.changes, Violations: violations, Failures: failures, Processes: processes,
 	})}
 }
 
--- a/internal/load/process.go
+++ b/internal/load/process.go
@@ -10,7 +10,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"tamarackreach/internal/capacity"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/report"
 )
 
 const (
@@ -51,13 +53,61 @@
 }
 
 func (n *injector) signal(name string, signal syscall.Signal) error {
-	data, err := os.ReadFile(filepath.Join(n.player.dir, name+pidSuffix))
+	pid, err := n.player.pid(name)
 	if err != nil {
-		return errors.Wrapf(err, "process id of %s; start the deployment with scripts/run.sh", name)
+		return err
 	}
-	pid, err := strconv.Atoi(strings.TrimSpace(string(data)))
+	return errors.Wrapf(syscall.Kill(pid, signal), "signal %s", name)
+}
+
+// pid returns the process id that the supervisor of a process noted.
+func (p *Player) pid(name string) (int, error) {
+	data, err := os.ReadFile(filepath.Join(p.dir, name+pidSuffix))
 	if err != nil {
-		return errors.Wrapf(err, "process id of %s", name)
+		return 0, errors.Wrapf(err, "process id of %s; start the deployment with scripts/run.sh", name)
 	}
-	return errors.Wrapf(syscall.Kill(pid, signal), "signal %s", name)
+	pid, err := strconv.Atoi(strings.TrimSpace(string(data)))
+	return pid, errors.Wrapf(err, "process id of %s", name)
+}
+
+// usage returns what the entry VMs used so far, by process id.
+func (p *Player) usage() map[int]capacity.Usage {
+	used := make(map[int]capacity.Usage, len(p.deployment.Entries))
+	for _, entry := range p.deployment.Entries {
+		pid, err := p.pid(string(entry.NodeID))
+		if err != nil {
+			continue
+		}
+		if usage, err := capacity.ReadUsage(pid); err == nil {
+			used[pid] = usage
+		}
+	}
+	return used
+}
+
+// processes returns what each entry VM used since an earlier reading. One that
+// was replaced since is left out.
+func (p *Player) processes(before map[int]capacity.Usage, over time.Duration) []report.Process {
+	const megabyte = 1 << 20
+	after := p.usage()
+	var used []report.Process
+	for _, entry := range p.deployment.Entries {
+		pid, err := p.pid(string(entry.NodeID))
+		if err != nil {
+			continue
+		}
+		first, known := before[pid]
+		last, alive := after[pid]
+		if !known || !alive {
+			continue
+		}
+		used = append(used, report.Process{
+			Name:           string(entry.NodeID),
+			CPUPercent:     100 * (last.CPU - first.CPU).Seconds() / over.Seconds(),
+			RSSMB:          float64(last.RSSBytes) / megabyte,
+			ReadBytesPerS:  float64(last.ReadBytes-first.ReadBytes) / over.Seconds(),
+			WriteBytesPerS: float64(last.WrittenBytes-first.WrittenBytes) / over.Seconds(),
+		})
+	}
+	return used
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -31,6 +31,7 @@
 	probing, stopProbing := context.WithCancel(ctx)
 	defer stopProbing()
 	go p.probe(probing)
+	before := p.usage()
 	inject := newInjector(p, s)
 	var inProgress sync.WaitGroup
 	inProgress.Go(func() { inject.run(ctx) })
@@ -41,7 +42,8 @@
 	inProgress.Go(func() { p.playRequests(ctx, s, &inProgress) })
 	inProgress.Go(func() { p.playCalls(ctx, s, &inProgress) })
 	inProgress.Wait()
-	return p.finish(ctx, s, inject.injected())
+	processes := p.processes(before, p.observed.now())
+	return p.finish(ctx, s, inject.injected(), processes)
 }
 
 // arrivals calls f at the instants of a Poisson process until the length has
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -37,6 +37,17 @@
 	Changes    []time.Duration
 	Violations []audit.Violation
 	Failures   []Failure
+	Processes  []Process
+}
+
+// Process is what an entry VM used for each second of the load.
+type Process struct {
+	Name string `json:"name"`
+	// CPUPercent is the part of one core.
+	CPUPercent     float64 `json:"cpu_percent"`
+	RSSMB          float64 `json:"rss_mb"`
+	ReadBytesPerS  float64 `json:"read_bytes_per_s"`
+	WriteBytesPerS float64 `json:"write_bytes_per_s"`
 }
 
 // Failure is a failure that was injected.
@@ -65,6 +76,7 @@
 	BetweenTokensMs     Percentiles       `json:"between_tokens_ms"`
 	Recoveries          []Recovery        `json:"recoveries"`
 	Violations          []audit.Violation `json:"violations"`
+	Processes           []Process         `json:"processes"`
 	// ThroughputBins are tokens in each tenth of a second.
 	ThroughputBins []int `json:"throughput_bins"`
 }
@@ -106,7 +118,7 @@
 func Build(run Run) Report {
 	r := Report{
 		Scenario: run.Scenario, Seed: run.Seed, LengthMs: run.Length.Milliseconds(),
-		BoundTokensPerS: run.BoundTokensPerS, Violations: run.Violations,
+		BoundTokensPerS: run.BoundTokensPerS, Violations: run.Violations, Processes: run.Processes,
 		Refusals: make(map[string]int), ThroughputBins: make([]int, run.Length/binWidth),
 	}
 	first, between := newHistogram(), newHistogram()
