--- a/cmd/tamarack-load/main.go
+++ b/cmd/tamarack-load/main.go
@@ -10,6 +10,8 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
+
 	"tamarackreach/internal/deployment"
 	"tamarackreach/internal/load"
 	"tamarackreach/internal/load/scenario"
@@ -20,6 +22,7 @@
 	write    bool
 	check    bool
 	compare  bool
+	table    bool
 	dir      string
 	scenario string
 	report   string
@@ -32,6 +35,7 @@
 	flag.BoolVar(&f.write, "write", false, "lay out the scenario's deployment in the directory and exit")
 	flag.BoolVar(&f.check, "check", false, "check the scenario and exit")
 	flag.BoolVar(&f.compare, "compare", false, "compare the two report files that are named as arguments and exit")
+	flag.BoolVar(&f.table, "table", false, "print Markdown tables of the report files that are named as arguments and exit")
 	flag.StringVar(&f.dir, "dir", "", "deployment `directory`")
 	flag.StringVar(&f.scenario, "scenario", "", "scenario `file`")
 	flag.StringVar(&f.report, "report", "", "`file` that takes the report")
@@ -48,6 +52,9 @@
 	if f.compare {
 		return compare(flag.Args())
 	}
+	if f.table {
+		return table(flag.Args())
+	}
 	s, err := scenario.Load(f.scenario)
 	if err != nil || f.check {
 		return err
@@ -59,22 +66,42 @@
 }
 
 func compare(paths []string) error {
-	const reports = 2
-	if len(paths) != reports {
-		return fmt.Errorf("name %d report files after -compare", reports)
+	const compared = 2
+	if len(paths) != compared {
+		return errors.Newf("name %d report files after -compare", compared)
 	}
-	a, err := report.Read(paths[0])
+	reports, err := readAll(paths)
 	if err != nil {
 		return err
 	}
-	b, err := report.Read(paths[1])
+	fmt.Print(report.Compare(reports[0], reports[1]))
+	return nil
+}
+
+func table(paths []string) error {
+	if len(paths) == 0 {
+		return errors.New("name report files after -table")
+	}
+	reports, err := readAll(paths)
 	if err != nil {
 		return err
 	}
-	fmt.Print(report.Compare(a, b))
+	fmt.Print(report.Table(reports))
 	return nil
 }
 
+func readAll(paths []string) ([]*report.Report, error) {
+	reports := make([]*report.Report, 0, len(paths))
+	for _, path := range paths {
+		r, err := report.Read(path)
+		if err != nil {
+			return nil, err
+		}
+		reports = append(reports, r)
+	}
+	return reports, nil
+}
+
 func layOut(f flags, s *scenario.Scenario) error {
 	shape := deployment.LinhaDourada(f.basePort)
 	if s.Deployment == scenario.KootenayLacing {
@@ -114,7 +141,7 @@
 	}
 	fmt.Println(result.Line())
 	if !result.OK() {
-		return fmt.Errorf("%s: the run did not keep every promise", s.Name)
+		return errors.Newf("%s: the run did not keep every promise", s.Name)
 	}
 	return nil
 }
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -70,3 +70,18 @@
 		Expect(report.Compare(&r, read)).To(ContainSubstring("1.00"))
 	})
 })
+
+var _ = Describe("a table of runs", func() {
+	It("gives least, median and greatest of each figure", func() {
+		var reports []*report.Report
+		for _, bound := range []float64{400, 100, 200} {
+			run := steadyRun()
+			run.BoundTokensPerS = bound
+			r := report.Build(run)
+			reports = append(reports, &r)
+		}
+		table := report.Table(reports)
+		Expect(table).To(ContainSubstring("| steady | 3 | 400 | 0.25–0.50–1.00 | 0.23–0.45–0.91 |"))
+		Expect(table).To(ContainSubstring("| steady | crash | 1550 | 5 | 0 |"))
+	})
+})
