--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -55,7 +55,7 @@
 	// TableWritesPerS and TableReadsPerS limit the stand-in table.
 	TableWritesPerS float64 `json:"table_writes_per_s"`
 	TableReadsPerS  float64 `json:"table_reads_per_s"`
-	// RecordEvents turns on the event files of the entry VMs.
+	// RecordEvents turns on the event and span files of the entry VMs.
 	RecordEvents bool `json:"record_events"`
 	// StepScale multiplies the step time of every engine; 0 is 1.
 	StepScale uint32 `json:"step_scale"`
@@ -341,7 +341,7 @@
 	c := config.Entry{
 		NodeID: e.NodeID, Zone: e.Zone,
 		CallerAddress: e.Caller, OperatorAddress: e.Operator, PeerAddress: e.Peer, MetricsAddress: e.Metrics,
-		PlatformAddress: d.Platform, EntryNodes: uint32(d.Shape.Entries), ShutdownLagMs: 500,
+		PlatformAddress: d.Platform, EntryNodes: uint32(d.Shape.Entries), ShutdownLagMs: 500, WeightLayersPerS: 200,
 		PeerTLS: config.PeerTLS{
 			CAFile:   filepath.Join(d.dir, "ca.pem"),
 			CertFile: filepath.Join(d.dir, string(e.NodeID)+".pem"),
@@ -350,6 +350,7 @@
 	}
 	if d.Shape.RecordEvents {
 		c.EventFile = filepath.Join(d.dir, string(e.NodeID)+"-events.jsonl")
+		c.SpanFile = filepath.Join(d.dir, string(e.NodeID)+"-spans.jsonl")
 	}
 	for _, other := range d.Entries {
 		if other.NodeID != e.NodeID {
