--- a/internal/attempt/recovery_test.go
+++ b/internal/attempt/recovery_test.go
@@ -37,7 +37,7 @@
 	BeforeEach(func() {
 		b = newBench(GinkgoTB(), 3)
 		first = b.request("r1", "listing")
-		Expect(first.Chain).To(HaveLen(3))
+		Expect(first.Chain).To(HaveLen(3), "%+v %v", b.refused, b.state.Follower().Revision())
 		b.token("r1")
 	})
 
--- a/internal/attempt/suite_test.go
+++ b/internal/attempt/suite_test.go
@@ -62,6 +62,7 @@
 		tb.Fatal(err)
 	}
 	b.post(event.NodeStarted{})
+	b.pass(3 * time.Second)
 	for _, change := range changes {
 		b.post(event.ChangeProposed{Request: model.RequestID(change.ID), Change: change})
 		b.pass(2 * time.Second)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,17 +15,18 @@
 
 	"tamarackreach/internal/callerapi"
 	"tamarackreach/internal/config"
+	"tamarackreach/internal/event"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/node"
 	"tamarackreach/internal/operatorapi"
 	"tamarackreach/internal/peerlink"
+	"tamarackreach/internal/peers"
 	"tamarackreach/internal/platformclient"
 	"tamarackreach/internal/reducer"
 	"tamarackreach/internal/rpc"
 	"tamarackreach/internal/targetclient"
 	"tamarackreach/internal/trace"
-
-	"tamarackreach/internal/event"
+	"tamarackreach/internal/tracing"
 )
 
 // Daemon is the process of an entry VM.
@@ -33,8 +34,10 @@
 	config   *config.Entry
 	node     *node.Node
 	drivers  node.Drivers
+	peers    *peerlink.Link
 	servers  []*listeningServer
 	recorder io.Closer
+	tracer   *tracing.Tracer
 }
 
 type listeningServer struct {
@@ -46,28 +49,36 @@
 func New(cfg *config.Entry) (*Daemon, error) {
 	life := model.Incarnation(time.Now().UnixMilli())
 	reducerConfig := reducer.Config{
-		Node:        cfg.NodeID,
-		Incarnation: life,
-		Zone:        cfg.Zone,
-		PeerAddress: cfg.PeerAddress,
-		EntryNodes:  cfg.EntryNodes,
-		ShutdownLag: time.Duration(cfg.ShutdownLagMs) * time.Millisecond,
-		Seed:        uint64(life),
+		Node:             cfg.NodeID,
+		Incarnation:      life,
+		Zone:             cfg.Zone,
+		PeerAddress:      cfg.PeerAddress,
+		EntryNodes:       cfg.EntryNodes,
+		ShutdownLag:      time.Duration(cfg.ShutdownLagMs) * time.Millisecond,
+		WeightLayersPerS: float64(cfg.WeightLayersPerS),
+		Seed:             uint64(life),
+		Seeds:            seedContacts(cfg.Seeds),
 	}
 	d := &Daemon{config: cfg}
 	recorder, err := d.openRecorder(reducerConfig)
 	if err != nil {
 		return nil, err
 	}
-	d.node = node.New(reducer.New(reducerConfig), recorder)
-	callers := callerapi.New(cfg.NodeID, life, d.node.Post)
+	if err := d.openTracer(); err != nil {
+		return nil, err
+	}
+	d.node = node.New(reducer.New(reducerConfig), recorder, d.tracer)
+	callers := callerapi.New(cfg.NodeID, life, d.node.Post, d.tracer)
 	operators := operatorapi.New(cfg.Operators, d.node.Post, d.node.Query)
+	d.peers = peerlink.New(peerlink.Config{
+		Node: cfg.NodeID, Incarnation: life, Address: cfg.PeerAddress, TLS: cfg.PeerTLS,
+	}, d.node.Post)
 	d.drivers = node.Drivers{
 		Callers:   callers,
 		Operators: operators,
 		Targets:   targetclient.New(d.node.Post, d.node.Now),
 		Platform:  platformclient.New(cfg.PlatformAddress, cfg.Zone, d.node.Post),
-		Peers:     peerlink.New(d.node.Post),
+		Peers:     d.peers,
 	}
 	d.servers = []*listeningServer{
 		{server: rpc.NewServer(callers.Handler()), address: cfg.CallerAddress},
@@ -77,6 +88,14 @@
 	return d, nil
 }
 
+func seedContacts(seeds []config.Seed) []peers.Contact {
+	contacts := make([]peers.Contact, 0, len(seeds))
+	for _, seed := range seeds {
+		contacts = append(contacts, peers.Contact{Node: seed.NodeID, Address: seed.Address})
+	}
+	return contacts
+}
+
 func (d *Daemon) openRecorder(header reducer.Config) (*trace.Writer, error) {
 	if d.config.EventFile == "" {
 		return nil, nil
@@ -89,6 +108,18 @@
 	return trace.NewWriter(file, trace.Header{Config: header})
 }
 
+func (d *Daemon) openTracer() error {
+	if d.config.SpanFile == "" {
+		return nil
+	}
+	file, err := os.Create(d.config.SpanFile)
+	if err != nil {
+		return errors.Wrap(err, "create span file; check span_file")
+	}
+	d.tracer, err = tracing.New(file, d.config.NodeID)
+	return err
+}
+
 // metricsHandler serves counters and, at /ready, what the balancer asks.
 func (d *Daemon) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -115,6 +146,9 @@
 		}
 		go func() { failed <- s.server.Serve(listener) }()
 	}
+	if err := d.peers.Start(); err != nil {
+		return err
+	}
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	finished := make(chan struct{})
@@ -139,6 +173,10 @@
 	for _, s := range d.servers {
 		_ = s.server.Shutdown(ctx)
 	}
+	_ = d.peers.Close()
+	if err := d.tracer.Close(); err != nil {
+		return err
+	}
 	if d.recorder != nil {
 		return errors.Wrap(d.recorder.Close(), "close event file")
 	}
--- a/internal/reducer/dispatch.go
+++ b/internal/reducer/dispatch.go
@@ -4,6 +4,7 @@
 	"tamarackreach/internal/commit"
 	"tamarackreach/internal/decision"
 	"tamarackreach/internal/event"
+	"tamarackreach/internal/leases"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/once"
 	"tamarackreach/internal/spread"
@@ -37,6 +38,8 @@
 		s.targetLost(c, ev)
 	case event.VMsListed:
 		s.vmsListed(c, ev)
+	case event.OrderAnswered:
+		s.orders.Answered(c, ev)
 	case event.DrainRequested:
 		s.drainRequested(c, ev)
 	case event.ChangeProposed:
@@ -61,11 +64,31 @@
 		s.rowsRead(c, ev)
 	case event.ReadFailed:
 		s.readFailed(c, ev)
+	case event.ObjectRead:
+		s.objectRead(c, ev)
+	default:
+		s.dispatchPeers(c, ev)
+	}
+}
+
+// dispatchPeers hands a message of a peer to the decision that it concerns.
+func (s *State) dispatchPeers(c *decision.Context, ev event.Event) {
+	switch ev := ev.(type) {
+	case event.PeerHeartbeatReceived:
+		s.peerHeartbeat(c, ev)
+	case event.PeerUnreachable:
+		s.peerUnreachable(ev)
+	case event.SettingsRequested:
+		s.settingsRequested(c, ev)
+	case event.SettingsOffered:
+		s.settingsOffered(c, ev)
 	}
 }
 
 func (s *State) transactionDone(c *decision.Context, ev event.TransactionDone) {
 	switch {
+	case leases.Owns(ev.Transaction):
+		s.leases.TransactionDone(c, ev)
 	case once.Owns(ev.Transaction):
 		s.ledger.TransactionDone(c, ev)
 	case commit.Owns(ev.Transaction):
@@ -75,6 +98,8 @@
 
 func (s *State) transactionUnknown(c *decision.Context, ev event.TransactionUnknown) {
 	switch {
+	case leases.Owns(ev.Transaction):
+		s.leases.TransactionUnknown(c, ev)
 	case once.Owns(ev.Transaction):
 		s.ledger.TransactionUnknown(c, ev)
 	case commit.Owns(ev.Transaction):
@@ -84,6 +109,8 @@
 
 func (s *State) rowsRead(c *decision.Context, ev event.RowsRead) {
 	switch {
+	case leases.Owns(ev.Read):
+		s.leases.RowsRead(c, ev)
 	case once.Owns(ev.Read):
 		s.ledger.RowsRead(c, ev)
 	case commit.Owns(ev.Read):
@@ -100,7 +127,7 @@
 	case commit.Owns(ev.Read):
 		s.committer.ReadFailed(c, ev)
 	case spread.Owns(ev.Read):
-		s.follower.ReadFailed(ev)
+		s.follower.ReadFailed(c, ev)
 	}
 }
 
@@ -126,13 +153,25 @@
 	case timer.ClaimRead:
 		s.ledger.ReadDue(c, model.RequestID(key.ID))
 	case timer.SettingsPoll:
-		s.follower.Poll(c)
+		s.pollSettings(c)
+	case timer.SettingsFetch:
+		s.follower.FetchDue(c)
+	case timer.SettingsGreet:
+		s.greetDue()
+	case timer.PeerHeartbeat:
+		s.heartbeatDue(c)
+	case timer.PeerSuspect:
+		s.peers.SuspectDue(c, model.NodeID(key.ID), s.update())
 	case timer.ChangeRetry:
 		s.committer.RetryDue(c, model.ChangeID(key.ID))
 	case timer.VMPoll:
 		s.pollVMs(c)
 	case timer.ShutdownLag:
 		s.refusing = true
+	case timer.LeaseRenew:
+		s.leases.RenewDue(c, model.PipelineID(key.ID), s.liveNodes())
+	case timer.OrderRetry:
+		s.orders.Reconcile(c, model.PipelineID(key.ID), s.follower.View(), s.targets)
 	case timer.TargetProbe:
 		s.probeDue(c, model.TargetID(key.ID))
 	case timer.QuarantineLapse:
--- a/internal/reducer/isolation.go
+++ b/internal/reducer/isolation.go
@@ -114,7 +114,8 @@
 		s.fail(c, request, capacityFault(faultKind(request)))
 		return true
 	}
-	want := &routing.Request{Pipeline: pipeline, PrefixKey: request.PrefixKey, Avoid: s.isolatedTargets()}
+	want := s.route(c, request, pipeline)
+	want.Avoid = s.isolatedTargets()
 	chain, ok := routing.Pick(s.targets, want)
 	if !ok {
 		return s.noCapacity(c, request, want)
@@ -160,7 +161,7 @@
 
 // besideNoSuspect picks another chain for a new request if a suspect runs on
 // the one picked; without another, the request takes the risk.
-func (s *State) besideNoSuspect(request *attempt.Request, chain []model.Hop) []model.Hop {
+func (s *State) besideNoSuspect(c *decision.Context, request *attempt.Request, chain []model.Hop) []model.Hop {
 	if !s.touchesSuspect(chain) {
 		return chain
 	}
@@ -168,7 +169,8 @@
 	if !ok {
 		return chain
 	}
-	want := &routing.Request{Pipeline: pipeline, PrefixKey: request.PrefixKey, Avoid: s.isolatedTargets()}
+	want := s.route(c, request, pipeline)
+	want.Avoid = s.isolatedTargets()
 	if other, ok := routing.Pick(s.targets, want); ok {
 		return other.Hops
 	}
--- a/internal/reducer/recovery.go
+++ b/internal/reducer/recovery.go
@@ -83,6 +83,7 @@
 		return
 	case targets.Crashed:
 		ids = s.blame(c, verdict, ids)
+		s.tellNews(c)
 	}
 	for _, id := range ids {
 		if request, ok := s.requests[id]; ok {
@@ -106,7 +107,7 @@
 // node's connection broke, a new one does; if a neighbour of the chain could not
 // reach the target, that link is down and another target takes its place.
 func (s *State) goOn(c *decision.Context, verdict targets.Verdict, ids []model.RequestID) {
-	retired := false
+	s.retire(c, verdict)
 	for _, id := range ids {
 		request := s.requests[id]
 		sign := request.Doubt
@@ -116,15 +117,25 @@
 		case !sign.Direct:
 			s.replace(c, request, verdict.Target)
 		default:
-			if hop, ok := request.HopOf(sign.Target); ok && !retired {
-				c.Emit(event.RetireConnections{Target: hop.Target, Address: hop.Address})
-				retired = true
-			}
 			s.resume(c, request)
 		}
 	}
 }
 
+// retire leaves the connections to a target that lives, but gave a sign of loss
+// on one of them: others of the same age may be silent, too. Streams that are
+// already late are collected over new ones.
+func (s *State) retire(c *decision.Context, verdict targets.Verdict) {
+	s.targets.Retire(c, verdict.Target, verdict.Sign)
+	for _, id := range s.requestIDs() {
+		request := s.requests[id]
+		late := c.Now.Sub(request.LastFrame) >= lateAfter
+		if !request.Held && late && request.Last().Target == verdict.Target && request.Collected <= verdict.Sign && !request.Redialled {
+			s.redial(c, request)
+		}
+	}
+}
+
 // resume starts the next attempt on the same targets, which go on from the next
 // token.
 func (s *State) resume(c *decision.Context, request *attempt.Request) {
@@ -151,7 +162,8 @@
 		s.fail(c, request, capacityFault(fault.Failed))
 		return
 	}
-	want := &routing.Request{Pipeline: pipeline, PrefixKey: request.PrefixKey, Avoid: setOf(request.Avoided, s.targets.InDoubt())}
+	want := s.route(c, request, pipeline)
+	want.Avoid = setOf(request.Avoided, s.targets.InDoubt())
 	byStage := pipeline.Recovery == settings.RecoverStage
 	if byStage {
 		want.Keep = request.Keep(s.targets.Holds)
--- a/internal/reducer/stream.go
+++ b/internal/reducer/stream.go
@@ -13,8 +13,12 @@
 	"tamarackreach/internal/timer"
 )
 
-// silentAfter is how long a stream may have no frame.
-const silentAfter = time.Second
+const (
+	// silentAfter is how long a stream may have no frame.
+	silentAfter = time.Second
+	// lateAfter is how long a stream without a frame is not taken for late.
+	lateAfter = 500 * time.Millisecond
+)
 
 // open starts the first attempt of a request; content that is suspected of
 // crashing targets waits to run isolated.
@@ -23,7 +27,7 @@
 		s.hold(c, request)
 		return
 	}
-	s.start(c, request, s.besideNoSuspect(request, chain), fresh)
+	s.start(c, request, s.besideNoSuspect(c, request, chain), fresh)
 }
 
 // start starts the next attempt of a request on a chain.
@@ -102,7 +106,7 @@
 		s.replace(c, request, last.Target)
 		return
 	}
-	c.Emit(event.RetireConnections{Target: last.Target, Address: last.Address})
+	s.targets.Retire(c, last.Target, c.Now)
 	newest := request.Collected
 	for _, id := range s.requestIDs() {
 		other := s.requests[id]
--- a/internal/targets/check.go
+++ b/internal/targets/check.go
@@ -78,6 +78,16 @@
 	return ok && target.Connected && target.Incarnation == hop.Incarnation
 }
 
+// Retire leaves the connections to a target that were open at a sign of loss.
+func (t *Table) Retire(c *decision.Context, id model.TargetID, sign model.Instant) {
+	target, ok := t.targets[id]
+	if !ok || target.RetiredAt >= sign {
+		return
+	}
+	target.RetiredAt = c.Now
+	c.Emit(event.RetireConnections{Target: id, Address: target.Address})
+}
+
 // InDoubt returns the targets that are being checked.
 func (t *Table) InDoubt() []model.TargetID {
 	var ids []model.TargetID
@@ -160,6 +170,7 @@
 		c.Emit(event.LogChange{Message: "target is reachable again", Subject: string(target.ID)})
 	}
 	target.take(c.Now, ev)
+	t.regroup(target)
 	c.After(timer.TargetProbe, string(target.ID), target.silence())
 	if ev.Leaving {
 		t.Mark(c, ev.Target, target.Incarnation, event.TargetLeaving)
@@ -197,6 +208,7 @@
 		t.ReportEvery = now.Sub(t.ReportedAt)
 	}
 	t.ReportedAt = now
+	t.averageLoad(ev)
 	t.Reported = true
 	t.Connected = true
 	t.Model = ev.Model
@@ -208,7 +220,7 @@
 	t.Running = ev.Running
 	t.Queued = ev.Queued
 	t.Fencing = ev.Fencing
-	t.SentSince = 0
+	t.SentSince /= 2
 	t.takeLinks(ev.Links)
 	t.takeCache(ev.Sequence, ev.Cache)
 }
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -43,6 +43,8 @@
 	Checking bool
 	// CheckedAt is when the last check began.
 	CheckedAt model.Instant
+	// RetiredAt is when the connections to the target were retired last.
+	RetiredAt model.Instant
 	// ReportedAt is when the last report came, ReportEvery the time between
 	// the last two.
 	ReportedAt  model.Instant
@@ -64,8 +66,11 @@
 	Cache    map[string]bool
 	// InFlight counts the requests of this node that run on the target.
 	InFlight uint32
-	// SentSince counts what this node sent since the last report.
+	// SentSince counts what this node sent since the last report, and half of
+	// what it counted before, for a report lags behind what was sent.
 	SentSince uint32
+	// LoadAverage is the running average of the jobs that reports state.
+	LoadAverage float64
 }
 
 // Usable is true for a target that may get new work.
@@ -79,6 +84,7 @@
 // Table is what this node knows of all targets.
 type Table struct {
 	targets map[model.TargetID]*Target
+	pools   []*Pool
 }
 
 // New returns an empty table.
