--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -50,6 +50,7 @@
 	QuotaExceeded       Code = "quota_exceeded"
 	DeadlineUnreachable Code = "deadline_unreachable"
 	NoCapacity          Code = "no_capacity"
+	Overloaded          Code = "overloaded"
 	NotReady            Code = "not_ready"
 	Quarantined         Code = "quarantined"
 	RetriesExhausted    Code = "retries_exhausted"
--- a/internal/reducer/admit.go
+++ b/internal/reducer/admit.go
@@ -32,6 +32,7 @@
 		return
 	}
 	s.counters.RequestsAdmitted++
+	s.gates.Started(request.Pipeline, request.Workspace)
 	s.requests[ev.Request] = request
 }
 
@@ -133,17 +134,45 @@
 	if !ok {
 		return capacityFault(fault.NotRun)
 	}
-	if retryAfter, ok := admission.Admit(chain.FirstToken, within); !ok {
-		return &fault.Fault{
-			Kind: fault.NotRun, Code: fault.DeadlineUnreachable,
-			Message: fmt.Sprintf("first token expected in %s, wanted in %s", chain.FirstToken, within),
-			Remedy:  "come back later or allow more time", RetryAfter: retryAfter,
-		}
+	if refusal := s.gates.Admit(c, ask(request, workspace, &chain, within)); refusal != nil {
+		return admissionFault(refusal, &chain, within)
 	}
 	s.open(c, request, chain.Hops, false)
 	return nil
 }
 
+// ask describes a request and its chain to admission.
+func ask(request *attempt.Request, workspace *settings.Workspace, chain *routing.Chain, within time.Duration) admission.Ask {
+	return admission.Ask{
+		Pipeline:     request.Pipeline,
+		Workspace:    request.Workspace,
+		Share:        workspace.SharesTokensPerS[request.Pipeline],
+		Priority:     workspace.Priority,
+		Within:       within,
+		FirstToken:   chain.FirstToken,
+		PerToken:     chain.PerToken,
+		IdlePerToken: chain.IdlePerToken,
+		Fullness:     chain.Fullness,
+	}
+}
+
+func admissionFault(refusal *admission.Refusal, chain *routing.Chain, within time.Duration) *fault.Fault {
+	f := &fault.Fault{
+		Kind: fault.NotRun, Code: fault.Overloaded, Remedy: "come back after the stated time", RetryAfter: refusal.RetryAfter,
+	}
+	switch refusal.Reason {
+	case admission.Deadline:
+		f.Code = fault.DeadlineUnreachable
+		f.Message = fmt.Sprintf("first token expected in %s, wanted in %s", chain.FirstToken, within)
+		f.Remedy = "come back after the stated time or allow more time"
+	case admission.Pace:
+		f.Message = fmt.Sprintf("no free slots; tokens would come every %s", chain.PerToken)
+	case admission.FairPart:
+		f.Message = "the pipeline is nearly full and the workspace has its part of it"
+	}
+	return f
+}
+
 // route describes a request, with the answer still to come, to routing.
 func (s *State) route(c *decision.Context, request *attempt.Request, pipeline *settings.Pipeline) *routing.Request {
 	return &routing.Request{
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"tamarackreach/internal/admission"
 	"tamarackreach/internal/attempt"
 	"tamarackreach/internal/commit"
 	"tamarackreach/internal/decision"
@@ -60,6 +61,7 @@
 	ledger     *once.Ledger
 	quarantine *quarantine.List
 	quotas     *quota.Shares
+	gates      *admission.Gates
 	requests   map[model.RequestID]*attempt.Request
 	calls      map[model.RequestID]*plainCall
 
@@ -85,6 +87,7 @@
 		ledger:     once.New(config.Node, config.Incarnation),
 		quarantine: quarantine.New(),
 		quotas:     quota.New(),
+		gates:      admission.New(),
 		requests:   make(map[model.RequestID]*attempt.Request),
 		calls:      make(map[model.RequestID]*plainCall),
 	}
--- a/internal/reducer/stream.go
+++ b/internal/reducer/stream.go
@@ -166,6 +166,7 @@
 
 func (s *State) remove(c *decision.Context, request *attempt.Request) {
 	s.targets.Ended(request.Chain)
+	s.gates.Ended(c.Now, request.Pipeline, request.Workspace)
 	delete(s.requests, request.ID)
 	c.Stop(timer.StreamSilent, string(request.ID))
 	c.Stop(timer.RetryRequest, string(request.ID))
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -48,18 +48,25 @@
 	}
 }
 
-// tokenTime is the expected time of one token at a target: the wait for the
-// running batch to end and for the jobs that do not fit into the next one, and
-// a step.
+// tokenTime is the expected time of one token at a target: a step and the wait
+// for the running batch to end, or, by Little's law, the jobs there over the
+// jobs that the target finishes per second.
 func (g *graph) tokenTime(target *targets.Target) time.Duration {
 	batch := float64(max(target.MaxBatch, 1))
-	herd := min(g.nodes, maxHerd)
-	hops := float64(max(len(g.request.Pipeline.Stages), 1))
-	jobs := target.LoadAverage + float64(target.SentSince)*herd/hops
-	steps := 1 + joinWait*min(1, jobs) + max(0, jobs-batch)/batch
+	jobs := g.jobs(target)
+	steps := max(1+joinWait*min(1, jobs), jobs/batch)
 	return time.Duration(steps * float64(step(target)))
 }
 
+// jobs is the expected number of jobs at a target: the reported average, and
+// what this node started or ended since, taken for what some other entry VMs do
+// as well. A request has a job at one of its targets at a time.
+func (g *graph) jobs(target *targets.Target) float64 {
+	hops := float64(max(len(g.request.Pipeline.Stages), 1))
+	since := float64(target.InFlight) - target.InFlightAverage
+	return max(0, target.LoadAverage+since*min(g.nodes, maxHerd)/hops)
+}
+
 func idleTime(target *targets.Target) time.Duration {
 	return time.Duration((1 + joinWait) * float64(step(target)))
 }
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -96,7 +96,7 @@
 		return connect.CodeUnknown
 	case fault.CallFailed, fault.Quarantined:
 		return connect.CodeFailedPrecondition
-	case fault.DeadlineUnreachable, fault.NoCapacity, fault.NotReady, fault.RetriesExhausted, fault.PlatformDown:
+	case fault.DeadlineUnreachable, fault.NoCapacity, fault.Overloaded, fault.NotReady, fault.RetriesExhausted, fault.PlatformDown:
 		return connect.CodeUnavailable
 	}
 	return connect.CodeInternal
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -43,11 +43,12 @@
 	Cache     map[string]bool
 	// InFlight counts the requests of this node that run on the target.
 	InFlight uint32
-	// SentSince counts what this node sent since the last report, and half of
-	// what it counted before, for a report lags behind what was sent.
+	// SentSince counts what this node sent since the last report.
 	SentSince uint32
-	// LoadAverage is the running average of the jobs that reports state.
-	LoadAverage float64
+	// LoadAverage is the running average of the jobs that reports state;
+	// InFlightAverage is that of InFlight at the same moments.
+	LoadAverage     float64
+	InFlightAverage float64
 }
 
 // Usable is true for a target that may get new work.
@@ -141,7 +142,7 @@
 	target.Running = ev.Running
 	target.Queued = ev.Queued
 	target.Fencing = ev.Fencing
-	target.SentSince /= 2
+	target.SentSince = 0
 	target.takeLinks(ev.Links)
 	target.takeCache(ev.Sequence, ev.Cache)
 	t.regroup(target)
