Prove settings and peers on real processes and over real links

Proof first: on the binaries of five of the six new specs of e2e (focus 'real processes') failed: no node knew of the others, a drain reached one node only, a node restarted in an outage had no revision within 10 s, and an older head was followed after a restart. The frozen node passed before too.

After: TAMARACK_BIN=$PWD/bin go test -count=1 ./e2e/ -ginkgo.focus 'real processes' passes (6 of 6); go test -count=1 ./internal/peerlink passed five times in a row.

--- a/internal/peerlink/connection.go
+++ b/internal/peerlink/connection.go
@@ -116,6 +116,10 @@
 			return
 		}
 		id := nodeOf(conn)
+		if id == "" {
+			refuse(conn, id, "")
+			continue
+		}
 		p := l.peer(id)
 		p.adopt(conn)
 		go l.receive(conn, p)
--- a/internal/spread/platform.go
+++ b/internal/spread/platform.go
@@ -158,6 +158,9 @@
 func (f *Follower) changesRead(c *decision.Context, rows []model.Row) {
 	before := f.revision
 	for _, row := range rows {
+		if row.Version == 0 {
+			break
+		}
 		change, ok := f.verifyRow(c, row)
 		if !ok {
 			break
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -138,7 +138,8 @@
 
 // ReadRows reads rows at one snapshot.
 func (s *Server) ReadRows(ctx context.Context, request *connect.Request[tamarackv1.ReadRowsRequest]) (*connect.Response[tamarackv1.ReadRowsResponse], error) {
-	if _, err := s.enter(ctx, request.Header(), s.reads); err != nil {
+	faults, err := s.enter(ctx, request.Header(), s.reads)
+	if err != nil {
 		return nil, err
 	}
 	s.readCount.Add(1)
@@ -152,6 +153,7 @@
 		}
 		rows = s.table.Scan(request.Msg.Prefix, request.Msg.StartKey, limit)
 	}
+	rows = before(model.Revision(faults.StaleHeadRevision), rows)
 	return connect.NewResponse(&tamarackv1.ReadRowsResponse{Rows: rowMessages(rows)}), nil
 }
 
