Keep to a bounded number of partners and tell fresh states first

Cause: at 410 nodes a dead node was not suspected everywhere within the 30 s that the measurement waits. States were told in the order of names, so that the 410 states learnt at the start kept a fresh suspicion back. Random pings to all peers also meant 409 QUIC connections a node, each with a handshake.

Ruled out: a longer wait; the queue of old states empties only after minutes.

--- a/internal/peers/send.go
+++ b/internal/peers/send.go
@@ -47,24 +47,6 @@
 	return peer.Status == event.PeerAlive || peer.Status == event.PeerSuspected
 }
 
-// shuffled draws an order of the peers inside or outside the own zone. When
-// one of the two is empty, the other takes its place.
-func (m *Members) shuffled(c *decision.Context, sameZone bool) []model.NodeID {
-	var wanted, others []model.NodeID
-	for _, id := range m.order {
-		if (m.peers[id].Zone == m.self.Zone) == sameZone {
-			wanted = append(wanted, id)
-		} else {
-			others = append(others, id)
-		}
-	}
-	if len(wanted) == 0 {
-		wanted = others
-	}
-	c.Rand.Shuffle(len(wanted), func(i, j int) { wanted[i], wanted[j] = wanted[j], wanted[i] })
-	return wanted
-}
-
 // pingDead tries one dead peer from time to time: a zone that was cut off may
 // be back.
 func (m *Members) pingDead(c *decision.Context, update *Update) {
@@ -115,20 +97,14 @@
 	}
 }
 
-// Tell sends urgent news to a few random live peers at once, whether or not
-// they answer.
+// Tell sends urgent news to a few random partners at once, whether or not they
+// answer.
 func (m *Members) Tell(c *decision.Context, update *Update) {
-	live := make([]*Peer, 0, len(m.order))
-	for _, id := range m.order {
-		if peer := m.peers[id]; peer.Status == event.PeerAlive {
-			live = append(live, peer)
-		}
-	}
-	count := min(urgentFanout, len(live))
-	for i := range count {
-		j := i + c.Rand.IntN(len(live)-i)
-		live[i], live[j] = live[j], live[i]
-		m.emit(c, live[i], true, update, []event.PeerState{m.self})
+	partners := append(m.partners(true), m.partners(false)...)
+	for i := range min(urgentFanout, len(partners)) {
+		j := i + c.Rand.IntN(len(partners)-i)
+		partners[i], partners[j] = partners[j], partners[i]
+		m.emit(c, m.peers[partners[i]], true, update, []event.PeerState{m.self})
 	}
 }
 
@@ -156,13 +132,14 @@
 		states = append(states, peer.PeerState)
 		taken[to] = true
 	}
-	for _, id := range m.order {
-		peer := m.peers[id]
-		if peer.spread > 0 && peer.Heard && len(states) <= maxRecords && !taken[id] {
-			peer.spread--
-			taken[id] = true
-			states = append(states, peer.PeerState)
+	for len(states) <= maxRecords {
+		peer := m.leastTold(taken)
+		if peer == nil {
+			break
 		}
+		peer.spread--
+		taken[peer.Node] = true
+		states = append(states, peer.PeerState)
 	}
 	for range m.order {
 		if len(states) > maxRecords {
@@ -176,3 +153,15 @@
 	}
 	return states
 }
+
+// leastTold returns the peer whose changed state was told least often.
+func (m *Members) leastTold(taken map[model.NodeID]bool) *Peer {
+	var least *Peer
+	for _, id := range m.order {
+		peer := m.peers[id]
+		if peer.spread > 0 && peer.Heard && !taken[id] && (least == nil || peer.spread > least.spread) {
+			least = peer
+		}
+	}
+	return least
+}
