Tell callers that gave up from callers that were cut off

Change: such an answer is a violation only if it was held for 5 s without a token; the report counts them.

--- a/internal/load/audit/audit.go
+++ b/internal/load/audit/audit.go
@@ -66,6 +66,8 @@
 	RefusedInDoubt Outcome = "in doubt"
 	// Cut means the entry VM went away before the end.
 	Cut Outcome = "cut"
+	// GaveUp means the caller ended its wait itself.
+	GaveUp Outcome = "gave up"
 )
 
 // Answer is what a caller saw of a model request. Times count from the start of
@@ -96,6 +98,10 @@
 	Code      string
 }
 
+// longestSilence is how long a request in progress may be held without a token
+// or a refusal.
+const longestSilence = 5 * time.Second
+
 // Model is what a correct answer is made of.
 type Model struct {
 	Version model.ModelVersion
@@ -128,12 +134,23 @@
 	if a.Outcome == RefusedNotRun && len(a.Tokens) > 0 {
 		found = append(found, Violation{NotRun, fmt.Sprintf("%s was refused as not run after %d tokens", a.Request, len(a.Tokens))})
 	}
+	if a.Outcome == GaveUp && !a.CutAllowed && a.Ended-a.lastHeard() > longestSilence {
+		found = append(found, Violation{WholeAnswer, fmt.Sprintf("%s on entry VM %d was held without a token from %s until its caller gave up at %s", a.Request, a.Entry, a.lastHeard(), a.Ended)})
+	}
 	if a.Outcome == Cut && !a.CutAllowed {
 		found = append(found, Violation{WholeAnswer, fmt.Sprintf("%s on entry VM %d had no typed refusal: %s", a.Request, a.Entry, a.Error)})
 	}
 	return found
 }
 
+// lastHeard returns when the caller got its last token, or sent the request.
+func (a *Answer) lastHeard() time.Duration {
+	if len(a.Tokens) == 0 {
+		return a.Sent
+	}
+	return a.Tokens[len(a.Tokens)-1].At
+}
+
 func checkReceipts(m Model, a *Answer, token Token) []Violation {
 	layer := uint32(0)
 	for _, receipt := range token.Receipts {
--- a/internal/load/callers.go
+++ b/internal/load/callers.go
@@ -40,9 +40,12 @@
 	}
 	a.Ended = p.observed.now()
 	a.Outcome, a.Code = outcomeOf(err)
+	a.CutAllowed = p.balancer.wasTouched(entry)
 	if a.Outcome == audit.Cut {
 		a.Error = err.Error()
-		a.CutAllowed = p.balancer.wasTouched(entry)
+		if ctx.Err() != nil {
+			a.Outcome = audit.GaveUp
+		}
 	}
 	p.observed.addAnswer(a)
 }
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -88,6 +88,8 @@
 	Failed   int `json:"failed"`
 	InDoubt  int `json:"in_doubt"`
 	Cut      int `json:"cut"`
+	// GaveUp counts callers that ended their wait themselves.
+	GaveUp int `json:"gave_up"`
 }
 
 func (o *Outcomes) add(outcome audit.Outcome) {
@@ -102,6 +104,8 @@
 		o.InDoubt++
 	case audit.Cut:
 		o.Cut++
+	case audit.GaveUp:
+		o.GaveUp++
 	}
 }
 
--- a/internal/report/table.go
+++ b/internal/report/table.go
@@ -18,7 +18,7 @@
 		runs[r.Scenario] = append(runs[r.Scenario], r)
 	}
 	var text strings.Builder
-	text.WriteString("| scenario | runs | bound, tokens/s | offered over bound | throughput over bound | first token p95, ms | between tokens p95, ms | not run / failed / cut | violations |\n")
+	text.WriteString("| scenario | runs | bound, tokens/s | offered over bound | throughput over bound | first token p95, ms | between tokens p95, ms | not run / failed / cut / gave up | violations |\n")
 	text.WriteString("| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
 	for _, name := range names {
 		text.WriteString(scenarioRow(name, runs[name]))
@@ -34,7 +34,7 @@
 }
 
 func scenarioRow(name string, runs []*Report) string {
-	return fmt.Sprintf("| %s | %d | %.0f | %s | %s | %s | %s | %s / %s / %s | %s |\n",
+	return fmt.Sprintf("| %s | %d | %.0f | %s | %s | %s | %s | %s / %s / %s / %s | %s |\n",
 		name, len(runs), runs[0].BoundTokensPerS,
 		spread(runs, "%.2f", func(r *Report) float64 { return r.OfferedTokensPS / r.BoundTokensPerS }),
 		spread(runs, "%.2f", func(r *Report) float64 { return r.ThroughputOverBound }),
@@ -43,6 +43,7 @@
 		spread(runs, "%.0f", func(r *Report) float64 { return float64(r.Requests.NotRun) }),
 		spread(runs, "%.0f", func(r *Report) float64 { return float64(r.Requests.Failed) }),
 		spread(runs, "%.0f", func(r *Report) float64 { return float64(r.Requests.Cut) }),
+		spread(runs, "%.0f", func(r *Report) float64 { return float64(r.Requests.GaveUp) }),
 		spread(runs, "%.0f", func(r *Report) float64 { return float64(len(r.Violations)) }))
 }
 
