--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"tamarackreach/internal/admission"
 	"tamarackreach/internal/attempt"
 	"tamarackreach/internal/commit"
 	"tamarackreach/internal/decision"
@@ -76,6 +77,7 @@
 	orders     *leases.Orders
 	quarantine *quarantine.List
 	quotas     *quota.Shares
+	gates      *admission.Gates
 	peers      *peers.Members
 	news       news
 	requests   map[model.RequestID]*attempt.Request
@@ -110,6 +112,7 @@
 		orders:     leases.NewOrders(config.Node, leaseTable, config.WeightLayersPerS),
 		quarantine: quarantine.New(),
 		quotas:     quota.New(),
+		gates:      admission.New(),
 		peers: peers.New(event.PeerState{
 			Node: config.Node, Incarnation: config.Incarnation, Zone: config.Zone, Address: config.PeerAddress,
 		}, config.Seeds),
--- a/internal/targets/check.go
+++ b/internal/targets/check.go
@@ -220,7 +220,7 @@
 	t.Running = ev.Running
 	t.Queued = ev.Queued
 	t.Fencing = ev.Fencing
-	t.SentSince /= 2
+	t.SentSince = 0
 	t.takeLinks(ev.Links)
 	t.takeCache(ev.Sequence, ev.Cache)
 }
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -66,11 +66,12 @@
 	Cache    map[string]bool
 	// InFlight counts the requests of this node that run on the target.
 	InFlight uint32
-	// SentSince counts what this node sent since the last report, and half of
-	// what it counted before, for a report lags behind what was sent.
+	// SentSince counts what this node sent since the last report.
 	SentSince uint32
-	// LoadAverage is the running average of the jobs that reports state.
-	LoadAverage float64
+	// LoadAverage is the running average of the jobs that reports state;
+	// InFlightAverage is that of InFlight at the same moments.
+	LoadAverage     float64
+	InFlightAverage float64
 }
 
 // Usable is true for a target that may get new work.
