--- a/internal/targets/listed.go
+++ b/internal/targets/listed.go
@@ -36,7 +36,7 @@
 	if !known || vm.Incarnation > target.Incarnation {
 		target = t.replaceVM(c, id, vm)
 	}
-	target.Missing = 0
+	target.ListedAt = c.Now
 	target.Listed = vm.Incarnation
 	target.Zone = vm.Zone
 	target.Role = vm.Role
@@ -62,14 +62,14 @@
 	return target
 }
 
-// missing counts a list that does not show a target.
+// missing takes in that a list does not show a target.
 func (t *Table) missing(c *decision.Context, id model.TargetID) {
 	target := t.targets[id]
-	target.Missing++
-	if target.Missing == goneAfterLists {
+	since := c.Now.Sub(target.ListedAt)
+	if since >= goneAfter {
 		t.Mark(c, id, target.Incarnation, event.TargetGone)
 	}
-	if target.Missing >= forgetAfterLists && target.InFlight == 0 {
+	if since >= forgetAfter && target.InFlight == 0 {
 		delete(t.targets, id)
 	}
 }
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -15,12 +15,10 @@
 )
 
 const (
-	// goneAfterLists is the number of lists in a row without a target after
-	// which the target is gone.
-	goneAfterLists = 3
-	// forgetAfterLists is the number of lists in a row without a target after
-	// which nothing is kept of it.
-	forgetAfterLists = 60
+	// goneAfter is how long the VM list may miss a target until it is gone.
+	goneAfter = 4 * time.Second
+	// forgetAfter is how long after that something is kept of it.
+	forgetAfter = time.Minute
 )
 
 // Target is one back end.
@@ -51,8 +49,8 @@
 	ReportEvery time.Duration
 	// Listed is the newest incarnation that the VM list showed.
 	Listed model.Incarnation
-	// Missing counts the VM lists in a row that did not show the target.
-	Missing  int
+	// ListedAt is when the VM list showed the target last.
+	ListedAt model.Instant
 	Model    model.ModelName
 	Version  model.ModelVersion
 	Layers   model.LayerRange
