--- a/internal/attempt/recovery_test.go
+++ b/internal/attempt/recovery_test.go
@@ -145,6 +145,9 @@
 			}
 			b.post(event.CallerGone{Request: id})
 		}
+		const stages, reserve = 3, 500
+		delivered := int(b.state.Counters().TokensForwarded) * stages
+		Expect(b.extra).To(BeNumerically("<=", delivered/10+reserve))
 		Expect(b.state.Counters().RetriesRefused).To(BeNumerically(">", 0))
 	})
 })
--- a/internal/attempt/suite_test.go
+++ b/internal/attempt/suite_test.go
@@ -39,6 +39,8 @@
 	refused map[model.RequestID]event.RefuseRequest
 	tokens  map[model.RequestID]int
 	reports uint64
+	// extra counts the stage steps of attempts after the first.
+	extra   int
 	retired map[model.TargetID]int
 }
 
@@ -101,6 +103,9 @@
 	switch effect := effect.(type) {
 	case event.OpenChain:
 		b.open[effect.Request] = effect
+		if effect.Attempt > 1 {
+			b.extra += len(effect.Chain) + len(rebuilt(effect))
+		}
 		return b.broken(effect)
 	case event.RetireConnections:
 		b.retired[effect.Target]++
--- /dev/null
+++ b/internal/attempt/take_test.go
@@ -0,0 +1,80 @@
+package attempt_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"tamarackreach/internal/attempt"
+	"tamarackreach/internal/event"
+	"tamarackreach/internal/model"
+)
+
+// spoil changes one thing about a frame, so that it must not be accepted.
+func spoil(t *rapid.T, ev *event.TokenArrived) {
+	at := rapid.IntRange(0, len(ev.Receipts)-1).Draw(t, "at")
+	switch rapid.IntRange(0, 6).Draw(t, "spoil") {
+	case 0:
+		ev.Attempt--
+	case 1:
+		ev.Index += model.TokenIndex(rapid.IntRange(1, 9).Draw(t, "ahead"))
+	case 2:
+		ev.Receipts[at].Target = "foreign"
+	case 3:
+		ev.Receipts[at].Layers.End++
+	case 4:
+		ev.Receipts[at].Version = "v2"
+	case 5:
+		ev.Receipts = append(ev.Receipts[:at:at], ev.Receipts[at+1:]...)
+	case 6:
+		ev.Receipts = append(ev.Receipts, ev.Receipts[at])
+	}
+}
+
+// chainOf draws targets that cut the layers of the model into ranges.
+func chainOf(t *rapid.T, layers uint32) (chain []model.Hop) {
+	for first := uint32(0); first < layers; {
+		end := first + rapid.Uint32Range(1, layers-first).Draw(t, "layers")
+		id := model.TargetID(fmt.Sprint(len(chain)))
+		chain = append(chain, model.Hop{Target: id, Layers: model.LayerRange{First: first, End: end}})
+		first = end
+	}
+	return chain
+}
+
+// TestTakeAcceptsEachTokenOnceInOrder feeds frames that are right, repeated or
+// spoilt, over several attempts: only the next token of the current attempt
+// with whole receipts is taken, and nothing else changes the answer.
+func TestTakeAcceptsEachTokenOnceInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const layers, maxTokens = 12, 1000
+		r := &attempt.Request{ID: "r", Version: "v1", Layers: layers, MaxTokens: maxTokens}
+		open := r.Begin(0, chainOf(t, layers), false)
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			before := len(r.Tokens)
+			ev := frame(open, before)
+			want := attempt.Accepted
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 1:
+				spoil(t, ev)
+				want = attempt.Stale
+			case 2:
+				if before > 0 {
+					ev.Index = model.TokenIndex(rapid.IntRange(0, before-1).Draw(t, "earlier"))
+					want = attempt.Duplicate
+				}
+			case 3:
+				open = r.Begin(model.Instant(step), chainOf(t, layers), false)
+				want = attempt.Stale
+			}
+			got := r.Take(model.Instant(step), ev)
+			if (got == attempt.Accepted) != (want == attempt.Accepted) {
+				t.Fatalf("frame %+v: verdict %d", ev, got)
+			}
+			if grown := len(r.Tokens) - before; (grown == 1) != (got == attempt.Accepted) || grown > 1 {
+				t.Fatalf("verdict %d added %d tokens", got, grown)
+			}
+		}
+	})
+}
