Gather claims and outcomes, and free a key only when nothing can still arrive

Cause: each once-only call wrote two transactions of its own, the table takes several hundred a second for everyone; a failure to record an outcome lost it; row keys of different calls could be equal; the HTTP/2 transport repeats a request by itself, and its writer may send bytes after the caller was told that none left; a redirect sent the call again. Ruled out: deleting rows to free keys (a late claim would then take effect), taking a claim over after a timeout (its owner may only be paused), HTTP/2 for these calls (net/http repeats a request after GOAWAY or a refused stream). Change: a ledger gathers the rows that come up within 20 ms into one transaction; rows are never deleted, only the owner of a claim writes it, and not run is a state of the row that the next call may claim. A key used with another body is refused (idempotency_key_reused), an answer too long to keep is said so (answer_not_kept). At most 1,024 outcomes are written in the background. Fixed on the way: a call found not run whose freed row was claimed by another call before its own write was confirmed got no answer.

--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -77,6 +77,8 @@
 		Within         time.Duration        `json:"within_ns"`
 		// Deadline is checked again just before the first byte leaves.
 		Deadline model.Instant `json:"deadline"`
+		// Once is true for a call that may not be repeated.
+		Once bool `json:"once"`
 	}
 
 	// AnswerCall ends a call with its answer.
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -56,6 +56,7 @@
 	PlatformDown        Code = "platform_unavailable"
 	CallInDoubt         Code = "call_in_doubt"
 	CallFailed          Code = "call_failed"
+	AnswerNotKept       Code = "answer_not_kept"
 	ChangeConflict      Code = "change_conflict"
 	ChangeInvalid       Code = "change_invalid"
 	ChangeInDoubt       Code = "change_in_doubt"
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -1,11 +1,19 @@
 // Package once is the at-most-once ledger. A call that may not be repeated is
 // claimed in the platform's table before it is sent, and nobody takes a claim
-// over. A lost answer of the claim is settled by reading the row back.
+// over. Only the owner of a claim may write what became of it: an outcome, which
+// every repeat with the same key gets, or that the call was not run, which frees
+// the key. Rows are never deleted, so that a write that arrives late meets a row
+// version which it does not expect and has no effect.
+//
+// No statement of the ledger rests on a clock: deadlines only decide when to give
+// up, and a claim that is given up on stays the owner's.
 package once
 
 import (
-	"encoding/json"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
+	"net/url"
 	"strings"
 	"time"
 
@@ -16,36 +24,29 @@
 	"tamarackreach/internal/timer"
 )
 
+// Limits on what callers send.
 const (
-	claimPrefix   = "once/claim/"
-	outcomePrefix = "once/outcome/"
-	rowPrefix     = "once/"
-	// settleRetry is the time between two tries to settle a lost answer.
-	settleRetry = 200 * time.Millisecond
-	// retryAfter tells callers when to come back.
-	retryAfter = 2 * time.Second
+	MaxKeyBytes  = 256
+	MaxBodyBytes = 64 << 10
 )
 
-// State is how far a claimed call is known to have got.
-type State string
-
-// The states of a claim row.
 const (
-	Claimed State = "claimed"
-	Done    State = "done"
-	Failed  State = "failed"
-	InDoubt State = "in_doubt"
-	NotRun  State = "not_run"
+	rowPrefix   = "once/"
+	writePrefix = "once/write/"
+	readPrefix  = "once/read/"
+	// maxCalls bounds the calls that a node carries.
+	maxCalls = 4096
+	// maxBackground bounds the answered calls whose outcome is still being
+	// written; each holds at most MaxBodyBytes.
+	maxBackground = 1024
+	// recordWait is how long an answer waits for its outcome to be written.
+	recordWait = 100 * time.Millisecond
+	// recordFor is how long an outcome is tried to be written after the answer.
+	recordFor = time.Minute
+	// maxMessageBytes bounds the reason that is kept with an outcome.
+	maxMessageBytes = 1 << 10
 )
 
-// Claim is the value of a ledger row.
-type Claim struct {
-	Nonce   model.Nonce `json:"nonce"`
-	State   State       `json:"state"`
-	Body    []byte      `json:"body,omitempty"`
-	Message string      `json:"message,omitempty"`
-}
-
 // Call is a call that may not be repeated.
 type Call struct {
 	Request   model.RequestID
@@ -58,10 +59,22 @@
 	Target    model.TargetID
 	Address   string
 
-	nonce      model.Nonce
-	rowVersion model.RowVersion
-	phase      phase
-	outcome    Claim
+	row   string
+	phase phase
+	// condition is the row version that the next write requires; 0 requires
+	// that there is no row.
+	condition model.RowVersion
+	// value is what the next write makes of the row.
+	value Claim
+	// answer is what the caller gets; unlike value it may be long.
+	answer Claim
+	// unseen is true while a write of this call may take effect without an
+	// answer.
+	unseen bool
+	// owned is true once the claim is known to be in the table.
+	owned    bool
+	queued   bool
+	answered bool
 }
 
 type phase uint8
@@ -72,137 +85,109 @@
 	recording
 )
 
+// rowKey escapes the parts, so that no two calls share a row by accident.
 func (call *Call) rowKey() string {
-	return strings.Join([]string{"once", string(call.Workspace), string(call.Service), string(call.Method), string(call.Key)}, "/")
+	parts := []string{string(call.Workspace), string(call.Service), string(call.Method), string(call.Key)}
+	for i, part := range parts {
+		parts[i] = url.PathEscape(part)
+	}
+	return rowPrefix + strings.Join(parts, "/")
+}
+
+// Options set how rows are gathered into transactions.
+type Options struct {
+	// GatherInterval is the least time between two transactions of a node; what
+	// comes up in between goes into the next one.
+	GatherInterval time.Duration
+	// MaxRows is the largest number of rows of one transaction.
+	MaxRows int
 }
 
+// DefaultOptions returns the options that nodes run with.
+func DefaultOptions() Options { return Options{GatherInterval: 20 * time.Millisecond, MaxRows: 64} }
+
 // Ledger holds the calls of this node that are in progress.
 type Ledger struct {
-	node  model.NodeID
-	life  model.Incarnation
-	calls map[model.RequestID]*Call
+	node    model.NodeID
+	life    model.Incarnation
+	options Options
+	calls   map[model.RequestID]*Call
+	byRow   map[string]*Call
+	// background is the number of answered calls that are still recorded.
+	background int
+
+	sequence uint64
+	queue    []*Call
+	flights  map[string][]flight
+	reads    map[string][]*Call
+	// nextFlush is when the next transaction may be sent.
+	nextFlush model.Instant
+	backoff   time.Duration
 }
 
 // New returns an empty ledger of one life of a node.
 func New(node model.NodeID, life model.Incarnation) *Ledger {
-	return &Ledger{node: node, life: life, calls: make(map[model.RequestID]*Call)}
+	return NewWithOptions(node, life, DefaultOptions())
+}
+
+// NewWithOptions returns an empty ledger that gathers rows as stated.
+func NewWithOptions(node model.NodeID, life model.Incarnation, options Options) *Ledger {
+	return &Ledger{
+		node: node, life: life, options: options,
+		calls:   make(map[model.RequestID]*Call),
+		byRow:   make(map[string]*Call),
+		flights: make(map[string][]flight),
+		reads:   make(map[string][]*Call),
+	}
 }
 
 // Owns is true for the transactions and reads that a ledger issued.
 func Owns(id string) bool { return strings.HasPrefix(id, rowPrefix) }
 
-// InProgress returns the number of calls in progress.
+// InProgress returns the number of calls in progress, with those whose outcome is
+// still being written.
 func (l *Ledger) InProgress() int { return len(l.calls) }
 
-// Has is true for a request that the ledger carries.
-func (l *Ledger) Has(id model.RequestID) bool {
-	_, ok := l.calls[id]
-	return ok
-}
-
 // Begin claims the call.
 func (l *Ledger) Begin(c *decision.Context, call *Call) {
-	call.nonce = model.Nonce(fmt.Sprintf("%s/%d/%s", l.node, l.life, call.Request))
-	l.calls[call.Request] = call
-	c.Timers.Put(timer.Key{Kind: timer.CallDeadline, ID: string(call.Request)}, call.Deadline)
-	l.writeClaim(c, call)
-}
-
-func (l *Ledger) writeClaim(c *decision.Context, call *Call) {
-	c.Emit(event.Transact{
-		Transaction: claimPrefix + string(call.Request),
-		Conditions:  []event.Condition{{Key: call.rowKey()}},
-		Writes:      []event.Write{{Key: call.rowKey(), Value: encode(Claim{Nonce: call.nonce, State: Claimed})}},
-	})
-}
-
-// TransactionDone takes in the answer of a claim or of a recorded outcome.
-func (l *Ledger) TransactionDone(c *decision.Context, ev event.TransactionDone) {
-	if id, ok := strings.CutPrefix(ev.Transaction, outcomePrefix); ok {
-		l.recorded(c, model.RequestID(id))
-		return
+	call.row = call.rowKey()
+	hash := sha256.Sum256(call.Body)
+	call.value = Claim{
+		Nonce:          model.Nonce(fmt.Sprintf("%s/%d/%s", l.node, l.life, call.Request)),
+		State:          Claimed,
+		BodySHA256:     hex.EncodeToString(hash[:]),
+		DeadlineUnixMs: c.UnixMs + call.Deadline.Sub(c.Now).Milliseconds(),
 	}
-	call, ok := l.calls[requestOf(ev.Transaction)]
-	if !ok || call.phase != claiming {
-		return
-	}
-	if ev.Committed {
-		call.rowVersion = ev.Version
-		l.send(c, call)
-		return
-	}
-	l.settle(c, call, ev.Conflicts)
-}
-
-// TransactionUnknown takes in that an answer was lost.
-func (l *Ledger) TransactionUnknown(c *decision.Context, ev event.TransactionUnknown) {
-	if id, ok := strings.CutPrefix(ev.Transaction, outcomePrefix); ok {
-		l.recorded(c, model.RequestID(id))
-		return
-	}
-	call, ok := l.calls[requestOf(ev.Transaction)]
-	if !ok || call.phase != claiming {
-		return
-	}
-	if ev.NotSent {
-		l.refuse(c, call, platformFault())
-		return
-	}
-	c.After(timer.ClaimRead, string(call.Request), 0)
-}
-
-// ReadDue reads a claim whose write got no answer.
-func (l *Ledger) ReadDue(c *decision.Context, id model.RequestID) {
-	call, ok := l.calls[id]
-	if !ok || call.phase != claiming {
-		return
-	}
-	c.Emit(event.ReadRows{Read: claimPrefix + string(id), Keys: []string{call.rowKey()}})
-}
-
-// RowsRead takes in a claim row that was read back.
-func (l *Ledger) RowsRead(c *decision.Context, ev event.RowsRead) {
-	call, ok := l.calls[requestOf(ev.Read)]
-	if !ok || call.phase != claiming {
+	if earlier, ok := l.byRow[call.row]; ok {
+		answerRepeat(c, call, earlier.known(), c.UnixMs)
 		return
 	}
-	if len(ev.Rows) == 0 || ev.Rows[0].Version == 0 {
-		// The write may still arrive; sending the same claim again is safe,
-		// because it requires the row to be absent.
-		l.writeClaim(c, call)
+	if len(l.calls) >= maxCalls {
+		refuse(c, call, fullFault())
 		return
 	}
-	l.settle(c, call, ev.Rows)
-}
-
-// ReadFailed takes in that a read got no answer.
-func (l *Ledger) ReadFailed(c *decision.Context, ev event.ReadFailed) {
-	call, ok := l.calls[requestOf(ev.Read)]
-	if !ok || call.phase != claiming {
-		return
-	}
-	c.After(timer.ClaimRead, string(call.Request), settleRetry)
+	l.calls[call.Request] = call
+	l.byRow[call.row] = call
+	c.Timers.Put(timer.Key{Kind: timer.CallDeadline, ID: string(call.Request)}, call.Deadline)
+	l.enqueue(c, call)
 }
 
-// settle goes on by the row that exists.
-func (l *Ledger) settle(c *decision.Context, call *Call, rows []model.Row) {
-	var found Claim
-	if len(rows) == 0 || json.Unmarshal(rows[0].Value, &found) != nil {
-		l.refuse(c, call, platformFault())
-		return
+// known returns what a repeat on the same node may be told of the call.
+func (call *Call) known() Claim {
+	if call.phase == recording {
+		return call.value
 	}
-	if found.Nonce == call.nonce && found.State == Claimed {
-		call.rowVersion = rows[0].Version
-		l.send(c, call)
-		return
-	}
-	l.answer(c, call, found, true)
+	known := call.value
+	known.State = Claimed
+	return known
 }
 
-// send lets the call go, unless a pause made it too late.
-func (l *Ledger) send(c *decision.Context, call *Call) {
+// claimed goes on once the claim is known to be in the table.
+func (l *Ledger) claimed(c *decision.Context, call *Call) {
 	if c.Now >= call.Deadline {
-		l.record(c, call, Claim{Nonce: call.nonce, State: NotRun, Message: "the deadline passed before the call was sent"})
+		l.finish(c, call, Claim{
+			State: NotRun, Code: fault.DeadlineUnreachable, Message: "the deadline passed before the call was sent",
+		})
 		return
 	}
 	call.phase = calling
@@ -216,6 +201,7 @@
 		Body:           call.Body,
 		Within:         call.Deadline.Sub(c.Now),
 		Deadline:       call.Deadline,
+		Once:           true,
 	})
 }
 
@@ -229,7 +215,7 @@
 	if ev.Failed {
 		state = Failed
 	}
-	l.record(c, call, Claim{Nonce: call.nonce, State: state, Body: ev.Body, Message: ev.Message})
+	l.finish(c, call, Claim{State: state, Body: ev.Body, Message: ev.Message})
 }
 
 // Cut takes in that no answer of the service will come.
@@ -238,109 +224,97 @@
 	if !ok || call.phase != calling {
 		return
 	}
-	state := NotRun
+	outcome := Claim{State: NotRun, Code: fault.NoCapacity, Message: "the call did not reach the service: " + ev.Reason}
 	if ev.BytesLeft {
-		state = InDoubt
+		outcome = Claim{State: InDoubt, Message: ev.Reason}
 	}
-	l.record(c, call, Claim{Nonce: call.nonce, State: state, Message: ev.Reason})
+	l.finish(c, call, outcome)
 }
 
-// record writes the outcome, so that a repeat with the same key gets it.
-func (l *Ledger) record(c *decision.Context, call *Call, outcome Claim) {
+// finish records the outcome, so that a repeat with the same key gets it. The
+// caller is answered when the outcome is in the table, or after recordWait.
+func (l *Ledger) finish(c *decision.Context, call *Call, outcome Claim) {
 	call.phase = recording
-	call.outcome = outcome
-	c.Emit(event.Transact{
-		Transaction: outcomePrefix + string(call.Request),
-		Conditions:  []event.Condition{{Key: call.rowKey(), Version: call.rowVersion}},
-		Writes:      []event.Write{{Key: call.rowKey(), Value: encode(outcome)}},
-	})
-}
-
-// recorded answers the caller, whether or not the outcome could be written: a
-// repeat then finds the claim and is told that the call is in doubt.
-func (l *Ledger) recorded(c *decision.Context, id model.RequestID) {
-	call, ok := l.calls[id]
-	if !ok || call.phase != recording {
-		return
+	call.answer = outcome
+	call.value.State = outcome.State
+	call.value.Code = outcome.Code
+	call.value.Body = outcome.Body
+	call.value.Message = outcome.Message[:min(len(outcome.Message), maxMessageBytes)]
+	if len(outcome.Body) > MaxBodyBytes {
+		call.value.Body = nil
+		call.value.BodyOmitted = true
 	}
-	l.answer(c, call, call.outcome, false)
+	call.Body = nil
+	c.After(timer.CallDeadline, string(call.Request), recordWait)
+	l.enqueue(c, call)
 }
 
-// DeadlineDue ends a call that was not sent in time.
+// DeadlineDue gives up on the next step of a call.
 func (l *Ledger) DeadlineDue(c *decision.Context, id model.RequestID) {
 	call, ok := l.calls[id]
 	if !ok {
 		return
 	}
-	switch call.phase {
-	case claiming:
-		l.refuse(c, call, platformFault())
-	case recording:
-		l.recorded(c, id)
-	case calling:
-		// The driver ends the call at its deadline and reports what is known.
+	switch {
+	case call.phase == claiming:
+		l.abandon(c, call)
+	case call.phase == recording && !call.answered:
+		l.answerNow(c, call)
+	case call.phase == recording:
+		l.remove(c, call)
 	}
+	// In between, the driver ends the call at its deadline and reports.
 }
 
-func (l *Ledger) answer(c *decision.Context, call *Call, outcome Claim, recorded bool) {
-	switch outcome.State {
-	case Done:
+// abandon refuses a call whose claim is not confirmed. It is not sent any more,
+// so that it is not run whatever becomes of the claim; the row is then freed.
+func (l *Ledger) abandon(c *decision.Context, call *Call) {
+	call.answer = Claim{State: NotRun, Code: fault.PlatformDown, Message: "the table service did not confirm the claim"}
+	if call.queued && !call.unseen {
+		answer(c, call, call.answer, false)
 		l.remove(c, call)
-		c.Emit(event.AnswerCall{Request: call.Request, Body: outcome.Body, Recorded: recorded})
-	case Failed:
-		l.refuse(c, call, &fault.Fault{
-			Kind: fault.Failed, Code: fault.CallFailed, Message: outcome.Message,
-			Remedy: "the service refused the call; use a new idempotency key after correcting it",
-		})
-	case NotRun:
-		l.refuse(c, call, &fault.Fault{
-			Kind: fault.NotRun, Code: fault.DeadlineUnreachable, Message: outcome.Message,
-			Remedy: "send the call again with a new idempotency key", RetryAfter: retryAfter,
-		})
-	case InDoubt:
-		l.refuse(c, call, doubtFault(outcome.Message))
-	case Claimed:
-		l.refuse(c, call, &fault.Fault{
-			Kind: fault.InDoubt, Code: fault.KeyInUse, Message: "another call with this key is claimed and its outcome is not recorded",
-			Remedy: "ask again with the same key", RetryAfter: retryAfter,
-		})
+		return
 	}
+	call.phase = recording
+	call.value.State = NotRun
+	call.value.Message = call.answer.Message
+	call.value.Code = call.answer.Code
+	call.Body = nil
+	l.answerNow(c, call)
 }
 
-func (l *Ledger) refuse(c *decision.Context, call *Call, refusal *fault.Fault) {
-	l.remove(c, call)
-	c.Emit(event.RefuseRequest{Request: call.Request, Fault: *refusal})
-}
-
-func (l *Ledger) remove(c *decision.Context, call *Call) {
-	delete(l.calls, call.Request)
-	c.Stop(timer.CallDeadline, string(call.Request))
-	c.Stop(timer.ClaimRead, string(call.Request))
+// answerNow answers the caller and goes on recording, within bounds.
+func (l *Ledger) answerNow(c *decision.Context, call *Call) {
+	answer(c, call, call.answer, false)
+	call.answered = true
+	l.background++
+	if l.background > maxBackground {
+		l.remove(c, call)
+		return
+	}
+	c.After(timer.CallDeadline, string(call.Request), recordFor)
 }
 
-func platformFault() *fault.Fault {
-	return &fault.Fault{
-		Kind: fault.NotRun, Code: fault.PlatformDown, Message: "the table service did not confirm the claim",
-		Remedy: "send the call again", RetryAfter: retryAfter,
+// recorded ends a call whose outcome is in the table.
+func (l *Ledger) recorded(c *decision.Context, call *Call) {
+	if !call.answered {
+		answer(c, call, call.answer, false)
 	}
+	l.remove(c, call)
 }
 
-func doubtFault(reason string) *fault.Fault {
-	return &fault.Fault{
-		Kind: fault.InDoubt, Code: fault.CallInDoubt, Message: "the service may have run the call: " + reason,
-		Remedy: "find out from the service before using a new idempotency key",
+func (l *Ledger) remove(c *decision.Context, call *Call) {
+	if call.answered {
+		l.background--
 	}
+	delete(l.calls, call.Request)
+	delete(l.byRow, call.row)
+	c.Stop(timer.CallDeadline, string(call.Request))
 }
 
-func requestOf(transaction string) model.RequestID {
-	return model.RequestID(strings.TrimPrefix(transaction, claimPrefix))
-}
+// holds is true while the call is not removed.
+func (l *Ledger) holds(call *Call) bool { return l.calls[call.Request] == call }
 
-// encode marshals a ledger row, which always marshals.
-func encode(claim Claim) []byte {
-	data, err := json.Marshal(claim)
-	if err != nil {
-		panic(err)
-	}
-	return data
+func refuse(c *decision.Context, call *Call, refusal *fault.Fault) {
+	c.Emit(event.RefuseRequest{Request: call.Request, Fault: *refusal})
 }
--- a/internal/reducer/calls.go
+++ b/internal/reducer/calls.go
@@ -85,6 +85,13 @@
 			Remedy: "send an idempotency key of your own choice",
 		}
 	}
+	if method.Once && (len(ev.IdempotencyKey) > once.MaxKeyBytes || len(ev.Body) > once.MaxBodyBytes) {
+		return nil, settings.Method{}, &fault.Fault{
+			Kind: fault.NotRun, Code: fault.BadRequest,
+			Message: fmt.Sprintf("the idempotency key has %d bytes and the body %d", len(ev.IdempotencyKey), len(ev.Body)),
+			Remedy:  fmt.Sprintf("send at most %d bytes of key and %d of body", once.MaxKeyBytes, once.MaxBodyBytes),
+		}
+	}
 	return service, method, nil
 }
 
--- a/internal/reducer/dispatch.go
+++ b/internal/reducer/dispatch.go
@@ -124,7 +124,9 @@
 	case timer.CallDeadline:
 		s.ledger.DeadlineDue(c, model.RequestID(key.ID))
 	case timer.ClaimRead:
-		s.ledger.ReadDue(c, model.RequestID(key.ID))
+		s.ledger.ReadDue(c, key.ID)
+	case timer.LedgerFlush:
+		s.ledger.FlushDue(c)
 	case timer.SettingsPoll:
 		s.follower.Poll(c)
 	case timer.ChangeRetry:
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -94,7 +94,7 @@
 		return connect.CodeAborted
 	case fault.CallInDoubt, fault.ChangeInDoubt:
 		return connect.CodeUnknown
-	case fault.CallFailed, fault.Quarantined:
+	case fault.CallFailed, fault.AnswerNotKept, fault.Quarantined:
 		return connect.CodeFailedPrecondition
 	case fault.DeadlineUnreachable, fault.NoCapacity, fault.NotReady, fault.RetriesExhausted, fault.PlatformDown:
 		return connect.CodeUnavailable
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -47,6 +47,8 @@
 	ShutdownLag
 	// QuarantineLapse fires when quarantine records lapse.
 	QuarantineLapse
+	// LedgerFlush fires when gathered ledger rows are to be written.
+	LedgerFlush
 )
 
 // Key identifies a timer; setting a key again replaces its deadline.
