--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -93,6 +93,8 @@
 		Transaction string      `json:"transaction"`
 		Conditions  []Condition `json:"conditions"`
 		Writes      []Write     `json:"writes"`
+		// Requests names those that wait for it, for their spans.
+		Requests []model.RequestID `json:"requests,omitempty"`
 	}
 
 	// ReadRows reads table rows, by key or by prefix.
@@ -102,6 +104,8 @@
 		Prefix   string   `json:"prefix"`
 		StartKey string   `json:"start_key"`
 		Limit    uint32   `json:"limit"`
+		// Requests names those that wait for it, for their spans.
+		Requests []model.RequestID `json:"requests,omitempty"`
 	}
 
 	// ReadObject reads an object of the object store.
@@ -140,6 +144,12 @@
 		Model    model.ModelName     `json:"model"`
 		Version  model.ModelVersion  `json:"version"`
 		Layers   model.LayerRange    `json:"layers"`
+		// Node is the holder of the pipeline's lease, who gives the order.
+		Node model.NodeID `json:"node"`
+		// ValidUntil is checked again just before the order leaves.
+		ValidUntil model.Instant `json:"valid_until"`
+		// Within is how long the answer may take.
+		Within time.Duration `json:"within_ns"`
 	}
 
 	// AnswerChange tells an operator the fate of a change or a drain; Fault is
@@ -166,6 +176,10 @@
 		Quarantine []QuarantineNote `json:"quarantine"`
 		Targets    []TargetNote     `json:"targets"`
 		Quotas     []QuotaNote      `json:"quotas"`
+		// Digest is the digest of the changes up to Revision.
+		Digest LogDigest `json:"digest"`
+		// ConfirmedAgo is how long ago the platform confirmed the revision.
+		ConfirmedAgo time.Duration `json:"confirmed_ago_ns"`
 	}
 
 	// RequestSettings asks a peer for the changes after a revision.
@@ -173,6 +187,8 @@
 		To      model.NodeID   `json:"to"`
 		Address string         `json:"address"`
 		After   model.Revision `json:"after"`
+		// Digest is the digest of this node's changes up to After.
+		Digest LogDigest `json:"digest"`
 	}
 
 	// OfferSettings serves settings to a peer.
@@ -182,6 +198,8 @@
 		SnapshotRevision model.Revision `json:"snapshot_revision"`
 		TreeJSON         []byte         `json:"tree_json"`
 		Changes          []Change       `json:"changes"`
+		// Digest is the digest of the changes up to SnapshotRevision.
+		Digest LogDigest `json:"digest"`
 	}
 
 	// LogChange writes one log line for a change of state.
--- a/internal/once/write.go
+++ b/internal/once/write.go
@@ -56,6 +56,7 @@
 		}
 		call.queued = false
 		flights = append(flights, flight{call: call, state: call.value.State})
+		effect.Requests = append(effect.Requests, call.Request)
 		effect.Conditions = append(effect.Conditions, event.Condition{Key: call.row, Version: call.condition})
 		effect.Writes = append(effect.Writes, event.Write{Key: call.row, Value: encode(call.value)})
 	}
@@ -143,11 +144,12 @@
 // ReadDue reads the rows of writes that got no answer.
 func (l *Ledger) ReadDue(c *decision.Context, id string) {
 	var held []*Call
-	var keys []string
+	effect := event.ReadRows{Read: id}
 	for _, call := range l.reads[id] {
 		if l.holds(call) {
 			held = append(held, call)
-			keys = append(keys, call.row)
+			effect.Keys = append(effect.Keys, call.row)
+			effect.Requests = append(effect.Requests, call.Request)
 		}
 	}
 	if len(held) == 0 {
@@ -155,7 +157,7 @@
 		return
 	}
 	l.reads[id] = held
-	c.Emit(event.ReadRows{Read: id, Keys: keys})
+	c.Emit(effect)
 }
 
 // ReadFailed takes in that a read got no answer.
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -47,6 +47,10 @@
 	ShutdownLag
 	// QuarantineLapse fires when quarantine records lapse.
 	QuarantineLapse
+	// SettingsFetch fires when a fetch of changes got no answer.
+	SettingsFetch
+	// SettingsGreet fires when a starting node has waited for its peers.
+	SettingsGreet
 	// LedgerFlush fires when gathered ledger rows are to be written.
 	LedgerFlush
 )
