--- a/internal/tracing/tracing.go
+++ b/internal/tracing/tracing.go
@@ -33,6 +33,8 @@
 
 	mu       sync.Mutex
 	requests map[model.RequestID]*request
+	// waiting holds the requests of each table call in progress.
+	waiting map[string][]model.RequestID
 }
 
 // request holds the open spans of one request.
@@ -56,6 +58,7 @@
 		provider: provider,
 		tracer:   provider.Tracer("tamarackreach", trace.WithInstrumentationAttributes(attribute.String("node", string(node)))),
 		requests: make(map[model.RequestID]*request),
+		waiting:  make(map[string][]model.RequestID),
 	}, nil
 }
 
@@ -151,9 +154,9 @@
 	case event.SendCall:
 		t.hop(effect.Request, "call", attribute.String("target", string(effect.Target)))
 	case event.Transact:
-		t.tableCall(effect.Transaction, "table transaction")
+		t.tableCall(effect.Transaction, "table transaction", effect.Requests)
 	case event.ReadRows:
-		t.tableCall(effect.Read, "table read")
+		t.tableCall(effect.Read, "table read", effect.Requests)
 	}
 }
 
@@ -192,10 +195,20 @@
 	}
 }
 
-// tableCall opens a span for a call to the table that a request waits for: its
-// id ends with the request's.
-func (t *Tracer) tableCall(id, name string) {
-	r, ok := t.requests[requestOf(id)]
+// tableCall opens a span for each request that waits for a call to the table.
+// One that names no requests is for the request that its id ends with.
+func (t *Tracer) tableCall(id, name string, requests []model.RequestID) {
+	if len(requests) == 0 {
+		requests = []model.RequestID{requestOf(id)}
+	}
+	t.waiting[id] = requests
+	for _, request := range requests {
+		t.tableSpan(request, id, name)
+	}
+}
+
+func (t *Tracer) tableSpan(request model.RequestID, id, name string) {
+	r, ok := t.requests[request]
 	if !ok {
 		return
 	}
@@ -204,9 +217,12 @@
 }
 
 func (t *Tracer) tableDone(id string) {
-	if r, ok := t.requests[requestOf(id)]; ok {
-		r.endTable()
+	for _, request := range t.waiting[id] {
+		if r, ok := t.requests[request]; ok {
+			r.endTable()
+		}
 	}
+	delete(t.waiting, id)
 }
 
 func requestOf(id string) model.RequestID {
