Keep control traffic of a large deployment within its budget

Cause: with times and addresses of their real size a node of 410 sent 2071 B/s of messages and 3282 B/s with 130 B of overhead a message, above 3 KB/s. The wire costs were not known: go test -run '^$' -bench Pings -benchtime 50x ./internal/peerlink gave 226 B of overhead a message and 5.2 KB a handshake.

Ruled out: QUIC datagrams; they are acknowledged like streams and limited in size.

--- a/internal/fakes/network.go
+++ b/internal/fakes/network.go
@@ -21,6 +21,8 @@
 	oneWay        = time.Millisecond
 	platformDelay = 2 * time.Millisecond
 	frozenRetry   = 50 * time.Millisecond
+	// epochMs is a wall clock of today, so that encoded times have their size.
+	epochMs = 1_764_000_000_000
 )
 
 type delivery struct {
@@ -68,7 +70,7 @@
 func NewNetwork(nodes int, seed uint64) *Network {
 	n := &Network{
 		Platform: NewPlatform(), rand: rand.New(rand.NewPCG(seed, 0)),
-		order: timer.New(), waiting: make(map[string]delivery), Cut: make(map[model.AvailabilityZone]bool),
+		order: timer.New(), life: epochMs, waiting: make(map[string]delivery), Cut: make(map[model.AvailabilityZone]bool),
 	}
 	for i := range nodes {
 		n.Nodes = append(n.Nodes, &FakeNode{})
@@ -84,13 +86,15 @@
 
 func nodeID(i int) model.NodeID { return model.NodeID(fmt.Sprintf("entry-%03d", i)) }
 
+func address(i int) string { return fmt.Sprintf("10.20.30.%d:7003", i) }
+
 // Start replaces a node by a new incarnation that knows nothing.
 func (n *Network) Start(i, nodes int) {
 	const seeds = 4
 	n.life++
-	cfg := reducer.Config{Node: nodeID(i), Zone: Zone(i), Incarnation: n.life, PeerAddress: "10.0.0.1:" + strconv.Itoa(i), Seed: uint64(i + 1)}
+	cfg := reducer.Config{Node: nodeID(i), Zone: Zone(i), Incarnation: n.life, PeerAddress: address(i), Seed: uint64(i + 1)}
 	for j := range min(seeds, nodes) {
-		cfg.Seeds = append(cfg.Seeds, peers.Contact{Node: nodeID(j), Address: "10.0.0.1:" + strconv.Itoa(j)})
+		cfg.Seeds = append(cfg.Seeds, peers.Contact{Node: nodeID(j), Address: address(j)})
 	}
 	*n.Nodes[i] = FakeNode{State: reducer.New(cfg), Floor: n.Nodes[i].Floor}
 	n.Send(i, time.Duration(n.rand.Int64N(int64(time.Second))), event.NodeStarted{})
@@ -128,7 +132,7 @@
 	if _, tick := next.ev.(event.Tick); tick {
 		node.armed = 0
 	}
-	for _, effect := range node.State.Reduce(n.Now, time.Duration(n.Now).Milliseconds(), next.ev) {
+	for _, effect := range node.State.Reduce(n.Now, epochMs+time.Duration(n.Now).Milliseconds(), next.ev) {
 		n.carryOut(next.to, effect)
 	}
 	node.check()
--- /dev/null
+++ b/internal/peerlink/bench_test.go
@@ -0,0 +1,108 @@
+package peerlink
+
+import (
+	"fmt"
+	"net"
+	"path/filepath"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"tamarackreach/internal/config"
+	"tamarackreach/internal/event"
+	"tamarackreach/internal/keys"
+	"tamarackreach/internal/model"
+)
+
+// udpHeaderBytes is the size of the IPv4 and UDP headers of a packet.
+const udpHeaderBytes = 28
+
+// BenchmarkPings pings peers over real connections, each answering, and reports
+// what a message costs on the wire, with acknowledgements and headers, and what
+// a connection and its handshake cost at one end.
+func BenchmarkPings(b *testing.B) {
+	const peers, gap = 32, 100 * time.Millisecond
+	dir := b.TempDir()
+	authority, err := keys.NewAuthority()
+	if err != nil || authority.WriteAuthority(dir) != nil {
+		b.Fatal("no CA", err)
+	}
+	links := make([]*Link, peers+1)
+	addresses := make([]string, peers+1)
+	states := make([]event.PeerState, maxBenchRecords)
+	for i := range states {
+		states[i] = event.PeerState{Node: "entry-000", Zone: "Lisboa", Address: "10.20.30.40:7003", Incarnation: 1_764_000_000_000, Revision: 100_000, InForceUnixMs: 1_764_000_000_000}
+	}
+	beat := func(to int, reply bool) event.SendHeartbeat {
+		return event.SendHeartbeat{To: model.NodeID(fmt.Sprintf("entry-%d", to)), Address: addresses[to], Reply: reply, Revision: 100_000, Digest: 1 << 60, Peers: states}
+	}
+	for i := range links {
+		name := fmt.Sprintf("entry-%d", i)
+		if err := authority.WriteNode(dir, name); err != nil {
+			b.Fatal(err)
+		}
+		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		addresses[i] = socket.LocalAddr().String()
+		_ = socket.Close()
+		tls := config.PeerTLS{CAFile: filepath.Join(dir, "ca.pem"), CertFile: filepath.Join(dir, name+".pem"), KeyFile: filepath.Join(dir, name+"-key.pem")}
+		links[i] = New(Config{Node: model.NodeID(name), Address: addresses[i], TLS: tls}, func(ev event.Event) {
+			if ping, ok := ev.(event.PeerHeartbeatReceived); ok && !ping.Reply {
+				links[i].Heartbeat(beat(0, true))
+			}
+		})
+		if err := links[i].Start(); err != nil {
+			b.Fatal(err)
+		}
+		defer func() { _ = links[i].Close() }()
+	}
+	round := func() {
+		for to := 1; to <= peers; to++ {
+			links[0].Heartbeat(beat(to, false))
+		}
+		time.Sleep(gap)
+	}
+	before := inUse()
+	round()
+	time.Sleep(time.Second)
+	perConnection := float64(inUse()-before) / (2 * peers)
+	handshake, _ := sent(links[0])
+	start, _ := sent(links[0])
+	for b.Loop() {
+		round()
+	}
+	time.Sleep(gap)
+	end, _ := sent(links[0])
+	_, message := Encode("entry-0", 1_764_000_000_000, beat(1, false))
+	perMessage := float64(end-start) / float64(b.N*peers)
+	b.ReportMetric(perMessage, "wire-B/message")
+	b.ReportMetric(perMessage-float64(proto.Size(message)), "overhead-B/message")
+	b.ReportMetric(float64(handshake)/peers, "wire-B/handshake")
+	b.ReportMetric(perConnection/1024, "KiB/connection")
+}
+
+// maxBenchRecords is the number of states in one heartbeat.
+const maxBenchRecords = 5
+
+func inUse() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc + stats.StackInuse
+}
+
+// sent returns what a link sent over its connections.
+func sent(l *Link) (bytes, packets uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.peers {
+		stats := p.conn.ConnectionStats()
+		bytes += stats.BytesSent + udpHeaderBytes*stats.PacketsSent
+		packets += stats.PacketsSent
+	}
+	return bytes, packets
+}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -113,6 +113,8 @@
 		MaxIdleTimeout:        idleTimeout,
 		MaxIncomingStreams:    -1,
 		MaxIncomingUniStreams: maxStreams,
+		// Messages are small; probes for larger packets would cost more.
+		DisablePathMTUDiscovery: true,
 	}
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -24,7 +24,7 @@
 	// interval is the time between two rounds of pings.
 	interval = time.Second
 	// zoneFanout is the number of peers of the own zone pinged in a round.
-	zoneFanout = 2
+	zoneFanout = 1
 	// crossFanout is the number of peers of other zones pinged in a round.
 	crossFanout = 1
 	// urgentFanout is the number of peers that hear urgent news at once.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -128,6 +128,10 @@
 	return stats.HeapAlloc
 }
 
+// wireOverheadBytes is what BenchmarkPings of package peerlink reports for
+// headers, acknowledgements and encryption of one message.
+const wireOverheadBytes = 115
+
 // BenchmarkSlopes prints what peers cost and how fast settings come into force
 // for 4, 40 and 410 nodes, against every node polling the platform alone.
 func BenchmarkSlopes(b *testing.B) {
@@ -147,6 +151,7 @@
 					perNodeS := float64(nodes) * length.Seconds()
 					b.ReportMetric(float64(w.Messages)/perNodeS, "msg/s/node")
 					b.ReportMetric(float64(w.Bytes)/perNodeS, "B/s/node")
+					b.ReportMetric(float64(w.Bytes+w.Messages*wireOverheadBytes)/perNodeS, "wire-B/s/node")
 					b.ReportMetric(float64(w.Reads)/length.Seconds(), "reads/s")
 					b.ReportMetric(100*cpu.Seconds()/perNodeS, "%core/node")
 					b.ReportMetric(float64(int64(heapBytes()-heap)/int64(nodes))/1024, "KiB/node")
