--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"tamarackreach/internal/callerapi"
 	"tamarackreach/internal/config"
+	"tamarackreach/internal/event"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/node"
 	"tamarackreach/internal/operatorapi"
@@ -25,8 +26,7 @@
 	"tamarackreach/internal/rpc"
 	"tamarackreach/internal/targetclient"
 	"tamarackreach/internal/trace"
-
-	"tamarackreach/internal/event"
+	"tamarackreach/internal/tracing"
 )
 
 // Daemon is the process of an entry VM.
@@ -37,6 +37,7 @@
 	peers    *peerlink.Link
 	servers  []*listeningServer
 	recorder io.Closer
+	tracer   *tracing.Tracer
 }
 
 type listeningServer struct {
@@ -48,22 +49,26 @@
 func New(cfg *config.Entry) (*Daemon, error) {
 	life := model.Incarnation(time.Now().UnixMilli())
 	reducerConfig := reducer.Config{
-		Node:        cfg.NodeID,
-		Incarnation: life,
-		Zone:        cfg.Zone,
-		PeerAddress: cfg.PeerAddress,
-		EntryNodes:  cfg.EntryNodes,
-		ShutdownLag: time.Duration(cfg.ShutdownLagMs) * time.Millisecond,
-		Seed:        uint64(life),
-		Seeds:       seedContacts(cfg.Seeds),
+		Node:             cfg.NodeID,
+		Incarnation:      life,
+		Zone:             cfg.Zone,
+		PeerAddress:      cfg.PeerAddress,
+		EntryNodes:       cfg.EntryNodes,
+		ShutdownLag:      time.Duration(cfg.ShutdownLagMs) * time.Millisecond,
+		WeightLayersPerS: float64(cfg.WeightLayersPerS),
+		Seed:             uint64(life),
+		Seeds:            seedContacts(cfg.Seeds),
 	}
 	d := &Daemon{config: cfg}
 	recorder, err := d.openRecorder(reducerConfig)
 	if err != nil {
 		return nil, err
 	}
-	d.node = node.New(reducer.New(reducerConfig), recorder)
-	callers := callerapi.New(cfg.NodeID, life, d.node.Post)
+	if err := d.openTracer(); err != nil {
+		return nil, err
+	}
+	d.node = node.New(reducer.New(reducerConfig), recorder, d.tracer)
+	callers := callerapi.New(cfg.NodeID, life, d.node.Post, d.tracer)
 	operators := operatorapi.New(cfg.Operators, d.node.Post, d.node.Query)
 	d.peers = peerlink.New(peerlink.Config{
 		Node: cfg.NodeID, Incarnation: life, Address: cfg.PeerAddress, TLS: cfg.PeerTLS,
@@ -103,6 +108,18 @@
 	return trace.NewWriter(file, trace.Header{Config: header})
 }
 
+func (d *Daemon) openTracer() error {
+	if d.config.SpanFile == "" {
+		return nil
+	}
+	file, err := os.Create(d.config.SpanFile)
+	if err != nil {
+		return errors.Wrap(err, "create span file; check span_file")
+	}
+	d.tracer, err = tracing.New(file, d.config.NodeID)
+	return err
+}
+
 // metricsHandler serves counters and, at /ready, what the balancer asks.
 func (d *Daemon) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -157,6 +174,9 @@
 		_ = s.server.Shutdown(ctx)
 	}
 	_ = d.peers.Close()
+	if err := d.tracer.Close(); err != nil {
+		return err
+	}
 	if d.recorder != nil {
 		return errors.Wrap(d.recorder.Close(), "close event file")
 	}
--- a/internal/reducer/settings.go
+++ b/internal/reducer/settings.go
@@ -43,6 +43,7 @@
 	s.peers.Tell(c, s.update())
 	s.follower.WriteSnapshot(c, s.peers.First())
 	s.committer.RevisionInForce(c, now)
+	s.trackLeases(c)
 }
 
 func (s *State) settingsRead(c *decision.Context, ev event.RowsRead) {
--- a/internal/reducer/stream.go
+++ b/internal/reducer/stream.go
@@ -119,7 +119,7 @@
 		s.fail(c, request, capacityFault(fault.Failed))
 		return
 	}
-	want := &routing.Request{Pipeline: pipeline, PrefixKey: request.PrefixKey}
+	want := s.route(c, request, pipeline)
 	if lost != "" {
 		want.Avoid = map[model.TargetID]bool{lost: true}
 	}
@@ -166,6 +166,7 @@
 
 func (s *State) remove(c *decision.Context, request *attempt.Request) {
 	s.targets.Ended(request.Chain)
+	s.gates.Ended(c.Now, request.Pipeline, request.Workspace)
 	delete(s.requests, request.ID)
 	c.Stop(timer.StreamSilent, string(request.ID))
 	c.Stop(timer.RetryRequest, string(request.ID))
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -45,6 +45,10 @@
 	InFlight uint32
 	// SentSince counts what this node sent since the last report.
 	SentSince uint32
+	// LoadAverage is the running average of the jobs that reports state;
+	// InFlightAverage is that of InFlight at the same moments.
+	LoadAverage     float64
+	InFlightAverage float64
 }
 
 // Usable is true for a target that may get new work.
@@ -58,6 +62,7 @@
 // Table is what this node knows of all targets.
 type Table struct {
 	targets map[model.TargetID]*Target
+	pools   []*Pool
 }
 
 // New returns an empty table.
@@ -125,6 +130,7 @@
 		target.Cache = nil
 		target.Sequence = 0
 	}
+	target.averageLoad(ev)
 	target.Reported = true
 	target.Connected = true
 	target.Model = ev.Model
@@ -139,6 +145,7 @@
 	target.SentSince = 0
 	target.takeLinks(ev.Links)
 	target.takeCache(ev.Sequence, ev.Cache)
+	t.regroup(target)
 	if ev.Leaving {
 		t.Mark(c, ev.Target, target.Incarnation, event.TargetLeaving)
 	}
