Answer a change that waits for a revision nobody serves

Cause: a change proposed on a node that has heard of a newer revision waited for it without a timer, so that its operator got no answer when neither a peer nor the platform served that revision.

Proof first: 'answers an operator although a revision heard of can be fetched nowhere' of internal/spread failed, no answer after 11 s. A second new spec keeps nodes with another change under the same revision apart; it passed at once.

Change: the wait ends after 10 s with 'in doubt', as for a lost answer.

--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -85,6 +85,7 @@
 	}
 	if head := m.follower.Head(); head > m.follower.Revision() {
 		p.waitingFor = head
+		c.After(timer.ChangeRetry, string(p.change.ID), settleWithin)
 		m.follower.Heard(c, head)
 		return
 	}
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -151,9 +151,25 @@
 		expectNoFault(n)
 	})
 
-	It("raises an alarm for another change under a revision in force", func() {
+	It("answers an operator although a revision heard of can be fetched nowhere", func() {
+		n := started(1)
+		n.Send(0, 0, event.PeerHeartbeatReceived{From: "entry-gone", Incarnation: 1, Reply: true, Revision: 9})
+		n.Run(time.Second)
+		var refusal *event.AnswerChange
+		n.Effect = func(_ int, effect event.Effect) {
+			if answer, ok := effect.(event.AnswerChange); ok {
+				refusal = &answer
+			}
+		}
+		propose(n, 0, "behind")
+		n.Run(11 * time.Second)
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.Fault).NotTo(BeNil())
+	})
+
+	It("keeps apart nodes that hold another change under the same revision", func() {
 		n := started(2)
-		digest := n.Nodes[0].State.Follower().Digest()
+		digest := n.Nodes[2].State.Follower().Digest()
 		row := n.Platform.Table.Read([]string{spread.ChangeKey(2)})[0]
 		var change event.Change
 		Expect(json.Unmarshal(row.Value, &change)).To(Succeed())
@@ -166,6 +182,19 @@
 			Expect(node.State.Follower().Alarms()).To(ContainElement(ContainSubstring("another change")))
 			Expect(node.State.Follower().Digest()).To(Equal(digest))
 		}
+		n.Cut[fakes.Zone(2)] = true
+		for _, i := range []int{0, 1, 3} {
+			n.Start(i, 4)
+		}
+		n.Run(10 * time.Second)
+		delete(n.Cut, fakes.Zone(2))
+		propose(n, 0, "on-the-other")
+		n.Run(time.Minute)
+		Expect(revisions(n)).To(Equal([]int{3, 3, 2, 3}))
+		Expect(n.Nodes[2].State.Follower().Digest()).To(Equal(digest))
+		for _, node := range n.Nodes {
+			Expect(node.State.Follower().Alarms()).To(ContainElement(ContainSubstring("differ")))
+		}
 		expectNoFault(n)
 	})
 
