--- a/internal/load/callers.go
+++ b/internal/load/callers.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"connectrpc.com/connect"
+
 	tamarackv1 "tamarackreach/gen/tamarack/v1"
 	"tamarackreach/internal/callerapi"
 	"tamarackreach/internal/deployment"
@@ -43,7 +45,8 @@
 	a.CutAllowed = p.balancer.wasTouched(entry)
 	if a.Outcome == audit.Cut {
 		a.Error = err.Error()
-		if ctx.Err() != nil {
+		// The entry VM knows the caller's deadline and may end the wait first.
+		if ctx.Err() != nil || connect.CodeOf(err) == connect.CodeDeadlineExceeded {
 			a.Outcome = audit.GaveUp
 		}
 	}
--- a/internal/load/finish.go
+++ b/internal/load/finish.go
@@ -86,7 +86,7 @@
 }
 
 // logCheckTimeout bounds the reading of the logs of the stand-ins.
-const logCheckTimeout = 10 * time.Second
+const logCheckTimeout = 5 * time.Second
 
 // finish checks the promises and sums the run up.
 func (p *Player) finish(ctx context.Context, s *scenario.Scenario, injected []Injected, processes []report.Process) Result {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	readyTimeout = 20 * time.Second
+	readyTimeout = 15 * time.Second
 	pollInterval = 20 * time.Millisecond
 )
 
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -15,7 +15,7 @@
 
 const (
 	// drainTimeout bounds the wait for what is in progress after the load.
-	drainTimeout = 25 * time.Second
+	drainTimeout = 20 * time.Second
 	// The streams of the generator, so that one does not shift the other.
 	requestStream = 1
 	callStream    = 2
--- a/internal/load/setup.go
+++ b/internal/load/setup.go
@@ -101,8 +101,12 @@
 func (p *Player) awaitTargets(ctx context.Context) error {
 	want := p.deployment.Shape.Engines + p.deployment.Shape.Services
 	for i := range p.deployment.Entries {
-		if err := retryFast(ctx, func() bool { return p.liveTargets(ctx, i) == want }); err != nil {
-			return errors.Wrapf(err, "%s sees %d of %d targets", p.deployment.Entries[i].NodeID, p.liveTargets(context.Background(), i), want)
+		live := 0
+		if err := retryFast(ctx, func() bool {
+			live = p.liveTargets(ctx, i)
+			return live == want
+		}); err != nil {
+			return errors.Wrapf(err, "%s sees %d of %d targets", p.deployment.Entries[i].NodeID, live, want)
 		}
 	}
 	p.say("%d targets are live on %d entry VMs", want, len(p.deployment.Entries))
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -11,16 +11,12 @@
 supervisors=
 player=
 
-# stop_child ends the process of a supervisor: gently, then at once.
+# stop_child ends a process of a supervisor: gently, then at once.
 stop_child() {
 	kill -CONT "$1" 2>/dev/null || return 0
 	kill "$1" 2>/dev/null || return 0
-	tries=0
-	while kill -0 "$1" 2>/dev/null && [ "$tries" -lt 30 ]; do
-		sleep 0.1
-		tries=$((tries + 1))
-	done
-	kill -KILL "$1" 2>/dev/null || true
+	(sleep 3 && kill -KILL "$1") >/dev/null 2>&1 &
+	wait "$1" 2>/dev/null || true
 }
 
 # supervise runs a process and runs it again when it ended and the player left
