--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -50,6 +50,7 @@
 	QuotaExceeded       Code = "quota_exceeded"
 	DeadlineUnreachable Code = "deadline_unreachable"
 	NoCapacity          Code = "no_capacity"
+	Overloaded          Code = "overloaded"
 	NotReady            Code = "not_ready"
 	Quarantined         Code = "quarantined"
 	RetriesExhausted    Code = "retries_exhausted"
@@ -63,6 +64,7 @@
 	UnknownTarget       Code = "unknown_target"
 	UnknownRevision     Code = "unknown_revision"
 	SettingInvalid      Code = "setting_invalid"
+	SettingsDiverged    Code = "settings_diverged"
 )
 
 // Fault is a refusal with its remedy.
