--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -261,9 +261,11 @@
 	for i := range 30 {
 		report.Links = append(report.Links, &tamarackv1.LinkReport{ToTargetId: string(engineID(i)), LatencyUs: 4000})
 	}
+	vm := &tamarackv1.Vm{Id: string(engineID(1)), Incarnation: 1, Zone: "lisboa", Role: string(event.RoleEngine), Address: "10.0.0.1:7000", Accelerator: "a100"}
 	for b.Loop() {
 		_, _ = proto.Marshal(frame)
 	}
+	b.ReportMetric(float64(proto.Size(vm)), "B/vm")
 	b.ReportMetric(float64(proto.Size(frame)), "B/frame")
 	b.ReportMetric(float64(proto.Size(report)), "B/report")
 }
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -16,7 +16,9 @@
 	kill -CONT "$1" 2>/dev/null || return 0
 	kill "$1" 2>/dev/null || return 0
 	(sleep 3 && kill -KILL "$1") >/dev/null 2>&1 &
+	late=$!
 	wait "$1" 2>/dev/null || true
+	kill "$late" 2>/dev/null || true
 }
 
 # supervise runs a process and runs it again when it ended and the player left
