--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -102,22 +102,31 @@
 	s := reducer.New(reducer.Config{Node: "n", Incarnation: 1, Zone: "z", EntryNodes: 1, Seed: 1})
 	s.Reduce(1, 0, event.NodeStarted{})
 	first := change(engines, workspaces)
-	value, _ := json.Marshal(first)
+	tree, _ := settings.NewTree().Apply(&first)
+	treeJSON, _ := json.Marshal(tree)
+	snapshot, _ := json.Marshal(spread.Snapshot{Revision: 1, Tree: treeJSON})
 	head, _ := json.Marshal(spread.RevisionRow{Revision: 1})
+	s.Reduce(1, 0, event.ObjectRead{Key: spread.SnapshotKey, Body: snapshot, Found: true})
 	s.Reduce(1, 0, event.RowsRead{Read: "spread/head", Rows: []model.Row{{Key: spread.HeadKey, Value: head, Version: 1}}})
-	s.Reduce(1, 0, event.RowsRead{Read: "spread/changes", Rows: []model.Row{{Key: spread.ChangeKey(1), Value: value, Version: 1}}})
 	s.Reduce(1, 0, event.VMsListed{VMs: vms(engines)})
 	for i := range engines {
 		s.Reduce(1, 0, engineReport(i, engines, 1))
 	}
+	s.Reduce(at(0), 0, event.Tick{})
 	return s
 }
 
+// at returns the instant of a numbered event; the node has been up for a while.
+func at(i int) model.Instant {
+	const up = 10 * time.Second
+	return model.Instant(up + time.Duration(i)*time.Millisecond)
+}
+
 // arrive sends a request and returns the receipts of its chain.
 func arrive(b *testing.B, s *reducer.State, i int) (model.RequestID, []model.Receipt) {
 	id := model.RequestID(fmt.Sprintf("n-%d", i))
 	prompt := strings.Repeat("p", promptBytes-20) + fmt.Sprintf("%020d", i)
-	effects := s.Reduce(model.Instant(i+2)*model.Instant(time.Millisecond), 0, event.RequestArrived{
+	effects := s.Reduce(at(i), 0, event.RequestArrived{
 		Request: id, WorkspaceKey: workspaceKey, Model: "m", Prompt: prompt, MaxTokens: 256, FirstTokenWithin: time.Hour,
 	})
 	for _, effect := range effects {
@@ -141,7 +150,7 @@
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				id, _ := arrive(b, s, i)
-				s.Reduce(model.Instant(i+2)*model.Instant(time.Millisecond), 0, event.CallerGone{Request: id})
+				s.Reduce(at(i), 0, event.CallerGone{Request: id})
 			}
 		})
 	}
@@ -157,11 +166,11 @@
 	var receipts []model.Receipt
 	for i := 0; b.Loop(); i++ {
 		if i%tokens == 0 {
-			s.Reduce(2, 0, event.CallerGone{Request: id})
+			s.Reduce(at(request), 0, event.CallerGone{Request: id})
 			id, receipts = arrive(b, s, request)
 			request++
 		}
-		s.Reduce(model.Instant(request+2)*model.Instant(time.Millisecond), 0, &event.TokenArrived{
+		s.Reduce(at(request), 0, &event.TokenArrived{
 			Request: id, Attempt: 1, Index: model.TokenIndex(i % tokens), Text: "token", Receipts: receipts,
 		})
 	}
@@ -172,12 +181,12 @@
 func BenchmarkRequestMemory(b *testing.B) {
 	const requests, tokens = 2000, 100
 	for b.Loop() {
-		s := ready(40, 10)
+		s := ready(1000, 10)
 		before := liveBytes()
 		for i := range requests {
 			id, receipts := arrive(b, s, i)
 			for index := range tokens {
-				s.Reduce(model.Instant(i+2)*model.Instant(time.Millisecond), 0, &event.TokenArrived{
+				s.Reduce(at(i), 0, &event.TokenArrived{
 					Request: id, Attempt: 1, Index: model.TokenIndex(index), Text: fmt.Sprint(index), Receipts: receipts,
 				})
 			}
