--- a/internal/reducer/dispatch.go
+++ b/internal/reducer/dispatch.go
@@ -33,7 +33,7 @@
 	case event.CallCut:
 		s.callCut(c, ev)
 	case event.EngineReported:
-		s.targets.Reported(c, ev)
+		s.engineReported(c, ev)
 	case event.TargetLost:
 		s.targetLost(c, ev)
 	case event.VMsListed:
@@ -173,6 +173,8 @@
 	case timer.OrderRetry:
 		s.orders.Reconcile(c, model.PipelineID(key.ID), s.follower.View(), s.targets)
 	case timer.TargetProbe:
-		s.targets.ProbeDue(c, model.TargetID(key.ID))
+		s.probeDue(c, model.TargetID(key.ID))
+	case timer.QuarantineLapse:
+		s.quarantineLapse(c)
 	}
 }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -52,8 +52,13 @@
 	FramesDropped     uint64
 	StagesReplaced    uint64
 	StreamsRedialled  uint64
-	CallsSent         uint64
-	ChangesInForce    uint64
+	StreamsStalled    uint64
+	RetriesRefused    uint64
+	// RequestsQuarantined counts requests ended because their content crashes
+	// targets.
+	RequestsQuarantined uint64
+	CallsSent           uint64
+	ChangesInForce      uint64
 	// PeerMessages counts heartbeats received.
 	PeerMessages uint64
 }
@@ -77,6 +82,10 @@
 	news       news
 	requests   map[model.RequestID]*attempt.Request
 	calls      map[model.RequestID]*plainCall
+	// budget bounds the work that recovery adds.
+	budget *attempt.Budget
+	// isolated holds, by target, the suspect that runs there alone.
+	isolated map[model.TargetID]model.RequestID
 
 	// shuttingDown is true from SIGTERM on; the balancer is told.
 	shuttingDown bool
@@ -110,6 +119,8 @@
 		news:     newNews(),
 		requests: make(map[model.RequestID]*attempt.Request),
 		calls:    make(map[model.RequestID]*plainCall),
+		budget:   attempt.NewBudget(),
+		isolated: make(map[model.TargetID]model.RequestID),
 	}
 }
 
