Count a stall for the failure that made it

Cause: a gap between tokens that began before the next failure was counted for the failure before it, so that crash_target showed 6.9 to 7.0 s, the time until the next failure at 6 s plus its stall. Proof: with a second failure 3 s earlier the spec found 5 stalled streams where there are none. Change: a gap counts only if it was a stall already when the next failure came.

--- a/internal/report/recovery.go
+++ b/internal/report/recovery.go
@@ -86,14 +86,15 @@
 	}
 }
 
-// lastStall returns the end of the last stall of a stream that begins before
-// the horizon and ends after the failure.
+// lastStall returns the end of the last stall of a stream that ends after the
+// failure and was one already at the horizon; a gap that the next failure made
+// long is that one's.
 func lastStall(a *audit.Answer, at, until, stall time.Duration) (end time.Duration, stalled bool) {
 	previous := a.Sent
 	for i := range a.Tokens {
 		token := &a.Tokens[i]
 		started := i > 0
-		if started && token.At > at && previous < until && token.At-previous > stall {
+		if started && token.At > at && min(token.At, until)-previous > stall {
 			end = token.At
 			stalled = true
 		}
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -32,7 +32,10 @@
 		}
 		run.Answers = append(run.Answers, a)
 	}
-	run.Failures = []report.Failure{{Name: "crash", At: 5 * time.Second, Ended: 5 * time.Second}}
+	run.Failures = []report.Failure{
+		{Name: "race", At: 2 * time.Second, Ended: 2 * time.Second},
+		{Name: "crash", At: 5 * time.Second, Ended: 5 * time.Second},
+	}
 	run.Calls = []audit.Call{{Sent: 5100 * time.Millisecond, Ended: 5400 * time.Millisecond, Outcome: audit.RefusedNotRun, Code: "platform_unavailable"}}
 	return run
 }
@@ -44,8 +47,9 @@
 		Expect(r.ThroughputOverBound).To(BeNumerically("~", (80*10-5*15)/8.0/200, 1e-9))
 		Expect(r.FirstTokenMs.P95).To(BeNumerically("~", 50, 0.1))
 		Expect(r.BetweenTokensMs.P50).To(BeNumerically("~", 100, 0.1))
-		Expect(r.Recoveries).To(HaveLen(1))
-		recovery := r.Recoveries[0]
+		Expect(r.Recoveries).To(HaveLen(2))
+		Expect(r.Recoveries[0].Stalled).To(BeZero(), "the stall of the later failure")
+		recovery := r.Recoveries[1]
 		Expect(recovery.Stalled).To(Equal(5))
 		Expect(recovery.StreamsMs).To(BeNumerically("~", 1550, 1e-6))
 		Expect(recovery.ThroughputMs).To(BeNumerically("~", 2000, 100))
