Split quotas into shares that move by demand and never sum to more

Cause: every node took an even part of each quota by the number of entry VMs in its settings, so that a replaced or an extra process spent a part that another one held, and a busy node could not use what an idle one left.

Change: a node claims one of entry_nodes slots in the table service at its start and spends nothing before. A slot starts with an even share of each workspace's quota. Shares move in one row for each workspace: a node stops to use what it gives up before it writes, and uses what it takes after the write took effect; after a lost answer the lesser entry holds until the row shows a later version. A slot passes on when its owner released it (shutdown) or came back as a later incarnation. Peers' notes only tell where a share is needed.

Ruled out: transfers by heartbeat alone (a note names no receiver and no acknowledgement) and lapse by time (a node that is cut off has to keep what it holds).

Proof: a rapid test over 2 to 5 nodes with lost, late and doubled messages, restarts and replacements.

Conclusion: kept; the cost is one write per node and start, and one for each share that moves.

--- a/internal/reducer/admit.go
+++ b/internal/reducer/admit.go
@@ -113,15 +113,15 @@
 }
 
 func (s *State) takeQuota(c *decision.Context, request *attempt.Request, workspace *settings.Workspace) *fault.Fault {
-	share := float64(workspace.SharesTokensPerS[request.Pipeline]) / float64(max(s.config.EntryNodes, 1))
-	wait, ok := s.quotas.Take(c.Now, request.Workspace, request.Pipeline, share, request.MaxTokens)
+	quota := workspace.SharesTokensPerS[request.Pipeline]
+	wait, ok := s.quotas.Take(c.Now, request.Workspace, request.Pipeline, quota, request.MaxTokens)
 	if ok {
 		return nil
 	}
 	return &fault.Fault{
 		Kind: fault.NotRun, Code: fault.QuotaExceeded,
 		Message: fmt.Sprintf("workspace %s is over its share of pipeline %s", request.Workspace, request.Pipeline),
-		Remedy:  "come back later, or ask the team for a larger share", RetryAfter: wait,
+		Remedy:  "come back later, or ask the team for a larger share", RetryAfter: c.Jitter(wait),
 	}
 }
 
--- a/internal/reducer/dispatch.go
+++ b/internal/reducer/dispatch.go
@@ -6,6 +6,7 @@
 	"tamarackreach/internal/event"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/once"
+	"tamarackreach/internal/quota"
 	"tamarackreach/internal/spread"
 	"tamarackreach/internal/timer"
 )
@@ -70,6 +71,8 @@
 		s.ledger.TransactionDone(c, ev)
 	case commit.Owns(ev.Transaction):
 		s.committer.TransactionDone(c, ev)
+	case quota.Owns(ev.Transaction):
+		s.quotas.TransactionDone(c, ev)
 	}
 }
 
@@ -79,6 +82,8 @@
 		s.ledger.TransactionUnknown(c, ev)
 	case commit.Owns(ev.Transaction):
 		s.committer.TransactionUnknown(c, ev)
+	case quota.Owns(ev.Transaction):
+		s.quotas.TransactionUnknown(ev)
 	}
 }
 
@@ -88,6 +93,8 @@
 		s.ledger.RowsRead(c, ev)
 	case commit.Owns(ev.Read):
 		s.committer.RowsRead(c, ev)
+	case quota.Owns(ev.Read):
+		s.quotas.RowsRead(c, ev)
 	case spread.Owns(ev.Read):
 		s.settingsRead(c, ev)
 	}
@@ -133,6 +140,9 @@
 		s.pollVMs(c)
 	case timer.ShutdownLag:
 		s.refusing = true
+		s.quotas.Release(c)
+	case timer.QuotaRebalance:
+		s.quotas.Due(c, s.follower.View())
 	case timer.TargetProbe:
 		s.targets.ProbeDue(c, model.TargetID(key.ID))
 	}
--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -14,6 +14,7 @@
 
 func (s *State) nodeStarted(c *decision.Context) {
 	s.follower.Start(c)
+	s.quotas.Start(c)
 	s.pollVMs(c)
 }
 
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -86,7 +86,7 @@
 		targets:    targets.New(),
 		ledger:     once.New(config.Node, config.Incarnation),
 		quarantine: quarantine.New(),
-		quotas:     quota.New(),
+		quotas:     quota.New(config.Node, config.Incarnation, config.EntryNodes),
 		gates:      admission.New(),
 		requests:   make(map[model.RequestID]*attempt.Request),
 		calls:      make(map[model.RequestID]*plainCall),
