--- a/internal/reducer/dispatch.go
+++ b/internal/reducer/dispatch.go
@@ -7,6 +7,7 @@
 	"tamarackreach/internal/leases"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/once"
+	"tamarackreach/internal/quota"
 	"tamarackreach/internal/spread"
 	"tamarackreach/internal/timer"
 )
@@ -93,6 +94,8 @@
 		s.ledger.TransactionDone(c, ev)
 	case commit.Owns(ev.Transaction):
 		s.committer.TransactionDone(c, ev)
+	case quota.Owns(ev.Transaction):
+		s.quotas.TransactionDone(c, ev)
 	}
 }
 
@@ -104,6 +107,8 @@
 		s.ledger.TransactionUnknown(c, ev)
 	case commit.Owns(ev.Transaction):
 		s.committer.TransactionUnknown(c, ev)
+	case quota.Owns(ev.Transaction):
+		s.quotas.TransactionUnknown(ev)
 	}
 }
 
@@ -115,6 +120,8 @@
 		s.ledger.RowsRead(c, ev)
 	case commit.Owns(ev.Read):
 		s.committer.RowsRead(c, ev)
+	case quota.Owns(ev.Read):
+		s.quotas.RowsRead(c, ev)
 	case spread.Owns(ev.Read):
 		s.settingsRead(c, ev)
 	}
@@ -170,10 +177,13 @@
 		s.pollVMs(c)
 	case timer.ShutdownLag:
 		s.refusing = true
+		s.quotas.Release(c)
 	case timer.LeaseRenew:
 		s.leases.RenewDue(c, model.PipelineID(key.ID), s.liveNodes())
 	case timer.OrderRetry:
 		s.orders.Reconcile(c, model.PipelineID(key.ID), s.follower.View(), s.targets)
+	case timer.QuotaRebalance:
+		s.quotas.Due(c, s.follower.View())
 	case timer.TargetProbe:
 		s.probeDue(c, model.TargetID(key.ID))
 	case timer.QuarantineLapse:
