--- /dev/null
+++ b/internal/reducer/leases.go
@@ -0,0 +1,37 @@
+package reducer
+
+import (
+	"maps"
+	"slices"
+
+	"tamarackreach/internal/decision"
+	"tamarackreach/internal/event"
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/timer"
+)
+
+// trackLeases follows the pipelines of the settings in force: each has a lease
+// and is compared with what its targets hold, at once and then regularly.
+func (s *State) trackLeases(c *decision.Context) {
+	view := s.follower.View()
+	pipelines := slices.Sorted(maps.Keys(view.Pipelines()))
+	s.leases.Track(c, pipelines)
+	for _, id := range pipelines {
+		c.After(timer.OrderRetry, string(id), 0)
+	}
+	s.orders.Forget(func(id model.TargetID) bool {
+		_, known := s.targets.Get(id)
+		return known
+	})
+}
+
+// liveNodes returns the entry VMs taken for alive, this node included.
+func (s *State) liveNodes() []model.NodeID {
+	nodes := []model.NodeID{s.config.Node}
+	for _, peer := range s.peers.All() {
+		if peer.Status == event.PeerAlive {
+			nodes = append(nodes, peer.Node)
+		}
+	}
+	return nodes
+}
--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -6,6 +6,7 @@
 	"tamarackreach/internal/decision"
 	"tamarackreach/internal/event"
 	"tamarackreach/internal/fault"
+	"tamarackreach/internal/quarantine"
 	"tamarackreach/internal/timer"
 )
 
@@ -15,7 +16,16 @@
 func (s *State) nodeStarted(c *decision.Context) {
 	s.follower.Start(c)
 	s.quotas.Start(c)
+	s.peers.Start(c)
 	s.pollVMs(c)
+	s.quarantineLapse(c)
+}
+
+// quarantineLapse forgets content that was held against its caller for long
+// enough.
+func (s *State) quarantineLapse(c *decision.Context) {
+	s.quarantine.Lapse(c.Now)
+	c.After(timer.QuarantineLapse, "", quarantine.Lapse)
 }
 
 func (s *State) pollVMs(c *decision.Context) {
@@ -26,6 +36,7 @@
 func (s *State) vmsListed(c *decision.Context, ev event.VMsListed) {
 	if !ev.Failed {
 		s.targets.Listed(c, ev.VMs)
+		s.peers.Listed(c, ev.VMs)
 	}
 }
 
@@ -42,27 +53,10 @@
 	c.Emit(event.AnswerChange{Request: ev.Request, Revision: s.follower.Revision()})
 }
 
-func (s *State) changeProposed(c *decision.Context, ev event.ChangeProposed) {
-	if refusal := s.notReady(); refusal != nil {
-		c.Emit(event.AnswerChange{Request: ev.Request, Fault: refusal})
-		return
-	}
-	s.committer.Propose(c, ev)
-}
-
-// settingsRead takes in a read of the follower and goes on with the changes
-// that waited for a newer revision.
-func (s *State) settingsRead(c *decision.Context, ev event.RowsRead) {
-	before := s.follower.Revision()
-	s.follower.RowsRead(c, ev)
-	if now := s.follower.Revision(); now > before {
-		s.counters.ChangesInForce += uint64(now - before)
-		s.committer.RevisionInForce(c, now)
-	}
-}
-
 func (s *State) shutdownRequested(c *decision.Context) {
 	s.shuttingDown = true
+	s.peers.Leave()
+	s.peers.Tell(c, s.update())
 	c.After(timer.ShutdownLag, "", s.config.ShutdownLag)
 	c.Emit(event.LogChange{Message: "shutting down; requests in progress run to their end"})
 }
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -22,6 +22,9 @@
 	// fullPenalty is the time per token that a full target counts for, so that
 	// it is picked only when nothing else is left.
 	fullPenalty = time.Second
+	// crowdingWeight is the part by which a token's time counts for more on a
+	// target whose even part of slots is in use.
+	crowdingWeight = 2.0
 	// maxHerd is the number of entry VMs that are taken to send the same at the
 	// same moment; more draw different candidates.
 	maxHerd = 4.0
@@ -40,7 +43,8 @@
 		c.token = g.tokenTime(c.target)
 		c.prefill = g.prefillTime(c.target)
 		fullness := g.fullness(c.target, PaceTarget)
-		weighed := time.Duration(float64(c.token) * (1 + fullness))
+		crowding := float64(c.target.InFlight) / g.evenPart(c.target, PaceTarget)
+		weighed := time.Duration(float64(c.token) * (1 + crowdingWeight*crowding))
 		if fullness >= 1 {
 			weighed += fullPenalty
 		}
@@ -89,14 +93,19 @@
 // a target's reports show to be free is lent to those who ask.
 func (g *graph) fullness(target *targets.Target, pace time.Duration) float64 {
 	batch := float64(max(target.MaxBatch, 1))
-	slots := batch * float64(pace) / float64(step(target))
 	load := target.LoadAverage / (busyJobs * batch)
 	relief := g.nodes
 	if load > 0 {
 		relief = min(max(reliefLoad/load, 1), g.nodes)
 	}
-	own := max(slots/g.nodes*relief, 1)
-	return float64(target.InFlight) / own
+	return float64(target.InFlight) / (g.evenPart(target, pace) * relief)
+}
+
+// evenPart is this node's part of a target's slots when all entry VMs send the
+// same; it is at least one.
+func (g *graph) evenPart(target *targets.Target, pace time.Duration) float64 {
+	slots := float64(max(target.MaxBatch, 1)) * float64(pace) / float64(step(target))
+	return max(slots/g.nodes, 1)
 }
 
 func link(from, to *targets.Target) time.Duration {
