--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -1,4 +1,4 @@
-package quota
+package quota_test
 
 import (
 	"fmt"
@@ -15,10 +15,14 @@
 	"tamarackreach/internal/event"
 	"tamarackreach/internal/fakes"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/quota"
 	"tamarackreach/internal/settings"
 	"tamarackreach/internal/timer"
 )
 
+// whole is a whole quota, per mille.
+const whole = 1000
+
 func TestQuota(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "quota")
@@ -28,7 +32,7 @@
 type node struct {
 	id     model.NodeID
 	life   model.Incarnation
-	shares *Shares
+	shares *quota.Shares
 	c      *decision.Context
 	sent   []event.Effect
 }
@@ -68,7 +72,7 @@
 	n.life++
 	n.sent = nil
 	n.c = &decision.Context{Now: w.now, Timers: timer.New(), Rand: rand.New(rand.NewPCG(w.seed, 0))}
-	n.shares = New(n.id, n.life, uint32(len(w.nodes)))
+	n.shares = quota.New(n.id, n.life, uint32(len(w.nodes)))
 	n.shares.Start(n.c)
 	n.collect()
 }
