Give a starting entry VM the list of VMs from its peers

Cause: an entry VM replaced in an outage got its settings from peers, but knew no target until the platform listed them again, so that it could not serve. The spec had waited for the end of the outage before it asked for an answer.

Change: a peer that serves a node without any revision adds the list of VMs as it last read it. The spec now asks for an answer during the outage; it passes (TAMARACK_BIN=$PWD/bin go test -count=1 ./e2e/ -ginkgo.focus 'settings on real'). It was not run without the change.

--- a/e2e/settings_test.go
+++ b/e2e/settings_test.go
@@ -79,8 +79,7 @@
 		c.kill("entry-2")
 		c.start("entry-2")
 		Eventually(func() uint64 { return c.revisionOn(ctx, 1) }, 10*time.Second, 20*time.Millisecond).Should(Equal(revision))
-		c.setFaults(ctx, c.Platform, &tamarackv1.Faults{})
-		Eventually(func() bool { return c.serves(ctx, 1, "again") }, 10*time.Second, 100*time.Millisecond).Should(BeTrue(), c.logs)
+		Eventually(func() bool { return c.serves(ctx, 1, "during the outage") }, 10*time.Second, 100*time.Millisecond).Should(BeTrue(), c.logs)
 	})
 
 	It("catches up on an entry VM that was frozen", func(ctx SpecContext) {
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -194,6 +194,8 @@
 		Changes          []Change       `json:"changes"`
 		// Digest is the digest of the changes up to SnapshotRevision.
 		Digest LogDigest `json:"digest"`
+		// VMs is the platform's list as last read, for a node that starts.
+		VMs []VM `json:"vms"`
 	}
 
 	// LogChange writes one log line for a change of state.
--- a/internal/peerlink/messages.go
+++ b/internal/peerlink/messages.go
@@ -7,6 +7,7 @@
 	"tamarackreach/internal/event"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/operatorapi"
+	"tamarackreach/internal/platformclient"
 )
 
 // Encode converts an effect of a node to the message it sends; nil for effects
@@ -73,6 +74,12 @@
 	for _, change := range effect.Changes {
 		message.Changes = append(message.Changes, operatorapi.ChangeMessage(change))
 	}
+	for _, vm := range effect.VMs {
+		message.Vms = append(message.Vms, &tamarackv1.Vm{
+			Id: vm.ID, Incarnation: uint64(vm.Incarnation), Zone: string(vm.Zone), Role: string(vm.Role), Address: vm.Address,
+			PeerAddress: vm.PeerAddress, Accelerator: string(vm.Accelerator), Leaving: vm.Leaving,
+		})
+	}
 	return message
 }
 
@@ -96,6 +103,9 @@
 		for _, change := range reply.Changes {
 			offered.Changes = append(offered.Changes, operatorapi.ChangeOf(change))
 		}
+		for _, vm := range reply.Vms {
+			offered.VMs = append(offered.VMs, platformclient.VMOf(vm))
+		}
 		return offered
 	}
 	return nil
--- a/internal/platformclient/platformclient.go
+++ b/internal/platformclient/platformclient.go
@@ -133,13 +133,14 @@
 		}
 		listed := event.VMsListed{VMs: make([]event.VM, 0, len(response.Msg.Vms))}
 		for _, vm := range response.Msg.Vms {
-			listed.VMs = append(listed.VMs, vmOf(vm))
+			listed.VMs = append(listed.VMs, VMOf(vm))
 		}
 		return listed
 	})
 }
 
-func vmOf(vm *tamarackv1.Vm) event.VM {
+// VMOf converts an entry of the list of VMs from its message.
+func VMOf(vm *tamarackv1.Vm) event.VM {
 	return event.VM{
 		ID:          vm.Id,
 		Incarnation: model.Incarnation(vm.Incarnation),
--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -25,6 +25,7 @@
 
 func (s *State) vmsListed(c *decision.Context, ev event.VMsListed) {
 	if !ev.Failed {
+		s.vms = ev.VMs
 		s.targets.Listed(c, ev.VMs)
 		s.peers.Listed(c, ev.VMs)
 	}
--- a/internal/reducer/settings.go
+++ b/internal/reducer/settings.go
@@ -58,12 +58,15 @@
 
 func (s *State) settingsRequested(c *decision.Context, ev event.SettingsRequested) {
 	if peer, ok := s.peers.Get(ev.From); ok {
-		s.follower.Requested(c, ev, peer.Address)
+		s.follower.Requested(c, ev, peer.Address, s.vms)
 	}
 }
 
 func (s *State) settingsOffered(c *decision.Context, ev event.SettingsOffered) {
 	s.afterSettings(c, func() { s.follower.Offered(c, ev) })
+	if len(s.vms) == 0 && len(ev.VMs) > 0 {
+		s.vmsListed(c, event.VMsListed{VMs: ev.VMs})
+	}
 }
 
 func (s *State) pollSettings(c *decision.Context) {
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -75,8 +75,10 @@
 	gates      *admission.Gates
 	peers      *peers.Members
 	news       news
-	requests   map[model.RequestID]*attempt.Request
-	calls      map[model.RequestID]*plainCall
+	// vms is the platform's list as last read.
+	vms      []event.VM
+	requests map[model.RequestID]*attempt.Request
+	calls    map[model.RequestID]*plainCall
 
 	// shuttingDown is true from SIGTERM on; the balancer is told.
 	shuttingDown bool
--- a/internal/spread/fetch.go
+++ b/internal/spread/fetch.go
@@ -101,30 +101,33 @@
 }
 
 // Requested serves a peer the changes that it lacks, or the whole tree when
-// they are no longer held. A peer whose changes differ gets none.
-func (f *Follower) Requested(c *decision.Context, ev event.SettingsRequested, address string) {
+// they are no longer held. A peer whose changes differ gets none. One that
+// starts gets the list of VMs as well, which the platform may not give it.
+func (f *Follower) Requested(c *decision.Context, ev event.SettingsRequested, address string, vms []event.VM) {
 	if ev.After > f.revision {
 		return
 	}
+	offer := event.OfferSettings{To: ev.From, Address: address}
+	if ev.After == 0 {
+		offer.VMs = vms
+	}
 	own, known := f.digestAt(ev.After)
 	changes, held := f.Since(ev.After)
 	if !known || !held {
-		f.offerTree(c, ev.From, address)
+		offer.SnapshotRevision = f.revision
+		offer.Digest = f.digest
+		offer.TreeJSON = encodeTree(f.view.Tree())
+		c.Emit(offer)
 		return
 	}
-	offer := event.OfferSettings{To: ev.From, Address: address, SnapshotRevision: ev.After, Digest: own}
+	offer.SnapshotRevision = ev.After
+	offer.Digest = own
 	if f.compare(c, ev.From, ev.After, ev.Digest) {
 		offer.Changes = changes[:min(len(changes), offerLimit)]
 	}
 	c.Emit(offer)
 }
 
-func (f *Follower) offerTree(c *decision.Context, to model.NodeID, address string) {
-	c.Emit(event.OfferSettings{
-		To: to, Address: address, SnapshotRevision: f.revision, Digest: f.digest, TreeJSON: encodeTree(f.view.Tree()),
-	})
-}
-
 // Offered takes in the changes or the tree that a peer serves.
 func (f *Follower) Offered(c *decision.Context, ev event.SettingsOffered) {
 	before := f.revision
