--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -77,6 +77,8 @@
 		Within         time.Duration        `json:"within_ns"`
 		// Deadline is checked again just before the first byte leaves.
 		Deadline model.Instant `json:"deadline"`
+		// Once is true for a call that may not be repeated.
+		Once bool `json:"once"`
 	}
 
 	// AnswerCall ends a call with its answer.
@@ -91,6 +93,8 @@
 		Transaction string      `json:"transaction"`
 		Conditions  []Condition `json:"conditions"`
 		Writes      []Write     `json:"writes"`
+		// Requests names those that wait for it, for their spans.
+		Requests []model.RequestID `json:"requests,omitempty"`
 	}
 
 	// ReadRows reads table rows, by key or by prefix.
@@ -100,6 +104,8 @@
 		Prefix   string   `json:"prefix"`
 		StartKey string   `json:"start_key"`
 		Limit    uint32   `json:"limit"`
+		// Requests names those that wait for it, for their spans.
+		Requests []model.RequestID `json:"requests,omitempty"`
 	}
 
 	// ReadObject reads an object of the object store.
@@ -121,6 +127,8 @@
 		Target      model.TargetID    `json:"target"`
 		Incarnation model.Incarnation `json:"incarnation"`
 		Address     string            `json:"address"`
+		// Watch numbers the watches of the target.
+		Watch uint64 `json:"watch"`
 	}
 
 	// UnwatchTarget closes it.
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -52,8 +52,13 @@
 	FramesDropped     uint64
 	StagesReplaced    uint64
 	StreamsRedialled  uint64
-	CallsSent         uint64
-	ChangesInForce    uint64
+	StreamsStalled    uint64
+	RetriesRefused    uint64
+	// RequestsQuarantined counts requests ended because their content crashes
+	// targets.
+	RequestsQuarantined uint64
+	CallsSent           uint64
+	ChangesInForce      uint64
 	// PeerMessages counts heartbeats received.
 	PeerMessages uint64
 }
@@ -76,9 +81,14 @@
 	peers      *peers.Members
 	news       news
 	// vms is the platform's list as last read.
-	vms      []event.VM
+	vms []event.VM
+
 	requests map[model.RequestID]*attempt.Request
 	calls    map[model.RequestID]*plainCall
+	// budget bounds the work that recovery adds.
+	budget *attempt.Budget
+	// isolated holds, by target, the suspect that runs there alone.
+	isolated map[model.TargetID]model.RequestID
 
 	// shuttingDown is true from SIGTERM on; the balancer is told.
 	shuttingDown bool
@@ -104,7 +114,7 @@
 		leases:     leaseTable,
 		orders:     leases.NewOrders(config.Node, leaseTable, config.WeightLayersPerS),
 		quarantine: quarantine.New(),
-		quotas:     quota.New(),
+		quotas:     quota.New(config.Node, config.Incarnation, config.EntryNodes),
 		gates:      admission.New(),
 		peers: peers.New(event.PeerState{
 			Node: config.Node, Incarnation: config.Incarnation, Zone: config.Zone, Address: config.PeerAddress,
@@ -112,6 +122,8 @@
 		news:     newNews(),
 		requests: make(map[model.RequestID]*attempt.Request),
 		calls:    make(map[model.RequestID]*plainCall),
+		budget:   attempt.NewBudget(),
+		isolated: make(map[model.TargetID]model.RequestID),
 	}
 }
 
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -51,6 +51,8 @@
 	SettingsFetch
 	// SettingsGreet fires when a starting node has waited for its peers.
 	SettingsGreet
+	// LedgerFlush fires when gathered ledger rows are to be written.
+	LedgerFlush
 )
 
 // Key identifies a timer; setting a key again replaces its deadline.
