--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -80,8 +80,11 @@
 	gates      *admission.Gates
 	peers      *peers.Members
 	news       news
-	requests   map[model.RequestID]*attempt.Request
-	calls      map[model.RequestID]*plainCall
+	// vms is the platform's list as last read.
+	vms []event.VM
+
+	requests map[model.RequestID]*attempt.Request
+	calls    map[model.RequestID]*plainCall
 	// budget bounds the work that recovery adds.
 	budget *attempt.Budget
 	// isolated holds, by target, the suspect that runs there alone.
