--- a/internal/fakes/network.go
+++ b/internal/fakes/fakenet/network.go
@@ -1,4 +1,6 @@
-package fakes
+// Package fakenet is a fake network of entry VMs: real reducers over a fake
+// platform, with delay, loss, cuts and frozen nodes.
+package fakenet
 
 import (
 	"fmt"
@@ -10,6 +12,7 @@
 
 	tamarackv1 "tamarackreach/gen/tamarack/v1"
 	"tamarackreach/internal/event"
+	"tamarackreach/internal/fakes"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/peerlink"
 	"tamarackreach/internal/peers"
@@ -31,8 +34,8 @@
 	ev   event.Event
 }
 
-// FakeNode is an entry VM of a fake network.
-type FakeNode struct {
+// Node is an entry VM of a fake network.
+type Node struct {
 	State  *reducer.State
 	Frozen bool
 	// Floor is the highest revision that the node ever served under.
@@ -46,8 +49,8 @@
 // between them and one platform.
 type Network struct {
 	Now      model.Instant
-	Nodes    []*FakeNode
-	Platform *Platform
+	Nodes    []*Node
+	Platform *fakes.Platform
 	// LossPerMille is the part of the messages between nodes that is lost.
 	LossPerMille int
 	// Cut is true for zones that reach neither the others nor the platform.
@@ -69,11 +72,11 @@
 // NewNetwork starts nodes in three zones; each knows the first few as seeds.
 func NewNetwork(nodes int, seed uint64) *Network {
 	n := &Network{
-		Platform: NewPlatform(), rand: rand.New(rand.NewPCG(seed, 0)),
+		Platform: fakes.NewPlatform(), rand: rand.New(rand.NewPCG(seed, 0)),
 		order: timer.New(), life: epochMs, waiting: make(map[string]delivery), Cut: make(map[model.AvailabilityZone]bool),
 	}
 	for i := range nodes {
-		n.Nodes = append(n.Nodes, &FakeNode{})
+		n.Nodes = append(n.Nodes, &Node{})
 		n.Start(i, nodes)
 	}
 	return n
@@ -96,7 +99,7 @@
 	for j := range min(seeds, nodes) {
 		cfg.Seeds = append(cfg.Seeds, peers.Contact{Node: nodeID(j), Address: address(j)})
 	}
-	*n.Nodes[i] = FakeNode{State: reducer.New(cfg), Floor: n.Nodes[i].Floor}
+	*n.Nodes[i] = Node{State: reducer.New(cfg), Floor: n.Nodes[i].Floor}
 	n.Send(i, time.Duration(n.rand.Int64N(int64(time.Second))), event.NodeStarted{})
 }
 
@@ -144,7 +147,7 @@
 
 // check notes a node that serves below a revision it has served under, in this
 // incarnation or an earlier one.
-func (node *FakeNode) check() {
+func (node *Node) check() {
 	revision := node.State.Follower().Revision()
 	if !node.State.Ready() {
 		return
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -15,7 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"tamarackreach/internal/event"
-	"tamarackreach/internal/fakes"
+	"tamarackreach/internal/fakes/fakenet"
 	"tamarackreach/internal/model"
 )
 
@@ -26,14 +26,14 @@
 
 // watch records what the nodes of a network say.
 type watch struct {
-	*fakes.Network
+	*fakenet.Network
 	suspected, dead int
 	accepted        map[model.Revision]model.Instant
 	inForce         []time.Duration
 }
 
 func newWatch(nodes int, seed uint64) *watch {
-	w := &watch{Network: fakes.NewNetwork(nodes, seed), accepted: make(map[model.Revision]model.Instant)}
+	w := &watch{Network: fakenet.NewNetwork(nodes, seed), accepted: make(map[model.Revision]model.Instant)}
 	arrivals := make(map[model.Revision][]model.Instant)
 	w.Effect = func(_ int, effect event.Effect) {
 		switch effect := effect.(type) {
@@ -81,7 +81,7 @@
 	start := w.Now
 	for w.Now.Sub(start) < limit {
 		w.Run(step)
-		unaware := slices.ContainsFunc(w.Nodes, func(n *fakes.FakeNode) bool {
+		unaware := slices.ContainsFunc(w.Nodes, func(n *fakenet.Node) bool {
 			peer, known := n.State.Peers().Get(w.Nodes[victim].State.Config().Node)
 			return n != w.Nodes[victim] && known && peer.Status == event.PeerAlive
 		})
--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -16,6 +16,7 @@
 func (s *State) nodeStarted(c *decision.Context) {
 	s.follower.Start(c)
 	s.peers.Start(c)
+	s.quotas.Start(c)
 	s.pollVMs(c)
 	s.quarantineLapse(c)
 }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -111,7 +111,7 @@
 		leases:     leaseTable,
 		orders:     leases.NewOrders(config.Node, leaseTable, config.WeightLayersPerS),
 		quarantine: quarantine.New(),
-		quotas:     quota.New(),
+		quotas:     quota.New(config.Node, config.Incarnation, config.EntryNodes),
 		gates:      admission.New(),
 		peers: peers.New(event.PeerState{
 			Node: config.Node, Incarnation: config.Incarnation, Zone: config.Zone, Address: config.PeerAddress,
