Accept changes by write-write conflicts and a check on the head

Cause: read-write conflicts over the read set refused every raised share after any change of a workspace, although the whole tree was checked on the head anyhow; and 'tamarackctl change -id' looked in the node's memory only, so that it could not settle a change in doubt. GetChange reads the table when memory does not hold the change.

--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -2,8 +2,9 @@
 // advances the head, writes the change and a row that settles a lost answer.
 //
 // A change is accepted if no change since the revision its author looked at
-// wrote what it reads: its own paths and the paths that the invariants over it
-// rest on (read-write conflicts, as in write-snapshot isolation).
+// wrote a path that it writes, and if the whole tree passes its checks with the
+// change made on the head that the transaction replaces. The condition on the
+// head row makes the check and the write one step.
 package commit
 
 import (
@@ -136,9 +137,9 @@
 			Remedy:  "read the settings again and propose the change on them",
 		}
 	}
-	reads := tree.ReadSet(&p.change)
+	written := settings.WriteSet(&p.change)
 	for i := range later {
-		if path, conflict := settings.FirstConflict(reads, &later[i]); conflict {
+		if path, conflict := settings.FirstConflict(written, &later[i]); conflict {
 			return conflictFault(&later[i], path)
 		}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,7 +73,8 @@
 	}
 	d.node = node.New(reducer.New(reducerConfig), recorder, d.tracer)
 	callers := callerapi.New(cfg.NodeID, life, d.node.Post, d.tracer)
-	operators := operatorapi.New(cfg.Operators, d.node.Post, d.node.Query)
+	platform := platformclient.New(cfg.PlatformAddress, cfg.Zone, d.node.Post)
+	operators := operatorapi.New(cfg.Operators, d.node.Post, d.node.Query, platform)
 	d.peers = peerlink.New(peerlink.Config{
 		Node: cfg.NodeID, Incarnation: life, Address: cfg.PeerAddress, TLS: cfg.PeerTLS,
 	}, d.node.Post)
@@ -81,7 +82,7 @@
 		Callers:   callers,
 		Operators: operators,
 		Targets:   targetclient.New(d.node.Post, d.node.Now),
-		Platform:  platformclient.New(cfg.PlatformAddress, cfg.Zone, d.node.Post),
+		Platform:  platform,
 		Peers:     d.peers,
 	}
 	d.servers = []*listeningServer{
--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -30,6 +30,7 @@
 type Server struct {
 	post     func(event.Event)
 	query    func(func(*reducer.State))
+	table    RowReader
 	teams    map[string]model.TeamID
 	sequence atomic.Uint64
 
@@ -39,13 +40,18 @@
 
 var _ tamarackv1connect.OperatorServiceHandler = (*Server)(nil)
 
+// RowReader reads one row of the table service; its version is 0 if it is absent.
+type RowReader interface {
+	ReadRow(ctx context.Context, key string) (model.Row, error)
+}
+
 // New returns a server for the teams of a configuration.
-func New(operators []config.Operator, post func(event.Event), query func(func(*reducer.State))) *Server {
+func New(operators []config.Operator, post func(event.Event), query func(func(*reducer.State)), table RowReader) *Server {
 	teams := make(map[string]model.TeamID, len(operators))
 	for _, operator := range operators {
 		teams[strings.ToLower(operator.TokenSHA256)] = operator.Team
 	}
-	return &Server{post: post, query: query, teams: teams, waiting: make(map[model.RequestID]chan event.AnswerChange)}
+	return &Server{post: post, query: query, table: table, teams: teams, waiting: make(map[model.RequestID]chan event.AnswerChange)}
 }
 
 // Handler returns the HTTP handler.
@@ -155,28 +161,6 @@
 	return connect.NewResponse(response), nil
 }
 
-// GetChange returns one accepted change.
-func (s *Server) GetChange(_ context.Context, request *connect.Request[tamarackv1.GetChangeRequest]) (*connect.Response[tamarackv1.GetChangeResponse], error) {
-	if _, err := s.team(request.Header()); err != nil {
-		return nil, err
-	}
-	var found *tamarackv1.Change
-	s.query(func(state *reducer.State) {
-		for _, change := range state.Follower().History() {
-			if string(change.ID) == request.Msg.ChangeId || uint64(change.Revision) == request.Msg.Revision {
-				found = ChangeMessage(change)
-			}
-		}
-	})
-	if found == nil {
-		return nil, rpc.Error(&fault.Fault{
-			Kind: fault.NotRun, Code: fault.UnknownRevision, Message: "no such change is in force on this node",
-			Remedy: "see tamarackctl history; a change just made may be in force in a moment",
-		})
-	}
-	return connect.NewResponse(&tamarackv1.GetChangeResponse{Change: found}), nil
-}
-
 // defaultHistory is the number of changes listed when none is stated.
 const defaultHistory = 20
 
--- a/internal/platformclient/platformclient.go
+++ b/internal/platformclient/platformclient.go
@@ -105,6 +105,21 @@
 	})
 }
 
+// ReadRow reads one row and waits for it; the row's version is 0 if it is absent.
+func (c *Client) ReadRow(ctx context.Context, key string) (model.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	response, err := c.table.ReadRows(ctx, connect.NewRequest(&tamarackv1.ReadRowsRequest{Keys: []string{key}}))
+	if err != nil {
+		return model.Row{}, errors.Wrapf(err, "read row %s", key)
+	}
+	rows := rowsOf(response.Msg.Rows)
+	if len(rows) != 1 {
+		return model.Row{}, errors.Newf("read row %s: got %d rows", key, len(rows))
+	}
+	return rows[0], nil
+}
+
 // ReadObject reads an object.
 func (c *Client) ReadObject(effect event.ReadObject) {
 	c.run(func(ctx context.Context) event.Event {
