--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,17 +4,15 @@
 package config
 
 import (
-	"bytes"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"net"
 	"os"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/strictjson"
 )
 
 // Entry is the configuration of tamarack-entry.
@@ -76,18 +74,6 @@
 	tokenHashBytes          = 32
 )
 
-// Problem is one thing wrong with a configuration.
-type Problem struct {
-	Field  string
-	Value  string
-	Remedy string
-}
-
-// String formats the problem for operators.
-func (p Problem) String() string {
-	return fmt.Sprintf("field %s: value %q; remedy: %s", p.Field, p.Value, p.Remedy)
-}
-
 // Load reads and checks a configuration file; the error lists every problem.
 func Load(path string) (*Entry, error) {
 	data, err := os.ReadFile(path)
@@ -100,27 +86,20 @@
 // Decode decodes a configuration, fills in defaults and checks it.
 func Decode(data []byte) (*Entry, error) {
 	entry := &Entry{EntryNodes: defaultEntryNodes, ShutdownLagMs: defaultShutdownLagMs, WeightLayersPerS: defaultWeightLayersPerS}
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(entry); err != nil {
+	if err := strictjson.Decode(data, entry); err != nil {
 		return nil, errors.Wrap(err, "decode configuration; the fields are in docs/OPERATIONS.md")
 	}
-	problems := entry.Check()
-	if len(problems) == 0 {
-		return entry, nil
-	}
-	lines := make([]string, 0, len(problems))
-	for _, problem := range problems {
-		lines = append(lines, problem.String())
+	if err := strictjson.Join("configuration", entry.Check()); err != nil {
+		return nil, err
 	}
-	return nil, errors.Newf("configuration has %d problems:\n%s", len(problems), strings.Join(lines, "\n"))
+	return entry, nil
 }
 
 // Check returns everything wrong with the configuration.
-func (e *Entry) Check() []Problem {
-	var problems []Problem
+func (e *Entry) Check() []strictjson.Problem {
+	var problems []strictjson.Problem
 	add := func(field, value, remedy string) {
-		problems = append(problems, Problem{Field: field, Value: value, Remedy: remedy})
+		problems = append(problems, strictjson.Problem{Field: field, Value: value, Remedy: remedy})
 	}
 	if e.NodeID == "" {
 		add("node_id", "", "give the VM a name of its own")
@@ -165,14 +144,14 @@
 	return append(problems, e.PeerTLS.check()...)
 }
 
-func (t PeerTLS) check() []Problem {
-	var problems []Problem
+func (t PeerTLS) check() []strictjson.Problem {
+	var problems []strictjson.Problem
 	files := []struct{ field, value string }{
 		{"peer_tls.ca_file", t.CAFile}, {"peer_tls.cert_file", t.CertFile}, {"peer_tls.key_file", t.KeyFile},
 	}
 	for _, file := range files {
 		if _, err := os.Stat(file.value); err != nil {
-			problems = append(problems, Problem{Field: file.field, Value: file.value, Remedy: "name a readable PEM file; tamarackctl keys makes a test set"})
+			problems = append(problems, strictjson.Problem{Field: file.field, Value: file.value, Remedy: "name a readable PEM file; tamarackctl keys makes a test set"})
 		}
 	}
 	return problems
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -33,7 +33,7 @@
 	})
 
 	It("with an unknown field or broken JSON is refused", func() {
-		for _, text := range []string{`{"colour":1}`, `{"node_id":`, `[]`, ``} {
+		for _, text := range []string{`{"colour":1}`, `{"node_id":"a"} {}`, `{"node_id":`, `[]`, ``} {
 			_, err := config.Decode([]byte(text))
 			Expect(err).To(MatchError(ContainSubstring("docs/OPERATIONS.md")), text)
 		}
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -1,7 +1,6 @@
 package ctl
 
 import (
-	"bytes"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -17,6 +16,7 @@
 	"tamarackreach/internal/keys"
 	"tamarackreach/internal/operatorapi"
 	"tamarackreach/internal/settings"
+	"tamarackreach/internal/strictjson"
 )
 
 // print writes a message as JSON if asked for, else as text.
@@ -44,9 +44,7 @@
 	if err != nil {
 		return change, errors.Mark(errors.Wrap(err, "read change file; name one with -file"), errUsage)
 	}
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&change); err != nil {
+	if err := strictjson.Decode(data, &change); err != nil {
 		return change, errors.Mark(errors.Wrap(err, "decode change file; its fields are in docs/OPERATIONS.md"), errUsage)
 	}
 	return change, nil
--- a/internal/load/scenario/check.go
+++ b/internal/load/scenario/check.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"tamarackreach/internal/strictjson"
 )
 
 const (
@@ -34,7 +36,7 @@
 }
 
 // Check returns everything wrong with the scenario.
-func (s *Scenario) Check() []Problem {
+func (s *Scenario) Check() []strictjson.Problem {
 	c := checker{length: s.LengthMs}
 	c.require(s.Name != "", "name", s.Name, "name the scenario")
 	known := s.Deployment == LinhaDourada || s.Deployment == KootenayLacing
@@ -52,12 +54,12 @@
 
 type checker struct {
 	length   uint32
-	problems []Problem
+	problems []strictjson.Problem
 }
 
 func (c *checker) require(ok bool, field, value, remedy string) {
 	if !ok {
-		c.problems = append(c.problems, Problem{Field: field, Value: value, Remedy: remedy})
+		c.problems = append(c.problems, strictjson.Problem{Field: field, Value: value, Remedy: remedy})
 	}
 }
 
--- a/internal/load/scenario/scenario.go
+++ b/internal/load/scenario/scenario.go
@@ -3,13 +3,11 @@
 package scenario
 
 import (
-	"bytes"
-	"encoding/json"
-	"fmt"
 	"os"
-	"strings"
 	"time"
 
+	"tamarackreach/internal/strictjson"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -125,30 +123,11 @@
 // Decode decodes a scenario and checks it.
 func Decode(data []byte) (*Scenario, error) {
 	s := &Scenario{}
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(s); err != nil {
+	if err := strictjson.Decode(data, s); err != nil {
 		return nil, errors.Wrap(err, "decode scenario; the fields are in docs/EXPERIMENTS.md")
 	}
-	problems := s.Check()
-	if len(problems) == 0 {
-		return s, nil
-	}
-	lines := make([]string, 0, len(problems))
-	for _, problem := range problems {
-		lines = append(lines, problem.String())
+	if err := strictjson.Join("scenario", s.Check()); err != nil {
+		return nil, err
 	}
-	return nil, errors.Newf("scenario has %d problems:\n%s", len(problems), strings.Join(lines, "\n"))
-}
-
-// Problem is one thing wrong with a scenario.
-type Problem struct {
-	Field  string
-	Value  string
-	Remedy string
-}
-
-// String formats the problem for people who write scenarios.
-func (p Problem) String() string {
-	return fmt.Sprintf("field %s: value %q; remedy: %s", p.Field, p.Value, p.Remedy)
+	return s, nil
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -15,8 +15,8 @@
 // Check returns everything wrong with the tree, in a fixed order.
 func (t *Tree) Check() []Problem {
 	c := checker{
-		owners: make(map[string]model.TeamID),
-		keys:   make(map[string]string),
+		owners: make(map[objectName]model.TeamID),
+		keys:   make(map[string]object),
 		stages: make(map[model.TargetID]string),
 		shares: make(map[model.PipelineID]uint64),
 	}
@@ -29,9 +29,9 @@
 }
 
 type checker struct {
-	owners map[string]model.TeamID
+	owners map[objectName]model.TeamID
 	// keys holds, by key hash, the workspace that has it.
-	keys map[string]string
+	keys map[string]object
 	// stages holds, by target, the stage that names it.
 	stages    map[model.TargetID]string
 	models    map[model.ModelName]*Model
@@ -54,66 +54,81 @@
 	}
 }
 
+// objectName names an object whatever team has it.
+type objectName struct{ section, name string }
+
+// object is where an object stands. Its path is put together only for problems,
+// since most of many thousand objects have none.
+type object struct {
+	team model.TeamID
+	objectName
+}
+
+// at returns the path of a field of the object.
+func (o object) at(field string) string {
+	return FullPath(o.team, o.section+"/"+o.name+"/"+field)
+}
+
 // own reports an object whose name another team uses already.
-func (c *checker) own(team model.TeamID, path string) string {
-	full := fmt.Sprintf("teams/%s/%s", team, path)
-	if owner, taken := c.owners[path]; taken {
-		c.add(full, fmt.Sprintf("name is taken by team %s", owner), "choose another name")
+func (c *checker) own(team model.TeamID, section, name string) object {
+	o := object{team: team, objectName: objectName{section: section, name: name}}
+	if owner, taken := c.owners[o.objectName]; taken {
+		c.add(FullPath(team, section+"/"+name), fmt.Sprintf("name is taken by team %s", owner), "choose another name")
 	}
-	c.owners[path] = team
-	return full
+	c.owners[o.objectName] = team
+	return o
 }
 
 func (c *checker) team(id model.TeamID, team *Team) {
 	for _, name := range slices.Sorted(maps.Keys(team.Models)) {
-		c.model(c.own(id, sectionModels+"/"+string(name)), team.Models[name])
+		c.model(c.own(id, sectionModels, string(name)), team.Models[name])
 	}
 	for _, name := range slices.Sorted(maps.Keys(team.Pipelines)) {
-		c.pipeline(c.own(id, sectionPipelines+"/"+string(name)), team.Pipelines[name])
+		c.pipeline(c.own(id, sectionPipelines, string(name)), team.Pipelines[name])
 	}
 	for _, name := range slices.Sorted(maps.Keys(team.Workspaces)) {
-		c.workspace(c.own(id, sectionWorkspaces+"/"+string(name)), team.Workspaces[name])
+		c.workspace(c.own(id, sectionWorkspaces, string(name)), team.Workspaces[name])
 	}
 	for _, name := range slices.Sorted(maps.Keys(team.Services)) {
-		c.service(c.own(id, sectionServices+"/"+string(name)), team.Services[name])
+		c.service(c.own(id, sectionServices, string(name)), team.Services[name])
 	}
 	for _, name := range slices.Sorted(maps.Keys(team.Targets)) {
-		c.own(id, sectionTargets+"/"+string(name))
+		c.own(id, sectionTargets, string(name))
 	}
 }
 
-func (c *checker) model(path string, m *Model) {
+func (c *checker) model(o object, m *Model) {
 	if len(m.Versions) == 0 {
-		c.add(path+"/versions", "is empty", "list at least one version")
+		c.add(o.at("versions"), "is empty", "list at least one version")
 	}
 	if m.Layers == 0 {
-		c.add(path+"/layers", "0", "give the number of layers of the model")
+		c.add(o.at("layers"), "0", "give the number of layers of the model")
 	}
 }
 
-func (c *checker) pipeline(path string, p *Pipeline) {
+func (c *checker) pipeline(o object, p *Pipeline) {
 	if p.Recovery != RecoverStage && p.Recovery != RecoverRestart {
-		c.add(path+"/recovery", string(p.Recovery), `use "stage" or "restart"`)
+		c.add(o.at("recovery"), string(p.Recovery), `use "stage" or "restart"`)
 	}
 	if p.MaxPromptBytes == 0 {
-		c.add(path+"/max_prompt_bytes", "0", "give the longest prompt in bytes")
+		c.add(o.at("max_prompt_bytes"), "0", "give the longest prompt in bytes")
 	}
 	m, ok := c.models[p.Model]
 	if !ok {
-		c.add(path+"/model", string(p.Model), "name a model that a team lists under models")
+		c.add(o.at("model"), string(p.Model), "name a model that a team lists under models")
 		return
 	}
 	if !slices.Contains(m.Versions, p.Version) {
-		c.add(path+"/version", string(p.Version), "use a listed version; a version in use can't be withdrawn")
+		c.add(o.at("version"), string(p.Version), "use a listed version; a version in use can't be withdrawn")
 	}
-	c.stagesOf(path, p.Stages, m.Layers)
+	c.stagesOf(o, p.Stages, m.Layers)
 }
 
 // stagesOf checks that the stages join up to the whole model.
-func (c *checker) stagesOf(path string, stages []Stage, layers uint32) {
+func (c *checker) stagesOf(o object, stages []Stage, layers uint32) {
 	next := uint32(0)
 	for i, stage := range stages {
-		at := fmt.Sprintf("%s/stages/%d", path, i)
+		at := o.at(fmt.Sprintf("stages/%d", i))
 		if stage.Layers.First != next || stage.Layers.End <= stage.Layers.First {
 			c.add(at+"/layers", stage.Layers.String(), fmt.Sprintf("start at layer %d and hold at least one layer", next))
 		}
@@ -124,7 +139,7 @@
 		next = stage.Layers.End
 	}
 	if next != layers {
-		c.add(path+"/stages", fmt.Sprintf("end at layer %d", next), fmt.Sprintf("cover all %d layers of the model", layers))
+		c.add(o.at("stages"), fmt.Sprintf("end at layer %d", next), fmt.Sprintf("cover all %d layers of the model", layers))
 	}
 }
 
@@ -139,32 +154,32 @@
 	}
 }
 
-func (c *checker) workspace(path string, w *Workspace) {
+func (c *checker) workspace(o object, w *Workspace) {
 	if hash, err := hex.DecodeString(w.KeySHA256); err != nil || len(hash) != keyHashBytes {
-		c.add(path+"/key_sha256", w.KeySHA256, "give the hex SHA-256 of the workspace key")
+		c.add(o.at("key_sha256"), w.KeySHA256, "give the hex SHA-256 of the workspace key")
 	}
 	if other, taken := c.keys[w.keyHash()]; taken {
-		c.add(path+"/key_sha256", "is the key of "+other, "give each workspace a key of its own")
+		c.add(o.at("key_sha256"), "is the key of workspace "+other.name, "give each workspace a key of its own")
 	}
-	c.keys[w.keyHash()] = path
+	c.keys[w.keyHash()] = o
 	if w.FirstTokenMs == 0 {
-		c.add(path+"/first_token_ms", "0", "give how long callers wait for the first token, in ms")
+		c.add(o.at("first_token_ms"), "0", "give how long callers wait for the first token, in ms")
 	}
 	for _, pipeline := range slices.Sorted(maps.Keys(w.SharesTokensPerS)) {
 		if _, ok := c.pipelines[pipeline]; !ok {
-			c.add(path+"/shares_tokens_per_s", string(pipeline), "name a pipeline that exists")
+			c.add(o.at("shares_tokens_per_s"), string(pipeline), "name a pipeline that exists")
 		}
 		c.shares[pipeline] += uint64(w.SharesTokensPerS[pipeline])
 	}
 }
 
-func (c *checker) service(path string, s *Service) {
+func (c *checker) service(o object, s *Service) {
 	if len(s.Targets) == 0 {
-		c.add(path+"/targets", "is empty", "name at least one target")
+		c.add(o.at("targets"), "is empty", "name at least one target")
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.Methods)) {
 		if s.Methods[name].DeadlineMs == 0 {
-			c.add(path+"/methods/"+string(name)+"/deadline_ms", "0", "give the longest a call may take, in ms")
+			c.add(o.at("methods/"+string(name)+"/deadline_ms"), "0", "give the longest a call may take, in ms")
 		}
 	}
 }
--- a/internal/settings/edit.go
+++ b/internal/settings/edit.go
@@ -1,14 +1,13 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"strings"
 
 	"tamarackreach/internal/event"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/strictjson"
 )
 
 // Section names of a team's subtree, as they stand in paths.
@@ -96,9 +95,7 @@
 		return nil
 	}
 	value := new(V)
-	decoder := json.NewDecoder(bytes.NewReader(edit.Value))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(value); err != nil {
+	if err := strictjson.Decode(edit.Value, value); err != nil {
 		return &Problem{Path: edit.Path, Value: err.Error(), Remedy: "correct the object's JSON; fields are in docs/OPERATIONS.md"}
 	}
 	(*section)[name] = value
