--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -119,9 +119,9 @@
 func (e *Engine) Watch(ctx context.Context, _ *connect.Request[tamarackv1.WatchRequest], stream *connect.ServerStream[tamarackv1.WatchResponse]) error {
 	ticker := time.NewTicker(e.config.reportInterval())
 	defer ticker.Stop()
-	cursor := 0
+	watch := watcher{links: make(map[string]uint32)}
 	for sequence := uint64(1); ; sequence++ {
-		report := e.report(sequence, &cursor)
+		report := e.report(sequence, &watch)
 		if err := stream.Send(report); err != nil {
 			return err
 		}
@@ -133,7 +133,14 @@
 	}
 }
 
-func (e *Engine) report(sequence uint64, cursor *int) *tamarackv1.WatchResponse {
+// watcher is what one watch was told already: the cache events up to cursor, and
+// the latency of each link in microseconds.
+type watcher struct {
+	cursor int
+	links  map[string]uint32
+}
+
+func (e *Engine) report(sequence uint64, watch *watcher) *tamarackv1.WatchResponse {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	running, waiting := e.batches.load()
@@ -151,11 +158,15 @@
 		Queued:        uint32(waiting),
 		Leaving:       e.leaving,
 		FencingNumber: e.fencing,
-		CacheEvents:   e.cache.since(cursor),
+		CacheEvents:   e.cache.since(&watch.cursor),
 	}
 	for target := range e.config.LinkUs {
-		latency := e.host.linkLatency(e, target)
-		report.Links = append(report.Links, &tamarackv1.LinkReport{ToTargetId: target, LatencyUs: uint32(latency.Microseconds())})
+		latencyUs := uint32(e.host.linkLatency(e, target).Microseconds())
+		if told, ok := watch.links[target]; ok && told == latencyUs {
+			continue
+		}
+		watch.links[target] = latencyUs
+		report.Links = append(report.Links, &tamarackv1.LinkReport{ToTargetId: target, LatencyUs: latencyUs})
 	}
 	return report
 }
