--- a/e2e/badinput_test.go
+++ b/e2e/badinput_test.go
@@ -15,6 +15,7 @@
 	"tamarackreach/gen/tamarack/v1/tamarackv1connect"
 	"tamarackreach/internal/deployment"
 	"tamarackreach/internal/fault"
+	"tamarackreach/internal/operatorapi"
 	"tamarackreach/internal/rpc"
 )
 
@@ -49,6 +50,19 @@
 		Expect(f.Code).To(BeEquivalentTo(fault.BadKey))
 	})
 
+	It("of an operator, a wrong token or another team's subtree, is refused", func(ctx SpecContext) {
+		changes, err := c.FirstChanges()
+		Expect(err).NotTo(HaveOccurred())
+		request := &tamarackv1.ApplyRequest{Change: operatorapi.ChangeMessage(changes[0])}
+		for token, want := range map[string]fault.Code{"wrong": fault.BadKey, c.Teams[deployment.SalesTeam]: fault.WrongTeam} {
+			_, err := c.operator(0).Apply(ctx, withToken(request, token))
+			f, ok := rpc.FaultOf(err)
+			Expect(ok).To(BeTrue())
+			Expect(f.Code).To(BeEquivalentTo(want))
+			Expect(f.Remedy).NotTo(BeEmpty())
+		}
+	})
+
 	DescribeTable("in a JSON body gets a typed error with a remedy",
 		func(body string, length int) {
 			response := postRaw(c, body, length)
