--- a/internal/peerlink/credentials.go
+++ b/internal/peerlink/credentials.go
@@ -106,13 +106,10 @@
 			if err != nil {
 				return nil, err
 			}
-			return &tls.Config{
-				MinVersion:   tls.VersionTLS13,
-				NextProtos:   []string{protocol},
-				Certificates: []tls.Certificate{loaded.certificate},
-				ClientAuth:   tls.RequireAndVerifyClientCert,
-				ClientCAs:    loaded.ca,
-			}, nil
+			config := loaded.tlsConfig()
+			config.ClientAuth = tls.RequireAndVerifyClientCert
+			config.ClientCAs = loaded.ca
+			return config, nil
 		},
 	}
 }
@@ -123,11 +120,17 @@
 	if err != nil {
 		return nil, err
 	}
+	config := loaded.tlsConfig()
+	config.RootCAs = loaded.ca
+	config.ServerName = string(node)
+	return config, nil
+}
+
+// tlsConfig returns what both ends of a connection have in common.
+func (l *material) tlsConfig() *tls.Config {
 	return &tls.Config{
 		MinVersion:   tls.VersionTLS13,
 		NextProtos:   []string{protocol},
-		Certificates: []tls.Certificate{loaded.certificate},
-		RootCAs:      loaded.ca,
-		ServerName:   string(node),
-	}, nil
+		Certificates: []tls.Certificate{l.certificate},
+	}
 }
