--- /dev/null
+++ b/cmd/tamarack-front/main.go
@@ -0,0 +1,40 @@
+// Command tamarack-front is the daemon of an entry VM on the users' platform.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+
+	"tamarackreach/internal/frontd"
+	"tamarackreach/internal/telemetry"
+	"tamarackreach/platform"
+)
+
+func main() {
+	check := flag.Bool("check", false, "check the settings file and exit")
+	metrics := flag.String("metrics", "", "`address` of the metrics, host:port; none when empty")
+	flag.Parse()
+	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if *check {
+		fmt.Println("settings are valid")
+		return
+	}
+	telemetry.SetUpLogs("tamarack-front", string(settings.VM))
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	daemon := frontd.New(settings, *metrics)
+	if err := daemon.Run(context.Background(), signals); err != nil {
+		logrus.Fatal(err)
+	}
+}
+
--- /dev/null
+++ b/internal/director/arrive.go
@@ -0,0 +1,281 @@
+package director
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"tamarackreach/internal/fleet"
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/paths"
+)
+
+const (
+	// defaultTime is the time of a request whose caller and route name none.
+	defaultTime = 30 * time.Second
+	// leastTime is what must be left for a further send: below, the answer would
+	// come too late to be used.
+	leastTime = 50 * time.Millisecond
+	// maxSends bounds the sends of a request, those that were rejected included.
+	maxSends = 4
+	// holeReturn is when a caller is told to return while layers are missing:
+	// about the time to notice a dead target and to load its part elsewhere.
+	holeReturn = 2 * time.Second
+	// busyReturn is when a caller is told to return while targets are full: the
+	// time in which a tenth of the usual answers ends.
+	busyReturn = 700 * time.Millisecond
+	// unknownReturn is when a caller is told to return while the configuration is
+	// not known or not confirmed: a few reads of the store.
+	unknownReturn = 1500 * time.Millisecond
+)
+
+func version(r model.Revision) string { return strconv.FormatUint(uint64(r), 10) }
+
+// spread returns a time within half and one and a half of d, so that callers
+// who were refused together do not return together.
+func spread(d time.Duration, random float64) time.Duration {
+	return time.Duration(float64(d) * (0.5 + random))
+}
+
+func (s *State) arrive(now model.Instant, e Arrived) []Effect {
+	req := e.Request
+	if s.config == nil {
+		return refuse(http.StatusServiceUnavailable, spread(unknownReturn, e.Random), "no configuration is known yet")
+	}
+	if s.requests[req.ID] != nil {
+		return refuse(http.StatusBadRequest, 0, "the id belongs to a request that is being served")
+	}
+	route := s.route(req.Host, req.Path)
+	if route == nil {
+		if s.stale(now) {
+			return refuse(http.StatusServiceUnavailable, spread(unknownReturn, e.Random), "no route, and the configuration is not confirmed")
+		}
+		return refuse(http.StatusNotFound, 0, "no route matches host and path in configuration "+version(s.config.Version))
+	}
+	workspace, denial := s.authorize(now, route, req, e.Random)
+	if denial != nil {
+		return []Effect{denial}
+	}
+	r := &request{Request: req, route: route, workspace: workspace, arrived: now}
+	limit := req.Deadline
+	if limit == 0 || route.Timeout > 0 && route.Timeout < limit {
+		limit = route.Timeout
+	}
+	if limit == 0 {
+		limit = defaultTime
+	}
+	r.ends = now.Add(limit)
+	r.service = s.config.Services[split(route.Split, e.Random)]
+	if r.service == nil {
+		return refuse(http.StatusServiceUnavailable, spread(unknownReturn, e.Random), "the route's service is not in the configuration")
+	}
+	s.requests[req.ID] = r
+	send, why := s.send(now, r)
+	if send == nil {
+		delete(s.requests, req.ID)
+		return refuse(http.StatusServiceUnavailable, spread(s.returnTime(why), e.Random), why)
+	}
+	s.budget.First(now, r.service.ID)
+	return []Effect{send}
+}
+
+func refuse(status int, retryAfter time.Duration, why string) []Effect {
+	return []Effect{&Refuse{Status: status, RetryAfter: retryAfter, Reason: why}}
+}
+
+// authorize checks the key of a request.
+//
+// Invariant: a request with a key is accepted only on a configuration that was
+// read less than the revocation bound ago.
+func (s *State) authorize(now model.Instant, route *fleet.Route, req *fleet.Request, random float64) (*fleet.Workspace, *Refuse) {
+	if len(s.config.Workspaces) == 0 || route.Public {
+		return nil, nil
+	}
+	if s.keysExpired(now) {
+		return nil, &Refuse{
+			Status: http.StatusServiceUnavailable, RetryAfter: spread(unknownReturn, random),
+			Reason: "keys cannot be checked: the configuration was not confirmed for " + now.Sub(s.confirmed).String(),
+		}
+	}
+	if w := s.keys[req.Key]; req.HasKey && w != nil {
+		return w, nil
+	}
+	if s.stale(now) {
+		return nil, &Refuse{
+			Status: http.StatusServiceUnavailable, RetryAfter: spread(unknownReturn, random),
+			Reason: "the key is not known and the configuration is not confirmed",
+		}
+	}
+	return nil, &Refuse{
+		Status: http.StatusUnauthorized,
+		Reason: "the key is not in configuration " + version(s.config.Version),
+	}
+}
+
+// split chooses a service by weight; at is uniform in [0,1).
+func split(parts []fleet.WeightedService, at float64) model.ServiceID {
+	total := 0.0
+	for _, p := range parts {
+		total += float64(p.Weight)
+	}
+	left := at * total
+	for _, p := range parts {
+		if left -= float64(p.Weight); left < 0 {
+			return p.Service
+		}
+	}
+	return parts[0].Service
+}
+
+const (
+	whyHole   = "a layer of the model has no usable target"
+	whyNobody = "the service has no usable target"
+	whyFull   = "the targets of the service are full"
+)
+
+func (s *State) returnTime(why string) time.Duration {
+	if why == whyFull {
+		return busyReturn
+	}
+	return holeReturn
+}
+
+// send chooses where a request goes next, or says why it cannot.
+func (s *State) send(now model.Instant, r *request) (*Send, string) {
+	var hops []fleet.Hop
+	if r.service.Engine != nil {
+		found, ok := s.path(now, r)
+		if !ok {
+			return nil, whyHole
+		}
+		hops = found
+	} else {
+		t := s.plainTarget(now, r)
+		if t == nil {
+			return nil, whyNobody
+		}
+		hops = []fleet.Hop{{Target: t.ID, Address: t.Address}}
+	}
+	r.hops, r.sentAt, r.diverted = hops, now, false
+	r.sends++
+	s.account(r, 1)
+	out := &Send{Route: r.route, Service: r.service, Hops: hops, TimeLeft: r.ends.Sub(now), Number: r.sends}
+	if r.workspace != nil {
+		out.Workspace = r.workspace.ID
+	}
+	return out, ""
+}
+
+// account adds the request to the load of its hops, or takes it away.
+func (s *State) account(r *request, sign int) {
+	tokens := s.tokens(r)
+	for _, hop := range r.hops {
+		t := s.targets[hop.Target]
+		if t == nil {
+			continue
+		}
+		t.own.Requests += sign
+		t.own.TokenLayers += float64(sign) * tokens * float64(hop.Layers.Len())
+	}
+	if sign < 0 {
+		r.hops = nil
+	}
+}
+
+// tokens estimates the tokens that a request holds in memory: its prompt and
+// the usual answer, or what it asks for when that is less.
+func (s *State) tokens(r *request) float64 {
+	if r.service.Engine == nil {
+		return 0
+	}
+	prompt, answer := r.service.Engine.UsualPrompt, r.service.Engine.UsualAnswer
+	if r.PromptTokens > 0 {
+		prompt = float64(r.PromptTokens)
+	}
+	if r.AnswerTokens > 0 {
+		answer = min(answer, float64(r.AnswerTokens))
+	}
+	return prompt + answer
+}
+
+// plainTarget returns the target with the least work, in the home zone when one
+// there has a free slot. Targets that may have run the request come last.
+func (s *State) plainTarget(now model.Instant, r *request) *target {
+	var best *target
+	bestScore := 0.0
+	for _, t := range s.byService[r.service.ID] {
+		if !t.usable(now) {
+			continue
+		}
+		load := s.load(now, t)
+		score := float64(load.Requests) / float64(max(t.Slots, 1))
+		if t.Zone != s.settings.Zone {
+			score += awayScore
+		}
+		if slices.Contains(r.ran, t.ID) {
+			score += triedScore
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = t, score
+		}
+	}
+	return best
+}
+
+const (
+	// awayScore is the part of a target's slots that must be taken before another
+	// zone is tried.
+	awayScore = 0.5
+	// triedScore puts a target that was tried behind all others.
+	triedScore = 100
+)
+
+// pathCosts weigh what a path has beyond its layers, milliseconds a token step:
+// a hop waits for half a pass; a crossing shares a narrow pipe, which a path
+// uses only when its zone has lost a layer; a path in another zone costs its
+// bytes.
+var pathCosts = paths.Costs{Hop: 0.3, Crossing: 60, Away: 3}
+
+const (
+	// crowded is the part of a target's memory for requests above which its cost
+	// grows steeply: beyond, long answers preempt the newest requests.
+	crowded = 0.75
+	// crowdedWeight is that growth for each further whole of the memory.
+	crowdedWeight = 20
+)
+
+func (s *State) path(now model.Instant, r *request) ([]fleet.Hop, bool) {
+	engine := r.service.Engine
+	var holders []paths.Holder
+	for _, t := range s.byService[r.service.ID] {
+		if t.Held.Len() == 0 || !t.usable(now) {
+			continue
+		}
+		holders = append(holders, paths.Holder{
+			ID: t.ID, Address: t.Address, Zone: t.Zone, Layers: t.Held, CostPerLayer: s.layerCost(now, engine, t),
+		})
+	}
+	hops, _, ok := paths.Find(holders, engine.Layers, s.settings.Zone, pathCosts)
+	return hops, ok
+}
+
+// layerCost predicts the time of one layer in a token step, in milliseconds.
+func (s *State) layerCost(now model.Instant, engine *fleet.Engine, t *target) float64 {
+	load := s.load(now, t)
+	hardware := engine.Hardware[t.Kind]
+	// perLayer is the mean context of the requests that pass the target.
+	context := 0.0
+	if t.Held.Len() > 0 {
+		context = load.TokenLayers / float64(t.Held.Len())
+	}
+	step := engine.StepMs + float64(load.Requests)*engine.StepMsPerSequence + context/1000*engine.StepMsPerKToken
+	cost := step * max(hardware.StepFactor, 0.1) * max(t.pace, 1) / float64(engine.Layers)
+	free := hardware.MemoryMB - float64(t.Held.Len())*engine.LayerMB
+	if capacity := free / engine.StateMBPerTokenLayer(); capacity > 0 {
+		if used := load.TokenLayers / capacity; used > crowded {
+			cost *= 1 + crowdedWeight*(used-crowded)
+		}
+	}
+	return cost
+}
--- /dev/null
+++ b/internal/director/attempt.go
@@ -0,0 +1,180 @@
+package director
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"tamarackreach/internal/fleet"
+	"tamarackreach/internal/model"
+)
+
+const (
+	// quietBeforeReport is how long a stream is silent before its first target is
+	// asked what it waits for: several times the usual pause between events.
+	quietBeforeReport = 300 * time.Millisecond
+	// reportInterval bounds how often one target is asked.
+	reportInterval = 250 * time.Millisecond
+	// deadFor is how long a target that paths wait for is left out at least: the
+	// time a path itself waits for a dead target.
+	deadFor = 2500 * time.Millisecond
+)
+
+func (s *State) finished(_ model.Instant, e Finished) []Effect {
+	r := s.requests[e.ID]
+	if r == nil {
+		return nil
+	}
+	if e.Delivered {
+		for _, hop := range r.hops {
+			if t := s.targets[hop.Target]; t != nil {
+				t.strikes = 0
+			}
+		}
+	}
+	s.account(r, -1)
+	delete(s.requests, e.ID)
+	return nil
+}
+
+func (s *State) sendEnded(now model.Instant, e SendEnded) []Effect {
+	r := s.requests[e.ID]
+	if r == nil {
+		return nil
+	}
+	effects := s.blame(now, r, e)
+	if e.Outcome != NotSent && e.Outcome != Rejected && len(r.hops) > 0 && !slices.Contains(r.ran, r.hops[0].Target) {
+		r.ran = append(r.ran, r.hops[0].Target)
+	}
+	s.account(r, -1)
+	next := s.after(now, r, e)
+	if _, refused := next.(*Refuse); refused {
+		delete(s.requests, e.ID)
+	}
+	return append(effects, next)
+}
+
+// blame marks the target that a failed send points to.
+func (s *State) blame(now model.Instant, r *request, e SendEnded) []Effect {
+	if e.Outcome == TimedOut || e.Outcome == Diverted || len(r.hops) == 0 {
+		return nil
+	}
+	t := s.targets[r.hops[0].Target]
+	named := false
+	if at := s.byAddress[e.FaultAt]; at != nil {
+		t, named = at, true
+	}
+	if t == nil || e.Outcome == Failed {
+		return nil
+	}
+	least := time.Duration(0)
+	if named && e.Took >= s.settings.Stall/2 {
+		least = deadFor
+	}
+	if change := s.suspect(now, t, least, e.Outcome.String()+" after "+e.Took.String()); change != nil {
+		return []Effect{change}
+	}
+	return nil
+}
+
+// after decides what follows a failed send.
+//
+// Invariant: a request that may not be repeated is sent again only when every
+// send before it was not sent or rejected.
+func (s *State) after(now model.Instant, r *request, e SendEnded) Effect {
+	mayHaveRun := len(r.ran) > 0
+	left := r.ends.Sub(now)
+	switch {
+	case e.Outcome == TimedOut || left < leastTime:
+		return s.giveUp(r, e, http.StatusGatewayTimeout, "the time of the request is over")
+	case mayHaveRun && !r.route.Repeatable():
+		return s.giveUp(r, e, http.StatusBadGateway, "the request may have run and may not be repeated")
+	case r.sends >= maxSends || len(r.ran) >= r.route.MaxTargets && !s.mayReturn(now, r):
+		return s.giveUp(r, e, http.StatusBadGateway, "the request was sent as often as its route allows")
+	case !s.budget.Take(now, r.service.ID):
+		return s.giveUp(r, e, http.StatusBadGateway, "the retry budget is spent")
+	}
+	send, why := s.send(now, r)
+	if send == nil {
+		return s.giveUp(r, e, http.StatusBadGateway, why)
+	}
+	return send
+}
+
+// mayReturn is true when the next target would be one that had the request
+// before, or when those that had it are gone.
+func (s *State) mayReturn(_ model.Instant, r *request) bool {
+	alive := 0
+	for _, id := range r.ran {
+		if s.targets[id] != nil {
+			alive++
+		}
+	}
+	return alive < r.route.MaxTargets
+}
+
+// giveUp answers a request that is not sent again. Unless it may have run, the
+// caller is told to come back.
+func (s *State) giveUp(r *request, e SendEnded, status int, why string) *Refuse {
+	if len(r.ran) > 0 {
+		return &Refuse{Status: status, Reason: why}
+	}
+	return &Refuse{Status: http.StatusServiceUnavailable, RetryAfter: spread(s.returnTime(why), e.Random), Reason: why}
+}
+
+// quiet handles a stream that has had no event for a while: its first target is
+// asked what it waits for, and the send is given up once a hop is suspected.
+func (s *State) quiet(now model.Instant, e Quiet) []Effect {
+	r := s.requests[e.ID]
+	if r == nil || r.diverted || len(r.hops) == 0 || e.For < quietBeforeReport {
+		return nil
+	}
+	for _, hop := range r.hops {
+		t := s.targets[hop.Target]
+		if t == nil || now < t.suspectUntil && t.strikes > 0 {
+			return s.divert(now, r, hop)
+		}
+	}
+	head := s.targets[r.hops[0].Target]
+	if r.service.Engine == nil || now.Sub(head.reportAsked) < reportInterval && head.reportAsked != 0 {
+		return nil
+	}
+	head.reportAsked = now
+	return []Effect{&AskReport{Target: head.ID, Address: head.Address}}
+}
+
+func (s *State) divert(now model.Instant, r *request, hop fleet.Hop) []Effect {
+	if !r.route.Repeatable() || r.ends.Sub(now) < leastTime || r.sends >= maxSends {
+		return nil
+	}
+	if _, ok := s.path(now, r); !ok {
+		return nil // nowhere to go: the path may recover
+	}
+	r.diverted = true
+	return []Effect{&Divert{Reason: "target " + string(hop.Target) + " on its path is at fault"}}
+}
+
+func (s *State) reportRead(now model.Instant, e ReportRead) []Effect {
+	t := s.targets[e.Target]
+	if t == nil {
+		return nil
+	}
+	if e.Report == nil {
+		return effect(s.suspect(now, t, 0, "it did not answer with its report"))
+	}
+	t.pace = e.Report.Pace
+	var effects []Effect
+	for _, address := range e.Report.Stalled {
+		if at := s.byAddress[address]; at != nil {
+			effects = append(effects, effect(s.suspect(now, at, deadFor, "paths of "+string(t.ID)+" wait for it"))...)
+		}
+	}
+	return effects
+}
+
+func effect(e Effect) []Effect {
+	if e == nil {
+		return nil
+	}
+	return []Effect{e}
+}
--- /dev/null
+++ b/internal/director/placeable.go
@@ -0,0 +1,41 @@
+package director
+
+import (
+	"slices"
+
+	"tamarackreach/internal/fleet"
+	"tamarackreach/internal/model"
+)
+
+// Placeable is a service with a layered model and the targets that can be given
+// layers.
+type Placeable struct {
+	Engine  *fleet.Engine
+	Targets []fleet.Target
+}
+
+// Placeable returns the layered services in a fixed order with the targets that
+// are ready and not at fault.
+func (s *State) Placeable(now model.Instant) []Placeable {
+	if s.config == nil {
+		return nil
+	}
+	var ids []model.ServiceID
+	for id, service := range s.config.Services {
+		if service.Engine != nil {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	var out []Placeable
+	for _, id := range ids {
+		p := Placeable{Engine: s.config.Services[id].Engine}
+		for _, t := range s.byService[id] {
+			if t.State == fleet.TargetReady && t.missing == 0 && now >= t.suspectUntil {
+				p.Targets = append(p.Targets, *t.Target)
+			}
+		}
+		out = append(out, p)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/director/targets.go
@@ -0,0 +1,201 @@
+package director
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"tamarackreach/internal/fleet"
+	"tamarackreach/internal/model"
+)
+
+// target is a back end as this VM believes it to be.
+type target struct {
+	*fleet.Target
+	row model.RowVersion
+	// missing is when the registration was first not found; 0 while it is there.
+	missing model.Instant
+	// suspectUntil is when the target may be used again after a fault.
+	suspectUntil model.Instant
+	// strikes counts faults in a row; each doubles the time of the next suspicion.
+	strikes int
+	// denied is the row at which the target said that it does not hold its layers
+	// or is another instance; it is not used until the row changes.
+	denied model.RowVersion
+	// own is the load that this VM put on the target.
+	own Load
+	// reportAsked is when the target's report was last asked for.
+	reportAsked model.Instant
+	// pace is what the target last reported; 1 is normal.
+	pace float64
+}
+
+// Load is work in flight on a target.
+type Load struct {
+	// Requests is the number of requests.
+	Requests int
+	// TokenLayers is their tokens times the layers that the target runs for them.
+	TokenLayers float64
+}
+
+// peer is what another VM said last.
+type peer struct {
+	heard model.Instant
+	loads map[model.TargetID]Load
+}
+
+const (
+	// returnTime is how soon a live target's registration is back after the store
+	// was away: two seconds as the platform promises, and a poll.
+	returnTime = 2700 * time.Millisecond
+	// firstSuspicion is how long a target that failed is left out; twice a
+	// round of stream events, so that new work sees the fault end.
+	firstSuspicion = 400 * time.Millisecond
+	// longestSuspicion bounds the doubling: about three heartbeats, after which
+	// the registration of a dead target is removed.
+	longestSuspicion = 3 * time.Second
+	// peerMemory is how long a peer's word counts: ten of its messages.
+	peerMemory = 2 * time.Second
+)
+
+func (s *State) targetsSeen(now model.Instant, e TargetsRead) []Effect {
+	effects := s.storeAnswered(now)
+	s.targetsRead = true
+	seen := make(map[model.TargetID]bool, len(e.Targets))
+	for _, t := range e.Targets {
+		seen[t.ID] = true
+		if change := s.updateTarget(t, e.Rows[t.ID]); change != nil {
+			effects = append(effects, change)
+		}
+	}
+	for id, t := range s.targets {
+		if seen[id] {
+			continue
+		}
+		if t.missing == 0 {
+			t.missing = now
+		}
+		// Registrations lapse while the store is away and are back soon after.
+		if s.storeBack != 0 && now.Sub(s.storeBack) < returnTime {
+			continue
+		}
+		delete(s.targets, id)
+		effects = append(effects, &Changed{What: "target gone", Subject: string(id), Detail: t.Address})
+	}
+	s.index()
+	return effects
+}
+
+func (s *State) updateTarget(t *fleet.Target, row model.RowVersion) Effect {
+	known := s.targets[t.ID]
+	if known == nil {
+		s.targets[t.ID] = &target{Target: t, row: row, pace: 1}
+		return &Changed{What: "target found", Subject: string(t.ID), Detail: describe(t)}
+	}
+	known.missing = 0
+	if known.row == row {
+		return nil
+	}
+	if known.Born != t.Born {
+		known.strikes, known.suspectUntil, known.pace = 0, 0, 1
+	}
+	was := describe(known.Target)
+	known.Target, known.row = t, row
+	if is := describe(t); is != was {
+		return &Changed{What: "target changed", Subject: string(t.ID), Detail: was + " -> " + is}
+	}
+	return nil
+}
+
+func describe(t *fleet.Target) string {
+	state := "ready"
+	if t.State == fleet.TargetDraining {
+		state = "draining"
+	}
+	return t.Address + " " + string(t.Zone) + " " + string(t.Kind) + " " + t.Held.String() + " " + state +
+		" born " + strconv.FormatInt(t.Born, 10)
+}
+
+// index rebuilds the views by service and address in a fixed order.
+func (s *State) index() {
+	s.byService = map[model.ServiceID][]*target{}
+	s.byAddress = map[string]*target{}
+	for _, t := range s.targets {
+		s.byService[t.Service] = append(s.byService[t.Service], t)
+		if other := s.byAddress[t.Address]; other == nil || other.row < t.row {
+			s.byAddress[t.Address] = t
+		}
+	}
+	for _, list := range s.byService {
+		slices.SortFunc(list, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
+	}
+}
+
+// usable reports whether new work may go to the target.
+func (t *target) usable(now model.Instant) bool {
+	return t.State == fleet.TargetReady && now >= t.suspectUntil && (t.denied == 0 || t.denied != t.row)
+}
+
+// suspect leaves a target out for a while.
+func (s *State) suspect(now model.Instant, t *target, least time.Duration, why string) Effect {
+	period := min(firstSuspicion<<min(t.strikes, 8), longestSuspicion)
+	until := now.Add(max(period, least))
+	if until <= t.suspectUntil {
+		return nil
+	}
+	fresh := now >= t.suspectUntil
+	t.suspectUntil = until
+	if !fresh {
+		return nil
+	}
+	t.strikes++
+	return &Changed{What: "target suspected", Subject: string(t.ID), Detail: why}
+}
+
+func (s *State) peerHeard(now model.Instant, e PeerHeard) []Effect {
+	s.peers[e.VM] = &peer{heard: now, loads: e.Loads}
+	var effects []Effect
+	for id, left := range e.Suspects {
+		t := s.targets[id]
+		if t == nil || left <= 0 {
+			continue
+		}
+		until := now.Add(min(left, longestSuspicion))
+		if now >= t.suspectUntil {
+			effects = append(effects, &Changed{What: "target suspected", Subject: string(id), Detail: "heard from " + string(e.VM)})
+		}
+		t.suspectUntil = max(t.suspectUntil, until)
+	}
+	return effects
+}
+
+// load is the work of all VMs on a target, as far as it was heard.
+func (s *State) load(now model.Instant, t *target) Load {
+	l := t.own
+	for _, p := range s.peers {
+		if now.Sub(p.heard) > peerMemory {
+			continue
+		}
+		other := p.loads[t.ID]
+		l.Requests += other.Requests
+		l.TokenLayers += other.TokenLayers
+	}
+	return l
+}
+
+// Share returns what peers should hear: own loads and targets at fault.
+func (s *State) Share(now model.Instant) PeerHeard {
+	out := PeerHeard{
+		VM: s.settings.VM, Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]time.Duration{},
+	}
+	for id, t := range s.targets {
+		if t.own.Requests > 0 {
+			out.Loads[id] = t.own
+		}
+		if left := t.suspectUntil.Sub(now); left > 0 && t.strikes > 0 {
+			out.Suspects[id] = left
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,262 @@
+// Package keeper keeps a VM's view of the store fresh, shares load with other
+// VMs and, on the VM that holds the duty, orders layers onto targets.
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"tamarackreach/internal/bootclock"
+	"tamarackreach/internal/director"
+	"tamarackreach/internal/duty"
+	"tamarackreach/internal/front"
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/upstream"
+	"tamarackreach/platform"
+)
+
+const (
+	// ownTable holds the project's rows: the VMs and who holds which duty.
+	ownTable = "tamarackreach"
+	vmPrefix = "vm/"
+	dutyKey  = "duty/placement"
+	// pollsPerBound is how often the store is read within the shortest bound, so
+	// that one read may fail.
+	pollsPerBound = 3
+	// callTimeout bounds a call to the store: twice the slowest answers that a
+	// store in trouble was seen to give.
+	callTimeout = time.Second
+	// ownInterval is how often the project's rows are read; the duty is renewed
+	// then.
+	ownInterval = duty.Renew
+)
+
+// Keeper runs the loops of a VM besides its requests.
+type Keeper struct {
+	settings *platform.Settings
+	store    *platform.Store
+	reducer  *front.Reducer
+	targets  *targetClient
+	peers    *peers
+	orders   *orders
+	// registered is true once the VM's own row is written.
+	registered bool
+	// renewed is when the last successful write of the duty's row began.
+	renewed model.Instant
+}
+
+// New returns a keeper.
+func New(s *platform.Settings, r *front.Reducer) *Keeper {
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return upstream.Dialer{}.Dial(ctx, address)
+		},
+		MaxIdleConnsPerHost: 4, // one for each loop that reads or writes
+		DisableCompression:  true,
+	}
+	k := &Keeper{
+		settings: s, store: platform.NewStore(s.StoreAddress, transport), reducer: r, targets: newTargetClient(),
+	}
+	k.peers = newPeers(s, r)
+	k.orders = newOrders(r, k.targets)
+	return k
+}
+
+// Run keeps the view fresh until the context ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	if err := k.peers.listen(ctx); err != nil {
+		return err
+	}
+	interval := min(k.settings.Bounds.ConfigApply, k.settings.Bounds.Drain) / pollsPerBound
+	var known model.RowVersion
+	go every(ctx, interval, func() { known = k.readConfig(ctx, known) })
+	go every(ctx, interval, func() { k.readTargets(ctx) })
+	go every(ctx, ownInterval, func() { k.readOwn(ctx) })
+	go every(ctx, orderInterval, func() { k.placeLayers(ctx) })
+	go k.peers.run(ctx)
+	<-ctx.Done()
+	return nil
+}
+
+// every calls f at once and then at an interval, never twice at a time.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		f()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// readConfig reads the configuration and returns the row version that is known.
+func (k *Keeper) readConfig(ctx context.Context, known model.RowVersion) model.RowVersion {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	started := bootclock.Now()
+	row, err := k.store.Config(ctx)
+	if err != nil {
+		k.storeFailed(err)
+		return known
+	}
+	if row.Version == 0 {
+		return known
+	}
+	if row.Version == known {
+		k.reducer.Step(director.ConfigRead{Started: started})
+		return known
+	}
+	config, err := platform.DecodeConfig(row.Value)
+	if err != nil {
+		logrus.WithError(err).WithField("row", row.Version).Error("configuration not usable")
+		return known
+	}
+	k.reducer.Step(director.ConfigRead{Config: config, Started: started})
+	return row.Version
+}
+
+func (k *Keeper) storeFailed(err error) {
+	logrus.WithError(err).Debug("store call failed")
+	k.reducer.Step(director.StoreFailed{})
+}
+
+func (k *Keeper) readTargets(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	snapshot, err := k.store.Targets(ctx)
+	if err != nil {
+		k.storeFailed(err)
+		return
+	}
+	read := director.TargetsRead{Rows: make(map[model.TargetID]model.RowVersion, len(snapshot.Rows))}
+	for _, row := range snapshot.Rows {
+		target, err := platform.DecodeTarget(row)
+		if err != nil {
+			logrus.WithError(err).Debug("registration passed over")
+			continue
+		}
+		read.Targets = append(read.Targets, target)
+		read.Rows[target.ID] = row.Version
+	}
+	k.reducer.Step(read)
+}
+
+// vmRecord is what a VM says of itself in the store.
+type vmRecord struct {
+	Zone        model.AvailabilityZone `json:"zone"`
+	PeerAddress string                 `json:"peer_address"`
+}
+
+// readOwn reads the project's rows, registers this VM and renews or takes the
+// duty.
+func (k *Keeper) readOwn(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	snapshot, err := k.store.Table(ctx, ownTable)
+	if err != nil {
+		k.storeFailed(err)
+		return
+	}
+	var dutyRow model.Row
+	var own model.Row
+	vms := map[model.NodeID]vmRecord{}
+	for _, row := range snapshot.Rows {
+		if row.Key == dutyKey {
+			dutyRow = row
+			continue
+		}
+		name, found := strings.CutPrefix(row.Key, vmPrefix)
+		if !found {
+			continue
+		}
+		var record vmRecord
+		if err := json.Unmarshal(row.Value, &record); err != nil {
+			logrus.WithError(err).WithField("row", row.Key).Warn("VM record passed over")
+			continue
+		}
+		vms[model.NodeID(name)] = record
+		if model.NodeID(name) == k.settings.VM {
+			own = row
+		}
+	}
+	k.peers.set(vms)
+	k.reducer.Step(director.VMsKnown{Count: len(vms)})
+	k.register(ctx, own)
+	k.keepDuty(ctx, dutyRow, snapshot.Clock)
+}
+
+func (k *Keeper) register(ctx context.Context, row model.Row) {
+	if k.registered {
+		return
+	}
+	value, err := json.Marshal(vmRecord{Zone: k.settings.Zone, PeerAddress: k.peers.address()})
+	if err != nil {
+		logrus.WithError(err).Error("VM record not encoded")
+		return
+	}
+	if string(value) == string(row.Value) {
+		k.registered = true
+		return
+	}
+	_, err = k.store.Put(ctx, ownTable, model.Row{Key: vmPrefix + string(k.settings.VM), Value: value, Version: row.Version})
+	if err != nil {
+		logrus.WithError(err).Info("VM not registered yet")
+		return
+	}
+	k.registered = true
+}
+
+func (k *Keeper) keepDuty(ctx context.Context, row model.Row, clock time.Duration) {
+	action, record := duty.Decide(k.settings.VM, row, clock)
+	if action == duty.Wait {
+		return
+	}
+	value, err := json.Marshal(record)
+	if err != nil {
+		logrus.WithError(err).Error("duty record not encoded")
+		return
+	}
+	started := bootclock.Now()
+	held := duty.Held(k.renewed, started)
+	_, err = k.store.Put(ctx, ownTable, model.Row{Key: dutyKey, Value: value, Version: row.Version})
+	switch {
+	case errors.Is(err, platform.ErrChanged):
+		logrus.Info("another VM took the placement duty")
+	case err != nil:
+		logrus.WithError(err).Info("placement duty not renewed")
+	default:
+		k.renewed = started
+		if !held {
+			logrus.WithField("until_ms", record.UntilMs).Info("placement duty taken")
+			k.orders.forget()
+		}
+	}
+}
+
+// placeLayers plans and orders layers while this VM holds the duty.
+func (k *Keeper) placeLayers(ctx context.Context) {
+	if !duty.Held(k.renewed, bootclock.Now()) {
+		return
+	}
+	k.orders.run(ctx)
+}
+
+// AskReport reads a target's report and tells the reducer.
+func (k *Keeper) AskReport(ask *director.AskReport) {
+	report, err := k.targets.report(context.Background(), ask.Address)
+	if err != nil {
+		logrus.WithError(err).WithField("target", ask.Target).Info("no report")
+	}
+	k.reducer.Step(director.ReportRead{Target: ask.Target, Report: report})
+}
+
