--- a/cmd/tamarack-front/main.go
+++ b/cmd/tamarack-front/main.go
@@ -37,4 +37,3 @@
 		logrus.Fatal(err)
 	}
 }
-
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -378,4 +378,3 @@
 	f.reducer.Read(func(s *director.State) { n = s.InFlight() })
 	return n
 }
-
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -259,4 +259,3 @@
 	}
 	k.reducer.Step(director.ReportRead{Target: ask.Target, Report: report})
 }
-
