--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,28 +28,34 @@
 }
 
 const (
-	// minFill and maxFill bound the part of a card's memory that layers take;
-	// below, a zone cannot hold a path, above, too little is left for requests.
-	// From the sweep of TestFillOfAZone.
-	minFill = 0.35
-	maxFill = 0.85
-	// fillStep is the step of the search between them.
-	fillStep = 0.05
-	// repairFill is the part that layers may take on a card that closes a hole: a
-	// crowded path serves more than none.
-	repairFill = 0.8
-	// usableState is the part of the memory for requests that is planned for;
-	// the rest absorbs long answers.
-	usableState = 0.8
+	// worthwhile is the growth of a zone's rate for which a member that serves is
+	// given other layers: loading takes it away for seconds, in which the zone
+	// runs without it.
+	worthwhile = 1.12
+	// maxMoves bounds the members that serve and are moved at a time: the rest
+	// carries their load meanwhile.
+	maxMoves = 1
 )
 
+// fills are the parts of a card's memory that layers may take. Below, a zone
+// cannot hold a path; above, too little is left for requests.
+var fills = []float64{0.35, 0.45, 0.5, 0.55, 0.6, 0.65, 0.7, 0.75, 0.8, 0.85}
+
 // Plan returns the orders that bring the targets of a service to a good
-// placement, zone by zone. Targets that hold layers keep them unless they
-// duplicate layers while others are missing in their zone.
+// placement, zone by zone. Missing layers come first; targets that hold nothing
+// go where they raise the zone's rate most; a target that serves is moved only
+// when others hold its layers and the gain outweighs its absence.
 func Plan(engine *fleet.Engine, members []Member) []Order {
 	var orders []Order
-	for _, zone := range zones(members) {
-		orders = append(orders, planZone(engine, inZone(members, zone))...)
+	for _, name := range zones(members) {
+		z := newZone(engine, inZone(engine, members, name))
+		if z.empty() {
+			z.layOut()
+		}
+		z.closeHoles()
+		z.useIdle()
+		z.improve()
+		orders = append(orders, z.orders()...)
 	}
 	return orders
 }
@@ -63,50 +69,36 @@
 	return slices.Compact(names)
 }
 
-// inZone returns the usable members of a zone, fastest first.
-func inZone(members []Member, zone model.AvailabilityZone) []Member {
+// inZone returns the members of a zone, fastest first.
+func inZone(engine *fleet.Engine, members []Member, name model.AvailabilityZone) []Member {
 	var out []Member
 	for _, m := range members {
-		if m.Zone == zone {
+		if _, known := engine.Hardware[m.Kind]; known && m.Zone == name {
 			out = append(out, m)
 		}
 	}
 	slices.SortFunc(out, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(
+			cmp.Compare(engine.Hardware[a.Kind].StepFactor, engine.Hardware[b.Kind].StepFactor),
+			cmp.Compare(a.ID, b.ID))
 	})
 	return out
 }
 
-func planZone(engine *fleet.Engine, members []Member) []Order {
-	slices.SortStableFunc(members, func(a, b Member) int {
-		return cmp.Compare(engine.Hardware[a.Kind].StepFactor, engine.Hardware[b.Kind].StepFactor)
-	})
-	z := newZone(engine, members)
-	if z.empty() {
-		z.layOut()
-	} else {
-		z.closeHoles()
-	}
-	z.duplicate()
-	return z.orders()
-}
-
 // zone is the placement of one zone while it is planned.
 type zone struct {
 	engine  *fleet.Engine
 	members []Member
 	// want is the range of each member, by its position.
-	want []model.LayerRange
-	// fill is the part of a card's memory that layers take.
-	fill float64
+	want  []model.LayerRange
+	model *rateModel
 }
 
 func newZone(engine *fleet.Engine, members []Member) *zone {
-	z := &zone{engine: engine, members: members, want: make([]model.LayerRange, len(members))}
+	z := &zone{engine: engine, members: members, want: make([]model.LayerRange, len(members)), model: newRateModel(engine)}
 	for i, m := range members {
-		z.want[i] = m.Held
+		z.want[i] = model.LayerRange{First: m.Held.First, End: min(m.Held.End, engine.Layers)}
 	}
-	z.fill = z.bestFill()
 	return z
 }
 
@@ -120,56 +112,32 @@
 	return min(n, z.engine.Layers)
 }
 
-// bestFill returns the fill at which the zone serves the most requests a second.
-func (z *zone) bestFill() float64 {
-	best, bestRate := repairFill, 0.0
-	for fill := minFill; fill <= maxFill; fill += fillStep {
-		if rate := z.rate(fill); rate > bestRate {
-			best, bestRate = fill, rate
+func (z *zone) quality() quality { return z.model.quality(z.members, z.want) }
+
+// layOut fills an empty zone fastest first, one whole path after the other, at
+// the fill that gives the best rate.
+func (z *zone) layOut() {
+	var best []model.LayerRange
+	var bestQuality quality
+	for _, fill := range fills {
+		z.fillFastest(fill)
+		if q := z.quality(); best == nil || q.better(bestQuality) {
+			best, bestQuality = slices.Clone(z.want), q
 		}
 	}
-	return best
+	copy(z.want, best)
 }
 
-// rate predicts the requests a second of a zone that is filled fastest first:
-// the requests that fit, over the time that each takes.
-func (z *zone) rate(fill float64) float64 {
+func (z *zone) fillFastest(fill float64) {
 	total := uint32(0)
 	for i := range z.members {
 		total += z.room(i, fill)
 	}
-	copies := total / z.engine.Layers
-	if copies == 0 {
-		return 0
-	}
-	left := copies * z.engine.Layers
-	// factor is the sum over the layers of one path of their step factor, in
-	// layers; it is averaged over the copies.
-	factor := 0.0
-	for i := range z.members {
-		n := min(z.room(i, fill), left)
-		factor += float64(n) * z.engine.Hardware[z.members[i].Kind].StepFactor
-		left -= n
-	}
-	factor /= float64(copies * z.engine.Layers)
-	tokens := z.engine.UsualPrompt + z.engine.UsualAnswer
-	// At a fill f a layer of LayerMB leaves LayerMB x (1-f)/f for requests.
-	state := z.engine.LayerMB * (1 - fill) / fill / z.engine.StateMBPerTokenLayer()
-	atOnce := usableState * state / tokens
-	step := z.engine.StepMs + atOnce*(z.engine.StepMsPerSequence+z.engine.StepMsPerKToken*tokens/1000)
-	return float64(copies) * atOnce / (z.engine.UsualAnswer * factor * step)
-}
-
-// layOut fills an empty zone fastest first, one whole path after the other.
-func (z *zone) layOut() {
-	total := uint32(0)
-	for i := range z.members {
-		total += z.room(i, z.fill)
-	}
 	left := total / z.engine.Layers * z.engine.Layers
 	at := uint32(0)
 	for i := range z.members {
-		n := min(z.room(i, z.fill), left, z.engine.Layers-at)
+		z.want[i] = model.LayerRange{}
+		n := min(z.room(i, fill), left, z.engine.Layers-at)
 		if n == 0 {
 			continue
 		}
@@ -179,121 +147,149 @@
 	}
 }
 
-// holders counts the members that hold each layer, without the one at except.
-func (z *zone) holders(except int) []int {
-	count := make([]int, z.engine.Layers)
-	for i, r := range z.want {
-		if i == except {
-			continue
-		}
-		for l := r.First; l < min(r.End, z.engine.Layers); l++ {
-			count[l]++
-		}
-	}
-	return count
-}
-
-// closeHoles gives the layers that nobody holds to members that hold nothing,
-// then to members whose layers others hold as well.
+// closeHoles gives layers that nobody holds to members that hold nothing, then
+// to members whose layers others hold as well.
 func (z *zone) closeHoles() {
 	for _, free := range []func(int) bool{z.idle, z.redundant} {
-		for i := range z.members {
-			hole, found := z.longestHole()
-			if !found {
+		for {
+			before := z.quality()
+			if before.missing == 0 {
 				return
 			}
-			if z.members[i].Fixed || !free(i) {
-				continue
-			}
-			fill := max(z.fill, repairFill)
-			if n := min(z.room(i, fill), hole.Len()); n > 0 {
-				z.want[i] = model.LayerRange{First: hole.First, End: hole.First + n}
+			i, r, q, found := z.bestMove(free)
+			if !found || q.missing >= before.missing {
+				break
 			}
+			z.want[i] = r
+		}
+	}
+}
+
+// useIdle places members that hold nothing where they raise the rate most.
+func (z *zone) useIdle() {
+	for {
+		i, r, q, found := z.bestMove(z.idle)
+		if !found || !q.better(z.quality()) {
+			return
+		}
+		z.want[i] = r
+	}
+}
+
+// improve moves members that serve while the gain outweighs their absence.
+func (z *zone) improve() {
+	for range maxMoves {
+		before := z.quality()
+		i, r, q, found := z.bestMove(z.redundant)
+		if !found || before.missing > 0 || q.missing > 0 || q.rate < before.rate*worthwhile {
+			return
 		}
+		z.want[i] = r
 	}
 }
 
-func (z *zone) idle(i int) bool { return z.want[i].Len() == 0 }
+// idle is true for a member that holds nothing and may be given layers.
+func (z *zone) idle(i int) bool { return !z.members[i].Fixed && z.want[i].Len() == 0 }
 
-// redundant is true for a member each of whose layers has another holder.
+// redundant is true for a member that serves, was not moved in this plan, and
+// each of whose layers has another holder that serves.
 func (z *zone) redundant(i int) bool {
-	if z.want[i] != z.members[i].Held {
-		return false // it was given a hole in this plan
+	if z.members[i].Fixed || z.want[i].Len() == 0 || z.want[i] != z.members[i].Held {
+		return false
 	}
-	count := z.holders(i)
-	for l := z.want[i].First; l < min(z.want[i].End, z.engine.Layers); l++ {
-		if count[l] == 0 {
+	for l := z.want[i].First; l < z.want[i].End; l++ {
+		if !z.heldBesides(i, l) {
 			return false
 		}
 	}
 	return true
 }
 
-func (z *zone) longestHole() (model.LayerRange, bool) {
-	count := z.holders(-1)
-	var best, run model.LayerRange
-	for l := range z.engine.Layers {
-		if count[l] > 0 {
-			run = model.LayerRange{First: l + 1, End: l + 1}
-			continue
-		}
-		run.End = l + 1
-		if run.Len() > best.Len() {
-			best = run
+// heldBesides is true when a member other than i serves layer l now.
+func (z *zone) heldBesides(i int, l uint32) bool {
+	for k, m := range z.members {
+		if k != i && !m.Fixed && z.want[k] == m.Held && m.Held.First <= l && l < m.Held.End {
+			return true
 		}
 	}
-	return best, best.Len() > 0
+	return false
 }
 
-// duplicate gives members that hold nothing a second copy of the layers whose
-// holders have the least memory for requests.
-func (z *zone) duplicate() {
+// bestMove returns the member among the free ones and the range for it that
+// give the best placement.
+func (z *zone) bestMove(free func(int) bool) (member int, r model.LayerRange, q quality, found bool) {
+	starts := z.starts()
+	tried := map[model.AcceleratorKind]bool{}
 	for i := range z.members {
-		if z.members[i].Fixed || !z.idle(i) {
+		if !free(i) {
 			continue
 		}
-		n := z.room(i, z.fill)
-		if n == 0 {
-			continue
+		// Members of a kind that hold nothing are alike.
+		if kind := z.members[i].Kind; z.want[i].Len() == 0 {
+			if tried[kind] {
+				continue
+			}
+			tried[kind] = true
+		}
+		was := z.want[i]
+		for _, candidate := range z.candidates(i, starts) {
+			z.want[i] = candidate
+			if next := z.quality(); !found || next.better(q) {
+				member, r, q, found = i, candidate, next, true
+			}
 		}
-		z.want[i] = tightest(z.stateOfLayers(), n)
+		z.want[i] = was
 	}
+	return member, r, q, found
 }
 
-// stateOfLayers is the memory for requests in tokens that the holders of each
-// layer have together.
-func (z *zone) stateOfLayers() []float64 {
-	state := make([]float64, z.engine.Layers)
-	for i, r := range z.want {
-		if r.Len() == 0 {
-			continue
-		}
-		free := z.engine.Hardware[z.members[i].Kind].MemoryMB - float64(r.Len())*z.engine.LayerMB
-		tokens := free / float64(r.Len()) / z.engine.StateMBPerTokenLayer()
-		for l := r.First; l < min(r.End, z.engine.Layers); l++ {
-			state[l] += tokens
+// starts returns the layers at which a range may begin or end: those at which
+// the holders change.
+func (z *zone) starts() []uint32 {
+	cuts := []uint32{0, z.engine.Layers}
+	for _, r := range z.want {
+		if r.Len() > 0 {
+			cuts = append(cuts, r.First, r.End)
 		}
 	}
-	return state
+	slices.Sort(cuts)
+	return slices.Compact(cuts)
 }
 
-// tightest returns the n layers side by side with the least memory together.
-func tightest(state []float64, n uint32) model.LayerRange {
-	sum := 0.0
-	best, bestSum := uint32(0), 0.0
-	for l := range uint32(len(state)) {
-		sum += state[l]
-		if l+1 < n {
-			continue
+// candidates returns the ranges that a member may be given: each length that
+// its card allows, beginning or ending where holders change.
+func (z *zone) candidates(i int, cuts []uint32) []model.LayerRange {
+	var out []model.LayerRange
+	lengths := make([]uint32, 0, len(fills))
+	for _, fill := range fills {
+		if n := z.room(i, fill); n > 0 {
+			lengths = append(lengths, n)
 		}
-		if l+1 > n {
-			sum -= state[l-n]
+	}
+	lengths = slices.Compact(lengths)
+	for _, cut := range cuts {
+		for _, n := range lengths {
+			if cut+n <= z.engine.Layers {
+				out = append(out, model.LayerRange{First: cut, End: cut + n})
+			}
+			if cut >= n {
+				out = append(out, model.LayerRange{First: cut - n, End: cut})
+			}
 		}
-		if l+1 == n || sum < bestSum {
-			best, bestSum = l+1-n, sum
+		// The piece up to the next cut, when it is shorter than the card allows.
+		if next, found := after(cuts, cut); found && len(lengths) > 0 && next-cut < lengths[len(lengths)-1] {
+			out = append(out, model.LayerRange{First: cut, End: next})
 		}
 	}
-	return model.LayerRange{First: best, End: best + n}
+	return out
+}
+
+func after(cuts []uint32, cut uint32) (uint32, bool) {
+	i, _ := slices.BinarySearch(cuts, cut+1)
+	if i == len(cuts) {
+		return 0, false
+	}
+	return cuts[i], true
 }
 
 func (z *zone) orders() []Order {
