Plan placement by predicted rate, and repair only for targets that do not answer

A target under a 400 ms suspicion counted as a hole, and the first member with duplicated layers was moved into it: an a100 that held 30 layers took 6, and nothing gave it its share back. From second 14 to the end a zone lacked layers. Ruled out: loads that fail (every order answered 202 and showed its effect).

Change: a placement is judged by the requests a second that it carries (memory for requests at the tightest layer over the time a token takes); a move is the one that raises that most. A target is replaced only when it is gone, draining or does not answer for its report twice.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -145,9 +146,9 @@
 func (s *State) send(now model.Instant, r *request) (*Send, string) {
 	var hops []fleet.Hop
 	if r.service.Engine != nil {
-		found, ok := s.path(now, r)
-		if !ok {
-			return nil, whyHole
+		found, why := s.path(now, r)
+		if found == nil {
+			return nil, why
 		}
 		hops = found
 	} else {
@@ -183,8 +184,9 @@
 	}
 }
 
-// tokens estimates the tokens that a request holds in memory: its prompt and
-// the usual answer, or what it asks for when that is less.
+// tokens estimates the tokens that a request holds in memory on the mean: its
+// prompt and a part of the usual answer, or of what it asks for when that is
+// less.
 func (s *State) tokens(r *request) float64 {
 	if r.service.Engine == nil {
 		return 0
@@ -196,7 +198,7 @@
 	if r.AnswerTokens > 0 {
 		answer = min(answer, float64(r.AnswerTokens))
 	}
-	return prompt + answer
+	return prompt + meanProgress*answer
 }
 
 // plainTarget returns the target with the least work, in the home zone when one
@@ -243,9 +245,15 @@
 	crowded = 0.75
 	// crowdedWeight is that growth for each further whole of the memory.
 	crowdedWeight = 20
+	// fullAt is the part of the memory at which a target takes nothing more.
+	fullAt = 1.0
+	// meanProgress is the part of its answer that a request holds on the mean.
+	meanProgress = 0.6
 )
 
-func (s *State) path(now model.Instant, r *request) ([]fleet.Hop, bool) {
+// path returns the cheapest path with room for the request, or why there is
+// none.
+func (s *State) path(now model.Instant, r *request) ([]fleet.Hop, string) {
 	engine := r.service.Engine
 	var holders []paths.Holder
 	for _, t := range s.byService[r.service.ID] {
@@ -257,7 +265,25 @@
 		})
 	}
 	hops, _, ok := paths.Find(holders, engine.Layers, s.settings.Zone, pathCosts)
-	return hops, ok
+	if !ok {
+		return nil, whyHole
+	}
+	for _, hop := range hops {
+		if t := s.targets[hop.Target]; s.occupancy(now, engine, t) > fullAt {
+			return nil, whyFull
+		}
+	}
+	return hops, ""
+}
+
+// occupancy is the part of a target's memory for requests that is taken.
+func (s *State) occupancy(now model.Instant, engine *fleet.Engine, t *target) float64 {
+	free := engine.Hardware[t.Kind].MemoryMB - float64(t.Held.Len())*engine.LayerMB
+	capacity := free / engine.StateMBPerTokenLayer()
+	if capacity <= 0 {
+		return math.Inf(1)
+	}
+	return s.load(now, t).TokenLayers / capacity
 }
 
 // layerCost predicts the time of one layer in a token step, in milliseconds.
@@ -271,11 +297,8 @@
 	}
 	step := engine.StepMs + float64(load.Requests)*engine.StepMsPerSequence + context/1000*engine.StepMsPerKToken
 	cost := step * max(hardware.StepFactor, 0.1) * max(t.pace, 1) / float64(engine.Layers)
-	free := hardware.MemoryMB - float64(t.Held.Len())*engine.LayerMB
-	if capacity := free / engine.StateMBPerTokenLayer(); capacity > 0 {
-		if used := load.TokenLayers / capacity; used > crowded {
-			cost *= 1 + crowdedWeight*(used-crowded)
-		}
+	if used := s.occupancy(now, engine, t); used > crowded {
+		cost *= 1 + crowdedWeight*(min(used, 2)-crowded)
 	}
 	return cost
 }
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -147,7 +147,7 @@
 	if !r.route.Repeatable() || r.ends.Sub(now) < leastTime || r.sends >= maxSends {
 		return nil
 	}
-	if _, ok := s.path(now, r); !ok {
+	if hops, _ := s.path(now, r); hops == nil {
 		return nil // nowhere to go: the path may recover
 	}
 	r.diverted = true
@@ -160,10 +160,17 @@
 		return nil
 	}
 	if e.Report == nil {
+		t.silent++
+		if t.silent == silentWhenDead {
+			return []Effect{&Changed{What: "target dead", Subject: string(t.ID), Detail: "it does not answer for its report"}}
+		}
 		return effect(s.suspect(now, t, 0, "it did not answer with its report"))
 	}
-	t.pace = e.Report.Pace
 	var effects []Effect
+	if t.dead() {
+		effects = append(effects, &Changed{What: "target answers again", Subject: string(t.ID)})
+	}
+	t.silent, t.pace = 0, e.Report.Pace
 	for _, address := range e.Report.Stalled {
 		if at := s.byAddress[address]; at != nil {
 			effects = append(effects, effect(s.suspect(now, at, deadFor, "paths of "+string(t.ID)+" wait for it"))...)
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -100,6 +100,13 @@
 	Report *fleet.Report
 }
 
+// ProbeDue says that it is time to look at targets under suspicion.
+type ProbeDue struct {
+	// All is true on the VM that places layers: it looks at those that other VMs
+	// suspect as well.
+	All bool
+}
+
 // PeerHeard carries what another VM says of its load and of targets at fault.
 type PeerHeard struct {
 	VM model.NodeID
@@ -123,6 +130,7 @@
 func (Quiet) event()       {}
 func (Finished) event()    {}
 func (ReportRead) event()  {}
+func (ProbeDue) event()    {}
 func (PeerHeard) event()   {}
 func (VMsKnown) event()    {}
 func (Terminating) event() {}
--- a/internal/director/placeable.go
+++ b/internal/director/placeable.go
@@ -15,8 +15,8 @@
 }
 
 // Placeable returns the layered services in a fixed order with the targets that
-// are ready and not at fault.
-func (s *State) Placeable(now model.Instant) []Placeable {
+// are ready and answer for themselves.
+func (s *State) Placeable() []Placeable {
 	if s.config == nil {
 		return nil
 	}
@@ -31,7 +31,7 @@
 	for _, id := range ids {
 		p := Placeable{Engine: s.config.Services[id].Engine}
 		for _, t := range s.byService[id] {
-			if t.State == fleet.TargetReady && t.missing == 0 && now >= t.suspectUntil {
+			if t.State == fleet.TargetReady && t.missing == 0 && !t.dead() {
 				p.Targets = append(p.Targets, *t.Target)
 			}
 		}
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -93,6 +93,8 @@
 		return s.targetsSeen(now, e)
 	case ReportRead:
 		return s.reportRead(now, e)
+	case ProbeDue:
+		return s.probe(now, e)
 	case PeerHeard:
 		return s.peerHeard(now, e)
 	case StoreFailed:
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -27,6 +27,8 @@
 	own Load
 	// reportAsked is when the target's report was last asked for.
 	reportAsked model.Instant
+	// silent counts requests for its report without an answer, in a row.
+	silent int
 	// pace is what the target last reported; 1 is normal.
 	pace float64
 }
@@ -98,7 +100,7 @@
 		return nil
 	}
 	if known.Born != t.Born {
-		known.strikes, known.suspectUntil, known.pace = 0, 0, 1
+		known.strikes, known.suspectUntil, known.pace, known.silent = 0, 0, 1, 0
 	}
 	was := describe(known.Target)
 	known.Target, known.row = t, row
@@ -134,7 +136,30 @@
 
 // usable reports whether new work may go to the target.
 func (t *target) usable(now model.Instant) bool {
-	return t.State == fleet.TargetReady && now >= t.suspectUntil && (t.denied == 0 || t.denied != t.row)
+	return t.State == fleet.TargetReady && now >= t.suspectUntil && !t.dead() && (t.denied == 0 || t.denied != t.row)
+}
+
+// silentWhenDead is the number of requests for its report in a row that a
+// target leaves unanswered before its layers are placed elsewhere.
+const silentWhenDead = 2
+
+// dead is true for a target that does not even answer for itself.
+func (t *target) dead() bool { return t.silent >= silentWhenDead }
+
+// probe asks for the reports of targets under suspicion.
+func (s *State) probe(now model.Instant, e ProbeDue) []Effect {
+	var effects []Effect
+	for _, list := range s.byService {
+		for _, t := range list {
+			suspected := now < t.suspectUntil && (t.strikes > 0 || e.All)
+			if t.Kind == "" || !suspected && !t.dead() || now.Sub(t.reportAsked) < reportInterval {
+				continue
+			}
+			t.reportAsked = now
+			effects = append(effects, &AskReport{Target: t.ID, Address: t.Address})
+		}
+	}
+	return effects
 }
 
 // suspect leaves a target out for a while.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -33,6 +33,9 @@
 	// callTimeout bounds a call to the store: twice the slowest answers that a
 	// store in trouble was seen to give.
 	callTimeout = time.Second
+	// probeInterval is how often targets under suspicion are looked at; the
+	// reducer bounds how often each is asked.
+	probeInterval = 250 * time.Millisecond
 	// ownInterval is how often the project's rows are read; the duty is renewed
 	// then.
 	ownInterval = duty.Renew
@@ -80,6 +83,7 @@
 	go every(ctx, interval, func() { k.readTargets(ctx) })
 	go every(ctx, ownInterval, func() { k.readOwn(ctx) })
 	go every(ctx, orderInterval, func() { k.placeLayers(ctx) })
+	go every(ctx, probeInterval, k.probe)
 	go k.peers.run(ctx)
 	<-ctx.Done()
 	return nil
@@ -243,6 +247,15 @@
 	}
 }
 
+// probe asks targets under suspicion for their reports.
+func (k *Keeper) probe() {
+	for _, effect := range k.reducer.Step(director.ProbeDue{All: duty.Held(k.renewed, bootclock.Now())}) {
+		if ask, ok := effect.(*director.AskReport); ok {
+			go k.AskReport(ask)
+		}
+	}
+}
+
 // placeLayers plans and orders layers while this VM holds the duty.
 func (k *Keeper) placeLayers(ctx context.Context) {
 	if !duty.Held(k.renewed, bootclock.Now()) {
--- a/internal/keeper/orders.go
+++ b/internal/keeper/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,6 +44,8 @@
 	targets *targetClient
 	mu      sync.Mutex
 	open    map[model.TargetID]*open
+	// planned are the members for which the last plan had no order.
+	planned []placement.Member
 	// count and since tell how long the set of targets is unchanged.
 	count int
 	since model.Instant
@@ -57,14 +60,14 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.open = map[model.TargetID]*open{}
-	o.count, o.since = 0, 0
+	o.count, o.since, o.planned = 0, 0, nil
 }
 
 // run plans once and carries out what is due.
 func (o *orders) run(ctx context.Context) {
 	now := bootclock.Now()
 	var services []director.Placeable
-	o.reducer.Read(func(s *director.State) { services = s.Placeable(now) })
+	o.reducer.Read(func(s *director.State) { services = s.Placeable() })
 	for i := range services {
 		if !o.settled(now, &services[i]) {
 			continue
@@ -108,7 +111,7 @@
 		members = append(members, m)
 	}
 	o.mu.Unlock()
-	plan := placement.Plan(p.Engine, members)
+	plan := o.plan(p.Engine, members)
 	var wait sync.WaitGroup
 	limit := make(chan struct{}, maxParallelOrders)
 	start := func(f func()) {
@@ -128,6 +131,25 @@
 	wait.Wait()
 }
 
+// plan returns the orders that are due. A plan is made again only when its
+// members have changed.
+func (o *orders) plan(engine *fleet.Engine, members []placement.Member) []placement.Order {
+	if slices.Equal(members, o.planned) {
+		return nil
+	}
+	started := time.Now()
+	orders := placement.Plan(engine, members)
+	if len(orders) == 0 {
+		o.planned = members
+	} else {
+		o.planned = nil
+		logrus.WithFields(logrus.Fields{
+			"targets": len(members), "orders": len(orders), "took_ms": time.Since(started).Milliseconds(),
+		}).Info("placement planned")
+	}
+	return orders
+}
+
 // give orders a target to hold layers. Its own report comes first: it says how
 // many orders the target has accepted, and an order is given on condition that
 // no other came between.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -37,9 +37,12 @@
 	maxMoves = 1
 )
 
+// refinements bounds the moves of a member while an empty zone is planned.
+const refinements = 2
+
 // fills are the parts of a card's memory that layers may take. Below, a zone
 // cannot hold a path; above, too little is left for requests.
-var fills = []float64{0.35, 0.45, 0.5, 0.55, 0.6, 0.65, 0.7, 0.75, 0.8, 0.85}
+var fills = []float64{0.25, 0.35, 0.42, 0.5, 0.56, 0.62, 0.7, 0.76, 0.82}
 
 // Plan returns the orders that bring the targets of a service to a good
 // placement, zone by zone. Missing layers come first; targets that hold nothing
@@ -51,6 +54,7 @@
 		z := newZone(engine, inZone(engine, members, name))
 		if z.empty() {
 			z.layOut()
+			z.refine()
 		}
 		z.closeHoles()
 		z.useIdle()
@@ -147,6 +151,21 @@
 	}
 }
 
+// refine moves members of a zone that does not serve yet, one at a time, while
+// its rate grows.
+func (z *zone) refine() {
+	for range refinements * len(z.members) {
+		i, r, q, found := z.bestMove(z.movable)
+		if !found || !q.better(z.quality()) {
+			return
+		}
+		z.want[i] = r
+	}
+}
+
+// movable is true for a member that may be given layers and holds none yet.
+func (z *zone) movable(i int) bool { return !z.members[i].Fixed && z.members[i].Held.Len() == 0 }
+
 // closeHoles gives layers that nobody holds to members that hold nothing, then
 // to members whose layers others hold as well.
 func (z *zone) closeHoles() {
--- a/internal/placement/rate.go
+++ b/internal/placement/rate.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"math"
+
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
 )
@@ -12,8 +14,12 @@
 	// stageWait is how many times its own work a token spends at each target: it
 	// waits for the pass under way. Measured on calm days: 1.8.
 	stageWait = 1.8
-	// crossings of layers between targets cost this much a token, in milliseconds.
+	// hopMs is the time of a token between two targets, in milliseconds.
 	hopMs = 0.3
+	// tightness is the power of the mean that stands for the least memory among
+	// the layers: the least itself would not tell one tight layer from several,
+	// and the search would see no way to widen them one by one.
+	tightness = 6
 )
 
 // quality compares placements of a zone.
@@ -69,16 +75,14 @@
 		}
 	}
 	q := quality{}
-	tightest := 0.0
+	strain := 0.0
 	factor, copies := 0.0, 0.0
 	for l, tokens := range m.tokens {
 		if m.copies[l] == 0 {
 			q.missing++
 			continue
 		}
-		if tightest == 0 || tokens < tightest {
-			tightest = tokens
-		}
+		strain += math.Pow(max(tokens, 1), -tightness)
 		if tokens > 0 {
 			factor += m.factor[l] / tokens
 		}
@@ -88,6 +92,7 @@
 	if covered == 0 {
 		return q
 	}
+	tightest := math.Pow(strain/covered, -1.0/tightness)
 	q.rate = m.rate(tightest, factor/float64(len(m.tokens)), copies/covered, float64(held)/max(copies/covered, 1))
 	return q
 }
