Weigh prompts that wait, spread over like paths, refuse what would be late

All VMs saw the same cheapest path and sent 80 requests a second through single a100 chains of two zones, whose passes read one piece of a prompt each: at most 64 a second. Ruled out: memory (no more than 49 requests preempted) and slow targets (two chains of normal pace were worst).

Change: load counts requests whose prompt is not read yet; a path's cost has a part for them and some noise a request; a request whose first event would be late is refused at once. The rate of a placement includes prompts read a pass.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -58,7 +59,7 @@
 	if denial != nil {
 		return []Effect{denial}
 	}
-	r := &request{Request: req, route: route, workspace: workspace, arrived: now}
+	r := &request{Request: req, route: route, workspace: workspace, arrived: now, random: e.Random}
 	limit := req.Deadline
 	if limit == 0 || route.Timeout > 0 && route.Timeout < limit {
 		limit = route.Timeout
@@ -132,11 +133,12 @@
 const (
 	whyHole   = "a layer of the model has no usable target"
 	whyNobody = "the service has no usable target"
+	whyLate   = "the targets of the service have too many prompts to read"
 	whyFull   = "the targets of the service are full"
 )
 
 func (s *State) returnTime(why string) time.Duration {
-	if why == whyFull {
+	if why == whyFull || why == whyLate {
 		return busyReturn
 	}
 	return holeReturn
@@ -158,7 +160,7 @@
 		}
 		hops = []fleet.Hop{{Target: t.ID, Address: t.Address}}
 	}
-	r.hops, r.sentAt, r.diverted = hops, now, false
+	r.hops, r.sentAt, r.diverted, r.waiting = hops, now, false, true
 	r.sends++
 	s.account(r, 1)
 	out := &Send{Route: r.route, Service: r.service, Hops: hops, TimeLeft: r.ends.Sub(now), Number: r.sends}
@@ -178,10 +180,27 @@
 		}
 		t.own.Requests += sign
 		t.own.TokenLayers += float64(sign) * tokens * float64(hop.Layers.Len())
+		if r.waiting {
+			t.own.Waiting += sign
+		}
 	}
 	if sign < 0 {
-		r.hops = nil
+		r.hops, r.waiting = nil, false
+	}
+}
+
+// began notes that a request's prompt has been read.
+func (s *State) began(id model.RequestID) {
+	r := s.requests[id]
+	if r == nil || !r.waiting {
+		return
+	}
+	for _, hop := range r.hops {
+		if t := s.targets[hop.Target]; t != nil {
+			t.own.Waiting--
+		}
 	}
+	r.waiting = false
 }
 
 // tokens estimates the tokens that a request holds in memory on the mean: its
@@ -247,6 +266,16 @@
 	crowdedWeight = 20
 	// fullAt is the part of the memory at which a target takes nothing more.
 	fullAt = 1.0
+	// lateAt is the part of the latency goal beyond which a predicted first event
+	// is too late: a request that is refused at once can be served elsewhere or
+	// later, and those before it stay in time.
+	lateAt = 0.9
+	// firstWeight weighs the wait for the first event against the time of each
+	// later one: a usual answer has some fifty events.
+	firstWeight = 0.02
+	// costNoise spreads requests over paths that cost nearly the same, since VMs
+	// that decide together see the same loads.
+	costNoise = 0.15
 	// meanProgress is the part of its answer that a request holds on the mean.
 	meanProgress = 0.6
 )
@@ -255,27 +284,54 @@
 // none.
 func (s *State) path(now model.Instant, r *request) ([]fleet.Hop, string) {
 	engine := r.service.Engine
+	noise := rand.New(rand.NewPCG(math.Float64bits(r.random), uint64(r.sends)))
 	var holders []paths.Holder
 	for _, t := range s.byService[r.service.ID] {
 		if t.Held.Len() == 0 || !t.usable(now) {
 			continue
 		}
-		holders = append(holders, paths.Holder{
-			ID: t.ID, Address: t.Address, Zone: t.Zone, Layers: t.Held, CostPerLayer: s.layerCost(now, engine, t),
-		})
+		cost := s.layerCost(now, engine, t) * (1 - costNoise + 2*costNoise*noise.Float64())
+		holders = append(holders, paths.Holder{ID: t.ID, Address: t.Address, Zone: t.Zone, Layers: t.Held, CostPerLayer: cost})
 	}
 	hops, _, ok := paths.Find(holders, engine.Layers, s.settings.Zone, pathCosts)
 	if !ok {
 		return nil, whyHole
 	}
+	if r.sends > 0 {
+		return hops, "" // it was admitted once; a full path is better than none
+	}
 	for _, hop := range hops {
-		if t := s.targets[hop.Target]; s.occupancy(now, engine, t) > fullAt {
+		if s.occupancy(now, engine, s.targets[hop.Target]) > fullAt {
 			return nil, whyFull
 		}
 	}
+	if goal := r.route.LatencyGoal; goal > 0 && s.timeToFirst(now, r, hops) > lateAt*float64(goal.Milliseconds()) {
+		return nil, whyLate
+	}
 	return hops, ""
 }
 
+// timeToFirst predicts the time to the first event on a path, in milliseconds:
+// the passes that read the prompt at each hop, and the queue at the hop where
+// it is longest.
+func (s *State) timeToFirst(now model.Instant, r *request, hops []fleet.Hop) float64 {
+	engine := r.service.Engine
+	sum, queue := 0.0, 0.0
+	for _, hop := range hops {
+		t := s.targets[hop.Target]
+		load := s.load(now, t)
+		pass := engine.PassMs(engine.Hardware[t.Kind], hop.Layers.Len(), float64(load.Requests)) * max(t.pace, 1)
+		sum += pass * max(float64(r.PromptTokens)/engine.ReadTokensPerPass, 1)
+		queue = max(queue, pass*float64(load.Waiting)*usualPasses(engine))
+	}
+	return sum + queue
+}
+
+// usualPasses is the passes that read a usual prompt.
+func usualPasses(engine *fleet.Engine) float64 {
+	return max(engine.UsualPrompt/engine.ReadTokensPerPass, 1)
+}
+
 // occupancy is the part of a target's memory for requests that is taken.
 func (s *State) occupancy(now model.Instant, engine *fleet.Engine, t *target) float64 {
 	free := engine.Hardware[t.Kind].MemoryMB - float64(t.Held.Len())*engine.LayerMB
@@ -286,17 +342,14 @@
 	return s.load(now, t).TokenLayers / capacity
 }
 
-// layerCost predicts the time of one layer in a token step, in milliseconds.
+// layerCost predicts the time of one layer in a token step, in milliseconds,
+// with a part for the prompts that wait to be read there.
 func (s *State) layerCost(now model.Instant, engine *fleet.Engine, t *target) float64 {
 	load := s.load(now, t)
 	hardware := engine.Hardware[t.Kind]
-	// perLayer is the mean context of the requests that pass the target.
-	context := 0.0
-	if t.Held.Len() > 0 {
-		context = load.TokenLayers / float64(t.Held.Len())
-	}
-	step := engine.StepMs + float64(load.Requests)*engine.StepMsPerSequence + context/1000*engine.StepMsPerKToken
-	cost := step * max(hardware.StepFactor, 0.1) * max(t.pace, 1) / float64(engine.Layers)
+	step := hardware.StepFactor * engine.StepMsAt(float64(load.Requests))
+	read := engine.PassMs(hardware, engine.Layers, float64(load.Requests)) * float64(load.Waiting) * usualPasses(engine)
+	cost := (step + read*firstWeight) * max(t.pace, 1) / float64(engine.Layers)
 	if used := s.occupancy(now, engine, t); used > crowded {
 		cost *= 1 + crowdedWeight*(min(used, 2)-crowded)
 	}
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -47,6 +47,7 @@
 		r.ran = append(r.ran, r.hops[0].Target)
 	}
 	s.account(r, -1)
+	r.random = e.Random
 	next := s.after(now, r, e)
 	if _, refused := next.(*Refuse); refused {
 		delete(s.requests, e.ID)
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -79,6 +79,9 @@
 	Random float64
 }
 
+// Began says that the caller got the first of its answer.
+type Began struct{ ID model.RequestID }
+
 // Quiet says that a stream has had no event for a while.
 type Quiet struct {
 	ID model.RequestID
@@ -127,6 +130,7 @@
 func (StoreFailed) event() {}
 func (Arrived) event()     {}
 func (SendEnded) event()   {}
+func (Began) event()       {}
 func (Quiet) event()       {}
 func (Finished) event()    {}
 func (ReportRead) event()  {}
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -65,6 +65,10 @@
 	hops     []fleet.Hop
 	sentAt   model.Instant
 	diverted bool
+	// waiting is true from the send to the first of the answer.
+	waiting bool
+	// random is uniform in [0,1); it is drawn anew for each send.
+	random float64
 }
 
 // New returns an empty state: it knows no configuration and no target.
@@ -83,6 +87,8 @@
 		return s.arrive(now, e)
 	case SendEnded:
 		return s.sendEnded(now, e)
+	case Began:
+		s.began(e.ID)
 	case Quiet:
 		return s.quiet(now, e)
 	case Finished:
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -16,6 +16,8 @@
 	row model.RowVersion
 	// missing is when the registration was first not found; 0 while it is there.
 	missing model.Instant
+	// seen is when a read of the store last showed the registration.
+	seen model.Instant
 	// suspectUntil is when the target may be used again after a fault.
 	suspectUntil model.Instant
 	// strikes counts faults in a row; each doubles the time of the next suspicion.
@@ -39,6 +41,9 @@
 	Requests int
 	// TokenLayers is their tokens times the layers that the target runs for them.
 	TokenLayers float64
+	// Waiting is the number of requests that have no answer yet: their prompts
+	// are being read.
+	Waiting int
 }
 
 // peer is what another VM said last.
@@ -70,6 +75,7 @@
 		if change := s.updateTarget(t, e.Rows[t.ID]); change != nil {
 			effects = append(effects, change)
 		}
+		s.targets[t.ID].seen = now
 	}
 	for id, t := range s.targets {
 		if seen[id] {
@@ -78,8 +84,9 @@
 		if t.missing == 0 {
 			t.missing = now
 		}
-		// Registrations lapse while the store is away and are back soon after.
-		if s.storeBack != 0 && now.Sub(s.storeBack) < returnTime {
+		// Registrations lapse while the store is away and are back soon after; one
+		// that was there since the store's return and is missing now was removed.
+		if t.seen < s.storeBack && now.Sub(s.storeBack) < returnTime {
 			continue
 		}
 		delete(s.targets, id)
@@ -205,6 +212,7 @@
 		other := p.loads[t.ID]
 		l.Requests += other.Requests
 		l.TokenLayers += other.TokenLayers
+		l.Waiting += other.Waiting
 	}
 	return l
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -94,6 +94,10 @@
 	StepMsPerKToken float64
 	// ReadTokensPerSecond is the rate of reading prompts over all layers.
 	ReadTokensPerSecond float64
+	// ReadTokensPerPass bounds the prompt tokens that one pass reads.
+	ReadTokensPerPass float64
+	// StepsPerPass is the token steps that one pass takes.
+	StepsPerPass float64
 	// UsualPrompt and UsualAnswer are mean token counts.
 	UsualPrompt, UsualAnswer float64
 	Layers                   uint32
@@ -111,6 +115,22 @@
 	return e.StateBytesPerToken / float64(e.Layers) / bytesPerMB
 }
 
+// PassMs predicts the time of one pass over some layers on a kind of hardware,
+// with sequences writing at the usual context and a full piece of a prompt to
+// read, in milliseconds.
+func (e *Engine) PassMs(h Hardware, layers uint32, sequences float64) float64 {
+	share := float64(layers) / float64(e.Layers)
+	read := e.ReadTokensPerPass / e.ReadTokensPerSecond * 1000 * h.ReadFactor
+	return share * (e.StepsPerPass*h.StepFactor*e.StepMsAt(sequences) + read)
+}
+
+// StepMsAt is the time of a token step over all layers at normal speed, with
+// sequences writing at the usual context, in milliseconds.
+func (e *Engine) StepMsAt(sequences float64) float64 {
+	context := (e.UsualPrompt + e.UsualAnswer/2) / 1000
+	return e.StepMs + sequences*(e.StepMsPerSequence+context*e.StepMsPerKToken)
+}
+
 // Service is a group of targets.
 type Service struct {
 	ID         model.ServiceID
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -87,9 +88,15 @@
 	started time.Time
 	// begun is true once the caller has the head of an answer.
 	begun bool
+	// flowing is true once the send under way has given an event.
+	flowing     bool
+	lastEventAt time.Time
 	// lastEvent is the id of the last whole event that the caller has.
 	lastEvent int64
 	events    int
+	// pause is the longest time between two events.
+	pause time.Duration
+	sends int
 	// lastHeard is when the target last sent something.
 	lastHeard time.Time
 	first     time.Duration
@@ -166,6 +173,7 @@
 	j.front.metrics.ended(outcome, took, j.first)
 	j.log.WithFields(logrus.Fields{
 		"outcome": outcome, "took_ms": took.Milliseconds(), "first_ms": j.first.Milliseconds(), "events": j.events,
+		"longest_pause_ms": j.pause.Milliseconds(), "sends": j.sends,
 	}).Info("request ended")
 }
 
@@ -202,11 +210,12 @@
 	ctx, cancel := context.WithTimeout(j.r.Context(), e.TimeLeft)
 	defer cancel()
 	sentAt := time.Now()
-	j.lastHeard, j.diverted = sentAt, false
+	j.lastHeard, j.diverted, j.flowing = sentAt, false, false
+	j.sends = e.Number
 	call := j.call(e)
 	x, err := j.front.pool.Do(ctx, call)
 	j.log.WithFields(logrus.Fields{
-		"send": e.Number, "target": e.Hops[0].Target, "hops": len(e.Hops), "route": e.Route.Name,
+		"send": e.Number, "target": e.Hops[0].Target, "path": pathText(e.Hops), "route": e.Route.Name,
 		"left_ms": e.TimeLeft.Milliseconds(),
 	}).Info("request sent")
 	outcome, complete := j.answer(e, x, err)
@@ -234,6 +243,19 @@
 	return ended
 }
 
+// pathText lists the hops of a path for the log.
+func pathText(hops []fleet.Hop) string {
+	var b strings.Builder
+	for i, hop := range hops {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(string(hop.Target))
+		b.WriteString(hop.Layers.String())
+	}
+	return b.String()
+}
+
 func (j *job) call(e *director.Send) *upstream.Call {
 	send := &platform.Send{
 		Target: e.Hops[0].Target, Workspace: e.Workspace, Deadline: e.TimeLeft, ResumeAfter: j.request.ResumeAfter,
@@ -339,7 +361,7 @@
 			j.log.WithError(err).WithField("last_event", j.lastEvent).Info("stream broke off")
 			return director.Broken, false
 		}
-		j.lastHeard = time.Now()
+		j.heard()
 		if event.HasID {
 			if event.ID <= j.lastEvent && j.begun {
 				continue // the caller has it
@@ -349,6 +371,10 @@
 		if !j.begun {
 			j.begun, j.first = true, time.Since(j.started)
 		}
+		if !j.flowing {
+			j.flowing = true
+			j.front.reducer.Step(director.Began{ID: j.request.ID})
+		}
 		j.events++
 		if _, err := j.w.Write(event.Bytes); err != nil {
 			return director.Broken, false
@@ -361,6 +387,15 @@
 	}
 }
 
+// heard notes the time of an event and the pause before it.
+func (j *job) heard() {
+	now := time.Now()
+	if j.events > 0 {
+		j.pause = max(j.pause, now.Sub(j.lastEventAt))
+	}
+	j.lastHeard, j.lastEventAt = now, now
+}
+
 // Ready answers whether the VM takes new connections.
 func (f *Front) Ready() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/placement/rate.go
+++ b/internal/placement/rate.go
@@ -19,14 +19,19 @@
 	// tightness is the power of the mean that stands for the least memory among
 	// the layers: the least itself would not tell one tight layer from several,
 	// and the search would see no way to widen them one by one.
-	tightness = 6
+	tightness = 6.0
+	// usableReading is the part of the passes that may carry a piece of a prompt
+	// before prompts queue for long.
+	usableReading = 0.75
+	// usualSequences bounds the sequences that a pass is planned for.
+	usualSequences = 120
 )
 
 // quality compares placements of a zone.
 type quality struct {
 	// missing is the number of layers without a holder.
 	missing int
-	// rate is the predicted requests a second.
+	// rate is the predicted requests a millisecond.
 	rate float64
 }
 
@@ -40,26 +45,55 @@
 }
 
 // rateModel predicts the requests a second of a placement from the engine's
-// published figures: as many requests as fit, over the time that each takes.
+// published figures. Two things bind: the requests that fit in memory, over the
+// time that each takes; and the prompts that are read, a piece a pass.
 type rateModel struct {
 	engine *fleet.Engine
-	// tokens and speed are sums over the holders of each layer: tokens that fit,
-	// and tokens over step factor.
-	tokens []float64
-	factor []float64
-	copies []float64
+	// Sums over the holders of each layer: tokens that fit, those times the step
+	// factor, prompts a millisecond, and the holders themselves.
+	tokens, factor, prompts, copies []float64
 }
 
 func newRateModel(engine *fleet.Engine) *rateModel {
 	n := engine.Layers
-	return &rateModel{engine: engine, tokens: make([]float64, n), factor: make([]float64, n), copies: make([]float64, n)}
+	return &rateModel{
+		engine: engine, tokens: make([]float64, n), factor: make([]float64, n), prompts: make([]float64, n),
+		copies: make([]float64, n),
+	}
 }
 
 func (m *rateModel) quality(members []Member, want []model.LayerRange) quality {
+	held := m.sum(members, want)
+	q := quality{}
+	var memory, reading, factor, copies float64
+	for l, tokens := range m.tokens {
+		if m.copies[l] == 0 {
+			q.missing++
+			continue
+		}
+		memory += 1 / power(max(tokens, 1))
+		reading += 1 / power(m.prompts[l])
+		factor += m.factor[l] / max(tokens, 1)
+		copies += m.copies[l]
+	}
+	covered := float64(len(m.tokens) - q.missing)
+	if covered == 0 {
+		return q
+	}
+	copies /= covered
+	fits := m.rate(math.Pow(covered/memory, 1/tightness), factor/float64(len(m.tokens)), copies, held/copies)
+	reads := usableReading * math.Pow(covered/reading, 1/tightness)
+	q.rate = math.Pow(1/power(fits)+1/power(reads), -1/tightness)
+	return q
+}
+
+// sum adds up the holders of each layer and returns their number.
+func (m *rateModel) sum(members []Member, want []model.LayerRange) float64 {
 	clear(m.tokens)
 	clear(m.factor)
+	clear(m.prompts)
 	clear(m.copies)
-	held := 0
+	held := 0.0
 	for i, r := range want {
 		if r.Len() == 0 {
 			continue
@@ -68,44 +102,34 @@
 		hardware := m.engine.Hardware[members[i].Kind]
 		free := max(hardware.MemoryMB-float64(r.Len())*m.engine.LayerMB, 0)
 		tokens := free / float64(r.Len()) / m.engine.StateMBPerTokenLayer()
+		sequences := usableState * tokens / m.perRequest()
+		passes := max(m.engine.UsualPrompt/m.engine.ReadTokensPerPass, 1)
+		prompts := 1 / (passes * m.engine.PassMs(hardware, r.Len(), min(sequences, usualSequences)))
 		for l := r.First; l < r.End; l++ {
 			m.tokens[l] += tokens
 			m.factor[l] += tokens * hardware.StepFactor
+			m.prompts[l] += prompts
 			m.copies[l]++
 		}
 	}
-	q := quality{}
-	strain := 0.0
-	factor, copies := 0.0, 0.0
-	for l, tokens := range m.tokens {
-		if m.copies[l] == 0 {
-			q.missing++
-			continue
-		}
-		strain += math.Pow(max(tokens, 1), -tightness)
-		if tokens > 0 {
-			factor += m.factor[l] / tokens
-		}
-		copies += m.copies[l]
-	}
-	covered := float64(len(m.tokens) - q.missing)
-	if covered == 0 {
-		return q
-	}
-	tightest := math.Pow(strain/covered, -1.0/tightness)
-	q.rate = m.rate(tightest, factor/float64(len(m.tokens)), copies/covered, float64(held)/max(copies/covered, 1))
-	return q
+	return held
+}
+
+func (m *rateModel) perRequest() float64 {
+	return max(m.engine.UsualPrompt+m.engine.UsualAnswer, 1)
+}
+
+// power raises to tightness; a product of constants is faster than math.Pow.
+func power(x float64) float64 {
+	cube := x * x * x
+	return cube * cube
 }
 
-// rate is the requests a second when tokens fit at the tightest layer, for a
-// mean step factor over the layers, a mean number of holders of a layer, and a
+// rate is the requests a millisecond when tokens fit at the tightest layer, for
+// a mean step factor over the layers, a mean number of holders of a layer, and a
 // number of hops of a path.
 func (m *rateModel) rate(tokens, factor, copies, hops float64) float64 {
-	e := m.engine
-	each := e.UsualPrompt + e.UsualAnswer
-	atOnce := usableState * tokens / max(each, 1)
-	context := e.UsualPrompt + e.UsualAnswer/2
-	step := e.StepMs + atOnce/copies*(e.StepMsPerSequence+e.StepMsPerKToken*context/1000)
-	perToken := factor*step*stageWait + hops*hopMs
-	return atOnce / max(e.UsualAnswer*perToken, 1)
+	atOnce := usableState * tokens / m.perRequest()
+	perToken := factor*m.engine.StepMsAt(atOnce/copies)*stageWait + hops*hopMs
+	return atOnce / max(m.engine.UsualAnswer*perToken, 1)
 }
