Let members take layers beside theirs; plan around slow targets

A hole could only be closed by a member that gave up its own layers.

Change: one VM a zone reads the reports of the zone's targets each second and shares the paces of slow ones; paths and placement count them. A member that serves may be widened without giving up anything. A path that is late by itself serves late, and only a queue refuses.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -270,6 +270,9 @@
 	// is too late: a request that is refused at once can be served elsewhere or
 	// later, and those before it stay in time.
 	lateAt = 0.9
+	// patience is the number of latency goals after which a caller that has no
+	// event yet is taken to leave; the platform's clients stay for four.
+	patience = 3
 	// firstWeight weighs the wait for the first event against the time of each
 	// later one: a usual answer has some fifty events.
 	firstWeight = 0.02
@@ -305,26 +308,40 @@
 			return nil, whyFull
 		}
 	}
-	if goal := r.route.LatencyGoal; goal > 0 && s.timeToFirst(now, r, hops) > lateAt*float64(goal.Milliseconds()) {
+	if !s.inTime(now, r, hops) {
 		return nil, whyLate
 	}
 	return hops, ""
 }
 
+// inTime is false when the prompts that wait make the first event late, or so
+// late that the caller has left. A path that is late by itself, because of a
+// slow target, still serves: a late answer is better than none.
+func (s *State) inTime(now model.Instant, r *request, hops []fleet.Hop) bool {
+	goal := float64(r.route.LatencyGoal.Milliseconds())
+	if goal == 0 {
+		return true
+	}
+	work, queue := s.timeToFirst(now, r, hops)
+	if work > lateAt*goal {
+		return work+queue < patience*goal
+	}
+	return work+queue < lateAt*goal
+}
+
 // timeToFirst predicts the time to the first event on a path, in milliseconds:
 // the passes that read the prompt at each hop, and the queue at the hop where
 // it is longest.
-func (s *State) timeToFirst(now model.Instant, r *request, hops []fleet.Hop) float64 {
+func (s *State) timeToFirst(now model.Instant, r *request, hops []fleet.Hop) (work, queue float64) {
 	engine := r.service.Engine
-	sum, queue := 0.0, 0.0
 	for _, hop := range hops {
 		t := s.targets[hop.Target]
 		load := s.load(now, t)
-		pass := engine.PassMs(engine.Hardware[t.Kind], hop.Layers.Len(), float64(load.Requests)) * max(t.pace, 1)
-		sum += pass * max(float64(r.PromptTokens)/engine.ReadTokensPerPass, 1)
+		pass := engine.PassMs(engine.Hardware[t.Kind], hop.Layers.Len(), float64(load.Requests)) * t.slowness(now)
+		work += pass * max(float64(r.PromptTokens)/engine.ReadTokensPerPass, 1)
 		queue = max(queue, pass*float64(load.Waiting)*usualPasses(engine))
 	}
-	return sum + queue
+	return work, queue
 }
 
 // usualPasses is the passes that read a usual prompt.
@@ -349,7 +366,7 @@
 	hardware := engine.Hardware[t.Kind]
 	step := hardware.StepFactor * engine.StepMsAt(float64(load.Requests))
 	read := engine.PassMs(hardware, engine.Layers, float64(load.Requests)) * float64(load.Waiting) * usualPasses(engine)
-	cost := (step + read*firstWeight) * max(t.pace, 1) / float64(engine.Layers)
+	cost := (step + read*firstWeight) * t.slowness(now) / float64(engine.Layers)
 	if used := s.occupancy(now, engine, t); used > crowded {
 		cost *= 1 + crowdedWeight*(min(used, 2)-crowded)
 	}
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"tamarackreach/internal/fleet"
@@ -171,7 +172,12 @@
 	if t.dead() {
 		effects = append(effects, &Changed{What: "target answers again", Subject: string(t.ID)})
 	}
-	t.silent, t.pace = 0, e.Report.Pace
+	if (e.Report.Pace >= slowPace) != (t.slowness(now) > 1) {
+		effects = append(effects, &Changed{
+			What: "target pace", Subject: string(t.ID), Detail: strconv.FormatFloat(e.Report.Pace, 'f', 1, 64),
+		})
+	}
+	t.silent, t.pace, t.paced = 0, e.Report.Pace, now
 	for _, address := range e.Report.Stalled {
 		if at := s.byAddress[address]; at != nil {
 			effects = append(effects, effect(s.suspect(now, at, deadFor, "paths of "+string(t.ID)+" wait for it"))...)
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -108,6 +108,8 @@
 	// All is true on the VM that places layers: it looks at those that other VMs
 	// suspect as well.
 	All bool
+	// Lead is true on the VM that watches the pace of its zone's targets.
+	Lead bool
 }
 
 // PeerHeard carries what another VM says of its load and of targets at fault.
@@ -117,6 +119,8 @@
 	Loads map[model.TargetID]Load
 	// Suspects are the targets that it found at fault, with what is left of that.
 	Suspects map[model.TargetID]time.Duration
+	// Paces are the targets that it found slow; 1 is normal.
+	Paces map[model.TargetID]float64
 }
 
 // VMsKnown gives the number of VMs that ever registered.
--- a/internal/director/placeable.go
+++ b/internal/director/placeable.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"math"
 	"slices"
 
 	"tamarackreach/internal/fleet"
@@ -12,11 +13,13 @@
 type Placeable struct {
 	Engine  *fleet.Engine
 	Targets []fleet.Target
+	// Slowness is the factor by which each target is slower than its kind.
+	Slowness map[model.TargetID]float64
 }
 
 // Placeable returns the layered services in a fixed order with the targets that
 // are ready and answer for themselves.
-func (s *State) Placeable() []Placeable {
+func (s *State) Placeable(now model.Instant) []Placeable {
 	if s.config == nil {
 		return nil
 	}
@@ -29,10 +32,11 @@
 	slices.Sort(ids)
 	var out []Placeable
 	for _, id := range ids {
-		p := Placeable{Engine: s.config.Services[id].Engine}
+		p := Placeable{Engine: s.config.Services[id].Engine, Slowness: map[model.TargetID]float64{}}
 		for _, t := range s.byService[id] {
 			if t.State == fleet.TargetReady && t.missing == 0 && !t.dead() {
 				p.Targets = append(p.Targets, *t.Target)
+				p.Slowness[t.ID] = math.Round(t.slowness(now))
 			}
 		}
 		out = append(out, p)
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -33,6 +33,8 @@
 	silent int
 	// pace is what the target last reported; 1 is normal.
 	pace float64
+	// paced is when that was heard, from the target or a peer.
+	paced model.Instant
 }
 
 // Load is work in flight on a target.
@@ -150,6 +152,23 @@
 // target leaves unanswered before its layers are placed elsewhere.
 const silentWhenDead = 2
 
+const (
+	// watchInterval is how often the pace of a target is read by its zone's lead.
+	watchInterval = time.Second
+	// slowPace is the pace from which a target counts as slow.
+	slowPace = 1.3
+	// paceMemory is how long a pace counts that is not heard again.
+	paceMemory = 3 * time.Second
+)
+
+// slowness is the factor by which the target is slower than its kind.
+func (t *target) slowness(now model.Instant) float64 {
+	if t.pace < slowPace || now.Sub(t.paced) > paceMemory {
+		return 1
+	}
+	return t.pace
+}
+
 // dead is true for a target that does not even answer for itself.
 func (t *target) dead() bool { return t.silent >= silentWhenDead }
 
@@ -158,8 +177,9 @@
 	var effects []Effect
 	for _, list := range s.byService {
 		for _, t := range list {
-			suspected := now < t.suspectUntil && (t.strikes > 0 || e.All)
-			if t.Kind == "" || !suspected && !t.dead() || now.Sub(t.reportAsked) < reportInterval {
+			suspected := now < t.suspectUntil && (t.strikes > 0 || e.All) || t.dead()
+			watched := e.Lead && t.Zone == s.settings.Zone && now.Sub(t.reportAsked) >= watchInterval
+			if t.Kind == "" || !suspected && !watched || now.Sub(t.reportAsked) < reportInterval {
 				continue
 			}
 			t.reportAsked = now
@@ -187,6 +207,11 @@
 
 func (s *State) peerHeard(now model.Instant, e PeerHeard) []Effect {
 	s.peers[e.VM] = &peer{heard: now, loads: e.Loads}
+	for id, pace := range e.Paces {
+		if t := s.targets[id]; t != nil {
+			t.pace, t.paced = pace, now
+		}
+	}
 	var effects []Effect
 	for id, left := range e.Suspects {
 		t := s.targets[id]
@@ -221,11 +246,15 @@
 func (s *State) Share(now model.Instant) PeerHeard {
 	out := PeerHeard{
 		VM: s.settings.VM, Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]time.Duration{},
+		Paces: map[model.TargetID]float64{},
 	}
 	for id, t := range s.targets {
 		if t.own.Requests > 0 {
 			out.Loads[id] = t.own
 		}
+		if pace := t.slowness(now); pace > 1 && t.Zone == s.settings.Zone {
+			out.Paces[id] = pace
+		}
 		if left := t.suspectUntil.Sub(now); left > 0 && t.strikes > 0 {
 			out.Suspects[id] = left
 		}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -249,7 +249,8 @@
 
 // probe asks targets under suspicion for their reports.
 func (k *Keeper) probe() {
-	for _, effect := range k.reducer.Step(director.ProbeDue{All: duty.Held(k.renewed, bootclock.Now())}) {
+	now := bootclock.Now()
+	for _, effect := range k.reducer.Step(director.ProbeDue{All: duty.Held(k.renewed, now), Lead: k.peers.leads(now)}) {
 		if ask, ok := effect.(*director.AskReport); ok {
 			go k.AskReport(ask)
 		}
--- a/internal/keeper/orders.go
+++ b/internal/keeper/orders.go
@@ -67,7 +67,7 @@
 func (o *orders) run(ctx context.Context) {
 	now := bootclock.Now()
 	var services []director.Placeable
-	o.reducer.Read(func(s *director.State) { services = s.Placeable() })
+	o.reducer.Read(func(s *director.State) { services = s.Placeable(now) })
 	for i := range services {
 		if !o.settled(now, &services[i]) {
 			continue
@@ -96,7 +96,7 @@
 	o.mu.Lock()
 	for _, t := range p.Targets {
 		byID[t.ID] = t
-		m := placement.Member{ID: t.ID, Zone: t.Zone, Kind: t.Kind, Held: t.Held}
+		m := placement.Member{ID: t.ID, Zone: t.Zone, Kind: t.Kind, Held: t.Held, Pace: p.Slowness[t.ID]}
 		if pending := o.open[t.ID]; pending != nil {
 			if pending.born != t.Born || t.Held == pending.layers {
 				delete(o.open, t.ID)
--- a/internal/keeper/peers.go
+++ b/internal/keeper/peers.go
@@ -24,6 +24,8 @@
 	// farEvery is how many intervals pass between messages to other zones: bytes
 	// between zones are dear.
 	farEvery = 3
+	// leadMemory is how long a VM of the zone counts as alive: five messages.
+	leadMemory = time.Second
 	// maxPeers bounds the VMs that one message goes to.
 	maxPeers = 32
 	// maxMessageBytes is the largest datagram that is read.
@@ -36,6 +38,8 @@
 	Loads map[model.TargetID]director.Load `json:"loads"`
 	// SuspectMs is what is left of the suspicion of each target.
 	SuspectMs map[model.TargetID]int64 `json:"suspect_ms,omitempty"`
+	// Paces are the targets of its zone that are slow.
+	Paces map[model.TargetID]float64 `json:"paces,omitempty"`
 }
 
 // peers shares load and faults with other VMs. A lost message only makes the
@@ -47,9 +51,14 @@
 	mu       sync.Mutex
 	near     []*net.UDPAddr
 	far      []*net.UDPAddr
+	// zone names the other VMs of the zone; heard is when each last spoke.
+	zone  []model.NodeID
+	heard map[model.NodeID]model.Instant
 }
 
-func newPeers(s *platform.Settings, r *front.Reducer) *peers { return &peers{settings: s, reducer: r} }
+func newPeers(s *platform.Settings, r *front.Reducer) *peers {
+	return &peers{settings: s, reducer: r, heard: map[model.NodeID]model.Instant{}}
+}
 
 func (p *peers) address() string {
 	return net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.PeerPort))
@@ -67,6 +76,7 @@
 // set replaces the list of VMs.
 func (p *peers) set(vms map[model.NodeID]vmRecord) {
 	var near, far []*net.UDPAddr
+	var zone []model.NodeID
 	for name, record := range vms {
 		if name == p.settings.VM {
 			continue
@@ -78,6 +88,7 @@
 		}
 		if record.Zone == p.settings.Zone {
 			near = append(near, address)
+			zone = append(zone, name)
 		} else {
 			far = append(far, address)
 		}
@@ -85,6 +96,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.near, p.far = near[:min(len(near), maxPeers)], far[:min(len(far), maxPeers)]
+	p.zone = zone
+}
+
+// leads is true when no VM of the zone with a smaller name was heard lately.
+// Two VMs may lead at a time; each then reads what one would.
+func (p *peers) leads(now model.Instant) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, name := range p.zone {
+		if at, spoke := p.heard[name]; spoke && name < p.settings.VM && now.Sub(at) < leadMemory {
+			return false
+		}
+	}
+	return true
 }
 
 func (p *peers) run(ctx context.Context) {
@@ -108,7 +133,7 @@
 	}
 	var share director.PeerHeard
 	p.reducer.Read(func(s *director.State) { share = s.Share(bootclock.Now()) })
-	message := peerMessage{VM: share.VM, Loads: share.Loads, SuspectMs: map[model.TargetID]int64{}}
+	message := peerMessage{VM: share.VM, Loads: share.Loads, Paces: share.Paces, SuspectMs: map[model.TargetID]int64{}}
 	for id, left := range share.Suspects {
 		message.SuspectMs[id] = left.Milliseconds()
 	}
@@ -144,7 +169,10 @@
 			logrus.WithError(err).Debug("peer message passed over")
 			continue
 		}
-		heard := director.PeerHeard{VM: message.VM, Loads: message.Loads, Suspects: map[model.TargetID]time.Duration{}}
+		p.mu.Lock()
+		p.heard[message.VM] = bootclock.Now()
+		p.mu.Unlock()
+		heard := director.PeerHeard{VM: message.VM, Loads: message.Loads, Paces: message.Paces, Suspects: map[model.TargetID]time.Duration{}}
 		for id, ms := range message.SuspectMs {
 			heard.Suspects[id] = time.Duration(ms) * time.Millisecond
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -17,6 +17,8 @@
 	Kind model.AcceleratorKind
 	// Held is what the target serves, or what it is loading.
 	Held model.LayerRange
+	// Pace is the factor by which the target is slower than its kind; at least 1.
+	Pace float64
 	// Fixed members keep what they hold: they are busy with an order.
 	Fixed bool
 }
@@ -78,12 +80,13 @@
 	var out []Member
 	for _, m := range members {
 		if _, known := engine.Hardware[m.Kind]; known && m.Zone == name {
+			m.Pace = max(m.Pace, 1)
 			out = append(out, m)
 		}
 	}
 	slices.SortFunc(out, func(a, b Member) int {
 		return cmp.Or(
-			cmp.Compare(engine.Hardware[a.Kind].StepFactor, engine.Hardware[b.Kind].StepFactor),
+			cmp.Compare(engine.Hardware[a.Kind].StepFactor*a.Pace, engine.Hardware[b.Kind].StepFactor*b.Pace),
 			cmp.Compare(a.ID, b.ID))
 	})
 	return out
@@ -163,13 +166,10 @@
 	}
 }
 
-// movable is true for a member that may be given layers and holds none yet.
-func (z *zone) movable(i int) bool { return !z.members[i].Fixed && z.members[i].Held.Len() == 0 }
-
 // closeHoles gives layers that nobody holds to members that hold nothing, then
-// to members whose layers others hold as well.
+// to members that can spare theirs or take them in addition.
 func (z *zone) closeHoles() {
-	for _, free := range []func(int) bool{z.idle, z.redundant} {
+	for _, free := range []func(int) freedom{z.idle, z.spare} {
 		for {
 			before := z.quality()
 			if before.missing == 0 {
@@ -195,11 +195,11 @@
 	}
 }
 
-// improve moves members that serve while the gain outweighs their absence.
+// improve moves members that serve while the gain outweighs the loading.
 func (z *zone) improve() {
 	for range maxMoves {
 		before := z.quality()
-		i, r, q, found := z.bestMove(z.redundant)
+		i, r, q, found := z.bestMove(z.spare)
 		if !found || before.missing > 0 || q.missing > 0 || q.rate < before.rate*worthwhile {
 			return
 		}
@@ -207,21 +207,46 @@
 	}
 }
 
-// idle is true for a member that holds nothing and may be given layers.
-func (z *zone) idle(i int) bool { return !z.members[i].Fixed && z.want[i].Len() == 0 }
+// freedom says which ranges a member may be given.
+type freedom uint8
+
+const (
+	// none: the member keeps its range.
+	none freedom = iota
+	// wider: the member goes on serving its range and may take more beside it.
+	wider
+	// anywhere: the member may be given any range.
+	anywhere
+)
+
+// movable leaves members free that hold no layers yet.
+func (z *zone) movable(i int) freedom {
+	if z.members[i].Fixed || z.members[i].Held.Len() > 0 {
+		return none
+	}
+	return anywhere
+}
+
+// idle leaves members free that are to hold nothing.
+func (z *zone) idle(i int) freedom {
+	if z.members[i].Fixed || z.want[i].Len() > 0 {
+		return none
+	}
+	return anywhere
+}
 
-// redundant is true for a member that serves, was not moved in this plan, and
-// each of whose layers has another holder that serves.
-func (z *zone) redundant(i int) bool {
+// spare leaves members free that serve and were not moved in this plan: anywhere
+// when each of their layers has another holder that serves, else to take more.
+func (z *zone) spare(i int) freedom {
 	if z.members[i].Fixed || z.want[i].Len() == 0 || z.want[i] != z.members[i].Held {
-		return false
+		return none
 	}
 	for l := z.want[i].First; l < z.want[i].End; l++ {
 		if !z.heldBesides(i, l) {
-			return false
+			return wider
 		}
 	}
-	return true
+	return anywhere
 }
 
 // heldBesides is true when a member other than i serves layer l now.
@@ -234,24 +259,34 @@
 	return false
 }
 
+// likeness is what tells members apart that hold nothing.
+type likeness struct {
+	kind model.AcceleratorKind
+	pace float64
+}
+
 // bestMove returns the member among the free ones and the range for it that
 // give the best placement.
-func (z *zone) bestMove(free func(int) bool) (member int, r model.LayerRange, q quality, found bool) {
+func (z *zone) bestMove(free func(int) freedom) (member int, r model.LayerRange, q quality, found bool) {
 	starts := z.starts()
-	tried := map[model.AcceleratorKind]bool{}
+	tried := map[likeness]bool{}
 	for i := range z.members {
-		if !free(i) {
+		allowed := free(i)
+		if allowed == none {
 			continue
 		}
-		// Members of a kind that hold nothing are alike.
-		if kind := z.members[i].Kind; z.want[i].Len() == 0 {
-			if tried[kind] {
+		// Members of a kind and pace that hold nothing are alike.
+		if like := (likeness{z.members[i].Kind, z.members[i].Pace}); z.want[i].Len() == 0 {
+			if tried[like] {
 				continue
 			}
-			tried[kind] = true
+			tried[like] = true
 		}
 		was := z.want[i]
 		for _, candidate := range z.candidates(i, starts) {
+			if allowed == wider && (candidate.First > was.First || candidate.End < was.End) {
+				continue
+			}
 			z.want[i] = candidate
 			if next := z.quality(); !found || next.better(q) {
 				member, r, q, found = i, candidate, next, true
@@ -286,6 +321,9 @@
 		}
 	}
 	lengths = slices.Compact(lengths)
+	if len(lengths) == 0 {
+		return nil
+	}
 	for _, cut := range cuts {
 		for _, n := range lengths {
 			if cut+n <= z.engine.Layers {
@@ -295,14 +333,28 @@
 				out = append(out, model.LayerRange{First: cut - n, End: cut})
 			}
 		}
+		if held := z.want[i]; held.Len() > 0 && held.Len() < lengths[len(lengths)-1] {
+			out = append(out, stretched(held, cut, lengths[len(lengths)-1]))
+		}
 		// The piece up to the next cut, when it is shorter than the card allows.
-		if next, found := after(cuts, cut); found && len(lengths) > 0 && next-cut < lengths[len(lengths)-1] {
+		if next, found := after(cuts, cut); found && next-cut < lengths[len(lengths)-1] {
 			out = append(out, model.LayerRange{First: cut, End: next})
 		}
 	}
 	return out
 }
 
+// stretched returns a range that is widened towards a cut, to at most longest.
+func stretched(r model.LayerRange, cut, longest uint32) model.LayerRange {
+	room := longest - r.Len()
+	if cut < r.First {
+		r.First -= min(room, r.First-cut)
+	} else if cut > r.End {
+		r.End += min(room, cut-r.End)
+	}
+	return r
+}
+
 func after(cuts []uint32, cut uint32) (uint32, bool) {
 	i, _ := slices.BinarySearch(cuts, cut+1)
 	if i == len(cuts) {
--- a/internal/placement/rate.go
+++ b/internal/placement/rate.go
@@ -104,10 +104,10 @@
 		tokens := free / float64(r.Len()) / m.engine.StateMBPerTokenLayer()
 		sequences := usableState * tokens / m.perRequest()
 		passes := max(m.engine.UsualPrompt/m.engine.ReadTokensPerPass, 1)
-		prompts := 1 / (passes * m.engine.PassMs(hardware, r.Len(), min(sequences, usualSequences)))
+		prompts := 1 / (passes * m.engine.PassMs(hardware, r.Len(), min(sequences, usualSequences)) * members[i].Pace)
 		for l := r.First; l < r.End; l++ {
 			m.tokens[l] += tokens
-			m.factor[l] += tokens * hardware.StepFactor
+			m.factor[l] += tokens * hardware.StepFactor * members[i].Pace
 			m.prompts[l] += prompts
 			m.copies[l]++
 		}
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -23,7 +23,7 @@
 	buckets = 10
 	// safety is the part of the budget that is spent: a VM's window and that of
 	// the count are not aligned.
-	safety = 0.8
+	safety = 0.9
 )
 
 // Budget counts the first and the repeated sends of one VM per service.
