Test the platform path without a network, and on stand-ins of the platform

Found by the tests and mended: the time of the duty's renewal was read and written by two loops without a lock; a plain request was refused while every target was under a short suspicion, and a stream that had been at as many targets as its route allows was broken off though one of them was sound.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -221,12 +221,13 @@
 }
 
 // plainTarget returns the target with the least work, in the home zone when one
-// there has a free slot. Targets that may have run the request come last.
+// there has a free slot. Targets under suspicion, and those that may have run
+// the request, come last.
 func (s *State) plainTarget(now model.Instant, r *request) *target {
 	var best *target
 	bestScore := 0.0
 	for _, t := range s.byService[r.service.ID] {
-		if !t.usable(now) {
+		if !t.serving() {
 			continue
 		}
 		load := s.load(now, t)
@@ -237,6 +238,9 @@
 		if slices.Contains(r.ran, t.ID) {
 			score += triedScore
 		}
+		if now < t.suspectUntil {
+			score += suspectScore
+		}
 		if best == nil || score < bestScore {
 			best, bestScore = t, score
 		}
@@ -250,6 +254,8 @@
 	awayScore = 0.5
 	// triedScore puts a target that was tried behind all others.
 	triedScore = 100
+	// suspectScore puts a target under suspicion behind all that are not.
+	suspectScore = 1000
 )
 
 // pathCosts weigh what a path has beyond its layers, milliseconds a token step:
@@ -289,10 +295,14 @@
 	engine := r.service.Engine
 	noise := rand.New(rand.NewPCG(math.Float64bits(r.random), uint64(r.sends)))
 	var holders []paths.Holder
+	spent := s.targetsSpent(r)
 	for _, t := range s.byService[r.service.ID] {
 		if t.Held.Len() == 0 || !t.usable(now) {
 			continue
 		}
+		if spent && t.Held.First == 0 && !slices.Contains(r.ran, t.ID) {
+			continue // only targets that had the request may have it again
+		}
 		cost := s.layerCost(now, engine, t) * (1 - costNoise + 2*costNoise*noise.Float64())
 		holders = append(holders, paths.Holder{ID: t.ID, Address: t.Address, Zone: t.Zone, Layers: t.Held, CostPerLayer: cost})
 	}
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -91,7 +91,7 @@
 		return s.giveUp(r, e, http.StatusGatewayTimeout, "the time of the request is over")
 	case mayHaveRun && !r.route.Repeatable():
 		return s.giveUp(r, e, http.StatusBadGateway, "the request may have run and may not be repeated")
-	case r.sends >= maxSends || len(r.ran) >= r.route.MaxTargets && !s.mayReturn(now, r):
+	case r.sends >= maxSends || s.targetsSpent(r) && r.service.Engine == nil:
 		return s.giveUp(r, e, http.StatusBadGateway, "the request was sent as often as its route allows")
 	case !s.budget.Take(now, r.service.ID):
 		return s.giveUp(r, e, http.StatusBadGateway, "the retry budget is spent")
@@ -103,16 +103,16 @@
 	return send
 }
 
-// mayReturn is true when the next target would be one that had the request
-// before, or when those that had it are gone.
-func (s *State) mayReturn(_ model.Instant, r *request) bool {
+// targetsSpent is true when a request that may have run was given to as many
+// targets as its route allows; those that are gone do not count.
+func (s *State) targetsSpent(r *request) bool {
 	alive := 0
 	for _, id := range r.ran {
-		if s.targets[id] != nil {
+		if t := s.targets[id]; t != nil && !t.dead() {
 			alive++
 		}
 	}
-	return alive < r.route.MaxTargets
+	return alive >= r.route.MaxTargets
 }
 
 // giveUp answers a request that is not sent again. Unless it may have run, the
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -22,9 +22,6 @@
 	suspectUntil model.Instant
 	// strikes counts faults in a row; each doubles the time of the next suspicion.
 	strikes int
-	// denied is the row at which the target said that it does not hold its layers
-	// or is another instance; it is not used until the row changes.
-	denied model.RowVersion
 	// own is the load that this VM put on the target.
 	own Load
 	// reportAsked is when the target's report was last asked for.
@@ -143,11 +140,14 @@
 	}
 }
 
-// usable reports whether new work may go to the target.
-func (t *target) usable(now model.Instant) bool {
-	return t.State == fleet.TargetReady && now >= t.suspectUntil && !t.dead() && (t.denied == 0 || t.denied != t.row)
+// serving reports whether the target takes work as far as it says itself.
+func (t *target) serving() bool {
+	return t.State == fleet.TargetReady && !t.dead()
 }
 
+// usable reports whether new work should go to the target.
+func (t *target) usable(now model.Instant) bool { return t.serving() && now >= t.suspectUntil }
+
 // silentWhenDead is the number of requests for its report in a row that a
 // target leaves unanswered before its layers are placed elsewhere.
 const silentWhenDead = 2
--- /dev/null
+++ b/internal/duty/duty_test.go
@@ -0,0 +1,68 @@
+package duty_test
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tamarackreach/internal/duty"
+	"tamarackreach/internal/model"
+)
+
+func TestDuty(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "duty")
+}
+
+func row(holder model.NodeID, until time.Duration) model.Row {
+	value, err := json.Marshal(duty.Record{Holder: holder, UntilMs: until.Milliseconds()})
+	Expect(err).NotTo(HaveOccurred())
+	return model.Row{Value: value, Version: 7}
+}
+
+var _ = Describe("Decide", func() {
+	DescribeTable("judges by the store's clock", func(r model.Row, clock time.Duration, want duty.Action) {
+		action, _ := duty.Decide("self", r, clock)
+		Expect(action).To(Equal(want))
+	},
+		Entry("nobody holds it", model.Row{}, 5*time.Second, duty.Take),
+		Entry("another holds it", row("other", 6*time.Second), 5*time.Second, duty.Wait),
+		Entry("another held it until this moment", row("other", 5*time.Second), 5*time.Second, duty.Take),
+		Entry("another's term is a millisecond from its end", row("other", 5001*time.Millisecond), 5*time.Second, duty.Wait),
+		Entry("this VM renewed it just now", row("self", 8*time.Second), 5*time.Second, duty.Wait),
+		Entry("this VM's renewal is due", row("self", 6*time.Second), 5*time.Second, duty.Take),
+		Entry("the record does not decode", model.Row{Value: []byte("{"), Version: 1}, 5*time.Second, duty.Take),
+	)
+
+	It("never lets two VMs act at a time, whatever the order of their writes", func() {
+		for seed := range uint64(300) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			current := model.Row{}
+			names := []model.NodeID{"a", "b", "c"}
+			renewed := map[model.NodeID]model.Instant{}
+			for now := time.Second; now < 60*time.Second; now += time.Duration(random.IntN(400)) * time.Millisecond {
+				vm := names[random.IntN(len(names))]
+				read := current
+				started := model.Instant(now)
+				action, record := duty.Decide(vm, read, now)
+				if action == duty.Take && random.IntN(4) > 0 && read.Version == current.Version {
+					value, err := json.Marshal(record)
+					Expect(err).NotTo(HaveOccurred())
+					current = model.Row{Value: value, Version: current.Version + 1}
+					renewed[vm] = started
+				}
+				holders := 0
+				for _, name := range names {
+					if duty.Held(renewed[name], started) {
+						holders++
+					}
+				}
+				Expect(holders).To(BeNumerically("<=", 1), "seed %d at %s", seed, now)
+			}
+		}
+	})
+})
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,340 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"tamarackreach/internal/frontd"
+	"tamarackreach/platform"
+	"tamarackreach/platform/platformtest"
+)
+
+func TestFront(t *testing.T) {
+	RegisterFailHandler(Fail)
+	logrus.SetOutput(GinkgoWriter)
+	RunSpecs(t, "front")
+}
+
+// site is a whole entry VM between stand-ins.
+type site struct {
+	store   *platformtest.Store
+	fleet   *platformtest.Fleet
+	client  string
+	ready   string
+	signals chan os.Signal
+	done    chan error
+	next    atomic.Int64
+}
+
+// configuration has a stream, an idempotent and a non-idempotent route.
+func configuration(version int, keys ...string) map[string]any {
+	return map[string]any{
+		"version": version,
+		"routes": []map[string]any{
+			{"name": "s", "host": "h", "prefix": "/s/", "kind": "streaming", "timeout-ms": 10000, "target-latency-ms": 5000, "service": "llm", "max-attempts": 2, "resumable": true, "gap-aim-ms": 250},
+			{"name": "r", "host": "h", "prefix": "/r/", "kind": "idempotent", "timeout-ms": 2000, "service": "desk", "max-attempts": 2},
+			{"name": "p", "host": "h", "prefix": "/p/", "kind": "non_idempotent", "timeout-ms": 2000, "service": "desk", "max-attempts": 1},
+		},
+		"services": []map[string]any{
+			{"name": "llm", "engine": map[string]any{
+				"slots": 10, "kv-token-bytes": 1000, "step_ms": 0.01, "read_per_s": 1e6, "chunk": 512, "stride": 1, "layers": 8,
+				"layer-mb": 10, "usual": map[string]any{"prompt": 10, "answer": 10}, "models": []map[string]any{{"load-s": 0.1}},
+				"kinds": []map[string]any{{"name": "k", "size-mb": 100, "pace": 1, "read-x": 1}},
+			}},
+			{"name": "desk"},
+		},
+		"limits":  map[string]any{"max-body-bytes": 1000},
+		"tenants": []map[string]any{{"name": "ws", "api-keys": keys}},
+	}
+}
+
+func freeAddress() string {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func start() *site {
+	store, err := platformtest.NewStore()
+	Expect(err).NotTo(HaveOccurred())
+	s := &site{store: store, fleet: platformtest.NewFleet(store), client: freeAddress(), ready: freeAddress(), signals: make(chan os.Signal, 1), done: make(chan error, 1)}
+	Expect(store.Put("op", "config", configuration(1, "key"))).To(Succeed())
+	for _, zone := range []string{"a", "b"} {
+		for range 2 {
+			_, err := s.fleet.Start("desk", zone, "", 0, 0)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		for range 3 {
+			_, err := s.fleet.Start("llm", zone, "k", 0, 0)
+			Expect(err).NotTo(HaveOccurred())
+		}
+	}
+	_, port, err := net.SplitHostPort(freeAddress())
+	Expect(err).NotTo(HaveOccurred())
+	settings, err := platform.ParseSettings([]byte(fmt.Sprintf(`
+node-name = "vm-1"
+zone = "a"
+ip = "127.0.0.1"
+internal-ports = [%s, %s]
+heartbeat-ms = 200
+[listen]
+front = "%s"
+ready = "%s"
+[bounds]
+drain-ms = 600
+config-apply-ms = 600
+grace-s = 4
+stall_ms = 600
+strict-revoke = true
+revoke-ms = 1500
+retry-budget-ratio = 0.2
+budget-window-s = 10
+budget-slack = 200
+[platform]
+address = "%s"
+`, port, port, s.client, s.ready, store.Address())))
+	Expect(err).NotTo(HaveOccurred())
+	daemon := frontd.New(settings, "")
+	go func() { s.done <- daemon.Run(context.Background(), s.signals) }()
+	DeferCleanup(func() {
+		select {
+		case s.signals <- syscall.SIGTERM:
+		default:
+		}
+		Eventually(s.done, 6*time.Second).Should(Receive())
+		Expect(store.Close()).To(Succeed())
+	})
+	Eventually(func() int { return s.get("http://" + s.ready + "/ready") }, 5*time.Second).Should(Equal(200))
+	Eventually(func() int { status, _, _ := s.call("POST", "/s/x"); return status }, 10*time.Second, 100*time.Millisecond).Should(Equal(200))
+	return s
+}
+
+func (s *site) get(url string) int {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	Expect(err).NotTo(HaveOccurred())
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// call sends a request with the valid key and returns status, body and id. A
+// body that breaks off gives status 0.
+func (s *site) call(method, path string) (status int, body, id string) {
+	status, body, id, _ = s.callWith(method, path, "key", nil)
+	return status, body, id
+}
+
+func (s *site) callWith(method, path, key string, content io.Reader) (status int, body, id string, header http.Header) {
+	id = fmt.Sprintf("%s-%d", strings.Trim(path, "/x"), s.next.Add(1))
+	req, err := http.NewRequest(method, "http://"+s.client+path, content)
+	Expect(err).NotTo(HaveOccurred())
+	req.Host = "h"
+	req.Header.Set("Authorization", "Token "+key)
+	req.Header.Set("Tamarackreach-Attempt-Id", id)
+	req.Header.Set("Tamarackreach-Deadline-Ms", "9000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", id, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, string(text), id, resp.Header
+	}
+	return resp.StatusCode, string(text), id, resp.Header
+}
+
+// expectWhole checks that a stream has every piece once and in order.
+func (s *site) expectWhole(body string) {
+	want := 1
+	scanner := bufio.NewScanner(strings.NewReader(body))
+	for scanner.Scan() {
+		if text, found := strings.CutPrefix(scanner.Text(), "id: "); found {
+			n, err := strconv.Atoi(text)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(n).To(Equal(want))
+			want++
+		}
+	}
+	Expect(want - 1).To(Equal(s.fleet.Events))
+}
+
+var _ = Describe("an entry VM between stand-ins", Ordered, func() {
+	var s *site
+	BeforeAll(func() { s = start() })
+
+	// each sets what every request to the plain service meets.
+	each := func(f platformtest.Fault) {
+		for _, t := range s.fleet.Targets("desk") {
+			t.Always(f)
+		}
+	}
+
+	It("places layers, and streams whole answers over them", func() {
+		status, body, _ := s.call("POST", "/s/x")
+		Expect(status).To(Equal(200))
+		s.expectWhole(body)
+	})
+
+	It("passes on a plain answer with its signature and the key's workspace", func() {
+		status, body, id, header := s.callWith("POST", "/p/x", "key", strings.NewReader("pay"))
+		Expect(status).To(Equal(200))
+		Expect(body).To(Equal("answer to " + id + " of ws"))
+		Expect(header.Get("Tamarackreach-Server-Seal")).To(HavePrefix("seal-of-"))
+	})
+
+	It("repeats an idempotent request whose answer was lost, and delivers a failure that repeats", func() {
+		each(platformtest.LoseAnswer)
+		status, _, id := s.call("GET", "/r/x")
+		Expect(s.fleet.Runs(id)).To(BeNumerically("<=", 2))
+		Expect(status).To(BeElementOf(200, 502))
+		each(platformtest.Fails)
+		_, _, id = s.call("GET", "/r/x")
+		Expect(s.fleet.Runs(id)).To(Equal(2))
+		each(platformtest.Sound)
+	})
+
+	DescribeTable("never runs a non-idempotent request twice, and never says it has not run when it has",
+		func(f platformtest.Fault, runs int) {
+			each(f)
+			status, _, id := s.call("POST", "/p/x")
+			each(platformtest.Sound)
+			Expect(s.fleet.Runs(id)).To(Equal(runs))
+			if runs > 0 {
+				Expect(status).To(BeElementOf(200, 500, 502, 504))
+			} else {
+				Expect(status).To(Equal(503))
+			}
+		},
+		Entry("its answer is lost", platformtest.LoseAnswer, 1),
+		Entry("the answer is another request's", platformtest.Foreign, 1),
+		Entry("the target fails", platformtest.Fails, 1),
+		Entry("all targets shed it", platformtest.Shed, 0),
+	)
+
+	It("goes on with a stream that breaks off inside an event", func() {
+		s.fleet.BreakNext()
+		status, body, id := s.call("POST", "/s/x")
+		Expect(status).To(Equal(200))
+		s.expectWhole(body)
+		Expect(s.fleet.Runs(id)).To(Equal(2))
+	})
+
+	It("refuses what is no proper request", func() {
+		status, _, _, _ := s.callWith("POST", "/p/x", "key", strings.NewReader(strings.Repeat("x", 2000)))
+		Expect(status).To(Equal(http.StatusRequestEntityTooLarge))
+		Expect(s.get("http://" + s.client + "/p/x")).To(Equal(http.StatusBadRequest))
+		status, _, _, _ = s.callWith("POST", "/nowhere/", "key", nil)
+		Expect(status).To(Equal(http.StatusNotFound))
+		status, _, _, _ = s.callWith("POST", "/p/x", "wrong", nil)
+		Expect(status).To(Equal(http.StatusUnauthorized))
+	})
+
+	It("answers one of two requests that come in one, and runs nothing that was smuggled", func() {
+		conn, err := net.Dial("tcp4", s.client)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, err = fmt.Fprintf(conn, "POST /p/x HTTP/1.1\r\nHost: h\r\nTamarackreach-Attempt-Id: outer\r\nAuthorization: Token key\r\n"+
+			"Content-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /p/x HTTP/1.1\r\nHost: h\r\nTamarackreach-Attempt-Id: inner\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.SetReadDeadline(time.Now().Add(500 * time.Millisecond))).To(Succeed())
+		_, _ = io.ReadAll(conn)
+		Expect(s.fleet.Runs("inner")).To(BeZero())
+	})
+
+	It("brings streams through the crash of a target they pass", func() {
+		var wait sync.WaitGroup
+		s.fleet.EventGap = 40 * time.Millisecond
+		bodies := make([]string, 8)
+		for i := range bodies {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				_, bodies[i], _ = s.call("POST", "/s/x")
+			}()
+		}
+		time.Sleep(200 * time.Millisecond)
+		for _, t := range s.fleet.Targets("llm") {
+			if t.Zone == "a" {
+				t.Crash()
+				t.Leave()
+				break
+			}
+		}
+		wait.Wait()
+		s.fleet.EventGap = 5 * time.Millisecond
+		for _, body := range bodies {
+			s.expectWhole(body)
+		}
+	})
+
+	It("stops a target's work when its caller leaves", func() {
+		s.fleet.EventGap = 100 * time.Millisecond
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.client+"/s/x", nil)
+		Expect(err).NotTo(HaveOccurred())
+		req.Host = "h"
+		req.Header.Set("Authorization", "Token key")
+		req.Header.Set("Tamarackreach-Attempt-Id", "leaver")
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			_, _ = io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+		}
+		Eventually(s.fleet.AtWork, time.Second).Should(BeZero())
+		s.fleet.EventGap = 5 * time.Millisecond
+	})
+
+	It("keeps serving while the store is away, but no key beyond the bound", func() {
+		s.store.Fail(http.StatusServiceUnavailable)
+		status, _, _ := s.call("GET", "/r/x")
+		Expect(status).To(Equal(200))
+		Eventually(func() int { status, _, _ := s.call("GET", "/r/x"); return status }, 3*time.Second, 50*time.Millisecond).Should(Equal(503))
+		Expect(s.get("http://" + s.ready + "/ready")).To(Equal(503))
+		s.store.Fail(0)
+		Eventually(func() int { status, _, _ := s.call("GET", "/r/x"); return status }, 3*time.Second, 50*time.Millisecond).Should(Equal(200))
+	})
+
+	It("brings a change of keys into force, and never an older one", func() {
+		Expect(s.store.Put("op", "config", configuration(5, "new"))).To(Succeed())
+		Eventually(func() int { status, _, _ := s.call("GET", "/r/x"); return status }, 600*time.Millisecond, 20*time.Millisecond).Should(Equal(401))
+		Expect(s.store.Put("op", "config", configuration(6, "key"))).To(Succeed())
+		Eventually(func() int { status, _, _ := s.call("GET", "/r/x"); return status }, 600*time.Millisecond, 20*time.Millisecond).Should(Equal(200))
+		Expect(s.store.Put("op", "config", "no configuration")).To(Succeed())
+		Consistently(func() int { status, _, _ := s.call("GET", "/r/x"); return status }, 500*time.Millisecond, 50*time.Millisecond).Should(Equal(200))
+	})
+
+	It("ends its requests when it is asked to stop, and is not ready at once", func() {
+		s.fleet.EventGap = 60 * time.Millisecond
+		var wait sync.WaitGroup
+		var body string
+		wait.Add(1)
+		go func() { defer wait.Done(); _, body, _ = s.call("POST", "/s/x") }()
+		time.Sleep(100 * time.Millisecond)
+		s.signals <- syscall.SIGTERM
+		Eventually(func() int { return s.get("http://" + s.ready + "/ready") }, 300*time.Millisecond, 10*time.Millisecond).Should(Equal(503))
+		wait.Wait()
+		s.expectWhole(body)
+	})
+})
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,7 +53,7 @@
 	// registered is true once the VM's own row is written.
 	registered bool
 	// renewed is when the last successful write of the duty's row began.
-	renewed model.Instant
+	renewed atomic.Int64
 }
 
 // New returns a keeper.
@@ -231,7 +232,7 @@
 		return
 	}
 	started := bootclock.Now()
-	held := duty.Held(k.renewed, started)
+	held := k.holdsDuty(started)
 	_, err = k.store.Put(ctx, ownTable, model.Row{Key: dutyKey, Value: value, Version: row.Version})
 	switch {
 	case errors.Is(err, platform.ErrChanged):
@@ -239,7 +240,7 @@
 	case err != nil:
 		logrus.WithError(err).Info("placement duty not renewed")
 	default:
-		k.renewed = started
+		k.renewed.Store(int64(started))
 		if !held {
 			logrus.WithField("until_ms", record.UntilMs).Info("placement duty taken")
 			k.orders.forget()
@@ -250,16 +251,20 @@
 // probe asks targets under suspicion for their reports.
 func (k *Keeper) probe() {
 	now := bootclock.Now()
-	for _, effect := range k.reducer.Step(director.ProbeDue{All: duty.Held(k.renewed, now), Lead: k.peers.leads(now)}) {
+	for _, effect := range k.reducer.Step(director.ProbeDue{All: k.holdsDuty(now), Lead: k.peers.leads(now)}) {
 		if ask, ok := effect.(*director.AskReport); ok {
 			go k.AskReport(ask)
 		}
 	}
 }
 
+func (k *Keeper) holdsDuty(now model.Instant) bool {
+	return duty.Held(model.Instant(k.renewed.Load()), now)
+}
+
 // placeLayers plans and orders layers while this VM holds the duty.
 func (k *Keeper) placeLayers(ctx context.Context) {
-	if !duty.Held(k.renewed, bootclock.Now()) {
+	if !k.holdsDuty(bootclock.Now()) {
 		return
 	}
 	k.orders.run(ctx)
--- /dev/null
+++ b/internal/retrybudget/retrybudget_test.go
@@ -0,0 +1,73 @@
+package retrybudget_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/retrybudget"
+)
+
+func TestRetryBudget(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "retrybudget")
+}
+
+var settings = retrybudget.Settings{Ratio: 0.2, Slack: 200, Window: 10 * time.Second}
+
+var _ = Describe("Budget", func() {
+	It("keeps the sum over all VMs in every sliding window", func() {
+		const vms = 7
+		random := rand.New(rand.NewPCG(3, 4))
+		var budgets []*retrybudget.Budget
+		for range vms {
+			b := retrybudget.New(settings)
+			b.SetVMs(vms)
+			budgets = append(budgets, b)
+		}
+		var firsts, repeats []model.Instant
+		for ms := range 40000 {
+			now := model.Instant(ms) * model.Instant(time.Millisecond)
+			vm := budgets[random.IntN(vms)]
+			if ms%10 == 0 {
+				vm.First(now, "s")
+				firsts = append(firsts, now)
+			}
+			if vm.Take(now, "s") {
+				repeats = append(repeats, now)
+			}
+		}
+		count := func(times []model.Instant, from, to model.Instant) (n float64) {
+			for _, t := range times {
+				if from <= t && t < to {
+					n++
+				}
+			}
+			return n
+		}
+		window := model.Instant(settings.Window)
+		for end := window; end < 4*window; end += window / 7 {
+			allowed := settings.Ratio*max(count(firsts, end-window, end), count(firsts, end-2*window, end-window)) + settings.Slack
+			Expect(count(repeats, end-window, end)).To(BeNumerically("<=", allowed))
+		}
+	})
+
+	It("allows repeats again once a window has passed", func() {
+		b := retrybudget.New(settings)
+		for b.Take(0, "s") {
+		}
+		Expect(b.Take(model.Instant(settings.Window/2), "s")).To(BeFalse())
+		Expect(b.Take(model.Instant(settings.Window)+1, "s")).To(BeTrue())
+	})
+
+	It("counts services apart", func() {
+		b := retrybudget.New(settings)
+		for b.Take(0, "s") {
+		}
+		Expect(b.Take(0, "other")).To(BeTrue())
+	})
+})
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -68,6 +68,7 @@
 			written <- platform.WriteRequest(conn, call.Method, call.URI, call.Host, call.Header, call.Body)
 		}()
 	}
+	//nolint:bodyclose // the caller reads the body and calls Done, which closes the connection
 	resp, err := http.ReadResponse(conn.reader, &http.Request{Method: call.Method})
 	if err != nil {
 		return x, errors.Wrap(err, "no answer came")
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,255 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tamarackreach/internal/upstream"
+)
+
+func TestUpstream(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "upstream")
+}
+
+// target is a listener whose answers are given by a function of the request's
+// number on the listener.
+type target struct {
+	listener net.Listener
+	requests atomic.Int64
+	conns    atomic.Int64
+}
+
+func serve(answer func(n int64, conn net.Conn, r *http.Request) bool) *target {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	t := &target{listener: listener}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.conns.Add(1)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					if !answer(t.requests.Add(1), conn, r) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	DeferCleanup(func() { _ = listener.Close() })
+	return t
+}
+
+func (t *target) call() *upstream.Call {
+	return &upstream.Call{
+		ID: "a", Address: t.listener.Addr().String(), Method: "GET", URI: "/x", Host: "h", Header: http.Header{},
+		Pause: 50 * time.Millisecond, Idle: func() error { return nil },
+	}
+}
+
+func ok(conn net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTamarackreach-Attempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// exchange runs a call to its end.
+func exchange(p *upstream.Pool, call *upstream.Call) (string, error) {
+	x, err := p.Do(context.Background(), call)
+	if err != nil {
+		x.Done(false)
+		return "", err
+	}
+	body, err := io.ReadAll(x.Response.Body)
+	x.Done(err == nil)
+	return string(body), err
+}
+
+var _ = Describe("Pool", func() {
+	It("keeps a connection whose answer was read", func() {
+		t := serve(func(_ int64, conn net.Conn, _ *http.Request) bool { ok(conn, "a", "body"); return true })
+		p := upstream.NewPool()
+		for range 3 {
+			body, err := exchange(p, t.call())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal("body"))
+		}
+		Expect(t.conns.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("never repeats a request by itself, also on a kept connection that breaks", func() {
+		t := serve(func(n int64, conn net.Conn, _ *http.Request) bool {
+			if n == 1 {
+				ok(conn, "a", "body")
+				return true
+			}
+			return false
+		})
+		p := upstream.NewPool()
+		_, err := exchange(p, t.call())
+		Expect(err).NotTo(HaveOccurred())
+		_, err = exchange(p, t.call())
+		Expect(err).To(HaveOccurred())
+		Expect(t.requests.Load()).To(BeEquivalentTo(2))
+	})
+
+	// Pattern: a target sends a second answer that nobody asked for.
+	It("does not use a connection with bytes beyond its answer", func() {
+		t := serve(func(n int64, conn net.Conn, _ *http.Request) bool {
+			ok(conn, "a", "body")
+			if n == 1 {
+				ok(conn, "a", "extra")
+			}
+			return true
+		})
+		p := upstream.NewPool()
+		_, err := exchange(p, t.call())
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(20 * time.Millisecond)
+		body, err := exchange(p, t.call())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("body"))
+		Expect(t.conns.Load()).To(BeEquivalentTo(2))
+	})
+
+	It("refuses an answer that carries another request's id", func() {
+		t := serve(func(_ int64, conn net.Conn, _ *http.Request) bool { ok(conn, "other", "body"); return true })
+		_, err := exchange(upstream.NewPool(), t.call())
+		Expect(err).To(MatchError(upstream.ErrForeignAnswer))
+	})
+
+	It("tells a request that was not sent from one that may have run", func() {
+		t := serve(func(int64, net.Conn, *http.Request) bool { return false })
+		p := upstream.NewPool()
+		x, err := p.Do(context.Background(), t.call())
+		Expect(err).To(HaveOccurred())
+		Expect(x.Sent).To(BeTrue())
+		x.Done(false)
+		call := t.call()
+		Expect(t.listener.Close()).To(Succeed())
+		x, err = p.Do(context.Background(), call)
+		Expect(err).To(HaveOccurred())
+		Expect(x.Sent).To(BeFalse())
+		x.Done(false)
+	})
+
+	It("does not take an answer that is reset on the way for complete", func() {
+		t := serve(func(_ int64, conn net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+			time.Sleep(20 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return false
+		})
+		_, err := exchange(upstream.NewPool(), t.call())
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("does not reuse a connection on which the rest of a long body is due", func() {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = listener.Close() }()
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				ok(conn, "a", "early")
+			}
+		}()
+		t := &target{listener: listener}
+		call := t.call()
+		call.Method, call.Body = "POST", make([]byte, 8<<20)
+		x, err := upstream.NewPool().Do(context.Background(), call)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(x.Response.Close).To(BeTrue())
+		x.Done(true)
+	})
+
+	It("asks at each silence whether to go on", func() {
+		t := serve(func(_ int64, conn net.Conn, _ *http.Request) bool {
+			time.Sleep(170 * time.Millisecond)
+			ok(conn, "a", "body")
+			return true
+		})
+		asked := 0
+		call := t.call()
+		call.Idle = func() error { asked++; return nil }
+		_, err := exchange(upstream.NewPool(), call)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(asked).To(BeNumerically(">=", 2))
+
+		given := errors.New("given up")
+		call.Idle = func() error { return given }
+		_, err = exchange(upstream.NewPool(), call)
+		Expect(errors.Is(err, given)).To(BeTrue())
+	})
+
+	It("closes the connection when the caller leaves", func() {
+		closed := make(chan struct{})
+		t := serve(func(_ int64, conn net.Conn, _ *http.Request) bool {
+			_, _ = conn.Read(make([]byte, 1))
+			close(closed)
+			return false
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(30*time.Millisecond, cancel)
+		x, err := upstream.NewPool().Do(ctx, t.call())
+		Expect(err).To(HaveOccurred())
+		x.Done(false)
+		Eventually(closed).Should(BeClosed())
+	})
+})
+
+var _ = Describe("Events", func() {
+	It("returns whole events with their ids", func() {
+		e := upstream.NewEvents(strings.NewReader("id: 1\ndata: a\n\nversion: 2\nid: 2\ndata: b\n\n"))
+		first, err := e.Next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(first.Bytes)).To(Equal("id: 1\ndata: a\n\n"))
+		Expect(first.ID).To(BeEquivalentTo(1))
+		second, err := e.Next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second.ID).To(BeEquivalentTo(2))
+		_, err = e.Next()
+		Expect(err).To(Equal(io.EOF))
+	})
+
+	It("tells an end inside an event from the end of the stream", func() {
+		e := upstream.NewEvents(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"))
+		_, err := e.Next()
+		Expect(err).NotTo(HaveOccurred())
+		_, err = e.Next()
+		Expect(err).To(Equal(io.ErrUnexpectedEOF))
+	})
+
+	It("passes on lines longer than its buffer, and bounds an event", func() {
+		long := "id: 1\ndata: " + strings.Repeat("x", 20000) + "\n\n"
+		event, err := upstream.NewEvents(strings.NewReader(long)).Next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(event.Bytes)).To(Equal(long))
+		_, err = upstream.NewEvents(strings.NewReader(strings.Repeat("x", 2<<20))).Next()
+		Expect(err).To(Equal(upstream.ErrEventTooLong))
+	})
+})
