Count the slots of first targets; leave more memory free

The estimate of memory is right (median 0.99 of the reports'), so the bound was too high; slots were not counted.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -173,11 +173,14 @@
 // account adds the request to the load of its hops, or takes it away.
 func (s *State) account(r *request, sign int) {
 	tokens := s.tokens(r)
-	for _, hop := range r.hops {
+	for i, hop := range r.hops {
 		t := s.targets[hop.Target]
 		if t == nil {
 			continue
 		}
+		if i == 0 {
+			t.own.First += sign
+		}
 		t.own.Requests += sign
 		t.own.TokenLayers += float64(sign) * tokens * float64(hop.Layers.Len())
 		if r.waiting {
@@ -267,11 +270,15 @@
 const (
 	// crowded is the part of a target's memory for requests above which its cost
 	// grows steeply: beyond, long answers preempt the newest requests.
-	crowded = 0.75
+	crowded = 0.6
 	// crowdedWeight is that growth for each further whole of the memory.
 	crowdedWeight = 20
-	// fullAt is the part of the memory at which a target takes nothing more.
-	fullAt = 1.0
+	// slotWeight is the cost of a path whose first target has no slot left, in
+	// milliseconds a token step: that of a second path.
+	slotWeight = 20
+	// fullAt is the part of the memory at which a target takes nothing more: the
+	// estimate is within a tenth of what targets report.
+	fullAt = 0.92
 	// lateAt is the part of the latency goal beyond which a predicted first event
 	// is too late: a request that is refused at once can be served elsewhere or
 	// later, and those before it stay in time.
@@ -304,9 +311,15 @@
 			continue // only targets that had the request may have it again
 		}
 		cost := s.layerCost(now, engine, t) * (1 - costNoise + 2*costNoise*noise.Float64())
-		holders = append(holders, paths.Holder{ID: t.ID, Address: t.Address, Zone: t.Zone, Layers: t.Held, CostPerLayer: cost})
+		holders = append(holders, paths.Holder{
+			ID: t.ID, Address: t.Address, Zone: t.Zone, Layers: t.Held, CostPerLayer: cost,
+			FirstCost: firstCost(s.load(now, t), t.Slots),
+		})
 	}
 	hops, _, ok := paths.Find(holders, engine.Layers, s.settings.Zone, pathCosts)
+	if !ok && slices.ContainsFunc(holders, func(h paths.Holder) bool { return math.IsInf(h.FirstCost, 1) }) {
+		return nil, whyFull
+	}
 	if !ok {
 		return nil, whyHole
 	}
@@ -339,6 +352,22 @@
 	return work+queue < lateAt*goal
 }
 
+// firstCost grows with the slots that are taken of a path's first target, and is
+// infinite when none is left.
+func firstCost(load Load, slots int) float64 {
+	if slots <= 0 {
+		return 0
+	}
+	taken := float64(load.First) / float64(slots)
+	switch {
+	case taken >= 1:
+		return math.Inf(1)
+	case taken > crowded:
+		return slotWeight * (taken - crowded)
+	}
+	return 0
+}
+
 // timeToFirst predicts the time to the first event on a path, in milliseconds:
 // the passes that read the prompt at each hop, and the queue at the hop where
 // it is longest.
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -75,12 +75,12 @@
 }
 
 func (w *world) add(id model.TargetID, service model.ServiceID, zone model.AvailabilityZone, first, end uint32) {
-	kind := model.AcceleratorKind("")
+	kind, slots := model.AcceleratorKind(""), 6
 	if service == llm {
-		kind = "big"
+		kind, slots = "big", 192
 	}
 	w.targets[id] = &fleet.Target{
-		ID: id, Service: service, Address: "at-" + string(id), Zone: zone, State: fleet.TargetReady, Slots: 6, Kind: kind,
+		ID: id, Service: service, Address: "at-" + string(id), Zone: zone, State: fleet.TargetReady, Slots: slots, Kind: kind,
 		Held: model.LayerRange{First: first, End: end}, Born: 1,
 	}
 	w.rows[id] = 1
@@ -512,6 +512,17 @@
 		Expect(w.state.InFlight()).To(BeZero())
 	})
 
+	// Pattern: one target begins the paths of a whole zone, and its slots are
+	// taken before its memory is.
+	It("takes another first target when the slots of one are taken", func() {
+		w.state.Step(w.now, director.PeerHeard{VM: "vm-2", Loads: map[model.TargetID]director.Load{"a1": {First: 192}}})
+		_, send := begin()
+		Expect(send.Hops[0].Target).To(BeEquivalentTo("b1"))
+		w.state.Step(w.now, director.PeerHeard{VM: "vm-2", Loads: map[model.TargetID]director.Load{"a1": {First: 192}, "b1": {First: 192}}})
+		_, e := w.arrive("/s/x")
+		Expect(refused(e).Reason).To(ContainSubstring("full"))
+	})
+
 	// Pattern: some targets turn many times slower.
 	It("goes around slow targets, and serves late when there is no other way", func() {
 		w.state.Step(w.now, director.PeerHeard{VM: "vm-2", Paces: map[model.TargetID]float64{"a2": 12}})
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -43,6 +43,8 @@
 	// Waiting is the number of requests that have no answer yet: their prompts
 	// are being read.
 	Waiting int
+	// First is the number of requests of which the target is the first hop.
+	First int
 }
 
 // peer is what another VM said last.
@@ -238,6 +240,7 @@
 		l.Requests += other.Requests
 		l.TokenLayers += other.TokenLayers
 		l.Waiting += other.Waiting
+		l.First += other.First
 	}
 	return l
 }
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -19,6 +19,9 @@
 	// CostPerLayer is the predicted time of a layer at the target's load, in
 	// milliseconds a token step.
 	CostPerLayer float64
+	// FirstCost is added when the target is the first of a path; infinite when it
+	// takes no more requests as first.
+	FirstCost float64
 }
 
 // MaxHops is the most hops that a path may have; the platform's limit.
@@ -62,7 +65,7 @@
 			}
 			from, base, hops := cheapest(steps, open[c], holders, h, costs)
 			if c == 0 {
-				from, base, hops = -1, awayCost(holders[h].Zone, home, costs), 0
+				from, base, hops = -1, awayCost(holders[h].Zone, home, costs)+holders[h].FirstCost, 0
 			}
 			if math.IsInf(base, 1) || hops >= MaxHops {
 				continue
--- a/internal/placement/rate.go
+++ b/internal/placement/rate.go
@@ -106,7 +106,12 @@
 		passes := max(m.engine.UsualPrompt/m.engine.ReadTokensPerPass, 1)
 		prompts := 1 / (passes * m.engine.PassMs(hardware, r.Len(), min(sequences, usualSequences)) * members[i].Pace)
 		for l := r.First; l < r.End; l++ {
-			m.tokens[l] += tokens
+			if l == 0 && m.engine.Slots > 0 {
+				// The first target of a path takes a request a slot.
+				m.tokens[l] += min(tokens, float64(m.engine.Slots)*m.perRequest())
+			} else {
+				m.tokens[l] += tokens
+			}
 			m.factor[l] += tokens * hardware.StepFactor * members[i].Pace
 			m.prompts[l] += prompts
 			m.copies[l]++
