Lay an empty zone out fastest first; keep connections for reports

The search that moved members of an empty zone one by one raised the predicted rate and lowered the real one: its ranges overlap in many places, paths have more hops, and fewer targets begin one, whose slots bind.

--- a/internal/keeper/targetclient.go
+++ b/internal/keeper/targetclient.go
@@ -19,22 +19,31 @@
 	// controlTimeout bounds a report or an order; targets answer both without a
 	// slot, within milliseconds.
 	controlTimeout = 500 * time.Millisecond
+	// reportIdle is how long a connection for reports is kept: three of the
+	// intervals at which a zone's lead reads them.
+	reportIdle = 3 * time.Second
 	// maxReportBytes bounds a report.
 	maxReportBytes = 1 << 20
 )
 
 // targetClient reads reports and gives orders.
-type targetClient struct{ http *http.Client }
+type targetClient struct {
+	// reports keeps connections: a report that is asked for twice does no harm.
+	reports *http.Client
+	// orders opens one for each order, which must not meet one that is closing.
+	orders *http.Client
+}
 
 func newTargetClient() *targetClient {
-	return &targetClient{http: &http.Client{Transport: &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return upstream.Dialer{}.Dial(ctx, address)
-		},
-		DisableCompression: true,
-		// Orders must not meet a connection that is being closed.
-		DisableKeepAlives: true,
-	}}}
+	transport := func(keep bool) *http.Client {
+		return &http.Client{Transport: &http.Transport{
+			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+				return upstream.Dialer{}.Dial(ctx, address)
+			},
+			DisableCompression: true, DisableKeepAlives: !keep, MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdle,
+		}}
+	}
+	return &targetClient{reports: transport(true), orders: transport(false)}
 }
 
 func (c *targetClient) report(ctx context.Context, address string) (*fleet.Report, error) {
@@ -44,7 +53,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "cannot form the request for a report")
 	}
-	status, text, err := c.do(req)
+	status, text, err := do(c.reports, req)
 	if err != nil {
 		return nil, err
 	}
@@ -63,12 +72,12 @@
 		return 0, errors.Wrap(err, "cannot form an order")
 	}
 	req.Header.Set("Content-Type", "application/json")
-	status, _, err := c.do(req)
+	status, _, err := do(c.orders, req)
 	return status, err
 }
 
-func (c *targetClient) do(req *http.Request) (int, []byte, error) {
-	resp, err := c.http.Do(req)
+func do(client *http.Client, req *http.Request) (int, []byte, error) {
+	resp, err := client.Do(req)
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "the target did not answer")
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -39,9 +39,6 @@
 	maxMoves = 1
 )
 
-// refinements bounds the moves of a member while an empty zone is planned.
-const refinements = 2
-
 // fills are the parts of a card's memory that layers may take. Below, a zone
 // cannot hold a path; above, too little is left for requests.
 var fills = []float64{0.25, 0.35, 0.42, 0.5, 0.56, 0.62, 0.7, 0.76, 0.82}
@@ -56,7 +53,6 @@
 		z := newZone(engine, inZone(engine, members, name))
 		if z.empty() {
 			z.layOut()
-			z.refine()
 		}
 		z.closeHoles()
 		z.useIdle()
@@ -154,18 +150,6 @@
 	}
 }
 
-// refine moves members of a zone that does not serve yet, one at a time, while
-// its rate grows.
-func (z *zone) refine() {
-	for range refinements * len(z.members) {
-		i, r, q, found := z.bestMove(z.movable)
-		if !found || !q.better(z.quality()) {
-			return
-		}
-		z.want[i] = r
-	}
-}
-
 // closeHoles gives layers that nobody holds to members that hold nothing, then
 // to members that can spare theirs or take them in addition.
 func (z *zone) closeHoles() {
@@ -219,14 +203,6 @@
 	anywhere
 )
 
-// movable leaves members free that hold no layers yet.
-func (z *zone) movable(i int) freedom {
-	if z.members[i].Fixed || z.members[i].Held.Len() > 0 {
-		return none
-	}
-	return anywhere
-}
-
 // idle leaves members free that are to hold nothing.
 func (z *zone) idle(i int) freedom {
 	if z.members[i].Fixed || z.want[i].Len() > 0 {
