Let a zone's lead confirm configuration and registrations

Change: a VM asks the first VM of its zone what it saw; the age counts from the question, so that a suspension or a slow message only makes it older. What differs, is old or gets no answer is read from the store as before.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -37,9 +37,12 @@
 	// probeInterval is how often targets under suspicion are looked at; the
 	// reducer bounds how often each is asked.
 	probeInterval = 250 * time.Millisecond
-	// ownInterval is how often the project's rows are read; the duty is renewed
-	// then.
+	// ownInterval is how often a zone's lead reads the project's rows; the duty is
+	// renewed then.
 	ownInterval = duty.Renew
+	// followInterval is how often other VMs read them: they need only the list of
+	// VMs.
+	followInterval = 5 * time.Second
 )
 
 // Keeper runs the loops of a VM besides its requests.
@@ -54,6 +57,11 @@
 	registered bool
 	// renewed is when the last successful write of the duty's row began.
 	renewed atomic.Int64
+	// ownRead is when the project's rows were last read.
+	ownRead model.Instant
+	view    *view
+	// lastTargets are the registrations of the last read.
+	lastTargets director.TargetsRead
 }
 
 // New returns a keeper.
@@ -68,7 +76,8 @@
 	k := &Keeper{
 		settings: s, store: platform.NewStore(s.StoreAddress, transport), reducer: r, targets: newTargetClient(),
 	}
-	k.peers = newPeers(s, r)
+	k.view = &view{}
+	k.peers = newPeers(s, r, k.view)
 	k.orders = newOrders(r, k.targets)
 	return k
 }
@@ -79,9 +88,9 @@
 		return err
 	}
 	interval := min(k.settings.Bounds.ConfigApply, k.settings.Bounds.Drain) / pollsPerBound
-	var known model.RowVersion
-	go every(ctx, interval, func() { known = k.readConfig(ctx, known) })
-	go every(ctx, interval, func() { k.readTargets(ctx) })
+	k.view.interval = interval
+	go every(ctx, interval, func() { k.followConfig(ctx) })
+	go every(ctx, interval, func() { k.followTargets(ctx) })
 	go every(ctx, ownInterval, func() { k.readOwn(ctx) })
 	go every(ctx, orderInterval, func() { k.placeLayers(ctx) })
 	go every(ctx, probeInterval, k.probe)
@@ -104,30 +113,40 @@
 	}
 }
 
-// readConfig reads the configuration and returns the row version that is known.
-func (k *Keeper) readConfig(ctx context.Context, known model.RowVersion) model.RowVersion {
+// followConfig confirms the configuration with the zone's lead, or reads it.
+func (k *Keeper) followConfig(ctx context.Context) {
+	if seen, asked, ok := k.peers.askLead(ctx); ok && k.view.sameConfig(seen) {
+		// What the lead read is as old as it says, counted from the question: a VM
+		// that was suspended since then sees its full age.
+		k.reducer.Step(director.ConfigRead{Started: asked.Add(-seen.configAge())})
+		return
+	}
+	k.readConfig(ctx)
+}
+
+func (k *Keeper) readConfig(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	started := bootclock.Now()
 	row, err := k.store.Config(ctx)
 	if err != nil {
 		k.storeFailed(err)
-		return known
+		return
 	}
 	if row.Version == 0 {
-		return known
+		return
 	}
-	if row.Version == known {
+	if k.view.confirmConfig(row.Version, started) {
 		k.reducer.Step(director.ConfigRead{Started: started})
-		return known
+		return
 	}
 	config, err := platform.DecodeConfig(row.Value)
 	if err != nil {
 		logrus.WithError(err).WithField("row", row.Version).Error("configuration not usable")
-		return known
+		return
 	}
 	k.reducer.Step(director.ConfigRead{Config: config, Started: started})
-	return row.Version
+	k.view.replaceConfig(row.Version, started)
 }
 
 func (k *Keeper) storeFailed(err error) {
@@ -135,9 +154,20 @@
 	k.reducer.Step(director.StoreFailed{})
 }
 
+// followTargets takes the registrations for read again when the zone's lead saw
+// the same ones, or reads them.
+func (k *Keeper) followTargets(ctx context.Context) {
+	if seen, _, ok := k.peers.askLead(ctx); ok && k.view.sameTargets(seen) {
+		k.reducer.Step(k.lastTargets)
+		return
+	}
+	k.readTargets(ctx)
+}
+
 func (k *Keeper) readTargets(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	started := bootclock.Now()
 	snapshot, err := k.store.Targets(ctx)
 	if err != nil {
 		k.storeFailed(err)
@@ -154,6 +184,8 @@
 		read.Rows[target.ID] = row.Version
 	}
 	k.reducer.Step(read)
+	k.lastTargets = read
+	k.view.replaceTargets(snapshot.Rows, started)
 }
 
 // vmRecord is what a VM says of itself in the store.
@@ -165,6 +197,11 @@
 // readOwn reads the project's rows, registers this VM and renews or takes the
 // duty.
 func (k *Keeper) readOwn(ctx context.Context) {
+	now := bootclock.Now()
+	if k.registered && !k.peers.leads(now) && !k.holdsDuty(now) && now.Sub(k.ownRead) < followInterval {
+		return
+	}
+	k.ownRead = now
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	snapshot, err := k.store.Table(ctx, ownTable)
--- a/internal/keeper/peers.go
+++ b/internal/keeper/peers.go
@@ -26,6 +26,9 @@
 	farEvery = 3
 	// leadMemory is how long a VM of the zone counts as alive: five messages.
 	leadMemory = time.Second
+	// askTimeout bounds the wait for the lead's answer; inside a zone it comes
+	// within milliseconds.
+	askTimeout = 100 * time.Millisecond
 	// maxPeers bounds the VMs that one message goes to.
 	maxPeers = 32
 	// maxMessageBytes is the largest datagram that is read.
@@ -40,6 +43,10 @@
 	SuspectMs map[model.TargetID]int64 `json:"suspect_ms,omitempty"`
 	// Paces are the targets of its zone that are slow.
 	Paces map[model.TargetID]float64 `json:"paces,omitempty"`
+	// Ask is the number of a question for what the VM last saw of the store, and
+	// Seen the answer to it; such a message carries nothing else.
+	Ask  uint64 `json:"ask,omitempty"`
+	Seen *seen  `json:"seen,omitempty"`
 }
 
 // peers shares load and faults with other VMs. A lost message only makes the
@@ -52,12 +59,19 @@
 	near     []*net.UDPAddr
 	far      []*net.UDPAddr
 	// zone names the other VMs of the zone; heard is when each last spoke.
-	zone  []model.NodeID
+	zone  map[model.NodeID]*net.UDPAddr
 	heard map[model.NodeID]model.Instant
+	view  *view
+	// asked is the number of the last question; waiting are those without an
+	// answer.
+	asked   uint64
+	waiting map[uint64]chan *seen
 }
 
-func newPeers(s *platform.Settings, r *front.Reducer) *peers {
-	return &peers{settings: s, reducer: r, heard: map[model.NodeID]model.Instant{}}
+func newPeers(s *platform.Settings, r *front.Reducer, v *view) *peers {
+	return &peers{
+		settings: s, reducer: r, heard: map[model.NodeID]model.Instant{}, view: v, waiting: map[uint64]chan *seen{},
+	}
 }
 
 func (p *peers) address() string {
@@ -76,7 +90,7 @@
 // set replaces the list of VMs.
 func (p *peers) set(vms map[model.NodeID]vmRecord) {
 	var near, far []*net.UDPAddr
-	var zone []model.NodeID
+	zone := map[model.NodeID]*net.UDPAddr{}
 	for name, record := range vms {
 		if name == p.settings.VM {
 			continue
@@ -88,7 +102,7 @@
 		}
 		if record.Zone == p.settings.Zone {
 			near = append(near, address)
-			zone = append(zone, name)
+			zone[name] = address
 		} else {
 			far = append(far, address)
 		}
@@ -101,15 +115,72 @@
 
 // leads is true when no VM of the zone with a smaller name was heard lately.
 // Two VMs may lead at a time; each then reads what one would.
-func (p *peers) leads(now model.Instant) bool {
+func (p *peers) leads(now model.Instant) bool { return p.lead(now) == nil }
+
+// lead returns the address of the zone's lead, or nil when this VM leads.
+func (p *peers) lead(now model.Instant) *net.UDPAddr {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, name := range p.zone {
-		if at, spoke := p.heard[name]; spoke && name < p.settings.VM && now.Sub(at) < leadMemory {
-			return false
+	first := p.settings.VM
+	var address *net.UDPAddr
+	for name, at := range p.zone {
+		if heard, spoke := p.heard[name]; spoke && name < first && now.Sub(heard) < leadMemory {
+			first, address = name, at
 		}
 	}
-	return true
+	return address
+}
+
+// askLead asks the zone's lead what it last saw of the store, and returns when
+// it was asked. It returns false when this VM leads or no answer came in time.
+func (p *peers) askLead(ctx context.Context) (*seen, model.Instant, bool) {
+	now := bootclock.Now()
+	address := p.lead(now)
+	if address == nil {
+		return nil, now, false
+	}
+	answer := make(chan *seen, 1)
+	p.mu.Lock()
+	p.asked++
+	number := p.asked
+	p.waiting[number] = answer
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(p.waiting, number)
+		p.mu.Unlock()
+	}()
+	p.post(address, peerMessage{VM: p.settings.VM, Ask: number})
+	timer := time.NewTimer(askTimeout)
+	defer timer.Stop()
+	select {
+	case s := <-answer:
+		return s, now, true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return nil, now, false
+}
+
+func (p *peers) post(to net.Addr, message peerMessage) {
+	text, err := json.Marshal(message)
+	if err != nil {
+		logrus.WithError(err).Error("peer message not encoded")
+		return
+	}
+	if _, err := p.conn.WriteTo(text, to); err != nil {
+		logrus.WithError(err).Debug("peer message not sent")
+	}
+}
+
+// answered hands an answer to the question that waits for it.
+func (p *peers) answered(number uint64, s *seen) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if waiting := p.waiting[number]; waiting != nil {
+		waiting <- s
+		delete(p.waiting, number)
+	}
 }
 
 func (p *peers) run(ctx context.Context) {
@@ -137,15 +208,8 @@
 	for id, left := range share.Suspects {
 		message.SuspectMs[id] = left.Milliseconds()
 	}
-	text, err := json.Marshal(message)
-	if err != nil {
-		logrus.WithError(err).Error("peer message not encoded")
-		return
-	}
 	for _, address := range to {
-		if _, err := p.conn.WriteTo(text, address); err != nil {
-			logrus.WithError(err).Debug("peer message not sent")
-		}
+		p.post(address, message)
 	}
 }
 
@@ -156,7 +220,7 @@
 	}()
 	buffer := make([]byte, maxMessageBytes)
 	for {
-		n, _, err := p.conn.ReadFrom(buffer)
+		n, from, err := p.conn.ReadFrom(buffer)
 		if ctx.Err() != nil {
 			return
 		}
@@ -172,6 +236,14 @@
 		p.mu.Lock()
 		p.heard[message.VM] = bootclock.Now()
 		p.mu.Unlock()
+		switch {
+		case message.Seen != nil:
+			p.answered(message.Ask, message.Seen)
+			continue
+		case message.Ask != 0:
+			p.post(from, peerMessage{VM: p.settings.VM, Ask: message.Ask, Seen: p.view.state(bootclock.Now())})
+			continue
+		}
 		heard := director.PeerHeard{VM: message.VM, Loads: message.Loads, Paces: message.Paces, Suspects: map[model.TargetID]time.Duration{}}
 		for id, ms := range message.SuspectMs {
 			heard.Suspects[id] = time.Duration(ms) * time.Millisecond
