Begin no stream late in a shutdown; never block on the log

Ruled out: a VM that counts as ready (it answered 503 at once). Change: two seconds after SIGTERM streams are refused as not run, to return in 0.1 s; short requests are served to the end.

Log lines go through a bounded queue and a rate; what is dropped is counted.

--- a/cmd/tamarack-front/main.go
+++ b/cmd/tamarack-front/main.go
@@ -8,14 +8,19 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"tamarackreach/internal/frontd"
+	"tamarackreach/internal/logsink"
 	"tamarackreach/internal/telemetry"
 	"tamarackreach/platform"
 )
 
+// flushTime bounds the wait for the last log lines at the end of the process.
+const flushTime = 200 * time.Millisecond
+
 func main() {
 	check := flag.Bool("check", false, "check the settings file and exit")
 	metrics := flag.String("metrics", "", "`address` of the metrics, host:port; none when empty")
@@ -30,6 +35,10 @@
 		return
 	}
 	telemetry.SetUpLogs("tamarack-front", string(settings.VM))
+	sink := logsink.New(os.Stdout)
+	logrus.SetOutput(sink)
+	logrus.RegisterExitHandler(func() { sink.Flush(flushTime) })
+	defer sink.Flush(flushTime)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	daemon := frontd.New(settings, *metrics)
--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -27,6 +27,12 @@
 	// busyReturn is when a caller is told to return while targets are full: the
 	// time in which a tenth of the usual answers ends.
 	busyReturn = 700 * time.Millisecond
+	// lastStreams is how long after it was asked to stop a VM begins streams: a
+	// usual one ends well before the process is killed, eight seconds after.
+	lastStreams = 2 * time.Second
+	// movingReturn is when a caller of a stopping VM is told to return: another VM
+	// takes its next connection.
+	movingReturn = 100 * time.Millisecond
 	// unknownReturn is when a caller is told to return while the configuration is
 	// not known or not confirmed: a few reads of the store.
 	unknownReturn = 1500 * time.Millisecond
@@ -55,6 +61,9 @@
 		}
 		return refuse(http.StatusNotFound, 0, "no route matches host and path in configuration "+version(s.config.Version))
 	}
+	if s.terminating != 0 && route.Kind == fleet.Stream && now.Sub(s.terminating) > lastStreams {
+		return refuse(http.StatusServiceUnavailable, spread(movingReturn, e.Random), "the VM is stopping; a stream would be cut")
+	}
 	workspace, denial := s.authorize(now, route, req, e.Random)
 	if denial != nil {
 		return []Effect{denial}
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -440,6 +440,21 @@
 		Expect(asked).To(Equal(1))
 	})
 
+	// Pattern: callers go on using open connections of a VM that is stopping.
+	It("begins no stream late in a shutdown, and serves short requests to the end", func() {
+		w.add("o1", orders, "a", 0, 0)
+		w.read()
+		w.state.Step(w.now, director.Terminating{})
+		Expect(w.state.Ready(w.now)).To(BeFalse())
+		begin()
+		w.pass(2100 * time.Millisecond)
+		_, e := w.arrive("/s/x")
+		Expect(refused(e).Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(refused(e).RetryAfter).To(BeNumerically("<", time.Second))
+		_, e = w.arrive("/r/x")
+		sent(e)
+	})
+
 	It("leaves a stream alone whose path is sound", func() {
 		id, _ := begin()
 		Expect(w.state.Step(w.now, director.Quiet{ID: id, For: 100 * time.Millisecond})).To(BeEmpty())
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -46,7 +46,8 @@
 	peers       map[model.NodeID]*peer
 	vms         int
 	budget      *retrybudget.Budget
-	terminating bool
+	// terminating is when the process was asked to stop; 0 before.
+	terminating model.Instant
 }
 
 // request is a client attempt while it is served.
@@ -109,7 +110,7 @@
 		s.vms = max(e.Count, 1)
 		s.budget.SetVMs(s.vms)
 	case Terminating:
-		s.terminating = true
+		s.terminating = now
 	}
 	return nil
 }
@@ -159,7 +160,7 @@
 
 // Ready reports whether the VM should take new connections.
 func (s *State) Ready(now model.Instant) bool {
-	return !s.terminating && s.config != nil && s.targetsRead && !s.keysExpired(now)
+	return s.terminating == 0 && s.config != nil && s.targetsRead && !s.keysExpired(now)
 }
 
 // revokeMargin is kept from the bound on revoked keys, for the steps between the
--- /dev/null
+++ b/internal/logsink/logsink_test.go
@@ -0,0 +1,69 @@
+package logsink_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tamarackreach/internal/logsink"
+)
+
+func TestLogsink(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "logsink")
+}
+
+// stuck blocks until released, as a reader that has stopped.
+type stuck struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(p)
+}
+
+func (s *stuck) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.String()
+}
+
+var _ = Describe("Sink", func() {
+	It("never blocks those who log, and says how many lines it dropped", func() {
+		out := &stuck{release: make(chan struct{})}
+		sink := logsink.New(out)
+		const lines = 200000
+		started := time.Now()
+		for range lines {
+			_, err := sink.Write([]byte("line\n"))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(time.Since(started)).To(BeNumerically("<", 2*time.Second))
+		Expect(sink.Dropped()).To(BeNumerically(">", lines/2))
+		close(out.release)
+		Eventually(out.String, 3*time.Second).Should(ContainSubstring("log lines dropped"))
+		Expect(strings.Count(out.String(), "line\n")).To(BeNumerically("<", lines/2))
+	})
+
+	It("writes all lines of a usual load in order", func() {
+		out := &stuck{release: make(chan struct{})}
+		close(out.release)
+		sink := logsink.New(out)
+		for _, line := range []string{"a\n", "b\n", "c\n"} {
+			_, err := sink.Write([]byte(line))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		sink.Flush(time.Second)
+		Eventually(out.String).Should(Equal("a\nb\nc\n"))
+	})
+})
