--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -182,11 +182,20 @@
 	}
 }
 
-func explainFlags(*flag.FlagSet) func(*session) error {
+func explainFlags(set *flag.FlagSet) func(*session) error {
+	logs := set.String("log", "", "log `files` of entry VMs, separated by commas, - for standard input: explains a request that has ended")
 	return func(s *session) error {
 		if len(s.args) != 1 {
 			return errors.Mark(errors.New("name one request"), errUsage)
 		}
+		if *logs != "" {
+			readers, closeAll, err := openLogs(*logs)
+			if err != nil {
+				return err
+			}
+			defer closeAll()
+			return explainLogs(readers, s.args[0], s.out)
+		}
 		response, err := s.client.Explain(s.ctx, request(s, &tamarackv1.ExplainRequest{RequestId: s.args[0]}))
 		if err != nil {
 			return err
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -59,7 +59,7 @@
 		{"change", "show one change, by -id or -revision; settles a change in doubt", changeFlags},
 		{"status", "show which revision is in force where, targets and alarms", statusFlags},
 		{"drain", "let a target leave: drain TARGET", drainFlags},
-		{"explain", "show how a request in progress was routed: explain REQUEST", explainFlags},
+		{"explain", "show how a request was routed: explain REQUEST, or explain -log FILES REQUEST once it has ended", explainFlags},
 		{"keys", "make a test CA and node keys: keys -dir DIR NODE...", keysFlags},
 	}
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -42,28 +42,6 @@
 	next    atomic.Int64
 }
 
-// configuration has a stream, an idempotent and a non-idempotent route.
-func configuration(version int, keys ...string) map[string]any {
-	return map[string]any{
-		"version": version,
-		"routes": []map[string]any{
-			{"name": "s", "host": "h", "prefix": "/s/", "kind": "streaming", "timeout-ms": 10000, "target-latency-ms": 5000, "service": "llm", "max-attempts": 2, "resumable": true, "gap-aim-ms": 250},
-			{"name": "r", "host": "h", "prefix": "/r/", "kind": "idempotent", "timeout-ms": 2000, "service": "desk", "max-attempts": 2},
-			{"name": "p", "host": "h", "prefix": "/p/", "kind": "non_idempotent", "timeout-ms": 2000, "service": "desk", "max-attempts": 1},
-		},
-		"services": []map[string]any{
-			{"name": "llm", "engine": map[string]any{
-				"slots": 10, "kv-token-bytes": 1000, "step_ms": 0.01, "read_per_s": 1e6, "chunk": 512, "stride": 1, "layers": 8,
-				"layer-mb": 10, "usual": map[string]any{"prompt": 10, "answer": 10}, "models": []map[string]any{{"load-s": 0.1}},
-				"kinds": []map[string]any{{"name": "k", "size-mb": 100, "pace": 1, "read-x": 1}},
-			}},
-			{"name": "desk"},
-		},
-		"limits":  map[string]any{"max-body-bytes": 1000},
-		"tenants": []map[string]any{{"name": "ws", "api-keys": keys}},
-	}
-}
-
 func freeAddress() string {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -75,7 +53,7 @@
 	store, err := platformtest.NewStore()
 	Expect(err).NotTo(HaveOccurred())
 	s := &site{store: store, fleet: platformtest.NewFleet(store), client: freeAddress(), ready: freeAddress(), signals: make(chan os.Signal, 1), done: make(chan error, 1)}
-	Expect(store.Put("op", "config", configuration(1, "key"))).To(Succeed())
+	Expect(store.Put("op", "config", platformtest.Config(1, "key"))).To(Succeed())
 	for _, zone := range []string{"a", "b"} {
 		for range 2 {
 			_, err := s.fleet.Start("desk", zone, "", 0, 0)
@@ -88,28 +66,9 @@
 	}
 	_, port, err := net.SplitHostPort(freeAddress())
 	Expect(err).NotTo(HaveOccurred())
-	settings, err := platform.ParseSettings([]byte(fmt.Sprintf(`
-node-name = "vm-1"
-zone = "a"
-ip = "127.0.0.1"
-internal-ports = [%s, %s]
-heartbeat-ms = 200
-[listen]
-front = "%s"
-ready = "%s"
-[bounds]
-drain-ms = 600
-config-apply-ms = 600
-grace-s = 4
-stall_ms = 600
-strict-revoke = true
-revoke-ms = 1500
-retry-budget-ratio = 0.2
-budget-window-s = 10
-budget-slack = 200
-[platform]
-address = "%s"
-`, port, port, s.client, s.ready, store.Address())))
+	peerPort, err := strconv.Atoi(port)
+	Expect(err).NotTo(HaveOccurred())
+	settings, err := platform.ParseSettings([]byte(platformtest.Settings("vm-1", "a", s.client, s.ready, store.Address(), peerPort)))
 	Expect(err).NotTo(HaveOccurred())
 	daemon := frontd.New(settings, "")
 	go func() { s.done <- daemon.Run(context.Background(), s.signals) }()
@@ -317,9 +276,9 @@
 	})
 
 	It("brings a change of keys into force, and never an older one", func() {
-		Expect(s.store.Put("op", "config", configuration(5, "new"))).To(Succeed())
+		Expect(s.store.Put("op", "config", platformtest.Config(5, "new"))).To(Succeed())
 		Eventually(func() int { status, _, _ := s.call("GET", "/r/x"); return status }, 600*time.Millisecond, 20*time.Millisecond).Should(Equal(401))
-		Expect(s.store.Put("op", "config", configuration(6, "key"))).To(Succeed())
+		Expect(s.store.Put("op", "config", platformtest.Config(6, "key"))).To(Succeed())
 		Eventually(func() int { status, _, _ := s.call("GET", "/r/x"); return status }, 600*time.Millisecond, 20*time.Millisecond).Should(Equal(200))
 		Expect(s.store.Put("op", "config", "no configuration")).To(Succeed())
 		Consistently(func() int { status, _, _ := s.call("GET", "/r/x"); return status }, 500*time.Millisecond, 50*time.Millisecond).Should(Equal(200))
