--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -42,17 +42,11 @@
 	next    atomic.Int64
 }
 
-func freeAddress() string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 func start() *site {
 	store, err := platformtest.NewStore()
 	Expect(err).NotTo(HaveOccurred())
-	s := &site{store: store, fleet: platformtest.NewFleet(store), client: freeAddress(), ready: freeAddress(), signals: make(chan os.Signal, 1), done: make(chan error, 1)}
+	host := platformtest.Host(0, 0)
+	s := &site{store: store, fleet: platformtest.NewFleet(store), client: platformtest.ClientAddress(host), ready: platformtest.ReadyAddress(host), signals: make(chan os.Signal, 1), done: make(chan error, 1)}
 	Expect(store.Put("op", "config", platformtest.Config(1, "key"))).To(Succeed())
 	for _, zone := range []string{"a", "b"} {
 		for range 2 {
@@ -64,11 +58,7 @@
 			Expect(err).NotTo(HaveOccurred())
 		}
 	}
-	_, port, err := net.SplitHostPort(freeAddress())
-	Expect(err).NotTo(HaveOccurred())
-	peerPort, err := strconv.Atoi(port)
-	Expect(err).NotTo(HaveOccurred())
-	settings, err := platform.ParseSettings([]byte(platformtest.Settings("vm-1", "a", s.client, s.ready, store.Address(), peerPort)))
+	settings, err := platform.ParseSettings([]byte(platformtest.Settings("vm-1", "a", host, store.Address())))
 	Expect(err).NotTo(HaveOccurred())
 	daemon := frontd.New(settings, "")
 	go func() { s.done <- daemon.Run(context.Background(), s.signals) }()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -113,7 +113,8 @@
 		}
 	}
 	for i := range r.VMs {
-		v, err := startVM(r.Dir, r.Binary, fmt.Sprintf("vm-%d", i+1), []string{"a", "b"}[i%2], r.store.Address())
+		host := platformtest.Host(int(r.Seed%1000), i)
+		v, err := startVM(r.Dir, r.Binary, fmt.Sprintf("vm-%d", i+1), []string{"a", "b"}[i%2], host, r.store.Address())
 		if err != nil {
 			return err
 		}
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -33,30 +32,14 @@
 // restartDelay is the time between the end of a process and its next start.
 const restartDelay = 150 * time.Millisecond
 
-func freePort() (address string, port int, err error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", 0, err
-	}
-	defer func() { _ = listener.Close() }() // the port is free again
-	return listener.Addr().String(), listener.Addr().(*net.TCPAddr).Port, nil
-}
-
-// startVM starts an entry VM behind a proxy of its own to the store.
-func startVM(dir, binary, name, zone, storeAddress string) (*vm, error) {
+// startVM starts an entry VM on a host of its own, behind a proxy to the store.
+func startVM(dir, binary, name, zone, host, storeAddress string) (*vm, error) {
 	store, err := newProxy(storeAddress)
 	if err != nil {
 		return nil, err
 	}
-	v := &vm{name: name, binary: binary, store: store, config: filepath.Join(dir, name+".toml"), done: make(chan struct{})}
-	ready, peerPort, err := freePort()
-	if err != nil {
-		return nil, err
-	}
-	if v.client, _, err = freePort(); err != nil {
-		return nil, err
-	}
-	text := platformtest.Settings(name, zone, v.client, ready, store.address(), peerPort)
+	v := &vm{name: name, client: platformtest.ClientAddress(host), binary: binary, store: store, config: filepath.Join(dir, name+".toml"), done: make(chan struct{})}
+	text := platformtest.Settings(name, zone, host, store.address())
 	if err := os.WriteFile(v.config, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
