--- a/cmd/tamarack-soak/main.go
+++ b/cmd/tamarack-soak/main.go
@@ -1,4 +1,4 @@
-// Command tamarack-soak plays randomized faults against real entry VM processes
+// Command tamarack-soak plays randomised faults against real entry VM processes
 // and checks the promises; it exits with 1 when one is broken.
 package main
 
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -73,8 +73,6 @@
 	FaultAt string
 	// Took is the time since the send.
 	Took time.Duration
-	// Begun is true once the caller has part of the answer.
-	Begun bool
 	// Random spreads the times at which refused callers return.
 	Random float64
 }
--- /dev/null
+++ b/internal/director/path.go
@@ -0,0 +1,162 @@
+package director
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"tamarackreach/internal/fleet"
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/paths"
+)
+
+// pathCosts weigh what a path has beyond its layers, milliseconds a token step:
+// a hop waits for half a pass; a crossing shares a narrow pipe, which a path
+// uses only when its zone has lost a layer; a path in another zone costs its
+// bytes.
+var pathCosts = paths.Costs{Hop: 0.3, Crossing: 60, Away: 3}
+
+const (
+	// crowded is the part of a target's memory for requests above which its cost
+	// grows steeply: beyond, long answers preempt the newest requests.
+	crowded = 0.6
+	// crowdedWeight is that growth for each further whole of the memory.
+	crowdedWeight = 20
+	// slotWeight is the cost of a path whose first target has no slot left, in
+	// milliseconds a token step: that of a second path.
+	slotWeight = 20
+	// fullAt is the part of the memory at which a target takes nothing more: the
+	// estimate is within a tenth of what targets report.
+	fullAt = 0.92
+	// lateAt is the part of the latency goal beyond which a predicted first event
+	// is too late: a request that is refused at once can be served elsewhere or
+	// later, and those before it stay in time.
+	lateAt = 0.9
+	// patience is the number of latency goals after which a caller that has no
+	// event yet is taken to leave; the platform's clients stay for four.
+	patience = 3
+	// firstWeight weighs the wait for the first event against the time of each
+	// later one: a usual answer has some fifty events.
+	firstWeight = 0.02
+	// costNoise spreads requests over paths that cost nearly the same, since VMs
+	// that decide together see the same loads.
+	costNoise = 0.15
+	// meanProgress is the part of its answer that a request holds on the mean.
+	meanProgress = 0.6
+)
+
+// path returns the cheapest path with room for the request, or why there is
+// none.
+func (s *State) path(now model.Instant, r *request) ([]fleet.Hop, string) {
+	engine := r.service.Engine
+	noise := rand.New(rand.NewPCG(math.Float64bits(r.random), uint64(r.sends)))
+	var holders []paths.Holder
+	spent := s.targetsSpent(r)
+	for _, t := range s.byService[r.service.ID] {
+		if t.Held.Len() == 0 || !t.usable(now) {
+			continue
+		}
+		if spent && t.Held.First == 0 && !slices.Contains(r.ran, t.ID) {
+			continue // only targets that had the request may have it again
+		}
+		cost := s.layerCost(now, engine, t) * (1 - costNoise + 2*costNoise*noise.Float64())
+		holders = append(holders, paths.Holder{
+			ID: t.ID, Address: t.Address, Zone: t.Zone, Layers: t.Held, CostPerLayer: cost,
+			FirstCost: firstCost(s.load(now, t), t.Slots),
+		})
+	}
+	hops, _, ok := paths.Find(holders, engine.Layers, s.settings.Zone, pathCosts)
+	if !ok && slices.ContainsFunc(holders, func(h paths.Holder) bool { return math.IsInf(h.FirstCost, 1) }) {
+		return nil, whyFull
+	}
+	if !ok {
+		return nil, whyHole
+	}
+	if r.sends > 0 {
+		return hops, "" // it was admitted once; a full path is better than none
+	}
+	for _, hop := range hops {
+		if s.occupancy(now, engine, s.targets[hop.Target]) > fullAt {
+			return nil, whyFull
+		}
+	}
+	if !s.inTime(now, r, hops) {
+		return nil, whyLate
+	}
+	return hops, ""
+}
+
+// inTime is false when the prompts that wait make the first event late, or so
+// late that the caller has left. A path that is late by itself, because of a
+// slow target, still serves: a late answer is better than none.
+func (s *State) inTime(now model.Instant, r *request, hops []fleet.Hop) bool {
+	goal := float64(r.route.LatencyGoal.Milliseconds())
+	if goal == 0 {
+		return true
+	}
+	work, queue := s.timeToFirst(now, r, hops)
+	if work > lateAt*goal {
+		return work+queue < patience*goal
+	}
+	return work+queue < lateAt*goal
+}
+
+// firstCost grows with the slots that are taken of a path's first target, and is
+// infinite when none is left.
+func firstCost(load Load, slots int) float64 {
+	if slots <= 0 {
+		return 0
+	}
+	taken := float64(load.First) / float64(slots)
+	switch {
+	case taken >= 1:
+		return math.Inf(1)
+	case taken > crowded:
+		return slotWeight * (taken - crowded)
+	}
+	return 0
+}
+
+// timeToFirst predicts the time to the first event on a path, in milliseconds:
+// the passes that read the prompt at each hop, and the queue at the hop where
+// it is longest.
+func (s *State) timeToFirst(now model.Instant, r *request, hops []fleet.Hop) (work, queue float64) {
+	engine := r.service.Engine
+	for _, hop := range hops {
+		t := s.targets[hop.Target]
+		load := s.load(now, t)
+		pass := engine.PassMs(engine.Hardware[t.Kind], hop.Layers.Len(), float64(load.Requests)) * t.slowness(now)
+		work += pass * max(float64(r.PromptTokens)/engine.ReadTokensPerPass, 1)
+		queue = max(queue, pass*float64(load.Waiting)*usualPasses(engine))
+	}
+	return work, queue
+}
+
+// usualPasses is the passes that read a usual prompt.
+func usualPasses(engine *fleet.Engine) float64 {
+	return max(engine.UsualPrompt/engine.ReadTokensPerPass, 1)
+}
+
+// occupancy is the part of a target's memory for requests that is taken.
+func (s *State) occupancy(now model.Instant, engine *fleet.Engine, t *target) float64 {
+	free := engine.Hardware[t.Kind].MemoryMB - float64(t.Held.Len())*engine.LayerMB
+	capacity := free / engine.StateMBPerTokenLayer()
+	if capacity <= 0 {
+		return math.Inf(1)
+	}
+	return s.load(now, t).TokenLayers / capacity
+}
+
+// layerCost predicts the time of one layer in a token step, in milliseconds,
+// with a part for the prompts that wait to be read there.
+func (s *State) layerCost(now model.Instant, engine *fleet.Engine, t *target) float64 {
+	load := s.load(now, t)
+	hardware := engine.Hardware[t.Kind]
+	step := hardware.StepFactor * engine.StepMsAt(float64(load.Requests))
+	read := engine.PassMs(hardware, engine.Layers, float64(load.Requests)) * float64(load.Waiting) * usualPasses(engine)
+	cost := (step + read*firstWeight) * t.slowness(now) / float64(engine.Layers)
+	if used := s.occupancy(now, engine, t); used > crowded {
+		cost *= 1 + crowdedWeight*(min(used, 2)-crowded)
+	}
+	return cost
+}
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -56,7 +56,6 @@
 	route     *fleet.Route
 	workspace *fleet.Workspace
 	service   *fleet.Service
-	arrived   model.Instant
 	// ends is when the caller's or the route's time is over.
 	ends  model.Instant
 	sends int
@@ -64,7 +63,6 @@
 	ran []model.TargetID
 	// hops is the path of the send under way; nil between sends.
 	hops     []fleet.Hop
-	sentAt   model.Instant
 	diverted bool
 	// waiting is true from the send to the first of the answer.
 	waiting bool
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -230,7 +230,7 @@
 		outcome = director.Diverted
 	}
 	ended := &director.SendEnded{
-		ID: j.request.ID, Outcome: outcome, FaultAt: x.Head.FaultAt, Took: time.Since(sentAt), Begun: j.begun,
+		ID: j.request.ID, Outcome: outcome, FaultAt: x.Head.FaultAt, Took: time.Since(sentAt),
 		Random: rand.Float64(),
 	}
 	line := j.log.WithFields(logrus.Fields{
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -1,4 +1,4 @@
-// Package soak plays randomized faults against real processes of the entry VM
+// Package soak plays randomised faults against real processes of the entry VM
 // between stand-ins of the platform, and checks the promises from what callers
 // and targets see.
 package soak
@@ -199,28 +199,38 @@
 func (r *run) check() {
 	for _, c := range r.callers.all {
 		r.report.Calls++
-		runs := r.fleet.Runs(c.id)
-		switch {
-		case c.status == http.StatusOK:
+		switch c.status {
+		case http.StatusOK:
 			r.report.Served++
-		case c.status == http.StatusServiceUnavailable:
+			r.checkAnswer(c)
+		case http.StatusServiceUnavailable:
 			r.report.Refused++
 		}
-		if c.kind == "p" && runs > 1 {
-			r.broken("twice: %s ran %d times", c.id, runs)
-		}
-		if c.kind == "p" && runs > 0 && (c.status == http.StatusServiceUnavailable || c.status == http.StatusUnauthorized) {
-			r.broken("refused: %s was answered %d and ran", c.id, c.status)
-		}
-		if c.status == http.StatusOK && c.kind == "s" && !whole(c.body, r.fleet.Events) {
-			r.broken("order: the answer to %s is not whole: %q", c.id, c.body)
-		}
-		if c.status == http.StatusOK && c.kind != "s" && c.body != "answer to "+c.id+" of ws" {
-			r.broken("mixed: %s was answered %q", c.id, c.body)
-		}
-		if removed, ok := r.keys.removed[c.key]; ok && runs > 0 && c.sent.Sub(removed) > revokeBound {
-			r.broken("revoked: %s ran, sent %s after its key was removed", c.id, c.sent.Sub(removed))
-		}
+		r.checkRuns(c, r.fleet.Runs(c.id))
+	}
+}
+
+// checkAnswer judges a success: it is the whole answer to this very request.
+func (r *run) checkAnswer(c call) {
+	if c.kind == "s" && !whole(c.body, r.fleet.Events) {
+		r.broken("order: the answer to %s is not whole: %q", c.id, c.body)
+	}
+	if c.kind != "s" && c.body != "answer to "+c.id+" of ws" {
+		r.broken("mixed: %s was answered %q", c.id, c.body)
+	}
+}
+
+// checkRuns judges how often a request ran.
+func (r *run) checkRuns(c call, runs int) {
+	if c.kind == "p" && runs > 1 {
+		r.broken("twice: %s ran %d times", c.id, runs)
+	}
+	promised := c.status == http.StatusServiceUnavailable || c.status == http.StatusUnauthorized
+	if c.kind == "p" && runs > 0 && promised {
+		r.broken("refused: %s was answered %d and ran", c.id, c.status)
+	}
+	if removed, ok := r.keys.removed[c.key]; ok && runs > 0 && c.sent.Sub(removed) > revokeBound {
+		r.broken("revoked: %s ran, sent %s after its key was removed", c.id, c.sent.Sub(removed))
 	}
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -28,7 +28,7 @@
 	return path
 }
 
-var _ = Describe("entry VMs under randomized faults", func() {
+var _ = Describe("entry VMs under randomised faults", func() {
 	// Seeds that once broke a promise stay here, with the cause.
 	DescribeTable("keep the promises",
 		func(seed uint64) {
