Never plan a layered path for a plain request; end only the request that panics

Cause: a plain idempotent request that was silent for 300 ms on a target under suspicion was given up through the search for paths over layers, which a plain service does not have.

Change: one function chooses the targets of a send for both kinds of service; the lock is released by defer; a request whose handling panics is ended alone and logged with its stack.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -152,19 +152,9 @@
 
 // send chooses where a request goes next, or says why it cannot.
 func (s *State) send(now model.Instant, r *request) (*Send, string) {
-	var hops []fleet.Hop
-	if r.service.Engine != nil {
-		found, why := s.path(now, r)
-		if found == nil {
-			return nil, why
-		}
-		hops = found
-	} else {
-		t := s.plainTarget(now, r)
-		if t == nil {
-			return nil, whyNobody
-		}
-		hops = []fleet.Hop{{Target: t.ID, Address: t.Address}}
+	hops, why := s.choose(now, r)
+	if hops == nil {
+		return nil, why
 	}
 	r.hops, r.diverted, r.waiting = hops, false, true
 	r.sends++
@@ -176,6 +166,19 @@
 	return out, ""
 }
 
+// choose returns the targets that the next send of a request passes through, or
+// why there are none.
+func (s *State) choose(now model.Instant, r *request) ([]fleet.Hop, string) {
+	if r.service.Engine != nil {
+		return s.path(now, r)
+	}
+	t := s.plainTarget(now, r)
+	if t == nil {
+		return nil, whyNobody
+	}
+	return []fleet.Hop{{Target: t.ID, Address: t.Address}}, ""
+}
+
 // account adds the request to the load of its hops, or takes it away.
 func (s *State) account(r *request, sign int) {
 	tokens := s.tokens(r)
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -150,8 +150,9 @@
 	if !r.route.Repeatable() || r.ends.Sub(now) < leastTime || r.sends >= maxSends {
 		return nil
 	}
-	if hops, _ := s.path(now, r); hops == nil {
-		return nil // nowhere to go: the path may recover
+	hops, _ := s.choose(now, r)
+	if hops == nil || slices.Equal(hops, r.hops) {
+		return nil // nowhere else to go: the targets may recover
 	}
 	// A stream that still runs is given up only for a send that is paid for.
 	if !s.budget.Take(now, r.service.ID) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"time"
@@ -32,9 +34,7 @@
 
 // Step applies an event, logs changes of belief and returns the other effects.
 func (r *Reducer) Step(e director.Event) []director.Effect {
-	r.mu.Lock()
-	effects := r.state.Step(bootclock.Now(), e)
-	r.mu.Unlock()
+	effects := r.step(e)
 	var out []director.Effect
 	for _, effect := range effects {
 		if c, ok := effect.(*director.Changed); ok {
@@ -46,6 +46,14 @@
 	return out
 }
 
+// step holds the lock only for its own call, so that a panic in the reducer ends
+// the request that met it and not the process.
+func (r *Reducer) step(e director.Event) []director.Effect {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Step(bootclock.Now(), e)
+}
+
 // Read calls f with the state.
 func (r *Reducer) Read(f func(*director.State)) {
 	r.mu.Lock()
@@ -143,6 +151,7 @@
 
 // run serves the request until it is answered, refused or abandoned.
 func (j *job) run() {
+	defer j.contain()
 	effects := j.front.reducer.Step(director.Arrived{Request: j.request, Random: rand.Float64()})
 	for {
 		switch e := effects[len(effects)-1].(type) {
@@ -167,6 +176,20 @@
 	}
 }
 
+// contain ends a request whose handling panicked: its load is taken away and its
+// connection is cut, and the process serves on.
+func (j *job) contain() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if err, ok := p.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		j.log.WithFields(logrus.Fields{"panic": fmt.Sprint(p), "stack": string(debug.Stack())}).Error("request panicked")
+		j.finish(false, "panicked")
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (j *job) finish(delivered bool, outcome string) {
 	j.front.reducer.Step(director.Finished{ID: j.request.ID, Delivered: delivered})
 	took := time.Since(j.started)
--- /dev/null
+++ b/internal/front/panic_test.go
@@ -0,0 +1,43 @@
+package front_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tamarackreach/internal/bootclock"
+	"tamarackreach/internal/director"
+	"tamarackreach/internal/fleet"
+	"tamarackreach/internal/front"
+	"tamarackreach/internal/model"
+)
+
+var _ = Describe("a fault of the program's own", func() {
+	// Pattern: one request panics while others are served. Without a pool the send
+	// itself panics.
+	It("ends its request alone and leaves no load behind", func() {
+		state := director.New(director.Settings{VM: "vm-1", Zone: "a", ConfigApply: 2 * time.Second})
+		reducer := front.NewReducer(state)
+		reducer.Step(director.ConfigRead{Started: bootclock.Now(), Config: &fleet.Config{
+			Version: 1,
+			Routes: []fleet.Route{{
+				Name: "read", Host: "h", Prefix: "/r/", Kind: fleet.Idempotent, Timeout: time.Second, MaxTargets: 2,
+				Split: []fleet.WeightedService{{Service: "desk", Weight: 1}},
+			}},
+			Services: map[model.ServiceID]*fleet.Service{"desk": {ID: "desk"}},
+		}})
+		reducer.Step(director.TargetsRead{Targets: []*fleet.Target{{
+			ID: "o1", Service: "desk", Address: "nowhere", Zone: "a", State: fleet.TargetReady, Slots: 6,
+		}}})
+		handler := front.New(reducer, nil, nil, front.NewMetrics())
+		for range 2 {
+			request := httptest.NewRequest(http.MethodGet, "http://h/r/x", nil)
+			request.Header.Set("Tamarackreach-Attempt-Id", "q1")
+			Expect(func() { handler.ServeHTTP(httptest.NewRecorder(), request) }).To(PanicWith(http.ErrAbortHandler))
+			Expect(handler.InFlight()).To(BeZero())
+		}
+	})
+})
