Overrule suspicions by later answers; go around full targets before refusing

Change: a suspicion carries its age; what others saw is overruled by answers that came through the target since, faults that the VM saw itself stand. A suspected target that answers for its report closes a hole. Full targets are left out of the search, not found by it.

Ruled out: the placement; all layers had holders in those seconds.

Tests, failed before: a zone that returns from a cut, a stalled target while other paths flow, the only holder of a layer, a full target at home.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -202,7 +202,7 @@
 }
 
 // began notes that a request's prompt has been read.
-func (s *State) began(id model.RequestID) {
+func (s *State) began(now model.Instant, id model.RequestID) {
 	r := s.requests[id]
 	if r == nil || !r.waiting {
 		return
@@ -210,6 +210,7 @@
 	for _, hop := range r.hops {
 		if t := s.targets[hop.Target]; t != nil {
 			t.own.Waiting--
+			t.sound(now)
 		}
 	}
 	r.waiting = false
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -21,7 +21,7 @@
 	deadFor = 2500 * time.Millisecond
 )
 
-func (s *State) finished(_ model.Instant, e Finished) []Effect {
+func (s *State) finished(now model.Instant, e Finished) []Effect {
 	r := s.requests[e.ID]
 	if r == nil {
 		return nil
@@ -30,6 +30,7 @@
 		for _, hop := range r.hops {
 			if t := s.targets[hop.Target]; t != nil {
 				t.strikes = 0
+				t.sound(now)
 			}
 		}
 	}
@@ -73,10 +74,7 @@
 	if named && e.Took >= s.settings.Stall/2 {
 		least = deadFor
 	}
-	if change := s.suspect(now, t, least, e.Outcome.String()+" after "+e.Took.String()); change != nil {
-		return []Effect{change}
-	}
-	return nil
+	return effect(s.suspect(now, t, fault{why: e.Outcome.String() + " after " + e.Took.String(), least: least}))
 }
 
 // after decides what follows a failed send.
@@ -172,7 +170,7 @@
 		if t.silent == silentWhenDead {
 			return []Effect{&Changed{What: "target dead", Subject: string(t.ID), Detail: "it does not answer for its report"}}
 		}
-		return effect(s.suspect(now, t, 0, "it did not answer with its report"))
+		return effect(s.suspect(now, t, fault{why: "it did not answer with its report"}))
 	}
 	var effects []Effect
 	if t.dead() {
@@ -183,10 +181,12 @@
 			What: "target pace", Subject: string(t.ID), Detail: strconv.FormatFloat(e.Report.Pace, 'f', 1, 64),
 		})
 	}
-	t.silent, t.pace, t.paced = 0, e.Report.Pace, now
+	t.silent, t.pace, t.paced, t.answeredAt = 0, e.Report.Pace, now, now
 	for _, address := range e.Report.Stalled {
 		if at := s.byAddress[address]; at != nil {
-			effects = append(effects, effect(s.suspect(now, at, deadFor, "paths of "+string(t.ID)+" wait for it"))...)
+			effects = append(effects, effect(s.suspect(now, at, fault{
+				why: "paths of " + string(t.ID) + " wait for it", least: deadFor, hearsay: true,
+			}))...)
 		}
 	}
 	return effects
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -494,7 +494,7 @@
 	})
 
 	It("learns of a fault from another VM", func() {
-		w.state.Step(w.now, director.PeerHeard{VM: "vm-2", Suspects: map[model.TargetID]time.Duration{"a1": time.Second}})
+		w.state.Step(w.now, director.PeerHeard{VM: "vm-2", Suspects: map[model.TargetID]director.Suspicion{"a1": {Left: time.Second}}})
 		_, send := begin()
 		Expect(send.Hops[0].Target).To(BeEquivalentTo("b1"))
 	})
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -115,12 +115,20 @@
 	VM model.NodeID
 	// Loads is the VM's own load by target.
 	Loads map[model.TargetID]Load
-	// Suspects are the targets that it found at fault, with what is left of that.
-	Suspects map[model.TargetID]time.Duration
+	// Suspects are the targets that it found at fault.
+	Suspects map[model.TargetID]Suspicion
 	// Paces are the targets that it found slow; 1 is normal.
 	Paces map[model.TargetID]float64
 }
 
+// Suspicion is a VM's belief that a target is at fault.
+type Suspicion struct {
+	// Left is what is left of the time for which the target is left out.
+	Left time.Duration
+	// Age is the time since the fault was last seen.
+	Age time.Duration
+}
+
 // VMsKnown gives the number of VMs that ever registered.
 type VMsKnown struct{ Count int }
 
--- a/internal/director/path.go
+++ b/internal/director/path.go
@@ -45,45 +45,92 @@
 	meanProgress = 0.6
 )
 
+// candidate is a holder of layers that a path may use.
+type candidate struct {
+	paths.Holder
+	target *target
+	// usable is false under suspicion, and full when the memory for requests is.
+	usable, full bool
+}
+
 // path returns the cheapest path with room for the request, or why there is
 // none.
 func (s *State) path(now model.Instant, r *request) ([]fleet.Hop, string) {
+	candidates := s.candidates(now, r)
+	hops := s.find(r, candidates, func(c *candidate) bool { return c.usable && !c.full })
+	if hops == nil {
+		hops = s.find(r, candidates, func(c *candidate) bool { return (c.usable || c.target.answersAgain()) && !c.full })
+	}
+	if hops == nil && r.sends > 0 {
+		// It was admitted once; a full path is better than none.
+		hops = s.find(r, candidates, func(c *candidate) bool { return c.usable || c.target.answersAgain() })
+	}
+	switch {
+	case hops == nil:
+		return nil, s.whyNone(now, r, candidates)
+	case r.sends == 0 && !s.inTime(now, r, hops):
+		return nil, whyLate
+	}
+	return hops, ""
+}
+
+// candidates returns the holders of layers that serve the request's service.
+func (s *State) candidates(now model.Instant, r *request) []candidate {
 	engine := r.service.Engine
 	noise := rand.New(rand.NewPCG(math.Float64bits(r.random), uint64(r.sends)))
-	var holders []paths.Holder
 	spent := s.targetsSpent(r)
+	var out []candidate
 	for _, t := range s.byService[r.service.ID] {
-		if t.Held.Len() == 0 || !t.usable(now) {
+		if t.Held.Len() == 0 || !t.serving() {
 			continue
 		}
 		if spent && t.Held.First == 0 && !slices.Contains(r.ran, t.ID) {
 			continue // only targets that had the request may have it again
 		}
-		cost := s.layerCost(now, engine, t) * (1 - costNoise + 2*costNoise*noise.Float64())
-		holders = append(holders, paths.Holder{
-			ID: t.ID, Address: t.Address, Zone: t.Zone, Layers: t.Held, CostPerLayer: cost,
-			FirstCost: firstCost(s.load(now, t), t.Slots),
+		load := s.load(now, t)
+		used := occupancy(engine, t, load)
+		out = append(out, candidate{
+			Holder: paths.Holder{
+				ID: t.ID, Address: t.Address, Zone: t.Zone, Layers: t.Held,
+				CostPerLayer: layerCost(engine, t, load, used) * t.slowness(now) * (1 - costNoise + 2*costNoise*noise.Float64()),
+				FirstCost:    firstCost(load, t.Slots),
+			},
+			target: t, usable: t.usable(now), full: used > fullAt,
 		})
 	}
-	hops, _, ok := paths.Find(holders, engine.Layers, s.settings.Zone, pathCosts)
-	if !ok && slices.ContainsFunc(holders, func(h paths.Holder) bool { return math.IsInf(h.FirstCost, 1) }) {
-		return nil, whyFull
+	return out
+}
+
+// find returns the cheapest path over the candidates that admit allows.
+func (s *State) find(r *request, candidates []candidate, admit func(*candidate) bool) []fleet.Hop {
+	holders := make([]paths.Holder, 0, len(candidates))
+	for i := range candidates {
+		if admit(&candidates[i]) {
+			holders = append(holders, candidates[i].Holder)
+		}
 	}
+	hops, _, ok := paths.Find(holders, r.service.Engine.Layers, s.settings.Zone, pathCosts)
 	if !ok {
-		return nil, whyHole
+		return nil
+	}
+	return hops
+}
+
+// whyNone tells a full deployment from one that lacks a layer. Targets under
+// suspicion that would close the hole are looked at next.
+func (s *State) whyNone(now model.Instant, r *request, candidates []candidate) string {
+	for i := range candidates {
+		candidates[i].FirstCost = 0 // as if slots were free
 	}
-	if r.sends > 0 {
-		return hops, "" // it was admitted once; a full path is better than none
+	if s.find(r, candidates, func(c *candidate) bool { return c.usable }) != nil {
+		return whyFull
 	}
-	for _, hop := range hops {
-		if s.occupancy(now, engine, s.targets[hop.Target]) > fullAt {
-			return nil, whyFull
+	for i := range candidates {
+		if !candidates[i].usable {
+			candidates[i].target.wantedAt = now
 		}
 	}
-	if !s.inTime(now, r, hops) {
-		return nil, whyLate
-	}
-	return hops, ""
+	return whyHole
 }
 
 // inTime is false when the prompts that wait make the first event late, or so
@@ -137,25 +184,25 @@
 	return max(engine.UsualPrompt/engine.ReadTokensPerPass, 1)
 }
 
-// occupancy is the part of a target's memory for requests that is taken.
-func (s *State) occupancy(now model.Instant, engine *fleet.Engine, t *target) float64 {
+// occupancy is the part of a target's memory for requests that a load takes.
+func occupancy(engine *fleet.Engine, t *target, load Load) float64 {
 	free := engine.Hardware[t.Kind].MemoryMB - float64(t.Held.Len())*engine.LayerMB
 	capacity := free / engine.StateMBPerTokenLayer()
 	if capacity <= 0 {
 		return math.Inf(1)
 	}
-	return s.load(now, t).TokenLayers / capacity
+	return load.TokenLayers / capacity
 }
 
-// layerCost predicts the time of one layer in a token step, in milliseconds,
-// with a part for the prompts that wait to be read there.
-func (s *State) layerCost(now model.Instant, engine *fleet.Engine, t *target) float64 {
-	load := s.load(now, t)
+// layerCost predicts the time of one layer in a token step at normal pace, in
+// milliseconds, with a part for the prompts that wait to be read there. used is
+// the target's occupancy.
+func layerCost(engine *fleet.Engine, t *target, load Load, used float64) float64 {
 	hardware := engine.Hardware[t.Kind]
 	step := hardware.StepFactor * engine.StepMsAt(float64(load.Requests))
 	read := engine.PassMs(hardware, engine.Layers, float64(load.Requests)) * float64(load.Waiting) * usualPasses(engine)
-	cost := (step + read*firstWeight) * t.slowness(now) / float64(engine.Layers)
-	if used := s.occupancy(now, engine, t); used > crowded {
+	cost := (step + read*firstWeight) / float64(engine.Layers)
+	if used > crowded {
 		cost *= 1 + crowdedWeight*(min(used, 2)-crowded)
 	}
 	return cost
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -89,7 +89,7 @@
 	case SendEnded:
 		return s.sendEnded(now, e)
 	case Began:
-		s.began(e.ID)
+		s.began(now, e.ID)
 	case Quiet:
 		return s.quiet(now, e)
 	case Finished:
--- /dev/null
+++ b/internal/director/suspicion_test.go
@@ -0,0 +1,94 @@
+package director_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tamarackreach/internal/director"
+	"tamarackreach/internal/fleet"
+	"tamarackreach/internal/model"
+)
+
+var _ = Describe("what others say of a target", func() {
+	var w *world
+	BeforeEach(func() {
+		w = newWorld()
+		w.add("a1", llm, "a", 0, 40)
+		w.add("a2", llm, "a", 40, 80)
+		w.read()
+	})
+
+	stream := func() director.Effect {
+		id, e := w.arrive("/s/x")
+		if _, ok := e.(*director.Send); ok {
+			w.state.Step(w.now, director.Began{ID: id})
+		}
+		return e
+	}
+	hear := func(age time.Duration) {
+		suspicion := director.Suspicion{Left: 2 * time.Second, Age: age}
+		w.state.Step(w.now, director.PeerHeard{VM: "vm-b", Suspects: map[model.TargetID]director.Suspicion{"a1": suspicion, "a2": suspicion}})
+	}
+
+	// Pattern: a zone returns from a cut, and its VM says that all targets beyond
+	// it were at fault (lacing-fleet, trouble-2, second 39).
+	It("does not outweigh answers that came through it since", func() {
+		sent(stream())
+		w.pass(100 * time.Millisecond)
+		hear(300 * time.Millisecond)
+		sent(stream())
+	})
+
+	It("counts when no answer came through it since", func() {
+		sent(stream())
+		w.pass(500 * time.Millisecond)
+		hear(100 * time.Millisecond)
+		refused(stream())
+	})
+
+	// Pattern: a target is named as stalled while other paths flow through it.
+	It("is overruled by an answer that comes through it later", func() {
+		id, e := w.arrive("/s/x")
+		sent(e)
+		w.state.Step(w.now, director.ReportRead{Target: "a1", Report: &fleet.Report{Pace: 1, Stalled: []string{"at-a2"}}})
+		refused(stream())
+		w.pass(100 * time.Millisecond)
+		w.state.Step(w.now, director.Began{ID: id})
+		sent(stream())
+	})
+
+	// Pattern: the only holder of some layers is suspected; it is asked for its
+	// report and used as soon as it answers, not after the suspicion.
+	It("does not keep a layer's only holder out once it answers for itself", func() {
+		w.state.Step(w.now, director.ReportRead{Target: "a1", Report: &fleet.Report{Pace: 1, Stalled: []string{"at-a2"}}})
+		Expect(refused(stream()).Reason).To(ContainSubstring("no usable target"))
+		w.pass(260 * time.Millisecond)
+		asked := []model.TargetID{}
+		for _, e := range w.state.Step(w.now, director.ProbeDue{}) {
+			if ask, ok := e.(*director.AskReport); ok {
+				asked = append(asked, ask.Target)
+			}
+		}
+		Expect(asked).To(ContainElement(model.TargetID("a2")))
+		w.state.Step(w.now, director.ReportRead{Target: "a2", Report: &fleet.Report{Pace: 1}})
+		sent(stream())
+	})
+})
+
+var _ = Describe("a path with a full target", func() {
+	// Pattern: one target of the home zone is full, and another zone has room.
+	It("is left for one with room, before the request is refused", func() {
+		w := newWorld()
+		w.add("a1", llm, "a", 0, 40)
+		w.add("a2", llm, "a", 40, 80)
+		w.add("b1", llm, "b", 0, 40)
+		w.add("b2", llm, "b", 40, 80)
+		w.read()
+		w.state.Step(w.now, director.PeerHeard{VM: "vm-2", Loads: map[model.TargetID]director.Load{"a2": {Requests: 80, TokenLayers: 2.6e6}}})
+		w.state.Step(w.now, director.PeerHeard{VM: "vm-3", Paces: map[model.TargetID]float64{"b1": 12, "b2": 12}})
+		_, e := w.arrive("/s/x")
+		Expect(sent(e).Hops[0].Target).To(BeEquivalentTo("b1"))
+	})
+})
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -20,6 +20,16 @@
 	seen model.Instant
 	// suspectUntil is when the target may be used again after a fault.
 	suspectUntil model.Instant
+	// suspectedAt is when the fault behind the suspicion was last seen.
+	suspectedAt model.Instant
+	// hearsay is true when the fault was seen by others: another VM, or a target
+	// that waits for this one.
+	hearsay bool
+	// soundAt is when an answer last came through the target to this VM, and
+	// answeredAt when it last answered for its report.
+	soundAt, answeredAt model.Instant
+	// wantedAt is when a path was last missing for want of this target.
+	wantedAt model.Instant
 	// strikes counts faults in a row; each doubles the time of the next suspicion.
 	strikes int
 	// own is the load that this VM put on the target.
@@ -63,6 +73,11 @@
 	// longestSuspicion bounds the doubling: about three heartbeats, after which
 	// the registration of a dead target is removed.
 	longestSuspicion = 3 * time.Second
+	// hearsayDelay is how long answers that a target gave before its fault may
+	// still be on their way: the passes and the wire behind it.
+	hearsayDelay = 50 * time.Millisecond
+	// wantedFor is how long a target that a path was missing for is looked at.
+	wantedFor = time.Second
 	// peerMemory is how long a peer's word counts: ten of its messages.
 	peerMemory = 2 * time.Second
 )
@@ -108,7 +123,7 @@
 		return nil
 	}
 	if known.Born != t.Born {
-		known.strikes, known.suspectUntil, known.pace, known.silent = 0, 0, 1, 0
+		known.strikes, known.suspectUntil, known.suspectedAt, known.pace, known.silent = 0, 0, 0, 1, 0
 	}
 	was := describe(known.Target)
 	known.Target, known.row = t, row
@@ -150,6 +165,19 @@
 // usable reports whether new work should go to the target.
 func (t *target) usable(now model.Instant) bool { return t.serving() && now >= t.suspectUntil }
 
+// answersAgain reports whether a target under suspicion has answered for its
+// report since the fault. Such a target is used when nothing else holds its layers.
+func (t *target) answersAgain() bool { return t.serving() && t.answeredAt > t.suspectedAt }
+
+// sound notes that an answer came through the target. What others saw before
+// that is overruled; faults that this VM saw itself stand.
+func (t *target) sound(now model.Instant) {
+	t.soundAt = now
+	if t.hearsay && now.Sub(t.suspectedAt) > hearsayDelay {
+		t.suspectUntil, t.hearsay = 0, false
+	}
+}
+
 // silentWhenDead is the number of requests for its report in a row that a
 // target leaves unanswered before its layers are placed elsewhere.
 const silentWhenDead = 2
@@ -179,7 +207,8 @@
 	var effects []Effect
 	for _, list := range s.byService {
 		for _, t := range list {
-			suspected := now < t.suspectUntil && (t.strikes > 0 || e.All) || t.dead()
+			wanted := t.wantedAt != 0 && now.Sub(t.wantedAt) < wantedFor
+			suspected := now < t.suspectUntil && (t.strikes > 0 || e.All || wanted) || t.dead()
 			watched := e.Lead && t.Zone == s.settings.Zone && now.Sub(t.reportAsked) >= watchInterval
 			if t.Kind == "" || !suspected && !watched || now.Sub(t.reportAsked) < reportInterval {
 				continue
@@ -191,20 +220,27 @@
 	return effects
 }
 
+// fault is a reason to leave a target out for a while.
+type fault struct {
+	why string
+	// least is the least time for which the target is left out.
+	least time.Duration
+	// hearsay is true when others saw it.
+	hearsay bool
+}
+
 // suspect leaves a target out for a while.
-func (s *State) suspect(now model.Instant, t *target, least time.Duration, why string) Effect {
-	period := min(firstSuspicion<<min(t.strikes, 8), longestSuspicion)
-	until := now.Add(max(period, least))
-	if until <= t.suspectUntil {
-		return nil
-	}
+func (s *State) suspect(now model.Instant, t *target, f fault) Effect {
 	fresh := now >= t.suspectUntil
-	t.suspectUntil = until
+	t.hearsay = f.hearsay && (fresh || t.hearsay)
+	t.suspectedAt = now
+	period := min(firstSuspicion<<min(t.strikes, 8), longestSuspicion)
+	t.suspectUntil = max(t.suspectUntil, now.Add(max(period, f.least)))
 	if !fresh {
 		return nil
 	}
 	t.strikes++
-	return &Changed{What: "target suspected", Subject: string(t.ID), Detail: why}
+	return &Changed{What: "target suspected", Subject: string(t.ID), Detail: f.why}
 }
 
 func (s *State) peerHeard(now model.Instant, e PeerHeard) []Effect {
@@ -215,20 +251,33 @@
 		}
 	}
 	var effects []Effect
-	for id, left := range e.Suspects {
-		t := s.targets[id]
-		if t == nil || left <= 0 {
-			continue
-		}
-		until := now.Add(min(left, longestSuspicion))
-		if now >= t.suspectUntil {
-			effects = append(effects, &Changed{What: "target suspected", Subject: string(id), Detail: "heard from " + string(e.VM)})
+	for id, suspicion := range e.Suspects {
+		if t := s.targets[id]; t != nil {
+			effects = append(effects, effect(s.hear(now, t, suspicion, e.VM))...)
 		}
-		t.suspectUntil = max(t.suspectUntil, until)
 	}
 	return effects
 }
 
+// hear takes over another VM's suspicion, unless answers came through the target
+// to this VM since the other saw the fault: the other may be cut off itself.
+func (s *State) hear(now model.Instant, t *target, heard Suspicion, from model.NodeID) Effect {
+	at := now.Add(-heard.Age)
+	if heard.Left <= 0 || t.soundAt > at {
+		return nil
+	}
+	fresh := now >= t.suspectUntil
+	t.hearsay = fresh || t.hearsay
+	t.suspectedAt = max(t.suspectedAt, at)
+	t.suspectUntil = max(t.suspectUntil, now.Add(min(heard.Left, longestSuspicion)))
+	if !fresh {
+		return nil
+	}
+	return &Changed{
+		What: "target suspected", Subject: string(t.ID), Detail: "heard from " + string(from) + ", fault seen " + heard.Age.String() + " ago",
+	}
+}
+
 // load is the work of all VMs on a target, as far as it was heard.
 func (s *State) load(now model.Instant, t *target) Load {
 	l := t.own
@@ -248,7 +297,7 @@
 // Share returns what peers should hear: own loads and targets at fault.
 func (s *State) Share(now model.Instant) PeerHeard {
 	out := PeerHeard{
-		VM: s.settings.VM, Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]time.Duration{},
+		VM: s.settings.VM, Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
 		Paces: map[model.TargetID]float64{},
 	}
 	for id, t := range s.targets {
@@ -259,7 +308,7 @@
 			out.Paces[id] = pace
 		}
 		if left := t.suspectUntil.Sub(now); left > 0 && t.strikes > 0 {
-			out.Suspects[id] = left
+			out.Suspects[id] = Suspicion{Left: left, Age: now.Sub(t.suspectedAt)}
 		}
 	}
 	return out
--- a/internal/director/walk_test.go
+++ b/internal/director/walk_test.go
@@ -91,10 +91,12 @@
 		w.report()
 	case n < 92:
 		w.state.Step(w.now, director.PeerHeard{
-			VM:       model.NodeID(fmt.Sprint("vm-", 2+w.rand.IntN(3))),
-			Loads:    map[model.TargetID]director.Load{w.target(): {Requests: w.rand.IntN(50), Waiting: w.rand.IntN(4), First: w.rand.IntN(20)}},
-			Suspects: map[model.TargetID]time.Duration{w.target(): time.Duration(w.rand.IntN(900)) * time.Millisecond},
-			Paces:    map[model.TargetID]float64{w.target(): 1 + 4*w.rand.Float64()},
+			VM:    model.NodeID(fmt.Sprint("vm-", 2+w.rand.IntN(3))),
+			Loads: map[model.TargetID]director.Load{w.target(): {Requests: w.rand.IntN(50), Waiting: w.rand.IntN(4), First: w.rand.IntN(20)}},
+			Suspects: map[model.TargetID]director.Suspicion{w.target(): {
+				Left: time.Duration(w.rand.IntN(900)) * time.Millisecond, Age: time.Duration(w.rand.IntN(900)) * time.Millisecond,
+			}},
+			Paces: map[model.TargetID]float64{w.target(): 1 + 4*w.rand.Float64()},
 		})
 	case n < 94:
 		w.state.Step(w.now, director.StoreFailed{})
--- a/internal/keeper/peers.go
+++ b/internal/keeper/peers.go
@@ -39,8 +39,8 @@
 type peerMessage struct {
 	VM    model.NodeID                     `json:"vm"`
 	Loads map[model.TargetID]director.Load `json:"loads"`
-	// SuspectMs is what is left of the suspicion of each target.
-	SuspectMs map[model.TargetID]int64 `json:"suspect_ms,omitempty"`
+	// Suspects are the targets that it found at fault.
+	Suspects map[model.TargetID]suspicion `json:"suspects,omitempty"`
 	// Paces are the targets of its zone that are slow.
 	Paces map[model.TargetID]float64 `json:"paces,omitempty"`
 	// Ask is the number of a question for what the VM last saw of the store, and
@@ -49,6 +49,12 @@
 	Seen *seen  `json:"seen,omitempty"`
 }
 
+// suspicion is a director.Suspicion in milliseconds.
+type suspicion struct {
+	LeftMs int64 `json:"left_ms"`
+	AgeMs  int64 `json:"age_ms"`
+}
+
 // peers shares load and faults with other VMs. A lost message only makes the
 // view older.
 type peers struct {
@@ -204,9 +210,9 @@
 	}
 	var share director.PeerHeard
 	p.reducer.Read(func(s *director.State) { share = s.Share(bootclock.Now()) })
-	message := peerMessage{VM: share.VM, Loads: share.Loads, Paces: share.Paces, SuspectMs: map[model.TargetID]int64{}}
-	for id, left := range share.Suspects {
-		message.SuspectMs[id] = left.Milliseconds()
+	message := peerMessage{VM: share.VM, Loads: share.Loads, Paces: share.Paces, Suspects: map[model.TargetID]suspicion{}}
+	for id, s := range share.Suspects {
+		message.Suspects[id] = suspicion{LeftMs: s.Left.Milliseconds(), AgeMs: s.Age.Milliseconds()}
 	}
 	for _, address := range to {
 		p.post(address, message)
@@ -244,9 +250,11 @@
 			p.post(from, peerMessage{VM: p.settings.VM, Ask: message.Ask, Seen: p.view.state(bootclock.Now())})
 			continue
 		}
-		heard := director.PeerHeard{VM: message.VM, Loads: message.Loads, Paces: message.Paces, Suspects: map[model.TargetID]time.Duration{}}
-		for id, ms := range message.SuspectMs {
-			heard.Suspects[id] = time.Duration(ms) * time.Millisecond
+		heard := director.PeerHeard{VM: message.VM, Loads: message.Loads, Paces: message.Paces, Suspects: map[model.TargetID]director.Suspicion{}}
+		for id, s := range message.Suspects {
+			heard.Suspects[id] = director.Suspicion{
+				Left: time.Duration(s.LeftMs) * time.Millisecond, Age: time.Duration(s.AgeMs) * time.Millisecond,
+			}
 		}
 		p.reducer.Step(heard)
 	}
