Interrupt streams that may go on elsewhere when layers are given up; count targets that left

The plan gave the layers of a slow sole holder to another target within 1.5 s, but that target waited for the streams that crept through the layers it gave up; the new layers were there ten seconds later, after the trouble. Until then two of four zones had no path worth using.

Ruled out: the plan itself (it chose members whose layers others held) and loading (0.5 s for three layers).

Change: such an order interrupts the streams, where every route to the service may be repeated; elsewhere it waits as before.

A target whose registration was removed was not counted, although it may serve on. It counts now unless its life has ended or it answers nothing. Test failed before.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -248,7 +247,7 @@
 		if t.Zone != s.settings.Zone {
 			score += awayScore
 		}
-		if slices.Contains(r.ran, t.ID) {
+		if r.mayHaveRunOn(t.ID) {
 			score += triedScore
 		}
 		if now < t.suspectUntil {
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -45,8 +45,8 @@
 		return nil
 	}
 	effects := s.blame(now, r, e)
-	if e.Outcome != NotSent && e.Outcome != Rejected && len(r.hops) > 0 && !slices.Contains(r.ran, r.hops[0].Target) {
-		r.ran = append(r.ran, r.hops[0].Target)
+	if e.Outcome != NotSent && e.Outcome != Rejected {
+		s.noteRun(r)
 	}
 	s.account(r, -1)
 	r.random = e.Random
@@ -102,12 +102,25 @@
 	return send
 }
 
+// noteRun remembers that the first target of the request's path may have run it.
+func (s *State) noteRun(r *request) {
+	if len(r.hops) == 0 || r.mayHaveRunOn(r.hops[0].Target) {
+		return
+	}
+	one := run{target: r.hops[0].Target}
+	if t := s.targets[one.target]; t != nil {
+		one.born = t.Born
+	}
+	r.ran = append(r.ran, one)
+}
+
 // targetsSpent is true when a request that may have run was given to as many
-// targets as its route allows; those that are gone do not count.
+// targets as its route allows. A target whose life has ended does not count; one
+// whose registration was removed does, since it may serve on for a while.
 func (s *State) targetsSpent(r *request) bool {
 	alive := 0
-	for _, id := range r.ran {
-		if t := s.targets[id]; t != nil && !t.dead() {
+	for _, one := range r.ran {
+		if t := s.targets[one.target]; t == nil || !t.dead() && (t.Born == one.born || one.born == 0) {
 			alive++
 		}
 	}
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -267,6 +267,19 @@
 		refused(w.ended(id, director.Lost))
 	})
 
+	// Pattern: targets leave without notice and serve on while a zone's paths break
+	// (linha-dourada, trouble-3).
+	It("counts a target that left against the route's bound", func() {
+		w.add("o3", orders, "a", 0, 0)
+		w.read()
+		id, e := w.arrive("/r/x")
+		delete(w.targets, sent(e).Hops[0].Target)
+		w.read()
+		delete(w.targets, sent(w.ended(id, director.Lost)).Hops[0].Target)
+		w.read()
+		refused(w.ended(id, director.Lost))
+	})
+
 	It("tells the caller of a request that has not run when to return", func() {
 		for id := range w.targets {
 			w.change(id, func(t *fleet.Target) { t.State = fleet.TargetDraining })
--- a/internal/director/path.go
+++ b/internal/director/path.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
 
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
@@ -84,7 +83,7 @@
 		if t.Held.Len() == 0 || !t.serving() {
 			continue
 		}
-		if spent && t.Held.First == 0 && !slices.Contains(r.ran, t.ID) {
+		if spent && t.Held.First == 0 && !r.mayHaveRunOn(t.ID) {
 			continue // only targets that had the request may have it again
 		}
 		load := s.load(now, t)
--- a/internal/director/placeable.go
+++ b/internal/director/placeable.go
@@ -13,6 +13,9 @@
 type Placeable struct {
 	Engine  *fleet.Engine
 	Targets []fleet.Target
+	// Interruptible is true when every stream of the service may go on elsewhere,
+	// so that layers can be given up under them.
+	Interruptible bool
 	// Slowness is the factor by which each target is slower than its kind.
 	Slowness map[model.TargetID]float64
 }
@@ -32,7 +35,9 @@
 	slices.Sort(ids)
 	var out []Placeable
 	for _, id := range ids {
-		p := Placeable{Engine: s.config.Services[id].Engine, Slowness: map[model.TargetID]float64{}}
+		p := Placeable{
+			Engine: s.config.Services[id].Engine, Interruptible: s.interruptible(id), Slowness: map[model.TargetID]float64{},
+		}
 		for _, t := range s.byService[id] {
 			if t.State == fleet.TargetReady && t.missing == 0 && !t.dead() {
 				p.Targets = append(p.Targets, *t.Target)
@@ -43,3 +48,15 @@
 	}
 	return out
 }
+
+// interruptible is true when every route to a service may be repeated.
+func (s *State) interruptible(id model.ServiceID) bool {
+	for i := range s.config.Routes {
+		route := &s.config.Routes[i]
+		leads := slices.ContainsFunc(route.Split, func(part fleet.WeightedService) bool { return part.Service == id })
+		if leads && !route.Repeatable() {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -60,7 +60,7 @@
 	ends  model.Instant
 	sends int
 	// ran are the targets that were sent the request and may have run it.
-	ran []model.TargetID
+	ran []run
 	// hops is the path of the send under way; nil between sends.
 	hops     []fleet.Hop
 	diverted bool
@@ -72,6 +72,18 @@
 	random float64
 }
 
+// run is a life of a target that may have run a request.
+type run struct {
+	target model.TargetID
+	born   int64
+}
+
+// mayHaveRunOn reports whether the request was sent to a target that may have
+// run it.
+func (r *request) mayHaveRunOn(id model.TargetID) bool {
+	return slices.ContainsFunc(r.ran, func(one run) bool { return one.target == id })
+}
+
 // New returns an empty state: it knows no configuration and no target.
 func New(s Settings) *State {
 	return &State{
--- a/internal/director/suspicion_test.go
+++ b/internal/director/suspicion_test.go
@@ -92,3 +92,21 @@
 		Expect(sent(e).Hops[0].Target).To(BeEquivalentTo("b1"))
 	})
 })
+
+var _ = Describe("an order that gives layers up", func() {
+	// Pattern: some targets turn many times slower; the order that replaces one
+	// waited ten seconds for streams that crept (lacing-fleet-grown, trouble-2).
+	It("interrupts requests only where all of them may go on elsewhere", func() {
+		w := newWorld()
+		w.add("a1", llm, "a", 0, 80)
+		w.read()
+		Expect(w.state.Placeable(w.now)[0].Interruptible).To(BeTrue())
+		next := config(8)
+		next.Routes = append(next.Routes, fleet.Route{
+			Name: "once-stream", Host: "h", Prefix: "/o/", Kind: fleet.Stream, MaxTargets: 1,
+			Split: []fleet.WeightedService{{Service: llm, Weight: 1}},
+		})
+		w.state.Step(w.now, director.ConfigRead{Config: next, Started: w.now})
+		Expect(w.state.Placeable(w.now)[0].Interruptible).To(BeFalse())
+	})
+})
--- a/internal/keeper/orders.go
+++ b/internal/keeper/orders.go
@@ -126,7 +126,7 @@
 		start(func() { o.confirm(ctx, byID[id]) })
 	}
 	for _, order := range plan {
-		start(func() { o.give(ctx, byID[order.Target], order.Layers) })
+		start(func() { o.give(ctx, byID[order.Target], order.Layers, p.Interruptible) })
 	}
 	wait.Wait()
 }
@@ -152,8 +152,10 @@
 
 // give orders a target to hold layers. Its own report comes first: it says how
 // many orders the target has accepted, and an order is given on condition that
-// no other came between.
-func (o *orders) give(ctx context.Context, t fleet.Target, layers model.LayerRange) {
+// no other came between. Where requests may go on elsewhere, those that pass
+// through layers that are given up are interrupted: waiting for slow ones would
+// keep the layers that the order is meant for away for as long.
+func (o *orders) give(ctx context.Context, t fleet.Target, layers model.LayerRange, interrupt bool) {
 	now := bootclock.Now()
 	report, err := o.targets.report(ctx, t.Address)
 	if err != nil {
@@ -166,7 +168,7 @@
 		return
 	}
 	o.track(t, &open{layers: layers, born: t.Born, ordered: now, asked: now})
-	body, err := platform.EncodePlace(layers, report.Orders)
+	body, err := platform.EncodePlace(platform.Place{Layers: layers, AfterOrders: report.Orders, Interrupt: interrupt})
 	if err != nil {
 		logrus.WithError(err).Error("order not encoded")
 		return
@@ -174,7 +176,7 @@
 	status, err := o.targets.order(ctx, t.Address, body)
 	line := logrus.WithFields(logrus.Fields{
 		"target": t.ID, "address": t.Address, "layers": layers.String(), "held": t.Held.String(),
-		"after": report.Orders, "status": status,
+		"after": report.Orders, "interrupt": interrupt, "status": status,
 	})
 	if err != nil {
 		line = line.WithError(err)
