Clear the suspicion of a target that holds new layers; move streams off layers that were given up

Change: a change of its layers clears a suspicion; what others say of it within a second concerns the old layers; a silent stream whose hop no longer holds its layers moves without waiting for a report.

Test failed before.

--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -145,7 +145,7 @@
 	}
 	for _, hop := range r.hops {
 		t := s.targets[hop.Target]
-		if t == nil || now < t.suspectUntil && t.strikes > 0 {
+		if t == nil || now < t.suspectUntil && t.strikes > 0 || !t.runs(hop) {
 			return s.divert(now, r, hop)
 		}
 	}
@@ -196,7 +196,7 @@
 	}
 	t.silent, t.pace, t.paced, t.answeredAt = 0, e.Report.Pace, now, now
 	for _, address := range e.Report.Stalled {
-		if at := s.byAddress[address]; at != nil {
+		if at := s.byAddress[address]; at != nil && !at.justMoved(now) {
 			effects = append(effects, effect(s.suspect(now, at, fault{
 				why: "paths of " + string(t.ID) + " wait for it", least: deadFor, hearsay: true,
 			}))...)
--- a/internal/director/suspicion_test.go
+++ b/internal/director/suspicion_test.go
@@ -59,6 +59,23 @@
 		sent(stream())
 	})
 
+	// Pattern: a target is ordered to take other layers; streams that it gave up
+	// name it as stalled, and so did a rejection before its registration changed.
+	It("does not keep a target out that holds new layers", func() {
+		id, e := w.arrive("/s/x")
+		sent(e)
+		w.add("a3", llm, "a", 40, 80)
+		w.read()
+		w.state.Step(w.now, director.ReportRead{Target: "a1", Report: &fleet.Report{Pace: 1, Stalled: []string{"at-a2"}}})
+		w.change("a2", func(t *fleet.Target) { t.Held = model.LayerRange{First: 30, End: 60} })
+		w.change("a3", func(t *fleet.Target) { t.Held = model.LayerRange{First: 60, End: 80} })
+		w.read()
+		w.state.Step(w.now, director.ReportRead{Target: "a1", Report: &fleet.Report{Pace: 1, Stalled: []string{"at-a2"}}})
+		sent(stream())
+		_, ok := last(w.state.Step(w.now, director.Quiet{ID: id, For: 310 * time.Millisecond})).(*director.Divert)
+		Expect(ok).To(BeTrue(), "the stream's hop gave its layers up")
+	})
+
 	// Pattern: the only holder of some layers is suspected; it is asked for its
 	// report and used as soon as it answers, not after the suspicion.
 	It("does not keep a layer's only holder out once it answers for itself", func() {
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -28,6 +28,8 @@
 	// soundAt is when an answer last came through the target to this VM, and
 	// answeredAt when it last answered for its report.
 	soundAt, answeredAt model.Instant
+	// heldSince is when the layers that it holds last changed.
+	heldSince model.Instant
 	// wantedAt is when a path was last missing for want of this target.
 	wantedAt model.Instant
 	// strikes counts faults in a row; each doubles the time of the next suspicion.
@@ -78,6 +80,9 @@
 	hearsayDelay = 50 * time.Millisecond
 	// wantedFor is how long a target that a path was missing for is looked at.
 	wantedFor = time.Second
+	// movedMemory is how long others may still name a target for layers that it
+	// gave up: the age of a report, and the time until streams there are moved.
+	movedMemory = time.Second
 	// peerMemory is how long a peer's word counts: ten of its messages.
 	peerMemory = 2 * time.Second
 )
@@ -88,7 +93,7 @@
 	seen := make(map[model.TargetID]bool, len(e.Targets))
 	for _, t := range e.Targets {
 		seen[t.ID] = true
-		if change := s.updateTarget(t, e.Rows[t.ID]); change != nil {
+		if change := s.updateTarget(now, t, e.Rows[t.ID]); change != nil {
 			effects = append(effects, change)
 		}
 		s.targets[t.ID].seen = now
@@ -112,7 +117,7 @@
 	return effects
 }
 
-func (s *State) updateTarget(t *fleet.Target, row model.RowVersion) Effect {
+func (s *State) updateTarget(now model.Instant, t *fleet.Target, row model.RowVersion) Effect {
 	known := s.targets[t.ID]
 	if known == nil {
 		s.targets[t.ID] = &target{Target: t, row: row, pace: 1}
@@ -122,6 +127,10 @@
 	if known.row == row {
 		return nil
 	}
+	if known.Held != t.Held {
+		// It lives, and whatever it was blamed for concerns layers that it gave up.
+		known.suspectUntil, known.strikes, known.heldSince = 0, 0, now
+	}
 	if known.Born != t.Born {
 		known.strikes, known.suspectUntil, known.suspectedAt, known.pace, known.silent = 0, 0, 0, 1, 0
 	}
@@ -178,6 +187,17 @@
 	}
 }
 
+// runs reports whether the target still holds the layers of a hop.
+func (t *target) runs(hop fleet.Hop) bool {
+	return t.Held.First <= hop.Layers.First && hop.Layers.End <= t.Held.End
+}
+
+// justMoved is true while faults that others name may concern layers that the
+// target no longer holds.
+func (t *target) justMoved(now model.Instant) bool {
+	return t.heldSince != 0 && now.Sub(t.heldSince) < movedMemory
+}
+
 // silentWhenDead is the number of requests for its report in a row that a
 // target leaves unanswered before its layers are placed elsewhere.
 const silentWhenDead = 2
@@ -263,7 +283,7 @@
 // to this VM since the other saw the fault: the other may be cut off itself.
 func (s *State) hear(now model.Instant, t *target, heard Suspicion, from model.NodeID) Effect {
 	at := now.Add(-heard.Age)
-	if heard.Left <= 0 || t.soundAt > at {
+	if heard.Left <= 0 || t.soundAt > at || t.heldSince > at {
 		return nil
 	}
 	fresh := now >= t.suspectUntil
