End targets whose address another life took; count faults in a row; leave refusing targets out

Change: a later birth at the address, in a registration or in a report, ends a target; refusals keep a target out for the whole suspicion; only requests sent after a fault show that it is over.

Tests, all failed before: one for each cause.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -155,7 +155,7 @@
 	if hops == nil {
 		return nil, why
 	}
-	r.hops, r.diverted, r.waiting = hops, false, true
+	r.hops, r.diverted, r.waiting, r.sentAt = hops, false, true, now
 	r.sends++
 	s.account(r, 1)
 	out := &Send{Route: r.route, Service: r.service, Hops: hops, TimeLeft: r.ends.Sub(now), Number: r.sends}
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -29,8 +29,7 @@
 	if e.Delivered {
 		for _, hop := range r.hops {
 			if t := s.targets[hop.Target]; t != nil {
-				t.strikes = 0
-				t.sound(now)
+				t.served(now, r.sentAt)
 			}
 		}
 	}
@@ -74,7 +73,9 @@
 	if named && e.Took >= s.settings.Stall/2 {
 		least = deadFor
 	}
-	return effect(s.suspect(now, t, fault{why: e.Outcome.String() + " after " + e.Took.String(), least: least}))
+	return effect(s.suspect(now, t, fault{
+		why: e.Outcome.String() + " after " + e.Took.String(), least: least, refuses: e.Outcome == Rejected && least == 0,
+	}))
 }
 
 // after decides what follows a failed send.
@@ -185,6 +186,9 @@
 		}
 		return effect(s.suspect(now, t, fault{why: "it did not answer with its report"}))
 	}
+	if e.Report.Born != 0 && e.Report.Born != t.Born {
+		return s.lifeEnded(t, e.Report.Born)
+	}
 	var effects []Effect
 	if t.dead() {
 		effects = append(effects, &Changed{What: "target answers again", Subject: string(t.ID)})
@@ -194,6 +198,7 @@
 			What: "target pace", Subject: string(t.ID), Detail: strconv.FormatFloat(e.Report.Pace, 'f', 1, 64),
 		})
 	}
+	t.ended = false
 	t.silent, t.pace, t.paced, t.answeredAt = 0, e.Report.Pace, now, now
 	for _, address := range e.Report.Stalled {
 		if at := s.byAddress[address]; at != nil && !at.justMoved(now) {
@@ -205,6 +210,18 @@
 	return effects
 }
 
+// lifeEnded notes that another life answered at a target's address. A report of
+// a life before the registered one is late and says nothing.
+func (s *State) lifeEnded(t *target, answered int64) []Effect {
+	if t.ended || answered < t.Born {
+		return nil
+	}
+	t.ended = true
+	return []Effect{&Changed{
+		What: "target dead", Subject: string(t.ID), Detail: "a life born " + strconv.FormatInt(answered, 10) + " answers at its address",
+	}}
+}
+
 func effect(e Effect) []Effect {
 	if e == nil {
 		return nil
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -127,6 +127,8 @@
 	Left time.Duration
 	// Age is the time since the fault was last seen.
 	Age time.Duration
+	// Refuses is true when the fault was that the target took nothing.
+	Refuses bool
 }
 
 // VMsKnown gives the number of VMs that ever registered.
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -59,6 +59,8 @@
 	// ends is when the caller's or the route's time is over.
 	ends  model.Instant
 	sends int
+	// sentAt is when the last send began.
+	sentAt model.Instant
 	// ran are the targets that were sent the request and may have run it.
 	ran []run
 	// hops is the path of the send under way; nil between sends.
--- a/internal/director/suspicion_test.go
+++ b/internal/director/suspicion_test.go
@@ -59,6 +59,20 @@
 		sent(stream())
 	})
 
+	// Pattern: targets drain while the store is away; each answers its report and
+	// refuses requests, and sends to it would spend the retry budget
+	// (lacing-fleet-grown, trouble-3, second 28).
+	It("does not bring a target back that refuses requests", func() {
+		id, e := w.arrive("/s/x")
+		sent(e)
+		w.state.Step(w.now, director.SendEnded{ID: id, Outcome: director.Rejected, FaultAt: "at-a2", Took: time.Millisecond})
+		w.pass(100 * time.Millisecond)
+		w.state.Step(w.now, director.ReportRead{Target: "a2", Report: &fleet.Report{Pace: 1}})
+		refused(stream())
+		w.pass(time.Second)
+		sent(stream())
+	})
+
 	// Pattern: a target is ordered to take other layers; streams that it gave up
 	// name it as stalled, and so did a rejection before its registration changed.
 	It("does not keep a target out that holds new layers", func() {
@@ -127,3 +141,70 @@
 		Expect(w.state.Placeable(w.now)[0].Interruptible).To(BeFalse())
 	})
 })
+
+var _ = Describe("an address that another life has taken", func() {
+	var w *world
+	BeforeEach(func() {
+		w = newWorld()
+		w.add("a1", llm, "a", 0, 40)
+		w.add("a2", llm, "a", 0, 40)
+		w.add("a9", llm, "a", 40, 80)
+		w.read()
+	})
+
+	// Pattern: a target crashes while the store is away and comes back under
+	// another id (lacing-fleet-grown, trouble-3, second 28).
+	It("ends the target that was there before, also while lapsed ones are waited for", func() {
+		w.state.Step(w.now, director.StoreFailed{})
+		w.pass(8 * time.Second)
+		delete(w.targets, "a1")
+		w.add("a3", llm, "a", 0, 0)
+		w.change("a3", func(t *fleet.Target) { t.Address, t.Born = "at-a1", 2 })
+		w.read()
+		for range 20 {
+			_, e := w.arrive("/s/x")
+			Expect(sent(e).Hops[0].Target).To(BeEquivalentTo("a2"))
+		}
+	})
+
+	It("is seen by its report before its registration", func() {
+		w.state.Step(w.now, director.ReportRead{Target: "a1", Report: &fleet.Report{Pace: 1, Born: 2}})
+		for range 20 {
+			_, e := w.arrive("/s/x")
+			Expect(sent(e).Hops[0].Target).To(BeEquivalentTo("a2"))
+		}
+		w.change("a1", func(t *fleet.Target) { t.Born = 2 })
+		delete(w.targets, "a2")
+		w.read()
+		_, e := w.arrive("/s/x")
+		sent(e)
+	})
+})
+
+var _ = Describe("faults in a row", func() {
+	// Pattern: a draining target refuses what comes and finishes what it has; each
+	// VM asked it again every 400 ms.
+	It("are not forgotten for an answer to a request from before them", func() {
+		w := newWorld()
+		w.add("a1", llm, "a", 0, 40)
+		w.add("a2", llm, "a", 40, 80)
+		w.read()
+		earlier := []model.RequestID{}
+		for range 2 {
+			id, e := w.arrive("/s/x")
+			sent(e)
+			earlier = append(earlier, id)
+		}
+		for _, id := range earlier {
+			w.pass(500 * time.Millisecond)
+			next, e := w.arrive("/s/x")
+			if _, ok := e.(*director.Send); ok {
+				w.state.Step(w.now, director.SendEnded{ID: next, Outcome: director.Rejected, FaultAt: "at-a2", Took: time.Millisecond})
+			}
+			w.state.Step(w.now, director.Finished{ID: id, Delivered: true})
+		}
+		w.pass(500 * time.Millisecond)
+		_, e := w.arrive("/s/x")
+		refused(e)
+	})
+})
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -25,6 +25,9 @@
 	// hearsay is true when the fault was seen by others: another VM, or a target
 	// that waits for this one.
 	hearsay bool
+	// refuses is true when the fault was a refusal: the target answers and takes
+	// nothing.
+	refuses bool
 	// soundAt is when an answer last came through the target to this VM, and
 	// answeredAt when it last answered for its report.
 	soundAt, answeredAt model.Instant
@@ -38,6 +41,9 @@
 	own Load
 	// reportAsked is when the target's report was last asked for.
 	reportAsked model.Instant
+	// ended is true when another life answered at the target's address: the one
+	// that registered is over.
+	ended bool
 	// silent counts requests for its report without an answer, in a row.
 	silent int
 	// pace is what the target last reported; 1 is normal.
@@ -98,6 +104,7 @@
 		}
 		s.targets[t.ID].seen = now
 	}
+	newest := s.newestLives(e.Targets)
 	for id, t := range s.targets {
 		if seen[id] {
 			continue
@@ -106,8 +113,10 @@
 			t.missing = now
 		}
 		// Registrations lapse while the store is away and are back soon after; one
-		// that was there since the store's return and is missing now was removed.
-		if t.seen < s.storeBack && now.Sub(s.storeBack) < returnTime {
+		// that was there since the store's return and is missing now was removed, and
+		// so was one whose address a later life has taken.
+		lapsed := t.seen < s.storeBack && now.Sub(s.storeBack) < returnTime
+		if lapsed && newest[t.Address] <= t.Born {
 			continue
 		}
 		delete(s.targets, id)
@@ -117,6 +126,15 @@
 	return effects
 }
 
+// newestLives returns the birth of the newest registration of each address.
+func (s *State) newestLives(read []*fleet.Target) map[string]int64 {
+	newest := make(map[string]int64, len(read))
+	for _, t := range read {
+		newest[t.Address] = max(newest[t.Address], t.Born)
+	}
+	return newest
+}
+
 func (s *State) updateTarget(now model.Instant, t *fleet.Target, row model.RowVersion) Effect {
 	known := s.targets[t.ID]
 	if known == nil {
@@ -132,6 +150,7 @@
 		known.suspectUntil, known.strikes, known.heldSince = 0, 0, now
 	}
 	if known.Born != t.Born {
+		known.ended = false
 		known.strikes, known.suspectUntil, known.suspectedAt, known.pace, known.silent = 0, 0, 0, 1, 0
 	}
 	was := describe(known.Target)
@@ -176,7 +195,18 @@
 
 // answersAgain reports whether a target under suspicion has answered for its
 // report since the fault. Such a target is used when nothing else holds its layers.
-func (t *target) answersAgain() bool { return t.serving() && t.answeredAt > t.suspectedAt }
+func (t *target) answersAgain() bool {
+	return t.serving() && !t.refuses && t.answeredAt > t.suspectedAt
+}
+
+// served notes that the target had a part in a whole answer to a request that was
+// sent to it at sentAt. Requests from before a fault do not show that it is over.
+func (t *target) served(now, sentAt model.Instant) {
+	if sentAt > t.suspectedAt {
+		t.strikes = 0
+	}
+	t.sound(now)
+}
 
 // sound notes that an answer came through the target. What others saw before
 // that is overruled; faults that this VM saw itself stand.
@@ -219,8 +249,9 @@
 	return t.pace
 }
 
-// dead is true for a target that does not even answer for itself.
-func (t *target) dead() bool { return t.silent >= silentWhenDead }
+// dead is true for a target that does not even answer for itself, or whose
+// address another life has taken.
+func (t *target) dead() bool { return t.silent >= silentWhenDead || t.ended }
 
 // probe asks for the reports of targets under suspicion.
 func (s *State) probe(now model.Instant, e ProbeDue) []Effect {
@@ -247,12 +278,15 @@
 	least time.Duration
 	// hearsay is true when others saw it.
 	hearsay bool
+	// refuses is true when the target answered that it takes nothing.
+	refuses bool
 }
 
 // suspect leaves a target out for a while.
 func (s *State) suspect(now model.Instant, t *target, f fault) Effect {
 	fresh := now >= t.suspectUntil
 	t.hearsay = f.hearsay && (fresh || t.hearsay)
+	t.refuses = f.refuses
 	t.suspectedAt = now
 	period := min(firstSuspicion<<min(t.strikes, 8), longestSuspicion)
 	t.suspectUntil = max(t.suspectUntil, now.Add(max(period, f.least)))
@@ -287,7 +321,7 @@
 		return nil
 	}
 	fresh := now >= t.suspectUntil
-	t.hearsay = fresh || t.hearsay
+	t.hearsay, t.refuses = fresh || t.hearsay, heard.Refuses
 	t.suspectedAt = max(t.suspectedAt, at)
 	t.suspectUntil = max(t.suspectUntil, now.Add(min(heard.Left, longestSuspicion)))
 	if !fresh {
@@ -328,7 +362,7 @@
 			out.Paces[id] = pace
 		}
 		if left := t.suspectUntil.Sub(now); left > 0 && t.strikes > 0 {
-			out.Suspects[id] = Suspicion{Left: left, Age: now.Sub(t.suspectedAt)}
+			out.Suspects[id] = Suspicion{Left: left, Age: now.Sub(t.suspectedAt), Refuses: t.refuses}
 		}
 	}
 	return out
--- a/internal/keeper/peers.go
+++ b/internal/keeper/peers.go
@@ -51,8 +51,9 @@
 
 // suspicion is a director.Suspicion in milliseconds.
 type suspicion struct {
-	LeftMs int64 `json:"left_ms"`
-	AgeMs  int64 `json:"age_ms"`
+	LeftMs  int64 `json:"left_ms"`
+	AgeMs   int64 `json:"age_ms"`
+	Refuses bool  `json:"refuses,omitempty"`
 }
 
 // peers shares load and faults with other VMs. A lost message only makes the
@@ -212,7 +213,7 @@
 	p.reducer.Read(func(s *director.State) { share = s.Share(bootclock.Now()) })
 	message := peerMessage{VM: share.VM, Loads: share.Loads, Paces: share.Paces, Suspects: map[model.TargetID]suspicion{}}
 	for id, s := range share.Suspects {
-		message.Suspects[id] = suspicion{LeftMs: s.Left.Milliseconds(), AgeMs: s.Age.Milliseconds()}
+		message.Suspects[id] = suspicion{LeftMs: s.Left.Milliseconds(), AgeMs: s.Age.Milliseconds(), Refuses: s.Refuses}
 	}
 	for _, address := range to {
 		p.post(address, message)
@@ -253,7 +254,7 @@
 		heard := director.PeerHeard{VM: message.VM, Loads: message.Loads, Paces: message.Paces, Suspects: map[model.TargetID]director.Suspicion{}}
 		for id, s := range message.Suspects {
 			heard.Suspects[id] = director.Suspicion{
-				Left: time.Duration(s.LeftMs) * time.Millisecond, Age: time.Duration(s.AgeMs) * time.Millisecond,
+				Left: time.Duration(s.LeftMs) * time.Millisecond, Age: time.Duration(s.AgeMs) * time.Millisecond, Refuses: s.Refuses,
 			}
 		}
 		p.reducer.Step(heard)
