Refuse the content of requests that crash targets

A request that crashes each target that runs it was bounded by its route's targets for each attempt, and its caller could send it again without end.

Change: a lost answer is remembered; when its target turns out to have ended within five seconds, the crash is counted for the content (workspace, path, body). At the second crash the content is refused on this VM and on those that hear of it, as not run, with when to come back. Lost answers of targets that live on count nothing.

--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -46,6 +46,7 @@
 	effects := s.blame(now, r, e)
 	if e.Outcome != NotSent && e.Outcome != Rejected {
 		s.noteRun(r)
+		s.noteLoss(now, r, e.Outcome)
 	}
 	s.account(r, -1)
 	r.random = e.Random
@@ -90,6 +91,8 @@
 		return s.giveUp(r, e, http.StatusGatewayTimeout, "the time of the request is over")
 	case mayHaveRun && !r.route.Repeatable():
 		return s.giveUp(r, e, http.StatusBadGateway, "the request may have run and may not be repeated")
+	case s.quarantined(now, r) > 0:
+		return s.giveUp(r, e, http.StatusBadGateway, whyQuarantined)
 	case r.sends >= maxSends || s.targetsSpent(r) && r.service.Engine == nil:
 		return s.giveUp(r, e, http.StatusBadGateway, "the request was sent as often as its route allows")
 	case !r.prepaid && !s.budget.Take(now, r.service.ID):
@@ -182,7 +185,8 @@
 	if e.Report == nil {
 		t.silent++
 		if t.silent == silentWhenDead {
-			return []Effect{&Changed{What: "target dead", Subject: string(t.ID), Detail: "it does not answer for its report"}}
+			dead := &Changed{What: "target dead", Subject: string(t.ID), Detail: "it does not answer for its report"}
+			return append(s.confirmLosses(now), dead)
 		}
 		return effect(s.suspect(now, t, fault{why: "it did not answer with its report"}))
 	}
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"tamarackreach/internal/event"
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
 )
@@ -119,6 +120,8 @@
 	Suspects map[model.TargetID]Suspicion
 	// Paces are the targets that it found slow; 1 is normal.
 	Paces map[model.TargetID]float64
+	// Crashers is content of requests that crashed targets.
+	Crashers []event.QuarantineNote
 }
 
 // Suspicion is a VM's belief that a target is at fault.
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -7,6 +7,7 @@
 
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/quarantine"
 	"tamarackreach/internal/retrybudget"
 )
 
@@ -46,6 +47,10 @@
 	peers       map[model.NodeID]*peer
 	vms         int
 	budget      *retrybudget.Budget
+	// losses wait for a confirmation that their targets crashed; crashers is what
+	// did so again and again.
+	losses   []loss
+	crashers *quarantine.List
 	// terminating is when the process was asked to stop; 0 before.
 	terminating model.Instant
 }
@@ -92,6 +97,7 @@
 		settings: s, targets: map[model.TargetID]*target{}, byAddress: map[string]*target{},
 		byService: map[model.ServiceID][]*target{}, requests: map[model.RequestID]*request{},
 		peers: map[model.NodeID]*peer{}, vms: 1, budget: retrybudget.New(s.Retries),
+		crashers: quarantine.New(),
 	}
 }
 
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -123,7 +123,7 @@
 		effects = append(effects, &Changed{What: "target gone", Subject: string(id), Detail: t.Address})
 	}
 	s.index()
-	return effects
+	return append(effects, s.confirmLosses(now)...)
 }
 
 // newestLives returns the birth of the newest registration of each address.
@@ -299,6 +299,7 @@
 
 func (s *State) peerHeard(now model.Instant, e PeerHeard) []Effect {
 	s.peers[e.VM] = &peer{heard: now, loads: e.Loads}
+	s.crashers.Heard(now, e.Crashers)
 	for id, pace := range e.Paces {
 		if t := s.targets[id]; t != nil {
 			t.pace, t.paced = pace, now
@@ -352,7 +353,7 @@
 func (s *State) Share(now model.Instant) PeerHeard {
 	out := PeerHeard{
 		VM: s.settings.VM, Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
-		Paces: map[model.TargetID]float64{},
+		Paces: map[model.TargetID]float64{}, Crashers: s.crasherNotes(now),
 	}
 	for id, t := range s.targets {
 		if t.own.Requests > 0 {
--- a/internal/keeper/peers.go
+++ b/internal/keeper/peers.go
@@ -13,6 +13,7 @@
 
 	"tamarackreach/internal/bootclock"
 	"tamarackreach/internal/director"
+	"tamarackreach/internal/event"
 	"tamarackreach/internal/front"
 	"tamarackreach/internal/model"
 	"tamarackreach/platform"
@@ -43,6 +44,8 @@
 	Suspects map[model.TargetID]suspicion `json:"suspects,omitempty"`
 	// Paces are the targets of its zone that are slow.
 	Paces map[model.TargetID]float64 `json:"paces,omitempty"`
+	// Crashers is content of requests that crashed targets.
+	Crashers []event.QuarantineNote `json:"crashers,omitempty"`
 	// Ask is the number of a question for what the VM last saw of the store, and
 	// Seen the answer to it; such a message carries nothing else.
 	Ask  uint64 `json:"ask,omitempty"`
@@ -211,7 +214,7 @@
 	}
 	var share director.PeerHeard
 	p.reducer.Read(func(s *director.State) { share = s.Share(bootclock.Now()) })
-	message := peerMessage{VM: share.VM, Loads: share.Loads, Paces: share.Paces, Suspects: map[model.TargetID]suspicion{}}
+	message := peerMessage{VM: share.VM, Loads: share.Loads, Paces: share.Paces, Crashers: share.Crashers, Suspects: map[model.TargetID]suspicion{}}
 	for id, s := range share.Suspects {
 		message.Suspects[id] = suspicion{LeftMs: s.Left.Milliseconds(), AgeMs: s.Age.Milliseconds(), Refuses: s.Refuses}
 	}
@@ -251,7 +254,7 @@
 			p.post(from, peerMessage{VM: p.settings.VM, Ask: message.Ask, Seen: p.view.state(bootclock.Now())})
 			continue
 		}
-		heard := director.PeerHeard{VM: message.VM, Loads: message.Loads, Paces: message.Paces, Suspects: map[model.TargetID]director.Suspicion{}}
+		heard := director.PeerHeard{VM: message.VM, Loads: message.Loads, Paces: message.Paces, Crashers: message.Crashers, Suspects: map[model.TargetID]director.Suspicion{}}
 		for id, s := range message.Suspects {
 			heard.Suspects[id] = director.Suspicion{
 				Left: time.Duration(s.LeftMs) * time.Millisecond, Age: time.Duration(s.AgeMs) * time.Millisecond, Refuses: s.Refuses,
