Put changed settings in force while the process runs

Settings were read at the start only; SIGHUP checked the file and changed nothing, and a change without a signal went unseen.

Change: the file is compared with what is in force each second and at SIGHUP. Bounds, retry budget and the store's address follow; a change of identity or listeners is named in the log as one that needs a restart; a wrong file is logged once and changes nothing. What was seen of one store is forgotten when its address changes: the test met a second store with equal row versions.

Tests: a file that changes without a signal, a wrong one, a store that moves; the retry budget under changed bounds.

--- a/cmd/tamarack-front/main.go
+++ b/cmd/tamarack-front/main.go
@@ -25,7 +25,8 @@
 	check := flag.Bool("check", false, "check the settings file and exit")
 	metrics := flag.String("metrics", "", "`address` of the metrics, host:port; none when empty")
 	flag.Parse()
-	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	path := os.Getenv(platform.SettingsVariable)
+	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
@@ -41,7 +42,7 @@
 	defer sink.Flush(flushTime)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	daemon := frontd.New(settings, *metrics)
+	daemon := frontd.New(settings, frontd.Options{MetricsAddress: *metrics, SettingsPath: path})
 	if err := daemon.Run(context.Background(), signals); err != nil {
 		logrus.Fatal(err)
 	}
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -137,22 +137,27 @@
 // VMsKnown gives the number of VMs that ever registered.
 type VMsKnown struct{ Count int }
 
+// SettingsChanged carries settings that are in force from now on. The VM and its
+// zone are fixed for the life of the process.
+type SettingsChanged struct{ Settings Settings }
+
 // Terminating says that the process was asked to stop.
 type Terminating struct{}
 
-func (ConfigRead) event()  {}
-func (TargetsRead) event() {}
-func (StoreFailed) event() {}
-func (Arrived) event()     {}
-func (SendEnded) event()   {}
-func (Began) event()       {}
-func (Quiet) event()       {}
-func (Finished) event()    {}
-func (ReportRead) event()  {}
-func (ProbeDue) event()    {}
-func (PeerHeard) event()   {}
-func (VMsKnown) event()    {}
-func (Terminating) event() {}
+func (ConfigRead) event()      {}
+func (TargetsRead) event()     {}
+func (StoreFailed) event()     {}
+func (Arrived) event()         {}
+func (SendEnded) event()       {}
+func (Began) event()           {}
+func (Quiet) event()           {}
+func (Finished) event()        {}
+func (ReportRead) event()      {}
+func (ProbeDue) event()        {}
+func (PeerHeard) event()       {}
+func (VMsKnown) event()        {}
+func (SettingsChanged) event() {}
+func (Terminating) event()     {}
 
 // Effect is something that a driver is to do.
 type Effect interface{ effect() }
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -129,12 +130,21 @@
 	case VMsKnown:
 		s.vms = max(e.Count, 1)
 		s.budget.SetVMs(s.vms)
+	case SettingsChanged:
+		return s.settingsChanged(e.Settings)
 	case Terminating:
 		s.terminating = now
 	}
 	return nil
 }
 
+func (s *State) settingsChanged(next Settings) []Effect {
+	next.VM, next.Zone = s.settings.VM, s.settings.Zone
+	s.settings = next
+	s.budget.SetSettings(next.Retries)
+	return []Effect{&Changed{What: "settings in force", Detail: fmt.Sprintf("%+v", next)}}
+}
+
 func (s *State) configRead(now model.Instant, e ConfigRead) []Effect {
 	// Reads may overtake each other; a confirmation never moves back.
 	s.confirmed = max(s.confirmed, e.Started)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,6 +41,8 @@
 	signals chan os.Signal
 	done    chan error
 	next    atomic.Int64
+	// settings is the text of the settings file at settingsPath.
+	settings, settingsPath string
 }
 
 func start() *site {
@@ -58,9 +61,12 @@
 			Expect(err).NotTo(HaveOccurred())
 		}
 	}
-	settings, err := platform.ParseSettings([]byte(platformtest.Settings("vm-1", "a", host, store.Address())))
+	s.settings = platformtest.Settings("vm-1", "a", host, store.Address())
+	s.settingsPath = filepath.Join(GinkgoT().TempDir(), "node.toml")
+	s.writeSettings(s.settings)
+	settings, err := platform.LoadSettings(s.settingsPath)
 	Expect(err).NotTo(HaveOccurred())
-	daemon := frontd.New(settings, "")
+	daemon := frontd.New(settings, frontd.Options{SettingsPath: s.settingsPath})
 	go func() { s.done <- daemon.Run(context.Background(), s.signals) }()
 	DeferCleanup(func() {
 		select {
@@ -75,6 +81,12 @@
 	return s
 }
 
+func (s *site) writeSettings(text string) {
+	next := s.settingsPath + ".next"
+	Expect(os.WriteFile(next, []byte(text), 0o600)).To(Succeed())
+	Expect(os.Rename(next, s.settingsPath)).To(Succeed())
+}
+
 func (s *site) get(url string) int {
 	req, err := http.NewRequest(http.MethodGet, url, nil)
 	Expect(err).NotTo(HaveOccurred())
@@ -265,6 +277,33 @@
 		Eventually(func() int { status, _, _ := s.call("GET", "/r/x"); return status }, 3*time.Second, 50*time.Millisecond).Should(Equal(200))
 	})
 
+	// Pattern: settings change without a signal, and a store moves.
+	It("follows a settings file that changes, and keeps what is in force when it is wrong", func() {
+		status := func() int { status, _, _ := s.call("GET", "/r/x"); return status }
+		s.writeSettings(strings.Replace(s.settings, "strict-revoke = true", "strict-revoke = false", 1))
+		time.Sleep(1500 * time.Millisecond)
+		s.store.Fail(http.StatusServiceUnavailable)
+		Consistently(status, 2*time.Second, 100*time.Millisecond).Should(Equal(200))
+		s.writeSettings("no settings")
+		s.signals <- syscall.SIGHUP
+		Consistently(status, 500*time.Millisecond, 100*time.Millisecond).Should(Equal(200))
+		s.writeSettings(s.settings)
+		s.signals <- syscall.SIGHUP
+		Eventually(status, 2*time.Second, 50*time.Millisecond).Should(Equal(503))
+		s.store.Fail(0)
+		Eventually(status, 3*time.Second, 50*time.Millisecond).Should(Equal(200))
+
+		moved, err := platformtest.NewStore()
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { Expect(moved.Close()).To(Succeed()) }()
+		Expect(moved.Put("op", "config", platformtest.Config(3, "moved"))).To(Succeed())
+		s.writeSettings(strings.Replace(s.settings, s.store.Address(), moved.Address(), 1))
+		Eventually(status, 3*time.Second, 50*time.Millisecond).Should(Equal(401))
+		s.writeSettings(s.settings)
+		Expect(s.store.Put("op", "config", platformtest.Config(4, "key"))).To(Succeed())
+		Eventually(status, 4*time.Second, 50*time.Millisecond).Should(Equal(200))
+	})
+
 	It("brings a change of keys into force, and never an older one", func() {
 		Expect(s.store.Put("op", "config", platformtest.Config(5, "new"))).To(Succeed())
 		Eventually(func() int { status, _, _ := s.call("GET", "/r/x"); return status }, 600*time.Millisecond, 20*time.Millisecond).Should(Equal(401))
--- a/internal/frontd/frontd.go
+++ b/internal/frontd/frontd.go
@@ -3,6 +3,7 @@
 package frontd
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -38,27 +39,45 @@
 	stopMargin = 300 * time.Millisecond
 	// idleCheck is how often a stopping VM looks whether it is idle.
 	idleCheck = 50 * time.Millisecond
+	// settingsInterval is how often the settings file is compared with what is in
+	// force: it may change without a signal, and bounds count in seconds.
+	settingsInterval = time.Second
 )
 
+// Options are what the command line adds to the settings.
+type Options struct {
+	// MetricsAddress serves the metrics; none when empty.
+	MetricsAddress string
+	// SettingsPath is the file to watch for changes; none when empty.
+	SettingsPath string
+}
+
 // Daemon is the process of an entry VM.
 type Daemon struct {
 	settings *platform.Settings
-	metrics  string
+	options  Options
 	reducer  *front.Reducer
 	pool     *upstream.Pool
 	front    *front.Front
 	keeper   *keeper.Keeper
 	measured *front.Metrics
+	// lastText is the settings file as it was last looked at.
+	lastText []byte
 }
 
-// New assembles a daemon; metrics is the address that serves them, or empty.
-func New(s *platform.Settings, metrics string) *Daemon {
-	state := director.New(director.Settings{
+// deciding returns what the reducer needs of the settings.
+func deciding(s *platform.Settings) director.Settings {
+	return director.Settings{
 		VM: s.VM, Zone: s.Zone, ConfigApply: s.Bounds.ConfigApply, Revoke: s.Bounds.Revoke, Stall: s.Bounds.Stall,
 		Retries: retrybudget.Settings{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
-	})
+	}
+}
+
+// New assembles a daemon.
+func New(s *platform.Settings, options Options) *Daemon {
+	state := director.New(deciding(s))
 	d := &Daemon{
-		settings: s, metrics: metrics, reducer: front.NewReducer(state), pool: upstream.NewPool(),
+		settings: s, options: options, reducer: front.NewReducer(state), pool: upstream.NewPool(),
 		measured: front.NewMetrics(),
 	}
 	d.keeper = keeper.New(s, d.reducer)
@@ -79,8 +98,9 @@
 	if err := d.serve(ctx, &http.Server{Handler: d.front.Ready(), ReadHeaderTimeout: headTimeout}, d.settings.ReadyAddress); err != nil {
 		return err
 	}
-	if d.metrics != "" {
-		if err := d.serve(ctx, &http.Server{Handler: d.measured.Handler(), ReadHeaderTimeout: headTimeout}, d.metrics); err != nil {
+	if d.options.MetricsAddress != "" {
+		metrics := &http.Server{Handler: d.measured.Handler(), ReadHeaderTimeout: headTimeout}
+		if err := d.serve(ctx, metrics, d.options.MetricsAddress); err != nil {
 			return err
 		}
 	}
@@ -88,10 +108,14 @@
 	failed := make(chan error, 1)
 	go func() { failed <- d.keeper.Run(ctx) }()
 	logrus.WithFields(logrus.Fields{"zone": d.settings.Zone, "store": d.settings.StoreAddress}).Info("started")
+	watch := time.NewTicker(settingsInterval)
+	defer watch.Stop()
 	for {
 		select {
 		case err := <-failed:
 			return err
+		case <-watch.C:
+			d.reload()
 		case s := <-signals:
 			if s == syscall.SIGHUP {
 				d.reload()
@@ -130,15 +154,52 @@
 	}
 }
 
-// reload reads the settings again. What a process uses of them is fixed for its
-// life, so a change is only reported.
+// reload reads the settings file again and puts what changed in force. Settings
+// that are wrong change nothing.
 func (d *Daemon) reload() {
-	_, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if d.options.SettingsPath == "" {
+		return
+	}
+	text, err := os.ReadFile(d.options.SettingsPath)
+	if err != nil {
+		text = []byte(err.Error()) // an error that lasts is logged once
+	}
+	if bytes.Equal(text, d.lastText) {
+		return
+	}
+	d.lastText = text
+	next, err := platform.LoadSettings(d.options.SettingsPath)
 	if err != nil {
 		logrus.WithError(err).Error("settings not usable; those in force stay")
 		return
 	}
-	logrus.Info("settings read again")
+	if *next == *d.settings {
+		return
+	}
+	for _, name := range fixed(d.settings, next) {
+		logrus.WithField("setting", name).Warn("this change takes effect when the process starts again")
+	}
+	d.settings = next
+	d.keeper.Apply(next)
+	d.reducer.Step(director.SettingsChanged{Settings: deciding(next)})
+}
+
+// fixed names the changes that a running process cannot follow: its identity and
+// its listeners.
+func fixed(was, is *platform.Settings) []string {
+	var names []string
+	for _, f := range []struct {
+		name    string
+		changed bool
+	}{
+		{"VM", was.VM != is.VM}, {"zone", was.Zone != is.Zone}, {"client address", was.ClientAddress != is.ClientAddress},
+		{"ready address", was.ReadyAddress != is.ReadyAddress}, {"IP", was.IP != is.IP}, {"peer port", was.PeerPort != is.PeerPort},
+	} {
+		if f.changed {
+			names = append(names, f.name)
+		}
+	}
+	return names
 }
 
 // drain answers not ready at once, goes on serving, and returns when the VM is
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -48,6 +48,8 @@
 // Keeper runs the loops of a VM besides its requests.
 type Keeper struct {
 	settings *platform.Settings
+	// interval is how often the store is read, in nanoseconds.
+	interval atomic.Int64
 	store    *platform.Store
 	reducer  *front.Reducer
 	targets  *targetClient
@@ -77,6 +79,7 @@
 		settings: s, store: platform.NewStore(s.StoreAddress, transport), reducer: r, targets: newTargetClient(),
 	}
 	k.view = &view{}
+	k.setInterval(s.Bounds)
 	k.peers = newPeers(s, r, k.view)
 	k.orders = newOrders(r, k.targets)
 	return k
@@ -87,24 +90,46 @@
 	if err := k.peers.listen(ctx); err != nil {
 		return err
 	}
-	interval := min(k.settings.Bounds.ConfigApply, k.settings.Bounds.Drain) / pollsPerBound
-	k.view.interval = interval
-	go every(ctx, interval, func() { k.followConfig(ctx) })
-	go every(ctx, interval, func() { k.followTargets(ctx) })
-	go every(ctx, ownInterval, func() { k.readOwn(ctx) })
-	go every(ctx, orderInterval, func() { k.placeLayers(ctx) })
-	go every(ctx, probeInterval, k.probe)
+	go every(ctx, k.pollInterval, func() { k.followConfig(ctx) })
+	go every(ctx, k.pollInterval, func() { k.followTargets(ctx) })
+	go every(ctx, always(ownInterval), func() { k.readOwn(ctx) })
+	go every(ctx, always(orderInterval), func() { k.placeLayers(ctx) })
+	go every(ctx, always(probeInterval), k.probe)
 	go k.peers.run(ctx)
 	<-ctx.Done()
 	return nil
 }
 
-// every calls f at once and then at an interval, never twice at a time.
-func every(ctx context.Context, interval time.Duration, f func()) {
-	ticker := time.NewTicker(interval)
+// Apply puts changed settings in force: the address of the store and the bounds.
+func (k *Keeper) Apply(s *platform.Settings) {
+	if k.store.SetAddress(s.StoreAddress) {
+		k.view.forget() // versions of rows are a store's own
+	}
+	k.setInterval(s.Bounds)
+}
+
+func (k *Keeper) setInterval(b platform.Bounds) {
+	interval := min(b.ConfigApply, b.Drain) / pollsPerBound
+	k.interval.Store(int64(interval))
+	k.view.setInterval(interval)
+}
+
+func (k *Keeper) pollInterval() time.Duration { return time.Duration(k.interval.Load()) }
+
+func always(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
+// every calls f at once and then at an interval, which may change, never twice
+// at a time.
+func every(ctx context.Context, interval func() time.Duration, f func()) {
+	current := interval()
+	ticker := time.NewTicker(current)
 	defer ticker.Stop()
 	for {
 		f()
+		if next := interval(); next != current {
+			current = next
+			ticker.Reset(current)
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/keeper/peers.go
+++ b/internal/keeper/peers.go
@@ -196,7 +196,7 @@
 func (p *peers) run(ctx context.Context) {
 	go p.receive(ctx)
 	round := 0
-	every(ctx, peerInterval, func() {
+	every(ctx, always(peerInterval), func() {
 		round++
 		p.mu.Lock()
 		to := p.near
--- a/internal/keeper/view.go
+++ b/internal/keeper/view.go
@@ -25,17 +25,29 @@
 // view is what this VM last saw of the store: the version of the
 // configuration's row and a hash of all registrations' versions.
 type view struct {
+	mu sync.Mutex
 	// interval is how often the store is read; what a lead saw longer ago than
 	// that is read again.
-	interval time.Duration
-
-	mu          sync.Mutex
+	interval    time.Duration
 	configRow   model.RowVersion
 	configAt    model.Instant
 	targetsHash uint64
 	targetsAt   model.Instant
 }
 
+func (v *view) setInterval(interval time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.interval = interval
+}
+
+// forget drops what was seen, so that it is read anew.
+func (v *view) forget() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.configRow, v.targetsHash, v.targetsAt = 0, 0, 0
+}
+
 // state returns what the zone may hear.
 func (v *view) state(now model.Instant) *seen {
 	v.mu.Lock()
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -44,6 +44,15 @@
 	return &Budget{settings: s, vms: 1, services: map[model.ServiceID]*window{}}
 }
 
+// SetSettings replaces the bounds; what was counted stays, unless the window is
+// of another length.
+func (b *Budget) SetSettings(s Settings) {
+	if s.Window != b.settings.Window {
+		b.services = map[model.ServiceID]*window{}
+	}
+	b.settings = s
+}
+
 // SetVMs sets the number of VMs that share the slack.
 func (b *Budget) SetVMs(n int) { b.vms = max(n, 1) }
 
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -64,6 +64,18 @@
 		Expect(b.Take(model.Instant(settings.Window)+1, "s")).To(BeTrue())
 	})
 
+	It("goes by changed bounds at once, and keeps what was counted", func() {
+		b := retrybudget.New(settings)
+		for b.Take(0, "s") {
+		}
+		more := settings
+		more.Slack *= 2
+		b.SetSettings(more)
+		Expect(b.Take(0, "s")).To(BeTrue())
+		b.SetSettings(settings)
+		Expect(b.Take(0, "s")).To(BeFalse())
+	})
+
 	It("counts services apart", func() {
 		b := retrybudget.New(settings)
 		for b.Take(0, "s") {
