Show state and placement: gauges, /status, tamarackctl placement, check and version

On-call engineers had counters of ended requests only. A VM now serves gauges of its requests, configuration, targets by state, missing layers, duty, open orders, connections and dropped log lines; /status gives what it believes of each target, and tamarackctl placement prints it with the holes. tamarackctl check checks settings and deploy files, two roles in one place among the faults; every program takes -version.

Tests: metrics and status of a daemon between stand-ins, the status of the reducer, the commands on good and bad input, each kind of fault of a deploy file. A check holds that docs/OPERATIONS.md names every metric.

--- a/cmd/standin-engine/main.go
+++ b/cmd/standin-engine/main.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"tamarackreach/internal/buildinfo"
 	"tamarackreach/internal/rpc"
 	"tamarackreach/internal/standin/control"
 	"tamarackreach/internal/standin/engine"
@@ -14,7 +15,7 @@
 
 func main() {
 	path := flag.String("config", "", "configuration `file` (JSON)")
-	flag.Parse()
+	buildinfo.ParseFlags()
 	var config engine.HostConfig
 	if err := control.LoadJSON(*path, &config); err != nil {
 		logrus.Fatal(err)
--- a/cmd/tamarack-entry/main.go
+++ b/cmd/tamarack-entry/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"tamarackreach/internal/buildinfo"
 	"tamarackreach/internal/config"
 	"tamarackreach/internal/entry"
 	"tamarackreach/internal/telemetry"
@@ -19,7 +20,7 @@
 func main() {
 	path := flag.String("config", "", "configuration `file` (JSON)")
 	check := flag.Bool("check", false, "check the configuration and exit")
-	flag.Parse()
+	buildinfo.ParseFlags()
 	cfg, err := config.Load(*path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/cmd/tamarack-front/main.go
+++ b/cmd/tamarack-front/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"tamarackreach/internal/buildinfo"
 	"tamarackreach/internal/frontd"
 	"tamarackreach/internal/logsink"
 	"tamarackreach/internal/telemetry"
@@ -24,7 +25,7 @@
 func main() {
 	check := flag.Bool("check", false, "check the settings file and exit")
 	metrics := flag.String("metrics", "", "`address` of the metrics, host:port; none when empty")
-	flag.Parse()
+	buildinfo.ParseFlags()
 	path := os.Getenv(platform.SettingsVariable)
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
@@ -42,7 +43,9 @@
 	defer sink.Flush(flushTime)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	daemon := frontd.New(settings, frontd.Options{MetricsAddress: *metrics, SettingsPath: path})
+	daemon := frontd.New(settings, frontd.Options{
+		MetricsAddress: *metrics, SettingsPath: path, DroppedLines: sink.Dropped,
+	})
 	if err := daemon.Run(context.Background(), signals); err != nil {
 		logrus.Fatal(err)
 	}
--- a/cmd/tamarack-load/main.go
+++ b/cmd/tamarack-load/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"tamarackreach/internal/buildinfo"
 	"tamarackreach/internal/deployment"
 	"tamarackreach/internal/load"
 	"tamarackreach/internal/load/scenario"
@@ -41,7 +42,7 @@
 	flag.StringVar(&f.report, "report", "", "`file` that takes the report")
 	flag.StringVar(&f.plots, "plots", "", "`directory` that takes the plots")
 	flag.IntVar(&f.basePort, "base-port", 0, "first port of a deployment that is laid out; 0 chooses free ones")
-	flag.Parse()
+	buildinfo.ParseFlags()
 	if err := run(f); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/cmd/tamarack-replay/main.go
+++ b/cmd/tamarack-replay/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 
+	"tamarackreach/internal/buildinfo"
 	"tamarackreach/internal/trace"
 )
 
@@ -15,7 +16,7 @@
 		_, _ = fmt.Fprintln(flag.CommandLine.Output(), "usage: tamarack-replay FILE")
 		flag.PrintDefaults()
 	}
-	flag.Parse()
+	buildinfo.ParseFlags()
 	if flag.NArg() != 1 {
 		flag.Usage()
 		os.Exit(2)
--- a/cmd/tamarack-soak/main.go
+++ b/cmd/tamarack-soak/main.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"tamarackreach/internal/buildinfo"
 	"tamarackreach/internal/soak"
 )
 
@@ -23,7 +24,7 @@
 	vms := flag.Int("vms", 3, "entry VMs a seed")
 	callers := flag.Int("callers", 12, "callers a seed")
 	faults := flag.Duration("faults", 6*time.Second, "how long faults are injected")
-	flag.Parse()
+	buildinfo.ParseFlags()
 	var broken atomic.Int64
 	limit := make(chan struct{}, max(*jobs, 1))
 	var wait sync.WaitGroup
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"tamarackreach/gen/tamarack/v1/tamarackv1connect"
+	"tamarackreach/internal/buildinfo"
 	"tamarackreach/internal/rpc"
 )
 
@@ -60,6 +61,8 @@
 		{"status", "show which revision is in force where, targets and alarms", statusFlags},
 		{"drain", "let a target leave: drain TARGET", drainFlags},
 		{"explain", "show how a request was routed: explain REQUEST, or explain -log FILES REQUEST once it has ended", explainFlags},
+		{"placement", "show which target of tamarack-front holds which layers, and the holes: placement -status ADDRESS", placementFlags},
+		{"check", "check files of tamarack-front: check -settings FILE -deploy FILE", checkFlags},
 		{"keys", "make a test CA and node keys: keys -dir DIR NODE...", keysFlags},
 	}
 }
@@ -70,6 +73,10 @@
 		usage(out)
 		return ExitOK
 	}
+	if args[0] == "version" || args[0] == "-version" {
+		_, _ = fmt.Fprintln(out, buildinfo.Version())
+		return ExitOK
+	}
 	for _, c := range commands() {
 		if c.name == args[0] {
 			return runCommand(c, args[1:], out, errOut)
@@ -83,8 +90,9 @@
 func usage(out io.Writer) {
 	_, _ = fmt.Fprintln(out, "usage: tamarackctl COMMAND [flags]")
 	for _, c := range commands() {
-		_, _ = fmt.Fprintf(out, "  %-8s %s\n", c.name, c.summary)
+		_, _ = fmt.Fprintf(out, "  %-9s %s\n", c.name, c.summary)
 	}
+	_, _ = fmt.Fprintf(out, "  %-9s %s\n", "version", "print the version")
 	_, _ = fmt.Fprintln(out, "exit codes: 0 done, 1 refused, 2 usage, 3 in doubt, 4 no node answered")
 }
 
--- /dev/null
+++ b/internal/ctl/platform.go
@@ -0,0 +1,99 @@
+package ctl
+
+import (
+	"encoding/json"
+	"flag"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"tamarackreach/internal/director"
+	"tamarackreach/internal/frontd"
+	"tamarackreach/platform"
+)
+
+// maxStatusBytes bounds the status of a VM: some hundred bytes a target.
+const maxStatusBytes = 16 << 20
+
+func checkFlags(set *flag.FlagSet) func(*session) error {
+	settings := set.String("settings", "", "settings `file` of tamarack-front")
+	deploy := set.String("deploy", "", "deploy `file`")
+	return func(s *session) error {
+		if *settings == "" && *deploy == "" {
+			return errors.Mark(errors.New("name what to check with -settings, -deploy or both"), errUsage)
+		}
+		if *settings != "" {
+			if _, err := platform.LoadSettings(*settings); err != nil {
+				return errors.Mark(err, errUsage)
+			}
+			s.printf("%s: settings are valid\n", *settings)
+		}
+		if *deploy == "" {
+			return nil
+		}
+		text, err := os.ReadFile(*deploy)
+		if err == nil {
+			err = platform.CheckDeploy(text)
+		}
+		if err != nil {
+			return errors.Mark(err, errUsage)
+		}
+		s.printf("%s: deploy file is valid\n", *deploy)
+		return nil
+	}
+}
+
+func placementFlags(set *flag.FlagSet) func(*session) error {
+	address := set.String("status", "127.0.0.1:9464", "metrics `address` of an entry VM, host:port")
+	return func(s *session) error {
+		status, text, err := readStatus(s, *address)
+		if err != nil {
+			return err
+		}
+		if s.json {
+			s.printf("%s\n", text)
+			return nil
+		}
+		printPlacement(s, status)
+		return nil
+	}
+}
+
+func readStatus(s *session, address string) (*director.Status, []byte, error) {
+	url := "http://" + address + frontd.StatusPath
+	req, err := http.NewRequestWithContext(s.ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, nil, errors.Mark(errors.Wrap(err, "-status must be host:port"), errUsage)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "the VM does not answer; name its metrics address with -status")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxStatusBytes))
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "the status broke off; ask again")
+	}
+	var status director.Status
+	if err := json.Unmarshal(text, &status); err != nil || resp.StatusCode != http.StatusOK {
+		return nil, nil, errors.Newf("%s answered %d and no status; is it the metrics address of a tamarack-front?", url, resp.StatusCode)
+	}
+	return &status, text, nil
+}
+
+func printPlacement(s *session, status *director.Status) {
+	s.printf("%s in %s: configuration %d, confirmed %d ms ago, store away %t, %d requests\n",
+		status.VM, status.Zone, status.Configuration, status.ConfirmedMs, status.StoreAway, status.InFlight)
+	for _, t := range status.Targets {
+		s.printf("%-16s %-14s %-12s %-6s %-9s %-10s pace %.1f, %d requests, %d waiting\n",
+			t.ID, t.Service, t.Zone, t.Kind, t.Held.String(), t.State, t.Pace, t.Requests, t.Waiting)
+	}
+	for _, hole := range status.Holes {
+		s.printf("hole: no usable target of %s in %s holds %s\n", hole.Service, hole.Zone, hole.Layers)
+	}
+	if len(status.Holes) == 0 {
+		s.printf("no holes: each zone can run every layer\n")
+	}
+}
--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -64,15 +64,7 @@
 	if denial != nil {
 		return []Effect{denial}
 	}
-	r := &request{Request: req, route: route, workspace: workspace, random: e.Random}
-	limit := req.Deadline
-	if limit == 0 || route.Timeout > 0 && route.Timeout < limit {
-		limit = route.Timeout
-	}
-	if limit == 0 {
-		limit = defaultTime
-	}
-	r.ends = now.Add(limit)
+	r := &request{Request: req, route: route, workspace: workspace, random: e.Random, ends: now.Add(timeFor(req, route))}
 	r.service = s.config.Services[split(route.Split, e.Random)]
 	if r.service == nil {
 		return refuse(http.StatusServiceUnavailable, spread(unknownReturn, e.Random), "the route's service is not in the configuration")
@@ -90,6 +82,18 @@
 	return []Effect{send}
 }
 
+// timeFor returns how long a request may take: the caller's time or the route's,
+// whichever is shorter.
+func timeFor(req *fleet.Request, route *fleet.Route) time.Duration {
+	switch {
+	case req.Deadline > 0 && route.Timeout > 0:
+		return min(req.Deadline, route.Timeout)
+	case req.Deadline > 0 || route.Timeout > 0:
+		return max(req.Deadline, route.Timeout)
+	}
+	return defaultTime
+}
+
 func refuse(status int, retryAfter time.Duration, why string) []Effect {
 	return []Effect{&Refuse{Status: status, RetryAfter: retryAfter, Reason: why}}
 }
--- /dev/null
+++ b/internal/director/status.go
@@ -0,0 +1,154 @@
+package director
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"tamarackreach/internal/fleet"
+	"tamarackreach/internal/model"
+)
+
+// Status is what a VM believes, for operators.
+type Status struct {
+	VM   model.NodeID           `json:"vm"`
+	Zone model.AvailabilityZone `json:"zone"`
+	// Configuration is the version in force, 0 before the first.
+	Configuration model.Revision `json:"configuration"`
+	// ConfirmedMs is how long ago a read began that confirmed it; -1 before the
+	// first.
+	ConfirmedMs int64 `json:"confirmed_ms"`
+	// StoreAway is true while reads of the store fail.
+	StoreAway bool `json:"store_away"`
+	// InFlight is the number of requests that are being served.
+	InFlight int            `json:"in_flight"`
+	Targets  []TargetStatus `json:"targets"`
+	// Holes are the layers that no usable target of a zone holds.
+	Holes []Hole `json:"holes"`
+}
+
+// TargetStatus is what a VM believes of a target.
+type TargetStatus struct {
+	ID      model.TargetID         `json:"id"`
+	Service model.ServiceID        `json:"service"`
+	Zone    model.AvailabilityZone `json:"zone"`
+	Kind    model.AcceleratorKind  `json:"kind,omitempty"`
+	Held    model.LayerRange       `json:"held"`
+	// State is "ready", "draining", "suspected" or "dead".
+	State string  `json:"state"`
+	Pace  float64 `json:"pace"`
+	// Requests and Waiting count the work of all VMs, as far as it was heard.
+	Requests int `json:"requests"`
+	Waiting  int `json:"waiting"`
+}
+
+// Hole is a range of layers that no usable target of a zone holds.
+type Hole struct {
+	Service model.ServiceID        `json:"service"`
+	Zone    model.AvailabilityZone `json:"zone"`
+	Layers  model.LayerRange       `json:"layers"`
+}
+
+// Status returns what the VM believes now, in a fixed order.
+func (s *State) Status(now model.Instant) Status {
+	out := Status{
+		VM: s.settings.VM, Zone: s.settings.Zone, ConfirmedMs: -1, StoreAway: s.storeLost != 0, InFlight: len(s.requests),
+		Targets: []TargetStatus{}, Holes: s.holes(now),
+	}
+	if s.config != nil {
+		out.Configuration = s.config.Version
+		out.ConfirmedMs = now.Sub(s.confirmed).Milliseconds()
+	}
+	for _, service := range s.services() {
+		for _, t := range s.byService[service] {
+			load := s.load(now, t)
+			out.Targets = append(out.Targets, TargetStatus{
+				ID: t.ID, Service: service, Zone: t.Zone, Kind: t.Kind, Held: t.Held, State: t.stateName(now),
+				Pace: t.slowness(now), Requests: load.Requests, Waiting: load.Waiting,
+			})
+		}
+	}
+	return out
+}
+
+// Confirmed returns how long ago a read began that confirmed the configuration;
+// 0 before the first.
+func (s *State) Confirmed(now model.Instant) time.Duration {
+	if s.config == nil {
+		return 0
+	}
+	return now.Sub(s.confirmed)
+}
+
+// TargetStates counts the targets by state.
+func (s *State) TargetStates(now model.Instant) map[string]int {
+	counts := map[string]int{}
+	for _, t := range s.targets {
+		counts[t.stateName(now)]++
+	}
+	return counts
+}
+
+func (t *target) stateName(now model.Instant) string {
+	switch {
+	case t.dead():
+		return "dead"
+	case t.State == fleet.TargetDraining:
+		return "draining"
+	case now < t.suspectUntil:
+		return "suspected"
+	}
+	return "ready"
+}
+
+// services returns the services that have targets, in a fixed order.
+func (s *State) services() []model.ServiceID { return slices.Sorted(maps.Keys(s.byService)) }
+
+// zones returns the zones that have targets of a service, in a fixed order.
+func (s *State) zones(id model.ServiceID) []model.AvailabilityZone {
+	var names []model.AvailabilityZone
+	for _, t := range s.byService[id] {
+		names = append(names, t.Zone)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// holes returns the layers without a usable holder, by service and zone.
+func (s *State) holes(now model.Instant) []Hole {
+	out := []Hole{}
+	for _, id := range s.services() {
+		if s.config == nil || s.config.Services[id] == nil || s.config.Services[id].Engine == nil {
+			continue
+		}
+		layers := s.config.Services[id].Engine.Layers
+		for _, zone := range s.zones(id) {
+			out = append(out, s.holesOf(now, id, zone, layers)...)
+		}
+	}
+	return out
+}
+
+func (s *State) holesOf(now model.Instant, id model.ServiceID, zone model.AvailabilityZone, layers uint32) []Hole {
+	var out []Hole
+	held := make([]bool, layers)
+	for _, t := range s.byService[id] {
+		if t.Zone != zone || !t.usable(now) {
+			continue
+		}
+		for l := t.Held.First; l < min(t.Held.End, layers); l++ {
+			held[l] = true
+		}
+	}
+	for l := uint32(0); l < layers; l++ {
+		if held[l] {
+			continue
+		}
+		first := l
+		for l < layers && !held[l] {
+			l++
+		}
+		out = append(out, Hole{Service: id, Zone: zone, Layers: model.LayerRange{First: first, End: l}})
+	}
+	return out
+}
--- a/internal/doccheck/boundary_test.go
+++ b/internal/doccheck/boundary_test.go
@@ -68,12 +68,12 @@
 	It("describes every metric in docs/OPERATIONS.md", func() {
 		page := read("docs/OPERATIONS.md")
 		names := 0
-		for _, file := range []string{"internal/front/metrics.go", "internal/frontd/frontd.go"} {
+		for _, file := range []string{"internal/front/metrics.go", "internal/frontd/status.go"} {
 			for _, name := range regexp.MustCompile(`"(tamarack_[a-z_]+)"`).FindAllStringSubmatch(read(file), -1) {
 				names++
 				Expect(page).To(ContainSubstring("`" + name[1] + "`"))
 			}
 		}
-		Expect(names).To(BeNumerically(">=", 3))
+		Expect(names).To(BeNumerically(">=", 16))
 	})
 })
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -256,6 +256,7 @@
 		ID: j.request.ID, Outcome: outcome, FaultAt: x.Head.FaultAt, Took: time.Since(sentAt),
 		Random: rand.Float64(),
 	}
+	j.front.metrics.sends.WithLabelValues(outcome.String()).Inc()
 	line := j.log.WithFields(logrus.Fields{
 		"send": e.Number, "outcome": outcome.String(), "fault_at": ended.FaultAt, "took_ms": ended.Took.Milliseconds(),
 	})
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -43,6 +43,8 @@
 	next    atomic.Int64
 	// settings is the text of the settings file at settingsPath.
 	settings, settingsPath string
+	// metrics is the address of metrics and status.
+	metrics string
 }
 
 func start() *site {
@@ -50,6 +52,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	host := platformtest.Host(0, 0)
 	s := &site{store: store, fleet: platformtest.NewFleet(store), client: platformtest.ClientAddress(host), ready: platformtest.ReadyAddress(host), signals: make(chan os.Signal, 1), done: make(chan error, 1)}
+	s.metrics = platformtest.MetricsAddress(host)
 	Expect(store.Put("op", "config", platformtest.Config(1, "key"))).To(Succeed())
 	for _, zone := range []string{"a", "b"} {
 		for range 2 {
@@ -66,7 +69,7 @@
 	s.writeSettings(s.settings)
 	settings, err := platform.LoadSettings(s.settingsPath)
 	Expect(err).NotTo(HaveOccurred())
-	daemon := frontd.New(settings, frontd.Options{SettingsPath: s.settingsPath})
+	daemon := frontd.New(settings, frontd.Options{SettingsPath: s.settingsPath, MetricsAddress: s.metrics})
 	go func() { s.done <- daemon.Run(context.Background(), s.signals) }()
 	DeferCleanup(func() {
 		select {
@@ -157,6 +160,21 @@
 		s.expectWhole(body)
 	})
 
+	It("tells operators what it believes and counts", func() {
+		text := func(path string) string {
+			resp, err := http.Get("http://" + s.metrics + path)
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = resp.Body.Close() }()
+			body, err := io.ReadAll(resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+			return string(body)
+		}
+		Expect(text("/metrics")).To(And(
+			ContainSubstring("tamarack_configuration_version 1"), ContainSubstring("tamarack_placement_duty 1"),
+			ContainSubstring("tamarack_layers_missing 0"), ContainSubstring(`tamarack_requests_ended_total{outcome="answered"}`)))
+		Expect(text("/status")).To(ContainSubstring(`"holes":[]`))
+	})
+
 	It("passes on a plain answer with its signature and the key's workspace", func() {
 		status, body, id, header := s.callWith("POST", "/p/x", "key", strings.NewReader("pay"))
 		Expect(status).To(Equal(200))
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -12,6 +12,7 @@
 type Metrics struct {
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
+	sends    *prometheus.CounterVec
 	first    prometheus.Histogram
 	whole    prometheus.Histogram
 }
@@ -27,6 +28,9 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tamarack_requests_ended_total", Help: "Requests that ended, by outcome.",
 		}, []string{"outcome"}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tamarack_sends_ended_total", Help: "Sends to targets that gave no answer to deliver, by outcome.",
+		}, []string{"outcome"}),
 		first: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "tamarack_first_byte_seconds", Help: "Time to the first byte of an answer.", Buckets: latencyBuckets,
 		}),
@@ -34,10 +38,15 @@
 			Name: "tamarack_request_seconds", Help: "Time to the end of a request.", Buckets: latencyBuckets,
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.first, m.whole)
+	m.registry.MustRegister(m.requests, m.sends, m.first, m.whole)
 	return m
 }
 
+// Counter registers a count that is read when metrics are served.
+func (m *Metrics) Counter(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, read))
+}
+
 // Gauge registers a value that is read when metrics are served.
 func (m *Metrics) Gauge(name, help string, read func() float64) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
--- a/internal/frontd/frontd.go
+++ b/internal/frontd/frontd.go
@@ -48,6 +48,8 @@
 type Options struct {
 	// MetricsAddress serves the metrics; none when empty.
 	MetricsAddress string
+	// DroppedLines returns how many log lines were dropped; nil when not known.
+	DroppedLines func() uint64
 	// SettingsPath is the file to watch for changes; none when empty.
 	SettingsPath string
 }
@@ -82,6 +84,7 @@
 	}
 	d.keeper = keeper.New(s, d.reducer)
 	d.front = front.New(d.reducer, d.pool, d.keeper.AskReport, d.measured)
+	d.observe()
 	return d
 }
 
@@ -99,8 +102,10 @@
 		return err
 	}
 	if d.options.MetricsAddress != "" {
-		metrics := &http.Server{Handler: d.measured.Handler(), ReadHeaderTimeout: headTimeout}
-		if err := d.serve(ctx, metrics, d.options.MetricsAddress); err != nil {
+		mux := http.NewServeMux()
+		mux.Handle("/", d.measured.Handler())
+		mux.HandleFunc("GET "+StatusPath, d.status)
+		if err := d.serve(ctx, &http.Server{Handler: mux, ReadHeaderTimeout: headTimeout}, d.options.MetricsAddress); err != nil {
 			return err
 		}
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -320,6 +320,12 @@
 	}
 }
 
+// HoldsDuty reports whether this VM places layers.
+func (k *Keeper) HoldsDuty() bool { return k.holdsDuty(bootclock.Now()) }
+
+// OpenOrders is the number of orders whose effect was not seen yet.
+func (k *Keeper) OpenOrders() int { return k.orders.count() }
+
 func (k *Keeper) holdsDuty(now model.Instant) bool {
 	return duty.Held(model.Instant(k.renewed.Load()), now)
 }
--- a/internal/keeper/orders.go
+++ b/internal/keeper/orders.go
@@ -46,8 +46,8 @@
 	open    map[model.TargetID]*open
 	// planned are the members for which the last plan had no order.
 	planned []placement.Member
-	// count and since tell how long the set of targets is unchanged.
-	count int
+	// known is the size of the set of targets, unchanged since since.
+	known int
 	since model.Instant
 }
 
@@ -60,7 +60,13 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.open = map[model.TargetID]*open{}
-	o.count, o.since, o.planned = 0, 0, nil
+	o.known, o.since, o.planned = 0, 0, nil
+}
+
+func (o *orders) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.open)
 }
 
 // run plans once and carries out what is due.
@@ -83,8 +89,8 @@
 			return true
 		}
 	}
-	if len(p.Targets) != o.count {
-		o.count, o.since = len(p.Targets), now
+	if len(p.Targets) != o.known {
+		o.known, o.since = len(p.Targets), now
 	}
 	return now.Sub(o.since) >= settleTime || len(o.open) > 0
 }
