Move members that serve for a large gain only

Change: a member that serves is given other layers for 1.4 times the rate, not for 1.12.

Test failed before.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -31,9 +31,10 @@
 
 const (
 	// worthwhile is the growth of a zone's rate for which a member that serves is
-	// given other layers: loading takes it away for seconds, in which the zone
-	// runs without it.
-	worthwhile = 1.12
+	// given other layers: the streams that pass it are interrupted and lose most of
+	// their value, and loading takes it away for seconds. About two fifths of the
+	// streams of a zone pass a member whose layers others hold as well.
+	worthwhile = 1.4
 	// maxMoves bounds the members that serve and are moved at a time: the rest
 	// carries their load meanwhile.
 	maxMoves = 1
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -208,6 +208,24 @@
 		Expect(placement.Plan(engine(), members)).To(BeEmpty())
 	})
 
+	// Pattern: some targets turn slower, and moving those that serve would
+	// interrupt more streams than the gain is worth (lacing-fleet-grown, scale-1).
+	It("moves a member that serves for a large gain only", func() {
+		slowed := func(members []placement.Member, id model.TargetID) []placement.Order {
+			members = append([]placement.Member(nil), members...)
+			for i := range members {
+				if members[i].ID == id {
+					members[i].Pace = 12
+				}
+			}
+			return placement.Plan(engine(), members)
+		}
+		few := settle(zone("a", 1, 6, 6))
+		Expect(slowed(few, "a-slow-05")).To(BeEmpty(), "others hold its layers; paths go around it")
+		many := settle(zone("a", 1, 10, 4))
+		Expect(slowed(many, "a-small-04")).To(HaveLen(1), "it alone holds its layers")
+	})
+
 	// Pattern: some targets turn many times slower for a while.
 	It("plans around a slow card when others can hold its layers", func() {
 		members := zone("a", 2, 4, 4)
