--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -76,7 +76,11 @@
 	send, why := s.send(now, r)
 	if send == nil {
 		delete(s.requests, req.ID)
-		return refuse(http.StatusServiceUnavailable, spread(s.returnTime(why), e.Random), why)
+		refusal := &Refuse{Status: http.StatusServiceUnavailable, RetryAfter: spread(s.returnTime(why), e.Random), Reason: why}
+		if why == whyLate {
+			refusal.Detail = "first event after " + r.predicted.Work.String() + ", and " + r.predicted.Queue.String() + " for prompts before it"
+		}
+		return []Effect{refusal}
 	}
 	s.budget.First(now, r.service.ID)
 	return []Effect{send}
@@ -167,7 +171,7 @@
 	r.hops, r.diverted, r.waiting, r.sentAt = hops, false, true, now
 	r.sends++
 	s.account(r, 1)
-	out := &Send{Route: r.route, Service: r.service, Hops: hops, TimeLeft: r.ends.Sub(now), Number: r.sends}
+	out := &Send{Route: r.route, Service: r.service, Hops: hops, TimeLeft: r.ends.Sub(now), Number: r.sends, Predicted: r.predicted}
 	if r.workspace != nil {
 		out.Workspace = r.workspace.ID
 	}
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -173,6 +173,8 @@
 	TimeLeft time.Duration
 	// Number counts the sends of the request, from 1.
 	Number int
+	// Predicted is the expected time to the first event; zero on plain services.
+	Predicted Prediction
 }
 
 // Layered is true when the send passes through layers of several targets.
@@ -184,6 +186,8 @@
 	// RetryAfter is when a repeat has a chance; 0 when none is named.
 	RetryAfter time.Duration
 	Reason     string
+	// Detail gives the figures that decided, for the log.
+	Detail string
 }
 
 // Divert gives up the send of a request; a SendEnded with Diverted follows.
--- a/internal/director/path.go
+++ b/internal/director/path.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"time"
 
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
@@ -64,10 +65,11 @@
 		// It was admitted once; a full path is better than none.
 		hops = s.find(r, candidates, func(c *candidate) bool { return c.usable || c.target.answersAgain() })
 	}
-	switch {
-	case hops == nil:
+	if hops == nil {
 		return nil, s.whyNone(now, r, candidates)
-	case r.sends == 0 && !s.inTime(now, r, hops):
+	}
+	r.predicted = s.timeToFirst(now, r, hops)
+	if r.sends == 0 && !r.predicted.inTime(r.route.LatencyGoal) {
 		return nil, whyLate
 	}
 	return hops, ""
@@ -132,19 +134,25 @@
 	return whyHole
 }
 
+// Prediction is the expected time to the first event.
+type Prediction struct {
+	// Work is the time to read the prompt at each hop, Queue the time that prompts
+	// before it take where they take longest.
+	Work, Queue time.Duration
+}
+
+// Total is the time from the send to the first event.
+func (p Prediction) Total() time.Duration { return p.Work + p.Queue }
+
 // inTime is false when the prompts that wait make the first event late, or so
 // late that the caller has left. A path that is late by itself, because of a
 // slow target, still serves: a late answer is better than none.
-func (s *State) inTime(now model.Instant, r *request, hops []fleet.Hop) bool {
-	goal := float64(r.route.LatencyGoal.Milliseconds())
-	if goal == 0 {
-		return true
+func (p Prediction) inTime(goal time.Duration) bool {
+	limit := time.Duration(lateAt * float64(goal))
+	if p.Work > limit {
+		limit = patience * goal
 	}
-	work, queue := s.timeToFirst(now, r, hops)
-	if work > lateAt*goal {
-		return work+queue < patience*goal
-	}
-	return work+queue < lateAt*goal
+	return goal == 0 || p.Total() < limit
 }
 
 // firstCost grows with the slots that are taken of a path's first target, and is
@@ -163,11 +171,11 @@
 	return 0
 }
 
-// timeToFirst predicts the time to the first event on a path, in milliseconds:
-// the passes that read the prompt at each hop, and the queue at the hop where
-// it is longest.
-func (s *State) timeToFirst(now model.Instant, r *request, hops []fleet.Hop) (work, queue float64) {
+// timeToFirst predicts the time to the first event on a path: the passes that
+// read the prompt at each hop, and the queue at the hop where it is longest.
+func (s *State) timeToFirst(now model.Instant, r *request, hops []fleet.Hop) Prediction {
 	engine := r.service.Engine
+	var work, queue float64
 	for _, hop := range hops {
 		t := s.targets[hop.Target]
 		load := s.load(now, t)
@@ -175,9 +183,11 @@
 		work += pass * max(float64(r.PromptTokens)/engine.ReadTokensPerPass, 1)
 		queue = max(queue, pass*float64(load.Waiting)*usualPasses(engine))
 	}
-	return work, queue
+	return Prediction{Work: millis(work), Queue: millis(queue)}
 }
 
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 // usualPasses is the passes that read a usual prompt.
 func usualPasses(engine *fleet.Engine) float64 {
 	return max(engine.UsualPrompt/engine.ReadTokensPerPass, 1)
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -74,6 +74,8 @@
 	diverted bool
 	// prepaid is true when the next send was taken from the retry budget already.
 	prepaid bool
+	// predicted is the time to the first event on the path that was chosen last.
+	predicted Prediction
 	// waiting is true from the send to the first of the answer.
 	waiting bool
 	// random is uniform in [0,1); it is drawn anew for each send.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -210,7 +210,7 @@
 	}
 	j.front.metrics.ended(outcome, took, j.first)
 	j.log.WithFields(logrus.Fields{
-		"outcome": outcome, "status": e.Status, "reason": e.Reason, "retry_after_ms": e.RetryAfter.Milliseconds(),
+		"outcome": outcome, "status": e.Status, "reason": e.Reason, "detail": e.Detail, "retry_after_ms": e.RetryAfter.Milliseconds(),
 		"took_ms": took.Milliseconds(), "events": j.events,
 	}).Info("request ended")
 	switch {
@@ -239,7 +239,7 @@
 	x, err := j.front.pool.Do(ctx, call)
 	j.log.WithFields(logrus.Fields{
 		"send": e.Number, "target": e.Hops[0].Target, "path": pathText(e.Hops), "route": e.Route.Name,
-		"left_ms": e.TimeLeft.Milliseconds(),
+		"left_ms": e.TimeLeft.Milliseconds(), "read_ms": e.Predicted.Work.Milliseconds(), "queue_ms": e.Predicted.Queue.Milliseconds(),
 	}).Info("request sent")
 	outcome, complete := j.answer(e, x, err)
 	x.Done(complete)
