--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -51,9 +51,9 @@
 	return Take, next
 }
 
-// Held reports whether a VM that began its last successful write of the row at
-// renewed may still act at now, on its own clock: the record cannot have
-// expired before a term after that.
+// Held reports whether a VM may still act at now, on its own clock, when the read
+// that gave the clock of its last successful write began at renewed: the record
+// cannot have expired before a term after that.
 func Held(renewed, now model.Instant) bool {
 	return renewed != 0 && now.Sub(renewed) < Term
 }
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -38,6 +38,45 @@
 		Entry("the record does not decode", model.Row{Value: []byte("{"), Version: 1}, 5*time.Second, duty.Take),
 	)
 
+	// Pattern: the store is slow; a VM reads, its write lands much later.
+	It("never lets two VMs act at a time, however long their calls take", func() {
+		type call struct {
+			read    model.Row
+			began   time.Duration
+			clock   time.Duration
+			pending bool
+		}
+		for seed := range uint64(300) {
+			random := rand.New(rand.NewPCG(seed, 2))
+			current, names := model.Row{}, []model.NodeID{"a", "b", "c"}
+			calls, renewed := map[model.NodeID]*call{"a": {}, "b": {}, "c": {}}, map[model.NodeID]model.Instant{}
+			for now := time.Second; now < 60*time.Second; now += time.Duration(random.IntN(700)) * time.Millisecond {
+				vm := names[random.IntN(len(names))]
+				c := calls[vm]
+				if !c.pending {
+					// The store reads its clock some time after the call began.
+					*c = call{read: current, began: now - time.Duration(random.IntN(300))*time.Millisecond, clock: now, pending: true}
+				} else {
+					c.pending = false
+					action, record := duty.Decide(vm, c.read, c.clock)
+					if action == duty.Take && c.read.Version == current.Version {
+						value, err := json.Marshal(record)
+						Expect(err).NotTo(HaveOccurred())
+						current = model.Row{Value: value, Version: current.Version + 1}
+						renewed[vm] = model.Instant(c.began)
+					}
+				}
+				holders := 0
+				for _, name := range names {
+					if duty.Held(renewed[name], model.Instant(now)) {
+						holders++
+					}
+				}
+				Expect(holders).To(BeNumerically("<=", 1), "seed %d at %s", seed, now)
+			}
+		}
+	})
+
 	It("never lets two VMs act at a time, whatever the order of their writes", func() {
 		for seed := range uint64(300) {
 			random := rand.New(rand.NewPCG(seed, 1))
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -229,6 +229,7 @@
 	k.ownRead = now
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	started := bootclock.Now()
 	snapshot, err := k.store.Table(ctx, ownTable)
 	if err != nil {
 		k.storeFailed(err)
@@ -259,7 +260,7 @@
 	k.peers.set(vms)
 	k.reducer.Step(director.VMsKnown{Count: len(vms)})
 	k.register(ctx, own)
-	k.keepDuty(ctx, dutyRow, snapshot.Clock)
+	k.keepDuty(ctx, dutyRow, snapshot.Clock, started)
 }
 
 func (k *Keeper) register(ctx context.Context, row model.Row) {
@@ -283,7 +284,12 @@
 	k.registered = true
 }
 
-func (k *Keeper) keepDuty(ctx context.Context, row model.Row, clock time.Duration) {
+// keepDuty takes or renews the duty when it is due. The row and the store's clock
+// come from a read that began at started.
+//
+// Invariant: a term counts from before the store read its clock, so that a holder
+// gives up before its record expires, however slow the store is.
+func (k *Keeper) keepDuty(ctx context.Context, row model.Row, clock time.Duration, started model.Instant) {
 	action, record := duty.Decide(k.settings.VM, row, clock)
 	if action == duty.Wait {
 		return
@@ -293,8 +299,7 @@
 		logrus.WithError(err).Error("duty record not encoded")
 		return
 	}
-	started := bootclock.Now()
-	held := k.holdsDuty(started)
+	held := k.holdsDuty(bootclock.Now())
 	_, err = k.store.Put(ctx, ownTable, model.Row{Key: dutyKey, Value: value, Version: row.Version})
 	switch {
 	case errors.Is(err, platform.ErrChanged):
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -30,6 +30,15 @@
 		Expect(there.Remaining(0, content)).To(Equal(quarantine.Lapse))
 	})
 
+	It("is new to peers when this node saw it, not when it heard of it", func() {
+		here, there := quarantine.New(), quarantine.New()
+		there.Crashed(0, content, false)
+		Expect(there.Version()).To(BeEquivalentTo(1))
+		here.Heard(0, there.Notes(0))
+		Expect(here.Version()).To(BeZero())
+		Expect(here.Empty()).To(BeFalse())
+	})
+
 	It("is cleared by completing, and not held for crashes it had run past", func() {
 		list := quarantine.New()
 		list.Crashed(0, content, true)
