Send the rank of workspace or route to targets

Operators decide which workspaces and routes are urgent; the ranks were decoded and ordered nothing. Requests on a path now bear the workspace's rank, or the route's where it has none, and targets that are short of room admit the more urgent first.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -171,13 +171,21 @@
 	r.hops, r.diverted, r.waiting, r.sentAt = hops, false, true, now
 	r.sends++
 	s.account(r, 1)
-	out := &Send{Route: r.route, Service: r.service, Hops: hops, TimeLeft: r.ends.Sub(now), Number: r.sends, Predicted: r.predicted}
+	out := &Send{Route: r.route, Service: r.service, Hops: hops, TimeLeft: r.ends.Sub(now), Number: r.sends, Predicted: r.predicted, Priority: r.priority()}
 	if r.workspace != nil {
 		out.Workspace = r.workspace.ID
 	}
 	return out, ""
 }
 
+// priority is the workspace's rank, or the route's where it has none.
+func (r *request) priority() int {
+	if r.workspace != nil && r.workspace.HasPriority {
+		return r.workspace.Priority
+	}
+	return r.route.Priority
+}
+
 // choose returns the targets that the next send of a request passes through, or
 // why there are none.
 func (s *State) choose(now model.Instant, r *request) ([]fleet.Hop, string) {
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -413,6 +413,20 @@
 		Expect(send.Hops).To(HaveLen(2))
 	})
 
+	It("bears the workspace's rank, or the route's where it has none", func() {
+		ranked := config(8)
+		ranked.Routes[0].Priority = 3
+		w.state.Step(w.now, director.ConfigRead{Config: ranked, Started: w.now})
+		_, send := begin()
+		Expect(send.Priority).To(Equal(3))
+		again := config(9)
+		again.Routes[0].Priority = 3
+		again.Workspaces[0].Priority, again.Workspaces[0].HasPriority = 1, true
+		w.state.Step(w.now, director.ConfigRead{Config: again, Started: w.now})
+		_, send = begin()
+		Expect(send.Priority).To(Equal(1))
+	})
+
 	It("goes to another zone when the home zone lacks a layer", func() {
 		delete(w.targets, "a1")
 		w.read()
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -173,6 +173,9 @@
 	TimeLeft time.Duration
 	// Number counts the sends of the request, from 1.
 	Number int
+	// Priority orders requests at a target that is short of room; 0 is the most
+	// urgent.
+	Priority int
 	// Predicted is the expected time to the first event; zero on plain services.
 	Predicted Prediction
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -285,7 +285,7 @@
 		Target: e.Hops[0].Target, Workspace: e.Workspace, Deadline: e.TimeLeft, ResumeAfter: j.request.ResumeAfter,
 	}
 	if e.Layered() {
-		send.Hops = e.Hops
+		send.Hops, send.Priority = e.Hops, e.Priority
 	}
 	if j.lastEvent > 0 {
 		send.ResumeAfter = platform.EventID(j.lastEvent)
