Give up a running send only when the next one is certain

A silent plain request on a suspected target was given up also when its route allowed no further target, and a stream also when the targets that it had used left no head: both ended in a refusal although their target was at work. The random history found it once it checked that what is given up is sent again.

Change: the next send is chosen as if this one had ended, before it is given up. Tests, failed before: a request on its last target, the random history.

--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -131,6 +131,18 @@
 	return alive >= r.route.MaxTargets
 }
 
+// lastTarget is true when the target of the send under way is the last one that
+// the route allows.
+func (s *State) lastTarget(r *request) bool {
+	others := 0
+	for _, one := range r.ran {
+		if one.target != r.hops[0].Target {
+			others++
+		}
+	}
+	return others+1 >= r.route.MaxTargets
+}
+
 // giveUp answers a request that is not sent again. Unless it may have run, the
 // caller is told to come back.
 func (s *State) giveUp(r *request, e SendEnded, status int, why string) *Refuse {
@@ -161,18 +173,24 @@
 	return []Effect{&AskReport{Target: head.ID, Address: head.Address}}
 }
 
+// divert gives up a send that still runs, when another is possible and paid for.
+//
+// Invariant: what may not be sent again is never given up for a target's silence.
 func (s *State) divert(now model.Instant, r *request, hop fleet.Hop) []Effect {
 	if !r.route.Repeatable() || r.ends.Sub(now) < leastTime || r.sends >= maxSends {
 		return nil
 	}
+	if r.service.Engine == nil && s.lastTarget(r) || s.quarantined(now, r) > 0 {
+		return nil
+	}
+	// The next send is chosen as if this one had ended, and must be paid for.
+	before := r.ran
+	s.noteRun(r)
 	hops, _ := s.choose(now, r)
-	if hops == nil || slices.Equal(hops, r.hops) {
+	if hops == nil || slices.Equal(hops, r.hops) || !s.budget.Take(now, r.service.ID) {
+		r.ran = before
 		return nil // nowhere else to go: the targets may recover
 	}
-	// A stream that still runs is given up only for a send that is paid for.
-	if !s.budget.Take(now, r.service.ID) {
-		return nil
-	}
 	r.diverted, r.prepaid = true, true
 	return []Effect{&Divert{Reason: "target " + string(hop.Target) + " on its path is at fault"}}
 }
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -280,6 +280,19 @@
 		refused(w.ended(id, director.Lost))
 	})
 
+	// Pattern: a target is suspected while it works on what may go nowhere else.
+	It("gives up no silent request that its route forbids to send again", func() {
+		w.add("o3", orders, "a", 0, 0)
+		w.read()
+		id, e := w.arrive("/r/x")
+		silent := func(send *director.Send) director.Effect {
+			w.state.Step(w.now, director.ReportRead{Target: send.Hops[0].Target})
+			return last(w.state.Step(w.now, director.Quiet{ID: id, For: 400 * time.Millisecond}))
+		}
+		Expect(silent(sent(e))).To(BeAssignableToTypeOf(&director.Divert{}))
+		Expect(silent(sent(w.ended(id, director.Diverted)))).To(BeNil())
+	})
+
 	It("tells the caller of a request that has not run when to return", func() {
 		for id := range w.targets {
 			w.change(id, func(t *fleet.Target) { t.State = fleet.TargetDraining })
--- a/internal/director/walk_test.go
+++ b/internal/director/walk_test.go
@@ -205,7 +205,9 @@
 	case n < 5:
 		e := last(w.state.Step(w.now, director.Quiet{ID: r.id, For: time.Duration(w.rand.IntN(900)) * time.Millisecond}))
 		if _, ok := e.(*director.Divert); ok {
+			number := r.sent.Number
 			w.end(r, director.Diverted)
+			Expect(r.sent.Number).To(Equal(number+1), "given up and not sent again, "+w.describe())
 		}
 	case n < 7:
 		w.state.Step(w.now, director.Finished{ID: r.id, Delivered: w.rand.IntN(2) == 0})
