Drop reads of a store that was left; send shared load in compact form, encoded once

Messages between VMs name each load by four numbers in place of four named fields and are encoded once, not once for each receiver: bytes between zones are priced and grow with the VMs. Tests: a round trip, a thousand targets in one datagram.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -152,7 +152,7 @@
 func (k *Keeper) readConfig(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	started := bootclock.Now()
+	store, started := k.view.reading(), bootclock.Now()
 	row, err := k.store.Config(ctx)
 	if err != nil {
 		k.storeFailed(err)
@@ -171,7 +171,7 @@
 		return
 	}
 	k.reducer.Step(director.ConfigRead{Config: config, Started: started})
-	k.view.replaceConfig(row.Version, started)
+	k.view.replaceConfig(store, row.Version, started)
 }
 
 func (k *Keeper) storeFailed(err error) {
@@ -192,7 +192,7 @@
 func (k *Keeper) readTargets(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	started := bootclock.Now()
+	store, started := k.view.reading(), bootclock.Now()
 	snapshot, err := k.store.Targets(ctx)
 	if err != nil {
 		k.storeFailed(err)
@@ -210,7 +210,7 @@
 	}
 	k.reducer.Step(read)
 	k.lastTargets = read
-	k.view.replaceTargets(snapshot.Rows, started)
+	k.view.replaceTargets(store, snapshot.Rows, started)
 }
 
 // vmRecord is what a VM says of itself in the store.
--- /dev/null
+++ b/internal/keeper/message_test.go
@@ -0,0 +1,42 @@
+package keeper
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tamarackreach/internal/director"
+	"tamarackreach/internal/event"
+	"tamarackreach/internal/model"
+)
+
+var _ = Describe("a message to other VMs", func() {
+	It("arrives as it was shared", func() {
+		share := director.PeerHeard{
+			VM:       "vm-1",
+			Loads:    map[model.TargetID]director.Load{"t1": {Requests: 3, TokenLayers: 12345, Waiting: 2, First: 1}},
+			Suspects: map[model.TargetID]director.Suspicion{"t2": {Left: time.Second, Age: 20 * time.Millisecond, Refuses: true}},
+			Paces:    map[model.TargetID]float64{"t3": 12},
+			Crashers: []event.QuarantineNote{{Fingerprint: 7, Crashes: 2, Quarantined: true, Remaining: time.Minute}},
+		}
+		text, err := json.Marshal(shareMessage(share))
+		Expect(err).NotTo(HaveOccurred())
+		var message peerMessage
+		Expect(json.Unmarshal(text, &message)).To(Succeed())
+		Expect(message.heard()).To(Equal(share))
+	})
+
+	// Pattern: a VM has requests on every target of a large zone.
+	It("fits a datagram with load on a thousand targets", func() {
+		share := director.PeerHeard{VM: "front-zone-a-12", Loads: map[model.TargetID]director.Load{}}
+		for i := range 1000 {
+			share.Loads[model.TargetID(fmt.Sprintf("i-%010d", i))] = director.Load{Requests: 120, TokenLayers: 1e6, Waiting: 10, First: 60}
+		}
+		text, err := json.Marshal(shareMessage(share))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(text)).To(BeNumerically("<", maxMessageBytes))
+	})
+})
--- a/internal/keeper/peers.go
+++ b/internal/keeper/peers.go
@@ -13,7 +13,6 @@
 
 	"tamarackreach/internal/bootclock"
 	"tamarackreach/internal/director"
-	"tamarackreach/internal/event"
 	"tamarackreach/internal/front"
 	"tamarackreach/internal/model"
 	"tamarackreach/platform"
@@ -36,29 +35,6 @@
 	maxMessageBytes = 60 << 10
 )
 
-// peerMessage is a datagram between VMs.
-type peerMessage struct {
-	VM    model.NodeID                     `json:"vm"`
-	Loads map[model.TargetID]director.Load `json:"loads"`
-	// Suspects are the targets that it found at fault.
-	Suspects map[model.TargetID]suspicion `json:"suspects,omitempty"`
-	// Paces are the targets of its zone that are slow.
-	Paces map[model.TargetID]float64 `json:"paces,omitempty"`
-	// Crashers is content of requests that crashed targets.
-	Crashers []event.QuarantineNote `json:"crashers,omitempty"`
-	// Ask is the number of a question for what the VM last saw of the store, and
-	// Seen the answer to it; such a message carries nothing else.
-	Ask  uint64 `json:"ask,omitempty"`
-	Seen *seen  `json:"seen,omitempty"`
-}
-
-// suspicion is a director.Suspicion in milliseconds.
-type suspicion struct {
-	LeftMs  int64 `json:"left_ms"`
-	AgeMs   int64 `json:"age_ms"`
-	Refuses bool  `json:"refuses,omitempty"`
-}
-
 // peers shares load and faults with other VMs. A lost message only makes the
 // view older.
 type peers struct {
@@ -178,6 +154,10 @@
 		logrus.WithError(err).Error("peer message not encoded")
 		return
 	}
+	p.write(to, text)
+}
+
+func (p *peers) write(to net.Addr, text []byte) {
 	if _, err := p.conn.WriteTo(text, to); err != nil {
 		logrus.WithError(err).Debug("peer message not sent")
 	}
@@ -214,12 +194,13 @@
 	}
 	var share director.PeerHeard
 	p.reducer.Read(func(s *director.State) { share = s.Share(bootclock.Now()) })
-	message := peerMessage{VM: share.VM, Loads: share.Loads, Paces: share.Paces, Crashers: share.Crashers, Suspects: map[model.TargetID]suspicion{}}
-	for id, s := range share.Suspects {
-		message.Suspects[id] = suspicion{LeftMs: s.Left.Milliseconds(), AgeMs: s.Age.Milliseconds(), Refuses: s.Refuses}
+	text, err := json.Marshal(shareMessage(share))
+	if err != nil {
+		logrus.WithError(err).Error("peer message not encoded")
+		return
 	}
 	for _, address := range to {
-		p.post(address, message)
+		p.write(address, text)
 	}
 }
 
@@ -254,12 +235,6 @@
 			p.post(from, peerMessage{VM: p.settings.VM, Ask: message.Ask, Seen: p.view.state(bootclock.Now())})
 			continue
 		}
-		heard := director.PeerHeard{VM: message.VM, Loads: message.Loads, Paces: message.Paces, Crashers: message.Crashers, Suspects: map[model.TargetID]director.Suspicion{}}
-		for id, s := range message.Suspects {
-			heard.Suspects[id] = director.Suspicion{
-				Left: time.Duration(s.LeftMs) * time.Millisecond, Age: time.Duration(s.AgeMs) * time.Millisecond, Refuses: s.Refuses,
-			}
-		}
-		p.reducer.Step(heard)
+		p.reducer.Step(message.heard())
 	}
 }
--- a/internal/keeper/view.go
+++ b/internal/keeper/view.go
@@ -28,7 +28,10 @@
 	mu sync.Mutex
 	// interval is how often the store is read; what a lead saw longer ago than
 	// that is read again.
-	interval    time.Duration
+	interval time.Duration
+	// store counts the stores that were read: what a read of an earlier one gives
+	// is dropped.
+	store       int
 	configRow   model.RowVersion
 	configAt    model.Instant
 	targetsHash uint64
@@ -45,9 +48,17 @@
 func (v *view) forget() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.store++
 	v.configRow, v.targetsHash, v.targetsAt = 0, 0, 0
 }
 
+// reading returns the number of the store that a read which begins now goes to.
+func (v *view) reading() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.store
+}
+
 // state returns what the zone may hear.
 func (v *view) state(now model.Instant) *seen {
 	v.mu.Lock()
@@ -87,13 +98,16 @@
 	return true
 }
 
-func (v *view) replaceConfig(row model.RowVersion, started model.Instant) {
+func (v *view) replaceConfig(store int, row model.RowVersion, started model.Instant) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if store != v.store {
+		return
+	}
 	v.configRow, v.configAt = row, started
 }
 
-func (v *view) replaceTargets(rows []model.Row, started model.Instant) {
+func (v *view) replaceTargets(store int, rows []model.Row, started model.Instant) {
 	hash := xxhash.New()
 	for _, row := range rows {
 		// Writing to a hash never fails.
@@ -102,5 +116,8 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if store != v.store {
+		return
+	}
 	v.targetsHash, v.targetsAt = hash.Sum64(), started
 }
--- a/internal/keeper/view_test.go
+++ b/internal/keeper/view_test.go
@@ -20,8 +20,8 @@
 	rows := []model.Row{{Key: "a", Version: 1}, {Key: "b", Version: 2}}
 	newView := func(row model.RowVersion, rows []model.Row) *view {
 		v := &view{interval: time.Second}
-		v.replaceConfig(row, start)
-		v.replaceTargets(rows, start)
+		v.replaceConfig(v.reading(), row, start)
+		v.replaceTargets(v.reading(), rows, start)
 		return v
 	}
 
@@ -56,4 +56,15 @@
 		Expect(v.state(start.Add(700 * time.Millisecond)).ConfigAgeMs).To(BeEquivalentTo(400))
 		Expect(v.confirmConfig(5, start.Add(900*time.Millisecond))).To(BeFalse())
 	})
+
+	// Pattern: the store's address changes while a read of the old one is under way.
+	It("takes nothing from a store that was left", func() {
+		v := newView(4, rows)
+		old := v.reading()
+		v.forget()
+		v.replaceConfig(old, 4, start)
+		v.replaceTargets(old, rows, start)
+		Expect(v.confirmConfig(4, start)).To(BeFalse())
+		Expect(v.sameTargets(newView(4, rows).state(start))).To(BeFalse())
+	})
 })
