Refuse content only after three targets ended under it, for seconds at first, and clear it by an answer

Many callers send the same content there; it was on several targets that crashed, and each lost answer counted, also several of one target.

Change: a target counts once; three must have ended; an answer to the same content clears it and what waits for confirmation; the first pause is ten seconds, each further crash doubles it, and after a pause the content may run again. A request that crashes whatever runs it reaches targets at most three times more in a minute.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -69,8 +69,8 @@
 	if r.service == nil {
 		return refuse(http.StatusServiceUnavailable, spread(unknownReturn, e.Random), "the route's service is not in the configuration")
 	}
-	if left := s.quarantined(now, r); left > 0 {
-		return refuse(http.StatusServiceUnavailable, left, whyQuarantined)
+	if left := s.refusedFor(now, r); left > 0 {
+		return refuse(http.StatusServiceUnavailable, left, whyCrashes)
 	}
 	s.requests[req.ID] = r
 	send, why := s.send(now, r)
@@ -147,10 +147,10 @@
 }
 
 const (
-	whyHole        = "a layer of the model has no usable target"
-	whyNobody      = "the service has no usable target"
-	whyLate        = "the targets of the service have too many prompts to read"
-	whyQuarantined = "targets that ran this content crashed"
+	whyHole    = "a layer of the model has no usable target"
+	whyNobody  = "the service has no usable target"
+	whyLate    = "the targets of the service have too many prompts to read"
+	whyCrashes = "targets that ran this content crashed"
 
 	whyFull = "the targets of the service are full"
 )
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -27,6 +27,7 @@
 		return nil
 	}
 	if e.Delivered {
+		s.completed(r)
 		for _, hop := range r.hops {
 			if t := s.targets[hop.Target]; t != nil {
 				t.served(now, r.sentAt)
@@ -91,8 +92,8 @@
 		return s.giveUp(r, e, http.StatusGatewayTimeout, "the time of the request is over")
 	case mayHaveRun && !r.route.Repeatable():
 		return s.giveUp(r, e, http.StatusBadGateway, "the request may have run and may not be repeated")
-	case s.quarantined(now, r) > 0:
-		return s.giveUp(r, e, http.StatusBadGateway, whyQuarantined)
+	case s.refusedFor(now, r) > 0:
+		return s.giveUp(r, e, http.StatusBadGateway, whyCrashes)
 	case r.sends >= maxSends || s.targetsSpent(r) && r.service.Engine == nil:
 		return s.giveUp(r, e, http.StatusBadGateway, "the request was sent as often as its route allows")
 	case !r.prepaid && !s.budget.Take(now, r.service.ID):
@@ -180,7 +181,7 @@
 	if !r.route.Repeatable() || r.ends.Sub(now) < leastTime || r.sends >= maxSends {
 		return nil
 	}
-	if r.service.Engine == nil && s.lastTarget(r) || s.quarantined(now, r) > 0 {
+	if r.service.Engine == nil && s.lastTarget(r) || s.refusedFor(now, r) > 0 {
 		return nil
 	}
 	// The next send is chosen as if this one had ended, and must be paid for.
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -6,7 +6,6 @@
 import (
 	"time"
 
-	"tamarackreach/internal/event"
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
 )
@@ -120,8 +119,8 @@
 	Suspects map[model.TargetID]Suspicion
 	// Paces are the targets that it found slow; 1 is normal.
 	Paces map[model.TargetID]float64
-	// Crashers is content of requests that crashed targets.
-	Crashers []event.QuarantineNote
+	// Crashes are targets that ended lately under a content.
+	Crashes []Crash
 }
 
 // Suspicion is a VM's belief that a target is at fault.
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -8,7 +8,6 @@
 
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
-	"tamarackreach/internal/quarantine"
 	"tamarackreach/internal/retrybudget"
 )
 
@@ -51,7 +50,7 @@
 	// losses wait for a confirmation that their targets crashed; crashers is what
 	// did so again and again.
 	losses   []loss
-	crashers *quarantine.List
+	crashers map[model.Fingerprint]*crasher
 	// terminating is when the process was asked to stop; 0 before.
 	terminating model.Instant
 }
@@ -100,7 +99,7 @@
 		settings: s, targets: map[model.TargetID]*target{}, byAddress: map[string]*target{},
 		byService: map[model.ServiceID][]*target{}, requests: map[model.RequestID]*request{},
 		peers: map[model.NodeID]*peer{}, vms: 1, budget: retrybudget.New(s.Retries),
-		crashers: quarantine.New(),
+		crashers: map[model.Fingerprint]*crasher{},
 	}
 }
 
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -75,20 +75,8 @@
 	// returnTime is how soon a live target's registration is back after the store
 	// was away: two seconds as the platform promises, and a poll.
 	returnTime = 2700 * time.Millisecond
-	// firstSuspicion is how long a target that failed is left out; twice a
-	// round of stream events, so that new work sees the fault end.
-	firstSuspicion = 400 * time.Millisecond
-	// longestSuspicion bounds the doubling: about three heartbeats, after which
-	// the registration of a dead target is removed.
-	longestSuspicion = 3 * time.Second
-	// hearsayDelay is how long answers that a target gave before its fault may
-	// still be on their way: the passes and the wire behind it.
-	hearsayDelay = 50 * time.Millisecond
 	// wantedFor is how long a target that a path was missing for is looked at.
 	wantedFor = time.Second
-	// movedMemory is how long others may still name a target for layers that it
-	// gave up: the age of a report, and the time until streams there are moved.
-	movedMemory = time.Second
 	// peerMemory is how long a peer's word counts: ten of its messages.
 	peerMemory = 2 * time.Second
 )
@@ -193,41 +181,11 @@
 // usable reports whether new work should go to the target.
 func (t *target) usable(now model.Instant) bool { return t.serving() && now >= t.suspectUntil }
 
-// answersAgain reports whether a target under suspicion has answered for its
-// report since the fault. Such a target is used when nothing else holds its layers.
-func (t *target) answersAgain() bool {
-	return t.serving() && !t.refuses && t.answeredAt > t.suspectedAt
-}
-
-// served notes that the target had a part in a whole answer to a request that was
-// sent to it at sentAt. Requests from before a fault do not show that it is over.
-func (t *target) served(now, sentAt model.Instant) {
-	if sentAt > t.suspectedAt {
-		t.strikes = 0
-	}
-	t.sound(now)
-}
-
-// sound notes that an answer came through the target. What others saw before
-// that is overruled; faults that this VM saw itself stand.
-func (t *target) sound(now model.Instant) {
-	t.soundAt = now
-	if t.hearsay && now.Sub(t.suspectedAt) > hearsayDelay {
-		t.suspectUntil, t.hearsay = 0, false
-	}
-}
-
 // runs reports whether the target still holds the layers of a hop.
 func (t *target) runs(hop fleet.Hop) bool {
 	return t.Held.First <= hop.Layers.First && hop.Layers.End <= t.Held.End
 }
 
-// justMoved is true while faults that others name may concern layers that the
-// target no longer holds.
-func (t *target) justMoved(now model.Instant) bool {
-	return t.heldSince != 0 && now.Sub(t.heldSince) < movedMemory
-}
-
 // silentWhenDead is the number of requests for its report in a row that a
 // target leaves unanswered before its layers are placed elsewhere.
 const silentWhenDead = 2
@@ -271,41 +229,17 @@
 	return effects
 }
 
-// fault is a reason to leave a target out for a while.
-type fault struct {
-	why string
-	// least is the least time for which the target is left out.
-	least time.Duration
-	// hearsay is true when others saw it.
-	hearsay bool
-	// refuses is true when the target answered that it takes nothing.
-	refuses bool
-}
-
-// suspect leaves a target out for a while.
-func (s *State) suspect(now model.Instant, t *target, f fault) Effect {
-	fresh := now >= t.suspectUntil
-	t.hearsay = f.hearsay && (fresh || t.hearsay)
-	t.refuses = f.refuses
-	t.suspectedAt = now
-	period := min(firstSuspicion<<min(t.strikes, 8), longestSuspicion)
-	t.suspectUntil = max(t.suspectUntil, now.Add(max(period, f.least)))
-	if !fresh {
-		return nil
-	}
-	t.strikes++
-	return &Changed{What: "target suspected", Subject: string(t.ID), Detail: f.why}
-}
-
 func (s *State) peerHeard(now model.Instant, e PeerHeard) []Effect {
 	s.peers[e.VM] = &peer{heard: now, loads: e.Loads}
-	s.crashers.Heard(now, e.Crashers)
 	for id, pace := range e.Paces {
 		if t := s.targets[id]; t != nil {
 			t.pace, t.paced = pace, now
 		}
 	}
 	var effects []Effect
+	for _, c := range e.Crashes {
+		effects = append(effects, effect(s.crashed(now, c.Content, run{target: c.Target, born: c.Born}))...)
+	}
 	for id, suspicion := range e.Suspects {
 		if t := s.targets[id]; t != nil {
 			effects = append(effects, effect(s.hear(now, t, suspicion, e.VM))...)
@@ -314,25 +248,6 @@
 	return effects
 }
 
-// hear takes over another VM's suspicion, unless answers came through the target
-// to this VM since the other saw the fault: the other may be cut off itself.
-func (s *State) hear(now model.Instant, t *target, heard Suspicion, from model.NodeID) Effect {
-	at := now.Add(-heard.Age)
-	if heard.Left <= 0 || t.soundAt > at || t.heldSince > at {
-		return nil
-	}
-	fresh := now >= t.suspectUntil
-	t.hearsay, t.refuses = fresh || t.hearsay, heard.Refuses
-	t.suspectedAt = max(t.suspectedAt, at)
-	t.suspectUntil = max(t.suspectUntil, now.Add(min(heard.Left, longestSuspicion)))
-	if !fresh {
-		return nil
-	}
-	return &Changed{
-		What: "target suspected", Subject: string(t.ID), Detail: "heard from " + string(from) + ", fault seen " + heard.Age.String() + " ago",
-	}
-}
-
 // load is the work of all VMs on a target, as far as it was heard.
 func (s *State) load(now model.Instant, t *target) Load {
 	l := t.own
@@ -353,7 +268,7 @@
 func (s *State) Share(now model.Instant) PeerHeard {
 	out := PeerHeard{
 		VM: s.settings.VM, Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
-		Paces: map[model.TargetID]float64{}, Crashers: s.crasherNotes(now),
+		Paces: map[model.TargetID]float64{}, Crashes: s.freshCrashes(now),
 	}
 	for id, t := range s.targets {
 		if t.own.Requests > 0 {
--- a/internal/keeper/message.go
+++ b/internal/keeper/message.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"tamarackreach/internal/director"
-	"tamarackreach/internal/event"
 	"tamarackreach/internal/model"
 )
 
@@ -16,8 +15,8 @@
 	Suspects map[model.TargetID]suspicion `json:"suspects,omitempty"`
 	// Paces are the targets of its zone that are slow.
 	Paces map[model.TargetID]float64 `json:"paces,omitempty"`
-	// Crashers is content of requests that crashed targets.
-	Crashers []event.QuarantineNote `json:"crashers,omitempty"`
+	// Crashes are targets that ended lately under a content.
+	Crashes []director.Crash `json:"crashes,omitempty"`
 	// Ask is the number of a question for what the VM last saw of the store, and
 	// Seen the answer to it; such a message carries nothing else.
 	Ask  uint64 `json:"ask,omitempty"`
@@ -46,7 +45,7 @@
 // shareMessage encodes what a VM shares.
 func shareMessage(share director.PeerHeard) peerMessage {
 	message := peerMessage{
-		VM: share.VM, Loads: make(map[model.TargetID]load, len(share.Loads)), Paces: share.Paces, Crashers: share.Crashers,
+		VM: share.VM, Loads: make(map[model.TargetID]load, len(share.Loads)), Paces: share.Paces, Crashes: share.Crashes,
 		Suspects: make(map[model.TargetID]suspicion, len(share.Suspects)),
 	}
 	for id, l := range share.Loads {
@@ -61,7 +60,7 @@
 // heard decodes what another VM shared.
 func (m *peerMessage) heard() director.PeerHeard {
 	out := director.PeerHeard{
-		VM: m.VM, Loads: make(map[model.TargetID]director.Load, len(m.Loads)), Paces: m.Paces, Crashers: m.Crashers,
+		VM: m.VM, Loads: make(map[model.TargetID]director.Load, len(m.Loads)), Paces: m.Paces, Crashes: m.Crashes,
 		Suspects: make(map[model.TargetID]director.Suspicion, len(m.Suspects)),
 	}
 	for id, l := range m.Loads {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -66,9 +66,6 @@
 // Version grows when peers are to hear at once of something new.
 func (l *List) Version() uint64 { return l.version }
 
-// Empty is true when nothing is known of any content.
-func (l *List) Empty() bool { return len(l.records) == 0 }
-
 // FingerprintOf returns the fingerprint of a request's content.
 func FingerprintOf(workspace model.WorkspaceID, name model.ModelName, prompt string) model.Fingerprint {
 	digest := xxhash.New()
