--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -132,6 +132,18 @@
 	return alive >= r.route.MaxTargets
 }
 
+// lastTarget is true when the target of the send under way is the last one that
+// the route allows.
+func (s *State) lastTarget(r *request) bool {
+	others := 0
+	for _, one := range r.ran {
+		if one.target != r.hops[0].Target {
+			others++
+		}
+	}
+	return others+1 >= r.route.MaxTargets
+}
+
 // giveUp answers a request that is not sent again. Unless it may have run, the
 // caller is told to come back.
 func (s *State) giveUp(r *request, e SendEnded, status int, why string) *Refuse {
@@ -169,15 +181,14 @@
 	if !r.route.Repeatable() || r.ends.Sub(now) < leastTime || r.sends >= maxSends {
 		return nil
 	}
-	if s.refusedFor(now, r) > 0 {
+	if r.service.Engine == nil && s.lastTarget(r) || s.refusedFor(now, r) > 0 {
 		return nil
 	}
 	// The next send is chosen as if this one had ended, and must be paid for.
 	before := r.ran
 	s.noteRun(r)
 	hops, _ := s.choose(now, r)
-	// With its targets spent, a send that is rejected would be the request's end.
-	if s.targetsSpent(r) || hops == nil || slices.Equal(hops, r.hops) || !s.budget.Take(now, r.service.ID) {
+	if hops == nil || slices.Equal(hops, r.hops) || !s.budget.Take(now, r.service.ID) {
 		r.ran = before
 		return nil // nowhere else to go: the targets may recover
 	}
