Refuse plain requests when the process is about to end

Change: a stopping VM refuses plain requests as not run two seconds before its end, as it refuses streams earlier.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -26,6 +26,9 @@
 	// lastStreams is how long after it was asked to stop a VM begins streams: a
 	// usual one ends well before the process is killed, eight seconds after.
 	lastStreams = 2 * time.Second
+	// lastCalls is how long before the end of the process a stopping VM takes its
+	// last plain requests: several times what a usual one takes.
+	lastCalls = 2 * time.Second
 	// movingReturn is when a caller of a stopping VM is told to return: another VM
 	// takes its next connection.
 	movingReturn = 100 * time.Millisecond
@@ -57,8 +60,8 @@
 		}
 		return refuse(http.StatusNotFound, 0, "no route matches host and path in configuration "+version(s.config.Version))
 	}
-	if s.terminating != 0 && route.Kind == fleet.Stream && now.Sub(s.terminating) > lastStreams {
-		return refuse(http.StatusServiceUnavailable, spread(movingReturn, e.Random), "the VM is stopping; a stream would be cut")
+	if s.stopsBefore(now, route) {
+		return refuse(http.StatusServiceUnavailable, spread(movingReturn, e.Random), "the VM is stopping; the request would be cut")
 	}
 	workspace, denial := s.authorize(now, route, req, e.Random)
 	if denial != nil {
@@ -86,6 +89,18 @@
 	return []Effect{send}
 }
 
+// stopsBefore is true when a request that comes now may outlast the process.
+func (s *State) stopsBefore(now model.Instant, route *fleet.Route) bool {
+	if s.terminating == 0 {
+		return false
+	}
+	stopping := now.Sub(s.terminating)
+	if route.Kind == fleet.Stream {
+		return stopping > lastStreams
+	}
+	return s.settings.Grace > 0 && stopping > s.settings.Grace-lastCalls
+}
+
 // timeFor returns how long a request may take: the caller's time or the route's,
 // whichever is shorter.
 func timeFor(req *fleet.Request, route *fleet.Route) time.Duration {
--- a/internal/director/paths_test.go
+++ b/internal/director/paths_test.go
@@ -132,6 +132,24 @@
 		sent(e)
 	})
 
+	// Pattern: callers keep connections open to a VM that is about to be killed
+	// (linha-dourada, mix, seed 783840168813).
+	It("takes no request that the end of the process would cut", func() {
+		w.add("o1", orders, "a", 0, 0)
+		w.state.Step(w.now, director.SettingsChanged{Settings: director.Settings{
+			Grace: 8 * time.Second, ConfigApply: 2 * time.Second, Revoke: time.Minute, Stall: 2500 * time.Millisecond,
+		}})
+		w.read()
+		w.state.Step(w.now, director.Terminating{})
+		w.pass(5 * time.Second)
+		_, e := w.arrive("/p/x")
+		sent(e)
+		w.pass(2 * time.Second)
+		_, e = w.arrive("/p/x")
+		Expect(refused(e).Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(refused(e).RetryAfter).To(BeNumerically(">", 0))
+	})
+
 	It("leaves a stream alone whose path is sound", func() {
 		id, _ := begin()
 		Expect(w.state.Step(w.now, director.Quiet{ID: id, For: 100 * time.Millisecond})).To(BeEmpty())
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -19,6 +19,9 @@
 	ConfigApply time.Duration
 	// Revoke is how soon a removed key must be refused; 0 when not enforced.
 	Revoke time.Duration
+	// Grace is the time between the request to stop and the end of the process; 0
+	// when not known.
+	Grace time.Duration
 	// Stall is how long a path waits for a dead target before it is cut off.
 	Stall time.Duration
 	// Retries bounds repeated sends over all VMs.
--- a/internal/frontd/frontd.go
+++ b/internal/frontd/frontd.go
@@ -71,6 +71,7 @@
 func deciding(s *platform.Settings) director.Settings {
 	return director.Settings{
 		VM: s.VM, Zone: s.Zone, ConfigApply: s.Bounds.ConfigApply, Revoke: s.Bounds.Revoke, Stall: s.Bounds.Stall,
+		Grace:   s.Bounds.Grace,
 		Retries: retrybudget.Settings{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
 	}
 }
