Let a begun stream wait for a path instead of breaking it off

A stream that moves off a path at fault was rejected by targets that were full or had just given their layers up, and was broken off within milliseconds although it had seconds left: no path, four rejections in a row, or the retry budget spent.

Change: a stream that its caller has begun to read waits 200 ms at a time, two seconds at most, and is sent again once there is a path and the budget pays. A request that has not begun is refused at once as before.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -242,6 +242,7 @@
 	if r == nil || !r.waiting {
 		return
 	}
+	r.begun = true
 	for _, hop := range r.hops {
 		if t := s.targets[hop.Target]; t != nil {
 			t.own.Waiting--
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -19,6 +19,10 @@
 	// deadFor is how long a target that paths wait for is left out at least: the
 	// time a path itself waits for a dead target.
 	deadFor = 2500 * time.Millisecond
+	// pathWait is how long a stream that has begun waits before a path is looked for
+	// again, and maxWaits how often: two seconds, in which its caller stays.
+	pathWait = 200 * time.Millisecond
+	maxWaits = 10
 )
 
 func (s *State) finished(now model.Instant, e Finished) []Effect {
@@ -94,17 +98,55 @@
 		return s.giveUp(r, e, http.StatusBadGateway, "the request may have run and may not be repeated")
 	case s.refusedFor(now, r) > 0:
 		return s.giveUp(r, e, http.StatusBadGateway, whyCrashes)
-	case r.sends >= maxSends || s.targetsSpent(r) && r.service.Engine == nil:
+	case r.sends >= maxSends && !r.mayWait(now) || s.targetsSpent(r) && r.service.Engine == nil:
 		return s.giveUp(r, e, http.StatusBadGateway, "the request was sent as often as its route allows")
-	case !r.prepaid && !s.budget.Take(now, r.service.ID):
-		return s.giveUp(r, e, http.StatusBadGateway, "the retry budget is spent")
+	case r.sends >= maxSends:
+		return r.wait("the targets rejected it")
 	}
-	r.prepaid = false
-	send, why := s.send(now, r)
-	if send == nil {
-		return s.giveUp(r, e, http.StatusBadGateway, why)
+	return s.resend(now, r, e)
+}
+
+// mayWait is true for a stream that its caller has begun to read, which must not
+// break off for what may be over soon, within bounds.
+func (r *request) mayWait(now model.Instant) bool {
+	return r.begun && r.waits < maxWaits && r.ends.Sub(now) > pathWait+leastTime
+}
+
+func (r *request) wait(why string) Effect {
+	r.waits++
+	return &Wait{For: pathWait, Reason: why}
+}
+
+// resend sends a request again, when the retry budget pays. A stream that its caller has begun to read waits a
+// while for a path: layers that are missing are placed anew within seconds.
+func (s *State) resend(now model.Instant, r *request, e SendEnded) Effect {
+	why := "the retry budget is spent"
+	if r.prepaid || s.budget.Take(now, r.service.ID) {
+		r.prepaid = true
+		var send *Send
+		if send, why = s.send(now, r); send != nil {
+			r.prepaid = false
+			return send
+		}
+	}
+	if r.mayWait(now) {
+		return r.wait(why)
+	}
+	return s.giveUp(r, e, http.StatusBadGateway, why)
+}
+
+// waited goes on with a request that waited for a path.
+func (s *State) waited(now model.Instant, e Waited) []Effect {
+	r := s.requests[e.ID]
+	if r == nil {
+		return nil
+	}
+	r.random = e.Random
+	next := s.resend(now, r, SendEnded{ID: e.ID, Random: e.Random})
+	if _, refused := next.(*Refuse); refused {
+		delete(s.requests, e.ID)
 	}
-	return send
+	return []Effect{next}
 }
 
 // noteRun remembers that the first target of the request's path may have run it.
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -87,6 +87,13 @@
 	For time.Duration
 }
 
+// Waited says that the time of a Wait has passed.
+type Waited struct {
+	ID model.RequestID
+	// Random spreads the times at which refused callers return.
+	Random float64
+}
+
 // Finished ends a request, however it went.
 type Finished struct {
 	ID model.RequestID
@@ -151,6 +158,7 @@
 func (Began) event()           {}
 func (Quiet) event()           {}
 func (Finished) event()        {}
+func (Waited) event()          {}
 func (ReportRead) event()      {}
 func (ProbeDue) event()        {}
 func (PeerHeard) event()       {}
@@ -192,6 +200,13 @@
 	Detail string
 }
 
+// Wait holds a stream that has begun until a path is looked for again; a Waited
+// follows.
+type Wait struct {
+	For    time.Duration
+	Reason string
+}
+
 // Divert gives up the send of a request; a SendEnded with Diverted follows.
 type Divert struct{ Reason string }
 
@@ -208,6 +223,7 @@
 
 func (*Send) effect()      {}
 func (*Refuse) effect()    {}
+func (*Wait) effect()      {}
 func (*Divert) effect()    {}
 func (*AskReport) effect() {}
 func (*Changed) effect()   {}
--- a/internal/director/paths_test.go
+++ b/internal/director/paths_test.go
@@ -1,6 +1,7 @@
 package director_test
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -150,6 +151,83 @@
 		Expect(refused(e).RetryAfter).To(BeNumerically(">", 0))
 	})
 
+	// Pattern: a begun stream breaks while a layer of its model is being placed
+	// anew (linha-dourada, mix, seed 244455172231).
+	It("lets a begun stream wait for a path, but no request that has not begun", func() {
+		id, _ := begin()
+		for _, hole := range []model.TargetID{"a2", "a3", "b2"} {
+			w.change(hole, func(t *fleet.Target) { t.Held = model.LayerRange{} })
+		}
+		w.read()
+		wait, ok := w.ended(id, director.Broken).(*director.Wait)
+		Expect(ok).To(BeTrue())
+		w.pass(wait.For)
+		Expect(last(w.state.Step(w.now, director.Waited{ID: id}))).To(BeAssignableToTypeOf(wait))
+		w.change("a2", func(t *fleet.Target) { t.Held = model.LayerRange{First: 40, End: 80} })
+		w.read()
+		w.pass(wait.For)
+		sent(last(w.state.Step(w.now, director.Waited{ID: id})))
+
+		w.change("a2", func(t *fleet.Target) { t.Held = model.LayerRange{} })
+		w.read()
+		_, e := w.arrive("/s/x")
+		refused(e)
+		e = w.ended(id, director.Broken)
+		for range 20 {
+			if wait, ok := e.(*director.Wait); ok {
+				w.pass(wait.For)
+				e = last(w.state.Step(w.now, director.Waited{ID: id}))
+			}
+		}
+		Expect(refused(e).Status).To(Equal(http.StatusBadGateway), "it does not wait for ever")
+	})
+
+	// Pattern: targets shed and lose their layers one after the other, and reject a
+	// begun stream several times within milliseconds (linha-dourada, mix, seed
+	// 517295667735).
+	It("breaks no begun stream off for rejections in a row", func() {
+		id, _ := begin()
+		e := w.ended(id, director.Broken)
+		sends := 1
+		for sends < 6 {
+			switch next := e.(type) {
+			case *director.Send:
+				sends++
+				e = w.ended(id, director.Rejected)
+			case *director.Wait:
+				w.pass(next.For)
+				e = last(w.state.Step(w.now, director.Waited{ID: id}))
+			default:
+				Fail(fmt.Sprintf("%#v after %d sends", e, sends))
+			}
+		}
+	})
+
+	// Pattern: the retry budget is spent for the moment (linha-dourada, mix, seed
+	// 77961520227).
+	It("lets a begun stream wait for the retry budget, and pays for each send", func() {
+		id, _ := begin()
+		spent := 0
+		for e := w.ended(id, director.Broken); spent == 0; {
+			switch next := e.(type) {
+			case *director.Send:
+				other, e2 := w.arrive("/s/x")
+				sent(e2)
+				for {
+					if _, again := w.ended(other, director.Lost).(*director.Send); !again {
+						break
+					}
+				}
+				e = w.ended(id, director.Rejected)
+			case *director.Wait:
+				spent++
+				Expect(next.For).To(BeNumerically(">", 0))
+			default:
+				Fail(fmt.Sprintf("%#v", e))
+			}
+		}
+	})
+
 	It("leaves a stream alone whose path is sound", func() {
 		id, _ := begin()
 		Expect(w.state.Step(w.now, director.Quiet{ID: id, For: 100 * time.Millisecond})).To(BeEmpty())
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -78,6 +78,10 @@
 	prepaid bool
 	// predicted is the time to the first event on the path that was chosen last.
 	predicted Prediction
+	// begun is true once the caller has the first of an answer.
+	begun bool
+	// waits counts how often the request waited for a path.
+	waits int
 	// waiting is true from the send to the first of the answer.
 	waiting bool
 	// random is uniform in [0,1); it is drawn anew for each send.
@@ -117,8 +121,19 @@
 		s.began(now, e.ID)
 	case Quiet:
 		return s.quiet(now, e)
+	case Waited:
+		return s.waited(now, e)
 	case Finished:
 		return s.finished(now, e)
+	default:
+		return s.learn(now, e)
+	}
+	return nil
+}
+
+// learn applies an event that concerns no single request.
+func (s *State) learn(now model.Instant, e Event) []Effect {
+	switch e := e.(type) {
 	case ConfigRead:
 		return s.configRead(now, e)
 	case TargetsRead:
--- a/internal/director/walk_test.go
+++ b/internal/director/walk_test.go
@@ -157,6 +157,10 @@
 		if e.Status == http.StatusServiceUnavailable {
 			Expect(e.RetryAfter).To(BeNumerically(">", 0), w.describe())
 		}
+	case *director.Wait:
+		Expect(r.begun).To(BeTrue(), w.describe())
+		w.pass(e.For)
+		w.follow(r, last(w.state.Step(w.now, director.Waited{ID: r.id, Random: w.rand.Float64()})))
 	case *director.Send:
 		w.checkSend(r, e)
 		r.sent, r.sentAt, r.divert = e, w.now, false
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -169,6 +169,8 @@
 				panic(http.ErrAbortHandler)
 			}
 			effects = j.front.reducer.Step(*ended)
+		case *director.Wait:
+			effects = j.wait(e)
 		default:
 			j.finish(false, "unknown effect")
 			panic(http.ErrAbortHandler)
@@ -176,6 +178,20 @@
 	}
 }
 
+// wait holds the request until a path is looked for again.
+func (j *job) wait(e *director.Wait) []director.Effect {
+	j.log.WithFields(logrus.Fields{"reason": e.Reason, "for_ms": e.For.Milliseconds()}).Info("request waits")
+	timer := time.NewTimer(e.For)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-j.r.Context().Done():
+		j.finish(false, "abandoned by the caller")
+		panic(http.ErrAbortHandler)
+	}
+	return j.front.reducer.Step(director.Waited{ID: j.request.ID, Random: rand.Float64()})
+}
+
 // contain ends a request whose handling panicked: its load is taken away and its
 // connection is cut, and the process serves on.
 func (j *job) contain() {
