--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -47,10 +47,12 @@
 	metrics string
 }
 
-func startSite() *site {
+// startSite starts a site whose entry VM listens on the host with the number vm; the
+// VMs of one process need different numbers.
+func startSite(vm int) *site {
 	store, err := platformtest.NewStore()
 	Expect(err).NotTo(HaveOccurred())
-	host := platformtest.Host(0, 0)
+	host := platformtest.Host(0, vm)
 	s := &site{store: store, fleet: platformtest.NewFleet(store), client: platformtest.ClientAddress(host), ready: platformtest.ReadyAddress(host), signals: make(chan os.Signal, 1), done: make(chan error, 1)}
 	s.metrics = platformtest.MetricsAddress(host)
 	Expect(store.Put("op", "config", platformtest.Config(1, "key"))).To(Succeed())
@@ -145,7 +147,7 @@
 
 var _ = Describe("an entry VM with a fake store and targets", Ordered, func() {
 	var s *site
-	BeforeAll(func() { s = startSite() })
+	BeforeAll(func() { s = startSite(0) })
 
 	// setFault sets the fault that every target of the plain service injects into all
 	// its requests.
