Start the caller's response with the first delivered event, not with a target's head

What callers saw: a 502 of the router with the signature of a target (MIXED), also with its Content-Type, Cache-Control and other fields.

Cause: forwardStream copied the head of a target's stream into the header map of the caller's response when that head arrived. If the stream ended before its first event, nothing took the fields back. A later refusal, a kept failure or the head of another target's stream was then written over what was there.

Why this works: the type response alone writes to the caller. It takes a head together with the first event, with a complete response or with one of the router's own, and never before. There is nothing left to take back.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -90,13 +90,11 @@
 
 // activeRequest is the state of a request while it is served.
 type activeRequest struct {
-	handler *RequestHandler
-	w       http.ResponseWriter
-	r       *http.Request
-	request *fleet.Request
-	started time.Time
-	// responseStarted is true once a streamed response to the caller has started.
-	responseStarted bool
+	handler  *RequestHandler
+	response response
+	r        *http.Request
+	request  *fleet.Request
+	started  time.Time
 	// streaming is true once the current send has delivered an event.
 	streaming   bool
 	lastEventAt time.Time
@@ -116,13 +114,6 @@
 	log            *logrus.Entry
 }
 
-// bufferedResponse is a complete non-streaming response of a target.
-type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 // ServeHTTP implements http.Handler.
 func (h *RequestHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	request, err := platform.DecodeRequest(r)
@@ -130,7 +121,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	a := &activeRequest{handler: h, w: w, r: r, request: request, started: time.Now()}
+	a := &activeRequest{handler: h, response: response{w: w}, r: r, request: request, started: time.Now()}
 	a.log = logrus.WithField("request", request.ID)
 	var limit int64 = defaultMaxBodyBytes
 	h.reducer.Read(func(s *director.State) {
@@ -224,7 +215,7 @@
 	outcome := "refused"
 	if a.failedResponse != nil {
 		outcome = "answered with the target's failure"
-	} else if a.responseStarted {
+	} else if a.response.started {
 		outcome = "broken off"
 	}
 	a.handler.metrics.requestEnded(outcome, took, a.timeToFirstByte)
@@ -234,12 +225,11 @@
 	}).Info("request ended")
 	switch {
 	case a.failedResponse != nil:
-		a.writeResponse(a.failedResponse)
-	case a.responseStarted:
+		a.writeWhole(a.failedResponse)
+	case a.response.started:
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
 	default:
-		platform.SetLocalResponseHeader(a.w.Header(), a.request.ID, e.RetryAfter)
-		http.Error(a.w, e.Reason, e.Status)
+		a.response.writeLocal(a.request.ID, e.Status, e.RetryAfter, e.Reason)
 	}
 }
 
@@ -357,7 +347,7 @@
 
 // lossOutcome returns the outcome of a send whose response is missing or unusable.
 func (a *activeRequest) lossOutcome() director.Outcome {
-	if a.responseStarted {
+	if a.response.started {
 		return director.Broken
 	}
 	return director.Lost
@@ -368,7 +358,7 @@
 	if err != nil {
 		return a.lossOutcome(), false
 	}
-	if a.responseStarted {
+	if a.response.started {
 		return director.Broken, true // an error status cannot follow a response that has started
 	}
 	resp := &bufferedResponse{status: x.Response.StatusCode, header: x.Response.Header, body: body}
@@ -376,15 +366,13 @@
 		a.failedResponse = resp
 		return director.Failed, true
 	}
-	a.writeResponse(resp)
+	a.writeWhole(resp)
 	return 0, true
 }
 
-func (a *activeRequest) writeResponse(resp *bufferedResponse) {
-	platform.CopyResponseHeader(a.w.Header(), resp.header)
+func (a *activeRequest) writeWhole(resp *bufferedResponse) {
 	a.timeToFirstByte = time.Since(a.started)
-	a.w.WriteHeader(resp.status)
-	if _, err := a.w.Write(resp.body); err != nil {
+	if err := a.response.writeWhole(resp); err != nil {
 		a.log.WithError(err).Info("cannot write the response to the caller")
 	}
 }
@@ -392,14 +380,10 @@
 // forwardStream forwards whole events to the caller as they arrive.
 func (a *activeRequest) forwardStream(x *upstream.Exchange) (director.Outcome, bool) {
 	events := upstream.NewEventReader(x.Response.Body)
-	out := http.NewResponseController(a.w)
-	if !a.responseStarted {
-		platform.CopyResponseHeader(a.w.Header(), x.Response.Header)
-		a.w.Header().Del("Content-Length")
-	}
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			a.response.startStream(x.Response.Header) // a complete stream may have no event
 			return 0, true
 		}
 		if err != nil {
@@ -408,24 +392,24 @@
 		}
 		a.recordReceived()
 		if event.HasID {
-			if event.ID <= a.lastEventID && a.responseStarted {
+			if event.ID <= a.lastEventID && a.response.started {
 				continue // already delivered to the caller
 			}
 			a.lastEventID = event.ID
 		}
-		if !a.responseStarted {
-			a.responseStarted, a.timeToFirstByte = true, time.Since(a.started)
+		if !a.response.started {
+			a.timeToFirstByte = time.Since(a.started)
 		}
 		if !a.streaming {
 			a.streaming = true
 			a.handler.reducer.Step(director.AnswerStarted{ID: a.request.ID})
 		}
 		a.events++
-		if _, err := a.w.Write(event.Bytes); err != nil {
+		if err := a.response.writeEvent(x.Response.Header, event.Bytes); err != nil {
 			return director.Broken, false
 		}
 		if !event.MoreBuffered {
-			if err := out.Flush(); err != nil {
+			if err := a.response.flush(); err != nil {
 				return director.Broken, false
 			}
 		}
--- /dev/null
+++ b/internal/ingress/response.go
@@ -0,0 +1,67 @@
+package ingress
+
+import (
+	"net/http"
+	"time"
+
+	"tamarackreach/internal/model"
+	"tamarackreach/platform"
+)
+
+// response is the response to one caller. Nothing of a target's response is written
+// to it before that response is chosen for delivery.
+//
+// Invariant: every byte and every header field that the caller receives comes from
+// one response of a target and its resumptions, or all of them from the router.
+type response struct {
+	w http.ResponseWriter
+	// started is true once the head has been chosen; it cannot change afterwards.
+	started bool
+}
+
+// bufferedResponse is a complete non-streaming response of a target.
+type bufferedResponse struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// writeWhole writes a target's complete response. It must not be called after the
+// response has started.
+func (r *response) writeWhole(b *bufferedResponse) error {
+	r.started = true
+	platform.CopyResponseHeader(r.w.Header(), b.header)
+	r.w.WriteHeader(b.status)
+	_, err := r.w.Write(b.body)
+	return err
+}
+
+// startStream starts the response with the head of a target's stream, unless it has
+// started already.
+func (r *response) startStream(head http.Header) {
+	if r.started {
+		return
+	}
+	r.started = true
+	platform.CopyResponseHeader(r.w.Header(), head)
+	// The length of a stream that is resumed elsewhere is not that of its first part.
+	r.w.Header().Del("Content-Length")
+}
+
+// writeEvent writes a whole event of a stream; head is the head of that stream.
+func (r *response) writeEvent(head http.Header, event []byte) error {
+	r.startStream(head)
+	_, err := r.w.Write(event)
+	return err
+}
+
+// flush sends what has been written to the caller.
+func (r *response) flush() error { return http.NewResponseController(r.w).Flush() }
+
+// writeLocal writes a response that the router generates itself; a retryAfter of 0
+// is omitted. It must not be called after the response has started.
+func (r *response) writeLocal(id model.RequestID, status int, retryAfter time.Duration, reason string) {
+	r.started = true
+	platform.SetLocalResponseHeader(r.w.Header(), id, retryAfter)
+	http.Error(r.w, reason, status)
+}
--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -1,35 +1,131 @@
 package ingress_test
 
 import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"tamarackreach/internal/bootclock"
+	"tamarackreach/internal/director"
+	"tamarackreach/internal/fleet"
+	"tamarackreach/internal/ingress"
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/retrybudget"
+	"tamarackreach/internal/upstream"
 	"tamarackreach/platform/platformtest"
 )
 
-var _ = Describe("the response to a caller", Ordered, func() {
-	var s *site
-	BeforeAll(func() { s = startSite(1) })
+const signature = "Tamarackreach-Server-Seal"
 
-	// setFault sets the fault that every target of the model injects into all its
-	// requests.
-	setFault := func(f platformtest.Fault) {
-		for _, t := range s.fleet.Targets("llm") {
-			t.Always(f)
-		}
+// startIngress returns the URL of an ingress in front of one target, which handles
+// the n-th send, counted from 1, with respond. Routes: /r/ is idempotent, /s/ is a
+// stream that may be resumed.
+func startIngress(respond func(n int, w http.ResponseWriter, r *http.Request)) string {
+	sends := 0
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		sends++
+		w.Header().Set("Tamarackreach-Attempt-Id", r.Header.Get("Tamarackreach-Attempt-Id"))
+		w.Header().Set(signature, "run-"+strconv.Itoa(sends))
+		respond(sends, w, r)
+	}))
+	DeferCleanup(target.Close)
+	state := director.New(director.Settings{
+		VM: "vm-1", Zone: "a", ConfigApply: 2 * time.Second,
+		Retries: retrybudget.Settings{Ratio: 1, Slack: 100, Window: 10 * time.Second},
+	})
+	reducer := ingress.NewReducer(state)
+	split := []fleet.WeightedService{{Service: "desk", Weight: 1}}
+	reducer.Step(director.ConfigRead{Started: bootclock.Now(), Config: &fleet.Config{
+		Version: 1,
+		Routes: []fleet.Route{
+			{Name: "read", Host: "h", Prefix: "/r/", Kind: fleet.Idempotent, Timeout: 5 * time.Second, MaxTargets: 2, Split: split},
+			{Name: "stream", Host: "h", Prefix: "/s/", Kind: fleet.Stream, Resumable: true, Timeout: 5 * time.Second, MaxTargets: 2, Split: split},
+		},
+		Services: map[model.ServiceID]*fleet.Service{"desk": {ID: "desk"}},
+	}})
+	reducer.Step(director.TargetsRead{Targets: []*fleet.Target{{
+		ID: "o1", Service: "desk", Address: target.Listener.Addr().String(), Zone: "a", State: fleet.TargetReady, Slots: 6,
+	}}})
+	server := httptest.NewServer(ingress.New(reducer, upstream.NewPool(), nil, ingress.NewMetrics()))
+	DeferCleanup(server.Close)
+	return server.URL
+}
+
+// fetch sends a request and returns its response; err is not nil when the response
+// is not complete.
+func fetch(url string) (resp *http.Response, body string, err error) {
+	request, err := http.NewRequest(http.MethodPost, url, nil)
+	Expect(err).NotTo(HaveOccurred())
+	request.Host = "h"
+	request.Header.Set("Tamarackreach-Attempt-Id", "q1")
+	if resp, err = http.DefaultClient.Do(request); err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	return resp, string(text), err
+}
+
+// writeEvents writes the events from first to last of a stream.
+func writeEvents(w http.ResponseWriter, first, last int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	out := http.NewResponseController(w)
+	Expect(out.Flush()).To(Succeed())
+	for n := first; n <= last; n++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
+		Expect(out.Flush()).To(Succeed())
 	}
+}
 
+func breakOff() { panic(http.ErrAbortHandler) }
+
+var _ = Describe("the response to a caller", func() {
 	// Guards against a refusal that carries the header of a target whose response
 	// failed before its first event.
 	It("has no header of a target when the router generates it", func() {
-		setFault(platformtest.HeadOnly)
+		s := startSite(1)
+		for _, t := range s.fleet.Targets("llm") {
+			t.Always(platformtest.HeadOnly)
+		}
 		status, _, id, header := s.callWith("POST", "/s/x", "key", nil)
-		setFault(platformtest.NoFault)
 		Expect(s.fleet.Runs(id)).To(BeNumerically(">", 0))
 		Expect(status).To(Equal(502))
-		Expect(header).NotTo(HaveKey("Tamarackreach-Server-Seal"))
+		Expect(header).NotTo(HaveKey(signature))
 		Expect(header).NotTo(HaveKey("Cache-Control"))
 		Expect(header.Get("Content-Type")).To(HavePrefix("text/plain"))
 		Expect(header.Get("Tamarackreach-Attempt-Id")).To(Equal(id))
 	})
+
+	// Guards against headers of two runs in one response.
+	It("has the header of the send whose events it delivers", func() {
+		url := startIngress(func(n int, w http.ResponseWriter, _ *http.Request) {
+			if n == 1 {
+				w.Header().Set("Cache-Control", "no-store")
+				writeEvents(w, 1, 0)
+				breakOff()
+			}
+			writeEvents(w, 1, 3)
+		})
+		resp, body, err := fetch(url + "/s/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Header.Values(signature)).To(Equal([]string{"run-2"}))
+		Expect(resp.Header).NotTo(HaveKey("Cache-Control"))
+		Expect(body).To(HavePrefix("id: 1\n"))
+	})
+
+	// Guards against a successful stream without events that loses its signature.
+	It("has the header of a complete stream without events", func() {
+		url := startIngress(func(_ int, w http.ResponseWriter, _ *http.Request) { writeEvents(w, 1, 0) })
+		resp, body, err := fetch(url + "/s/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(resp.Header.Get(signature)).To(Equal("run-1"))
+		Expect(body).To(BeEmpty())
+	})
 })
