Never append a target's earlier failure to a stream that has started

What callers saw: a stream that began, broke, could not be resumed and then ended as complete, with the body of a 500 of an earlier send behind its last event.

Cause: a target's 5xx response to a request that may be repeated is kept and is delivered if no other send succeeds. refuse delivered it whenever there was one, also after the stream of a later send had started.

Evidence: found by reading the ways in which a response of the router may follow a target's. The test "breaks off a started stream that cannot be resumed, also after a kept failure" failed before: the body ended without an error, and the request's last log line was "answered with the target's failure" after 26 events.

Why this works: whether the response has started is asked first; a started one can only be completed or broken off.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -213,10 +213,10 @@
 func (a *activeRequest) refuse(e *director.Refuse) {
 	took := time.Since(a.started)
 	outcome := "refused"
-	if a.failedResponse != nil {
-		outcome = "answered with the target's failure"
-	} else if a.response.started {
+	if a.response.started {
 		outcome = "broken off"
+	} else if a.failedResponse != nil {
+		outcome = "answered with the target's failure"
 	}
 	a.handler.metrics.requestEnded(outcome, took, a.timeToFirstByte)
 	a.log.WithFields(logrus.Fields{
@@ -224,10 +224,10 @@
 		"took_ms": took.Milliseconds(), "events": a.events,
 	}).Info("request ended")
 	switch {
-	case a.failedResponse != nil:
-		a.writeWhole(a.failedResponse)
 	case a.response.started:
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
+	case a.failedResponse != nil:
+		a.writeWhole(a.failedResponse)
 	default:
 		a.response.writeLocal(a.request.ID, e.Status, e.RetryAfter, e.Reason)
 	}
--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -128,4 +128,21 @@
 		Expect(resp.Header.Get(signature)).To(Equal("run-1"))
 		Expect(body).To(BeEmpty())
 	})
+
+	// Guards against a target's earlier failure that is appended to a stream which the
+	// caller has begun to read.
+	It("breaks off a started stream that cannot be resumed, also after a kept failure", func() {
+		url := startIngress(func(n int, w http.ResponseWriter, _ *http.Request) {
+			if n == 1 {
+				w.WriteHeader(http.StatusInternalServerError)
+				_, _ = io.WriteString(w, "no memory")
+				return
+			}
+			writeEvents(w, 2*n, 2*n+1)
+			breakOff()
+		})
+		_, body, err := fetch(url + "/s/x")
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		Expect(body).NotTo(ContainSubstring("no memory"))
+	})
 })
