Discard a response over the size limit instead of delivering its first 16 MiB

What callers would see: a 200 with a target's signature and the first 16 MiB of a longer body without a length, complete by its framing.

Cause: the body was read through a LimitReader, whose end is that of a complete body.

Evidence: the test "is not built from a body over the size limit" got a 200 before.

Why this works: one byte more than the limit is read, and its presence makes the response one that was lost. A log line says so, also for a body that is cut short.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -233,6 +233,9 @@
 	}
 }
 
+// errResponseTooLarge means that a response exceeds maxResponseBytes.
+var errResponseTooLarge = errors.New("response exceeds 16 MiB; use a streaming route for larger ones")
+
 // errDiverted cancels a send that the reducer diverts to another path.
 var errDiverted = errors.New("send cancelled: request diverted to another path")
 
@@ -354,8 +357,12 @@
 }
 
 func (a *activeRequest) forwardWhole(e *director.Send, x *upstream.Exchange) (director.Outcome, bool) {
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		err = errResponseTooLarge
+	}
 	if err != nil {
+		a.log.WithError(err).WithField("status", x.Response.StatusCode).Info("response incomplete; discarded")
 		return a.lossOutcome(), false
 	}
 	if a.response.started {
--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -145,4 +145,19 @@
 		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 		Expect(body).NotTo(ContainSubstring("no memory"))
 	})
+
+	// Guards against a truncated body that is delivered as complete.
+	It("is not built from a body over the size limit", func() {
+		url := startIngress(func(_ int, w http.ResponseWriter, _ *http.Request) {
+			block := make([]byte, 1<<20)
+			for range 17 {
+				_, _ = w.Write(block)
+			}
+		})
+		resp, body, err := fetch(url + "/r/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(502))
+		Expect(resp.Header).NotTo(HaveKey(signature))
+		Expect(len(body)).To(BeNumerically("<", 100))
+	})
 })
