--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -20,6 +20,7 @@
 	"tamarackreach/internal/bootclock"
 	"tamarackreach/internal/director"
 	"tamarackreach/internal/fleet"
+	"tamarackreach/internal/model"
 	"tamarackreach/internal/upstream"
 	"tamarackreach/platform"
 )
@@ -109,6 +110,9 @@
 	lastReceived    time.Time
 	timeToFirstByte time.Duration
 	diverted        bool
+	// answeredBy is the first target of the send whose head the caller's response has;
+	// empty for a response of the router.
+	answeredBy model.TargetID
 	// failedResponse is a target's 5xx response, delivered if no other send succeeds.
 	failedResponse *bufferedResponse
 	log            *logrus.Entry
@@ -206,7 +210,7 @@
 	a.handler.metrics.requestEnded(outcome, took, a.timeToFirstByte)
 	a.log.WithFields(logrus.Fields{
 		"outcome": outcome, "took_ms": took.Milliseconds(), "first_ms": a.timeToFirstByte.Milliseconds(), "events": a.events,
-		"longest_pause_ms": a.longestGap.Milliseconds(), "sends": a.sends,
+		"longest_pause_ms": a.longestGap.Milliseconds(), "sends": a.sends, "answered_by": a.answeredBy,
 	}).Info("request ended")
 }
 
@@ -216,11 +220,11 @@
 	if a.response.started {
 		outcome = "broken off"
 	} else if a.failedResponse != nil {
-		outcome = "answered with the target's failure"
+		outcome, a.answeredBy = "answered with the target's failure", a.failedResponse.target
 	}
 	a.handler.metrics.requestEnded(outcome, took, a.timeToFirstByte)
 	a.log.WithFields(logrus.Fields{
-		"outcome": outcome, "status": e.Status, "reason": e.Reason, "detail": e.Detail, "retry_after_ms": e.RetryAfter.Milliseconds(),
+		"outcome": outcome, "answered_by": a.answeredBy, "sends": a.sends, "status": e.Status, "reason": e.Reason, "detail": e.Detail, "retry_after_ms": e.RetryAfter.Milliseconds(),
 		"took_ms": took.Milliseconds(), "events": a.events,
 	}).Info("request ended")
 	switch {
@@ -343,7 +347,7 @@
 		return a.lossOutcome(), false
 	}
 	if success && e.Route.Kind == fleet.Stream {
-		return a.forwardStream(x)
+		return a.forwardStream(e, x)
 	}
 	return a.forwardWhole(e, x)
 }
@@ -368,7 +372,7 @@
 	if a.response.started {
 		return director.Broken, true // an error status cannot follow a response that has started
 	}
-	resp := &bufferedResponse{status: x.Response.StatusCode, header: x.Response.Header, body: body}
+	resp := &bufferedResponse{target: e.Hops[0].Target, status: x.Response.StatusCode, header: x.Response.Header, body: body}
 	if resp.status >= http.StatusInternalServerError && e.Route.Repeatable() {
 		a.failedResponse = resp
 		return director.Failed, true
@@ -378,19 +382,19 @@
 }
 
 func (a *activeRequest) writeWhole(resp *bufferedResponse) {
-	a.timeToFirstByte = time.Since(a.started)
+	a.timeToFirstByte, a.answeredBy = time.Since(a.started), resp.target
 	if err := a.response.writeWhole(resp); err != nil {
 		a.log.WithError(err).Info("cannot write the response to the caller")
 	}
 }
 
 // forwardStream forwards whole events to the caller as they arrive.
-func (a *activeRequest) forwardStream(x *upstream.Exchange) (director.Outcome, bool) {
+func (a *activeRequest) forwardStream(e *director.Send, x *upstream.Exchange) (director.Outcome, bool) {
 	events := upstream.NewEventReader(x.Response.Body)
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			a.response.startStream(x.Response.Header) // a complete stream may have no event
+			a.startStream(e, x) // a complete stream may have no event
 			return 0, true
 		}
 		if err != nil {
@@ -404,15 +408,13 @@
 			}
 			a.lastEventID = event.ID
 		}
-		if !a.response.started {
-			a.timeToFirstByte = time.Since(a.started)
-		}
+		a.startStream(e, x)
 		if !a.streaming {
 			a.streaming = true
 			a.handler.reducer.Step(director.AnswerStarted{ID: a.request.ID})
 		}
 		a.events++
-		if err := a.response.writeEvent(x.Response.Header, event.Bytes); err != nil {
+		if err := a.response.writeEvent(event.Bytes); err != nil {
 			return director.Broken, false
 		}
 		if !event.MoreBuffered {
@@ -423,6 +425,16 @@
 	}
 }
 
+// startStream starts the response with the head of a send's stream, unless an earlier
+// send has started it.
+func (a *activeRequest) startStream(e *director.Send, x *upstream.Exchange) {
+	if a.response.started {
+		return
+	}
+	a.timeToFirstByte, a.answeredBy = time.Since(a.started), e.Hops[0].Target
+	a.response.startStream(x.Response.Header)
+}
+
 // recordReceived records the arrival of an event and the gap before it.
 func (a *activeRequest) recordReceived() {
 	now := time.Now()
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -21,6 +21,7 @@
 
 // bufferedResponse is a complete non-streaming response of a target.
 type bufferedResponse struct {
+	target model.TargetID
 	status int
 	header http.Header
 	body   []byte
@@ -36,21 +37,17 @@
 	return err
 }
 
-// startStream starts the response with the head of a target's stream, unless it has
-// started already.
+// startStream starts the response with the head of a target's stream. It must be
+// called with the first event of that stream, or at its end when it has none.
 func (r *response) startStream(head http.Header) {
-	if r.started {
-		return
-	}
 	r.started = true
 	platform.CopyResponseHeader(r.w.Header(), head)
 	// The length of a stream that is resumed elsewhere is not that of its first part.
 	r.w.Header().Del("Content-Length")
 }
 
-// writeEvent writes a whole event of a stream; head is the head of that stream.
-func (r *response) writeEvent(head http.Header, event []byte) error {
-	r.startStream(head)
+// writeEvent writes a whole event of a started stream.
+func (r *response) writeEvent(event []byte) error {
 	_, err := r.w.Write(event)
 	return err
 }
