--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -17,9 +18,11 @@
 
 	"tamarackreach/internal/bootclock"
 	"tamarackreach/internal/director"
+	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/ingress"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/placementlease"
+	"tamarackreach/internal/storeera"
 	"tamarackreach/internal/upstream"
 	"tamarackreach/platform"
 )
@@ -57,14 +60,18 @@
 	targets  *targetClient
 	peers    *peers
 	orders   *orders
+	era      eraState
 	// registered is true once the VM's own row is written.
-	registered bool
-	// renewedAt is when the read that preceded the last successful write of the lease
-	// row began.
-	renewedAt atomic.Int64
+	registered atomic.Pointer[storeera.Belief[bool]]
+	// lease is when the read that preceded the last successful write of the lease row
+	// began.
+	lease atomic.Pointer[storeera.Belief[model.Instant]]
 	// coordinationReadAt is when the coordination table was last read.
 	coordinationReadAt model.Instant
 	view               *view
+	// vms are the VMs of the last read, and those of earlier eras whose rows may be
+	// written again.
+	vms map[model.NodeID]vmRecord
 	// lastTargets are the registrations of the last read.
 	lastTargets director.TargetsRead
 }
@@ -79,9 +86,9 @@
 		DisableCompression:  true,
 	}
 	c := &Controller{
-		settings: s, store: platform.NewStore(s.StoreAddress, transport), reducer: r, targets: newTargetClient(),
+		settings: s, reducer: r, targets: newTargetClient(), view: &view{},
 	}
-	c.view = &view{}
+	c.store = platform.NewStore(s.StoreAddress, transport, c.acceptEra)
 	c.setInterval(s.Bounds)
 	c.peers = newPeers(s, r, c.view)
 	c.orders = newOrders(r, c.targets)
@@ -107,7 +114,7 @@
 // Apply applies changed settings: the store's address and the time bounds.
 func (c *Controller) Apply(s *platform.Settings) {
 	if c.store.SetAddress(s.StoreAddress) {
-		c.view.reset() // row versions are specific to a store
+		c.restartEras()
 	}
 	c.setInterval(s.Bounds)
 }
@@ -163,7 +170,7 @@
 		c.storeFailed(err)
 		return
 	}
-	if row.Version == 0 {
+	if row.Absent() {
 		return
 	}
 	if c.view.confirmConfig(row.Version, started) {
@@ -176,7 +183,11 @@
 		return
 	}
 	c.reducer.Step(director.ConfigRead{Config: config, Started: started})
-	c.view.replaceConfig(store, row.Version, started)
+	var inForce model.Revision
+	c.reducer.Read(func(s *director.State) { inForce = s.Config().Version })
+	if inForce == config.Version {
+		c.view.replaceConfig(store, row.Version, started)
+	}
 }
 
 func (c *Controller) storeFailed(err error) {
@@ -203,7 +214,7 @@
 		c.storeFailed(err)
 		return
 	}
-	read := director.TargetsRead{Rows: make(map[model.TargetID]model.RowVersion, len(snapshot.Rows))}
+	read := director.TargetsRead{Rows: make(map[model.TargetID]fleet.StoreVersion, len(snapshot.Rows)), Newest: snapshot.Newest}
 	for _, row := range snapshot.Rows {
 		target, err := platform.DecodeTarget(row)
 		if err != nil {
@@ -215,7 +226,7 @@
 	}
 	c.reducer.Step(read)
 	c.lastTargets = read
-	c.view.replaceTargets(store, snapshot.Rows, started)
+	c.view.replaceTargets(store, snapshot, started)
 }
 
 // vmRecord is a VM's registration in the store.
@@ -228,7 +239,7 @@
 // the placement lease.
 func (c *Controller) coordinate(ctx context.Context) {
 	now := bootclock.Now()
-	if c.registered && !c.peers.isLeader(now) && !c.holdsLease(now) && now.Sub(c.coordinationReadAt) < followerInterval {
+	if !c.registrationDue(now) && !c.peers.isLeader(now) && !c.holdsLease(now) && now.Sub(c.coordinationReadAt) < followerInterval {
 		return
 	}
 	c.coordinationReadAt = now
@@ -240,9 +251,12 @@
 		c.storeFailed(err)
 		return
 	}
-	var leaseRow model.Row
-	var ownRow model.Row
+	leaseRow := fleet.StoreRow{Key: leaseKey, Version: fleet.StoreVersion{Era: snapshot.Newest.Era}}
+	ownRow := fleet.StoreRow{Key: vmPrefix + string(c.settings.VM), Version: leaseRow.Version}
 	vms := map[model.NodeID]vmRecord{}
+	if c.rowsMayBeLost(started) {
+		maps.Copy(vms, c.vms)
+	}
 	for _, row := range snapshot.Rows {
 		if row.Key == leaseKey {
 			leaseRow = row
@@ -262,31 +276,32 @@
 			ownRow = row
 		}
 	}
+	c.vms = vms
 	c.peers.setVMs(vms)
 	c.reducer.Step(director.VMsCounted{Count: len(vms)})
-	c.register(ctx, ownRow)
+	if c.registrationDue(started) {
+		c.register(ctx, ownRow)
+	}
 	c.renewLease(ctx, leaseRow, snapshot.Clock, started)
 }
 
-func (c *Controller) register(ctx context.Context, row model.Row) {
-	if c.registered {
-		return
-	}
+func (c *Controller) register(ctx context.Context, row fleet.StoreRow) {
 	value, err := json.Marshal(vmRecord{Zone: c.settings.Zone, PeerAddress: c.peers.address()})
 	if err != nil {
 		logrus.WithError(err).Error("cannot encode the VM record")
 		return
 	}
 	if string(value) == string(row.Value) {
-		c.registered = true
+		c.registered.Store(storeera.Hold(true, row.Version.Era))
 		return
 	}
-	_, err = c.store.Put(ctx, coordinationTable, model.Row{Key: vmPrefix + string(c.settings.VM), Value: value, Version: row.Version})
+	row.Value = value
+	_, err = c.store.Put(ctx, coordinationTable, row)
 	if err != nil {
 		logrus.WithError(err).Info("VM registration failed; retrying")
 		return
 	}
-	c.registered = true
+	c.registered.Store(storeera.Hold(true, row.Version.Era))
 }
 
 // renewLease acquires or renews the placement lease when due. The row and the
@@ -294,9 +309,9 @@
 //
 // Invariant: the lease duration counts from before the store sampled its clock, so
 // that a holder stops acting before its record expires, however slow the store is.
-func (c *Controller) renewLease(ctx context.Context, row model.Row, clock time.Duration, started model.Instant) {
+func (c *Controller) renewLease(ctx context.Context, row fleet.StoreRow, clock time.Duration, started model.Instant) {
 	action, record := placementlease.Decide(c.settings.VM, row, clock)
-	if action == placementlease.Wait {
+	if action == placementlease.Wait || !c.mayAcquireLease(started) {
 		return
 	}
 	value, err := json.Marshal(record)
@@ -305,14 +320,15 @@
 		return
 	}
 	heldBefore := c.holdsLease(bootclock.Now())
-	_, err = c.store.Put(ctx, coordinationTable, model.Row{Key: leaseKey, Value: value, Version: row.Version})
+	row.Value = value
+	_, err = c.store.Put(ctx, coordinationTable, row)
 	switch {
 	case errors.Is(err, platform.ErrVersionConflict):
 		logrus.Info("another VM acquired the placement lease")
 	case err != nil:
 		logrus.WithError(err).Info("cannot acquire or renew the placement lease")
 	default:
-		c.renewedAt.Store(int64(started))
+		c.lease.Store(storeera.Hold(started, row.Version.Era))
 		if !heldBefore {
 			logrus.WithField("until_ms", record.UntilMs).Info("placement lease acquired")
 			c.orders.reset()
@@ -338,7 +354,8 @@
 func (c *Controller) PendingOrders() int { return c.orders.count() }
 
 func (c *Controller) holdsLease(now model.Instant) bool {
-	return placementlease.Held(model.Instant(c.renewedAt.Load()), now)
+	renewedAt, ok := c.lease.Load().In(c.era.current())
+	return ok && placementlease.Held(renewedAt, now)
 }
 
 // placeLayers runs the orders while this VM holds the placement lease.
--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -18,6 +18,8 @@
 	// Crashes are recent crashes of targets, with the content that they were
 	// processing.
 	Crashes []director.Crash `json:"crashes,omitempty"`
+	// Config is the version of the configuration in force at the sender.
+	Config model.Revision `json:"config,omitempty"`
 	// Query is the number of a query for the recipient's state of the store; State is
 	// the reply to it. Such a message has no other fields but VM.
 	Query uint64 `json:"ask,omitempty"`
@@ -47,7 +49,7 @@
 // encodePeerState returns the message for a VM's state.
 func encodePeerState(peerState director.PeerState) peerMessage {
 	message := peerMessage{
-		VM: peerState.VM, Loads: make(map[model.TargetID]load, len(peerState.Loads)), Paces: peerState.Paces, Crashes: peerState.Crashes,
+		VM: peerState.VM, Loads: make(map[model.TargetID]load, len(peerState.Loads)), Paces: peerState.Paces, Crashes: peerState.Crashes, Config: peerState.Config,
 		Suspects: make(map[model.TargetID]suspicion, len(peerState.Suspects)),
 	}
 	for id, l := range peerState.Loads {
@@ -62,7 +64,7 @@
 // received returns the sender's state in the message.
 func (m *peerMessage) received() director.PeerState {
 	out := director.PeerState{
-		VM: m.VM, Loads: make(map[model.TargetID]director.Load, len(m.Loads)), Paces: m.Paces, Crashes: m.Crashes,
+		VM: m.VM, Loads: make(map[model.TargetID]director.Load, len(m.Loads)), Paces: m.Paces, Crashes: m.Crashes, Config: m.Config,
 		Suspects: make(map[model.TargetID]director.Suspicion, len(m.Suspects)),
 	}
 	for id, l := range m.Loads {
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -7,11 +7,14 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
+	"tamarackreach/platform"
 )
 
 // state is a VM's last known state of the store, as sent to VMs of its zone.
 type state struct {
+	Era          fleet.StoreEra   `json:"era,omitempty"`
 	ConfigRow    model.RowVersion `json:"config_row"`
 	ConfigAgeMs  int64            `json:"config_age_ms"`
 	TargetsHash  uint64           `json:"targets_hash"`
@@ -31,7 +34,9 @@
 	interval time.Duration
 	// generation is the number of resets; results of reads that began before the last
 	// one are discarded.
-	generation    int
+	generation int
+	// era is the current era of the store; configRow and targetsHash are of it.
+	era           fleet.StoreEra
 	configRow     model.RowVersion
 	configReadAt  model.Instant
 	targetsHash   uint64
@@ -44,11 +49,13 @@
 	v.interval = interval
 }
 
-// reset discards the state, so that the next poll reads everything.
-func (v *view) reset() {
+// reset discards the state, so that the next poll reads everything in an era of the
+// store.
+func (v *view) reset(era fleet.StoreEra) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.generation++
+	v.era = era
 	v.configRow, v.targetsHash, v.targetsReadAt = 0, 0, 0
 }
 
@@ -64,7 +71,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return &state{
-		ConfigRow: v.configRow, ConfigAgeMs: now.Sub(v.configReadAt).Milliseconds(),
+		Era: v.era, ConfigRow: v.configRow, ConfigAgeMs: now.Sub(v.configReadAt).Milliseconds(),
 		TargetsHash: v.targetsHash, TargetsAgeMs: now.Sub(v.targetsReadAt).Milliseconds(),
 	}
 }
@@ -74,7 +81,7 @@
 func (v *view) sameConfig(s *state) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.configRow != 0 && s.ConfigRow == v.configRow && s.configAge() <= v.interval+callTimeout/4
+	return v.configRow != 0 && s.Era == v.era && s.ConfigRow == v.configRow && s.configAge() <= v.interval+callTimeout/4
 }
 
 // sameTargets reports whether a leader's state is recent and has the registrations
@@ -83,40 +90,40 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	age := time.Duration(s.TargetsAgeMs) * time.Millisecond
-	return v.targetsReadAt != 0 && s.TargetsHash == v.targetsHash && age <= v.interval+callTimeout/4
+	return v.targetsReadAt != 0 && s.Era == v.era && s.TargetsHash == v.targetsHash && age <= v.interval+callTimeout/4
 }
 
 // confirmConfig reports whether a row read from the store is the one in force. If
 // so, it records started, the time at which the read began.
-func (v *view) confirmConfig(row model.RowVersion, started model.Instant) bool {
+func (v *view) confirmConfig(row fleet.StoreVersion, started model.Instant) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if row != v.configRow {
+	if row.Era != v.era || row.Row != v.configRow {
 		return false
 	}
 	v.configReadAt = started
 	return true
 }
 
-func (v *view) replaceConfig(generation int, row model.RowVersion, started model.Instant) {
+func (v *view) replaceConfig(generation int, row fleet.StoreVersion, started model.Instant) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if generation != v.generation {
+	if generation != v.generation || row.Era != v.era {
 		return
 	}
-	v.configRow, v.configReadAt = row, started
+	v.configRow, v.configReadAt = row.Row, started
 }
 
-func (v *view) replaceTargets(generation int, rows []model.Row, started model.Instant) {
+func (v *view) replaceTargets(generation int, snapshot platform.Snapshot, started model.Instant) {
 	hash := xxhash.New()
-	for _, row := range rows {
+	for _, row := range snapshot.Rows {
 		// Writing to a hash never fails.
 		_, _ = hash.WriteString(row.Key)
-		_, _ = hash.Write(binary.LittleEndian.AppendUint64(nil, uint64(row.Version)))
+		_, _ = hash.Write(binary.LittleEndian.AppendUint64(nil, uint64(row.Version.Row)))
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if generation != v.generation {
+	if generation != v.generation || snapshot.Newest.Era != v.era {
 		return
 	}
 	v.targetsHash, v.targetsReadAt = hash.Sum64(), started
--- a/internal/controller/view_test.go
+++ b/internal/controller/view_test.go
@@ -7,7 +7,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
+	"tamarackreach/platform"
 )
 
 func TestController(t *testing.T) {
@@ -17,10 +19,14 @@
 
 var _ = Describe("view", func() {
 	const start = model.Instant(time.Hour)
-	rows := []model.Row{{Key: "a", Version: 1}, {Key: "b", Version: 2}}
-	newView := func(row model.RowVersion, rows []model.Row) *view {
+	version := func(row model.RowVersion) fleet.StoreVersion { return fleet.StoreVersion{Row: row} }
+	snapshot := func(a, b model.RowVersion) platform.Snapshot {
+		return platform.Snapshot{Rows: []fleet.StoreRow{{Key: "a", Version: version(a)}, {Key: "b", Version: version(b)}}}
+	}
+	rows := snapshot(1, 2)
+	newView := func(row model.RowVersion, rows platform.Snapshot) *view {
 		v := &view{interval: time.Second}
-		v.replaceConfig(v.storeGeneration(), row, start)
+		v.replaceConfig(v.storeGeneration(), version(row), start)
 		v.replaceTargets(v.storeGeneration(), rows, start)
 		return v
 	}
@@ -39,7 +45,7 @@
 	})
 
 	It("rejects a leader's state that differs from its own", func() {
-		state := newView(5, []model.Row{{Key: "a", Version: 1}, {Key: "b", Version: 3}}).snapshot(start)
+		state := newView(5, snapshot(1, 3)).snapshot(start)
 		Expect(newView(4, rows).sameConfig(state)).To(BeFalse())
 		Expect(newView(4, rows).sameTargets(state)).To(BeFalse())
 	})
@@ -52,19 +58,32 @@
 
 	It("counts the age from the start of the read", func() {
 		v := newView(4, rows)
-		Expect(v.confirmConfig(4, start.Add(300*time.Millisecond))).To(BeTrue())
+		Expect(v.confirmConfig(version(4), start.Add(300*time.Millisecond))).To(BeTrue())
 		Expect(v.snapshot(start.Add(700 * time.Millisecond)).ConfigAgeMs).To(BeEquivalentTo(400))
-		Expect(v.confirmConfig(5, start.Add(900*time.Millisecond))).To(BeFalse())
+		Expect(v.confirmConfig(version(5), start.Add(900*time.Millisecond))).To(BeFalse())
 	})
 
 	// Pattern: the store's address changes while a read from the old one is in flight.
 	It("discards reads from a replaced store", func() {
 		v := newView(4, rows)
 		oldGeneration := v.storeGeneration()
-		v.reset()
-		v.replaceConfig(oldGeneration, 4, start)
+		v.reset(0)
+		v.replaceConfig(oldGeneration, version(4), start)
 		v.replaceTargets(oldGeneration, rows, start)
-		Expect(v.confirmConfig(4, start)).To(BeFalse())
+		Expect(v.confirmConfig(version(4), start)).To(BeFalse())
 		Expect(v.sameTargets(newView(4, rows).snapshot(start))).To(BeFalse())
 	})
+
+	// Guards against versions that a restored store has assigned a second time.
+	It("discards everything read in an earlier era of the store", func() {
+		v := newView(4, rows)
+		v.reset(1)
+		Expect(v.confirmConfig(fleet.StoreVersion{Era: 1, Row: 4}, start)).To(BeFalse())
+		v.replaceConfig(v.storeGeneration(), version(4), start)
+		Expect(v.confirmConfig(fleet.StoreVersion{Era: 1, Row: 4}, start)).To(BeFalse())
+		v.replaceConfig(v.storeGeneration(), fleet.StoreVersion{Era: 1, Row: 4}, start)
+		Expect(v.confirmConfig(version(4), start)).To(BeFalse())
+		Expect(v.sameConfig(newView(4, rows).snapshot(start))).To(BeFalse())
+		Expect(newView(4, rows).sameConfig(v.snapshot(start))).To(BeFalse())
+	})
 })
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -30,7 +30,7 @@
 	state    *director.State
 	now      model.Instant
 	targets  map[model.TargetID]*fleet.Target
-	rows     map[model.TargetID]model.RowVersion
+	rows     map[model.TargetID]fleet.StoreVersion
 	config   *fleet.Config
 	requests int
 }
@@ -42,7 +42,7 @@
 			Retries: retrybudget.Settings{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
 		}),
 		now:     model.Instant(time.Hour),
-		targets: map[model.TargetID]*fleet.Target{}, rows: map[model.TargetID]model.RowVersion{},
+		targets: map[model.TargetID]*fleet.Target{}, rows: map[model.TargetID]fleet.StoreVersion{},
 		config: config(7),
 	}
 	return h
@@ -83,7 +83,7 @@
 		ID: id, Service: service, Address: "at-" + string(id), Zone: zone, State: fleet.TargetReady, Slots: slots, Kind: kind,
 		Held: model.LayerRange{First: first, End: end}, StartedMs: 1,
 	}
-	h.rows[id] = 1
+	h.rows[id] = fleet.StoreVersion{Row: 1}
 }
 
 // changeTarget replaces a registration.
@@ -91,13 +91,13 @@
 	t := *h.targets[id]
 	f(&t)
 	h.targets[id] = &t
-	h.rows[id]++
+	h.rows[id] = fleet.StoreVersion{Era: h.rows[id].Era, Row: h.rows[id].Row + 1}
 }
 
 // read applies a read of the configuration and the targets at the current time.
 func (h *harness) read() {
 	h.state.Step(h.now, director.ConfigRead{Config: h.config, Started: h.now})
-	read := director.TargetsRead{Rows: map[model.TargetID]model.RowVersion{}}
+	read := director.TargetsRead{Rows: map[model.TargetID]fleet.StoreVersion{}}
 	for id, t := range h.targets {
 		read.Targets = append(read.Targets, t)
 		read.Rows[id] = h.rows[id]
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -26,9 +26,16 @@
 type TargetsRead struct {
 	Targets []*fleet.Target
 	// Rows is the row version of each registration.
-	Rows map[model.TargetID]model.RowVersion
+	Rows map[model.TargetID]fleet.StoreVersion
+	// Newest is the newest version of any row of the store.
+	Newest fleet.StoreVersion
 }
 
+// StoreRestored reports that the store has come back from an older copy: a new era
+// has begun. What the store acknowledged in the last seconds before may be lost, until
+// the operator, the targets and the VMs write it again.
+type StoreRestored struct{ Era fleet.StoreEra }
+
 // StoreFailed reports a failed read of the store.
 type StoreFailed struct{}
 
@@ -129,6 +136,8 @@
 	Paces map[model.TargetID]float64
 	// Crashes are recent crashes of targets and the content that they were running.
 	Crashes []Crash
+	// Config is the version of the configuration in force there, 0 before the first.
+	Config model.Revision
 }
 
 // Suspicion is a VM's suspicion that a target is faulty.
@@ -154,6 +163,7 @@
 func (ConfigRead) event()      {}
 func (TargetsRead) event()     {}
 func (StoreFailed) event()     {}
+func (StoreRestored) event()   {}
 func (RequestArrived) event()  {}
 func (SendEnded) event()       {}
 func (AnswerStarted) event()   {}
--- a/internal/director/placeable.go
+++ b/internal/director/placeable.go
@@ -39,7 +39,7 @@
 			Engine: s.config.Services[id].Engine, Interruptible: s.interruptible(id), Slowness: map[model.TargetID]float64{},
 		}
 		for _, t := range s.byService[id] {
-			if t.State == fleet.TargetReady && t.missingSince == 0 && !t.dead() {
+			if t.State == fleet.TargetReady && (t.missingSince == 0 || s.restore.pending(now)) && !t.dead() {
 				p.Targets = append(p.Targets, *t.Target)
 				p.Slowness[t.ID] = math.Round(t.slowness(now))
 			}
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -35,20 +35,24 @@
 	// routesByHost lists the routes of each host, the longest prefix first.
 	routesByHost   map[string][]*fleet.Route
 	workspaceByKey map[string]*fleet.Workspace
+	// newestConfig is the newest version of the configuration that any VM has in force.
+	newestConfig model.Revision
 	// confirmedAt is when the read that last confirmed the configuration was sent.
 	confirmedAt model.Instant
 	// storeFailedAt is when reads of the store began to fail; 0 while they succeed.
 	storeFailedAt model.Instant
 	// storeRecoveredAt is when a read of the store last succeeded after a failure.
 	storeRecoveredAt model.Instant
-	targets          map[model.TargetID]*target
-	byService        map[model.ServiceID][]*target
-	byAddress        map[string]*target
-	targetsRead      bool
-	requests         map[model.RequestID]*request
-	peers            map[model.NodeID]*peer
-	vms              int
-	budget           *retrybudget.Budget
+	// restore is the last return of the store from an older copy; zero before the first.
+	restore     restore
+	targets     map[model.TargetID]*target
+	byService   map[model.ServiceID][]*target
+	byAddress   map[string]*target
+	targetsRead bool
+	requests    map[model.RequestID]*request
+	peers       map[model.NodeID]*peer
+	vms         int
+	budget      *retrybudget.Budget
 	// lostAnswers are kept until a crash of their target is confirmed or ruled out.
 	lostAnswers []lostAnswer
 	// crashRecords holds the content that was running on targets that crashed.
@@ -145,6 +149,8 @@
 		return s.applyPeer(now, e)
 	case StoreFailed:
 		return s.storeFailed(now)
+	case StoreRestored:
+		return s.storeRestored(now, e)
 	case VMsCounted:
 		s.vms = max(e.Count, 1)
 		s.budget.SetVMs(s.vms)
@@ -163,14 +169,21 @@
 	return []Effect{&StateChanged{What: "settings in force", Detail: fmt.Sprintf("%+v", next)}}
 }
 
+// configRead puts a newer configuration in force.
+//
+// Invariant: only a read of the newest configuration known confirms it. A read of an
+// older one is from a copy of the store that lost the newer.
 func (s *State) configRead(now model.Instant, e ConfigRead) []Effect {
-	// Reads may complete out of order; confirmedAt never moves back.
-	s.confirmedAt = max(s.confirmedAt, e.Started)
 	effects := s.storeSucceeded(now)
+	if e.Config != nil && e.Config.Version >= s.newestConfig || e.Config == nil && s.config != nil && s.config.Version >= s.newestConfig {
+		// Reads may complete out of order; confirmedAt never moves back.
+		s.confirmedAt = max(s.confirmedAt, e.Started)
+	}
 	if e.Config == nil || s.config != nil && e.Config.Version <= s.config.Version {
 		return effects
 	}
 	s.config = e.Config
+	s.newestConfig = max(s.newestConfig, e.Config.Version)
 	s.routesByHost = map[string][]*fleet.Route{}
 	for i := range e.Config.Routes {
 		r := &e.Config.Routes[i]
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -13,7 +13,7 @@
 // target is this VM's view of a target.
 type target struct {
 	*fleet.Target
-	rowVersion model.RowVersion
+	rowVersion fleet.StoreVersion
 	// missingSince is when a read first lacked the registration; 0 while it is
 	// registered.
 	missingSince model.Instant
@@ -86,10 +86,19 @@
 
 func (s *State) updateTargets(now model.Instant, e TargetsRead) []Effect {
 	effects := s.storeSucceeded(now)
+	s.restore.begin(e.Newest)
+	known := s.targetsRead
 	s.targetsRead = true
 	listed := make(map[model.TargetID]bool, len(e.Targets))
 	for _, t := range e.Targets {
 		listed[t.ID] = true
+		if known && s.restore.outdated(now, e.Rows[t.ID]) {
+			// The row is from the older copy: what was known before is newer.
+			if old := s.targets[t.ID]; old != nil {
+				old.listed, old.missingSince = now, 0
+			}
+			continue
+		}
 		if change := s.updateTarget(now, t, e.Rows[t.ID]); change != nil {
 			effects = append(effects, change)
 		}
@@ -106,7 +115,8 @@
 		// Registrations lapse while the store is unreachable and return soon after. One
 		// that was listed after the store's recovery and is missing now was removed, and
 		// so was one whose address belongs to a newer incarnation.
-		lapsed := t.listed < s.storeRecoveredAt && now.Sub(s.storeRecoveredAt) < lapsedGrace
+		lapsed := t.listed < s.storeRecoveredAt && now.Sub(s.storeRecoveredAt) < lapsedGrace ||
+			t.listed < s.restore.at && s.restore.pending(now)
 		if lapsed && newest[t.Address] <= t.StartedMs {
 			continue
 		}
@@ -126,7 +136,7 @@
 	return newest
 }
 
-func (s *State) updateTarget(now model.Instant, t *fleet.Target, rowVersion model.RowVersion) Effect {
+func (s *State) updateTarget(now model.Instant, t *fleet.Target, rowVersion fleet.StoreVersion) Effect {
 	known := s.targets[t.ID]
 	if known == nil {
 		s.targets[t.ID] = &target{Target: t, rowVersion: rowVersion, slowdown: 1}
@@ -168,7 +178,7 @@
 	s.byAddress = map[string]*target{}
 	for _, t := range s.targets {
 		s.byService[t.Service] = append(s.byService[t.Service], t)
-		if other := s.byAddress[t.Address]; other == nil || other.rowVersion < t.rowVersion {
+		if other := s.byAddress[t.Address]; other == nil || t.registeredAfter(other) {
 			s.byAddress[t.Address] = t
 		}
 	}
@@ -177,6 +187,14 @@
 	}
 }
 
+// registeredAfter reports whether t is the newer of two registrations at one address.
+func (t *target) registeredAfter(other *target) bool {
+	if t.StartedMs != other.StartedMs {
+		return t.StartedMs > other.StartedMs
+	}
+	return t.rowVersion.After(other.rowVersion)
+}
+
 // serving reports whether the target is ready and not dead.
 func (t *target) serving() bool {
 	return t.State == fleet.TargetReady && !t.dead()
@@ -238,6 +256,7 @@
 // applyPeer applies the state received from another VM.
 func (s *State) applyPeer(now model.Instant, e PeerState) []Effect {
 	s.peers[e.VM] = &peer{receivedAt: now, loads: e.Loads}
+	s.newestConfig = max(s.newestConfig, e.Config)
 	for id, slowdown := range e.Paces {
 		if t := s.targets[id]; t != nil {
 			t.slowdown, t.slowdownAt = slowdown, now
@@ -278,6 +297,9 @@
 		VM: s.settings.VM, Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
 		Paces: map[model.TargetID]float64{}, Crashes: s.recentCrashes(now),
 	}
+	if s.config != nil {
+		out.Config = s.config.Version
+	}
 	for id, t := range s.targets {
 		if t.ownLoad.Requests > 0 {
 			out.Loads[id] = t.ownLoad
--- a/internal/placementlease/lease.go
+++ b/internal/placementlease/lease.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"time"
 
+	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
 )
 
@@ -40,10 +41,10 @@
 // Decide returns the action of VM self and, for Acquire, the record to write, given
 // the lease row and the store's clock. A record that does not decode counts as
 // expired.
-func Decide(self model.NodeID, row model.Row, clock time.Duration) (Action, Record) {
+func Decide(self model.NodeID, row fleet.StoreRow, clock time.Duration) (Action, Record) {
 	next := Record{Holder: self, UntilMs: (clock + LeaseDuration).Milliseconds()}
 	var r Record
-	if row.Version == 0 || json.Unmarshal(row.Value, &r) != nil {
+	if row.Absent() || json.Unmarshal(row.Value, &r) != nil {
 		return Acquire, next
 	}
 	remaining := time.Duration(r.UntilMs)*time.Millisecond - clock
@@ -55,7 +56,8 @@
 
 // Held reports whether a VM still holds the lease at now, on its own clock. Its last
 // successful write was based on a read that began at renewedAt, so the record cannot
-// expire earlier than LeaseDuration after that.
+// expire earlier than LeaseDuration after that. Read and write were in the current era
+// of the store: another VM may have acquired the lease in a later one.
 func Held(renewedAt, now model.Instant) bool {
 	return renewedAt != 0 && now.Sub(renewedAt) < LeaseDuration
 }
--- a/internal/placementlease/lease_test.go
+++ b/internal/placementlease/lease_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/placementlease"
 )
@@ -18,37 +19,37 @@
 	RunSpecs(t, "placement lease")
 }
 
-func row(holder model.NodeID, until time.Duration) model.Row {
+func row(holder model.NodeID, until time.Duration) fleet.StoreRow {
 	value, err := json.Marshal(placementlease.Record{Holder: holder, UntilMs: until.Milliseconds()})
 	Expect(err).NotTo(HaveOccurred())
-	return model.Row{Value: value, Version: 7}
+	return fleet.StoreRow{Value: value, Version: fleet.StoreVersion{Row: 7}}
 }
 
 var _ = Describe("Decide", func() {
-	DescribeTable("decides by the store's clock", func(r model.Row, clock time.Duration, want placementlease.Action) {
+	DescribeTable("decides by the store's clock", func(r fleet.StoreRow, clock time.Duration, want placementlease.Action) {
 		action, _ := placementlease.Decide("self", r, clock)
 		Expect(action).To(Equal(want))
 	},
-		Entry("no holder", model.Row{}, 5*time.Second, placementlease.Acquire),
+		Entry("no holder", fleet.StoreRow{}, 5*time.Second, placementlease.Acquire),
 		Entry("held by another VM", row("other", 6*time.Second), 5*time.Second, placementlease.Wait),
 		Entry("another VM's lease expires now", row("other", 5*time.Second), 5*time.Second, placementlease.Acquire),
 		Entry("another VM's lease expires in one millisecond", row("other", 5001*time.Millisecond), 5*time.Second, placementlease.Wait),
 		Entry("this VM has just renewed it", row("self", 8*time.Second), 5*time.Second, placementlease.Wait),
 		Entry("this VM's renewal is due", row("self", 6*time.Second), 5*time.Second, placementlease.Acquire),
-		Entry("the record does not decode", model.Row{Value: []byte("{"), Version: 1}, 5*time.Second, placementlease.Acquire),
+		Entry("the record does not decode", fleet.StoreRow{Value: []byte("{"), Version: fleet.StoreVersion{Row: 1}}, 5*time.Second, placementlease.Acquire),
 	)
 
 	// Pattern: the store is slow; a VM's write is applied long after its read.
 	It("never lets two VMs hold the lease at a time, however long their calls take", func() {
 		type call struct {
-			read    model.Row
+			read    fleet.StoreRow
 			began   time.Duration
 			clock   time.Duration
 			pending bool
 		}
 		for seed := range uint64(300) {
 			random := rand.New(rand.NewPCG(seed, 2))
-			current, names := model.Row{}, []model.NodeID{"a", "b", "c"}
+			current, names := fleet.StoreRow{}, []model.NodeID{"a", "b", "c"}
 			calls, renewed := map[model.NodeID]*call{"a": {}, "b": {}, "c": {}}, map[model.NodeID]model.Instant{}
 			for now := time.Second; now < 60*time.Second; now += time.Duration(random.IntN(700)) * time.Millisecond {
 				vm := names[random.IntN(len(names))]
@@ -62,7 +63,7 @@
 					if action == placementlease.Acquire && c.read.Version == current.Version {
 						value, err := json.Marshal(record)
 						Expect(err).NotTo(HaveOccurred())
-						current = model.Row{Value: value, Version: current.Version + 1}
+						current = fleet.StoreRow{Value: value, Version: fleet.StoreVersion{Row: current.Version.Row + 1}}
 						renewed[vm] = model.Instant(c.began)
 					}
 				}
@@ -80,7 +81,7 @@
 	It("never lets two VMs hold the lease at a time, whatever the order of their writes", func() {
 		for seed := range uint64(300) {
 			random := rand.New(rand.NewPCG(seed, 1))
-			current := model.Row{}
+			current := fleet.StoreRow{}
 			names := []model.NodeID{"a", "b", "c"}
 			renewed := map[model.NodeID]model.Instant{}
 			for now := time.Second; now < 60*time.Second; now += time.Duration(random.IntN(400)) * time.Millisecond {
@@ -91,7 +92,7 @@
 				if action == placementlease.Acquire && random.IntN(4) > 0 && read.Version == current.Version {
 					value, err := json.Marshal(record)
 					Expect(err).NotTo(HaveOccurred())
-					current = model.Row{Value: value, Version: current.Version + 1}
+					current = fleet.StoreRow{Value: value, Version: fleet.StoreVersion{Row: current.Version.Row + 1}}
 					renewed[vm] = started
 				}
 				holders := 0
