Reject a response without an id on a reused connection

Callers could receive the late response of another request, and a non-idempotent request could run twice: a 503 with Tamarackreach-Not-Executed, or a 421, let the router send the request to a second target while the first one ran it.

The pool only compared the id that a response echoes; a response without one was accepted on any connection. Targets may send an extra response late, at the point where the next one is expected.

A response without an id is now accepted only on a connection that has carried no other request. On any other one the send counts as lost, which promises nothing about whether the request ran.

--- /dev/null
+++ b/internal/upstream/attribution_test.go
@@ -0,0 +1,70 @@
+package upstream_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/upstream"
+)
+
+const notExecuted = "Tamarackreach-Not-Executed: 1\r\n"
+
+// response formats a response with header lines; an empty id is omitted.
+func response(status int, id, header, body string) string {
+	if id != "" {
+		header += "Tamarackreach-Attempt-Id: " + id + "\r\n"
+	}
+	return fmt.Sprintf("HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(body), body)
+}
+
+// script serves the given bytes in response to the requests in order of arrival and
+// closes the connection of the last one.
+func script(responses ...string) *target {
+	return serve(func(n int64, conn net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(conn, responses[n-1])
+		return int(n) < len(responses)
+	})
+}
+
+// callWithID is call with another id.
+func (t *target) callWithID(id model.RequestID) *upstream.Call {
+	call := t.call()
+	call.ID = id
+	return call
+}
+
+var _ = Describe("Attribution", func() {
+	// Guards against a late response of an earlier request that is delivered as the
+	// response to the next one, or that lets a request run twice because it states
+	// that this request was not executed.
+	DescribeTable("rejects on a reused connection", func(second string, rejected error) {
+		t := script(response(200, "earlier", "", "first"), second)
+		p := upstream.NewPool()
+		_, err := exchange(p, t.callWithID("earlier"))
+		Expect(err).NotTo(HaveOccurred())
+		x, err := p.Do(context.Background(), t.call())
+		x.Done(false)
+		Expect(t.conns.Load()).To(BeEquivalentTo(1))
+		Expect(err).To(MatchError(rejected))
+	},
+		Entry("a rejection without an id", response(503, "", notExecuted, ""), upstream.ErrResponseUnidentified),
+		Entry("a 421 without an id", response(421, "", "", ""), upstream.ErrResponseUnidentified),
+		Entry("a failure without an id", response(400, "", "", ""), upstream.ErrResponseUnidentified),
+		Entry("a success without an id", response(200, "", "", "x"), upstream.ErrResponseUnidentified),
+		Entry("the response to an earlier request", response(503, "earlier", notExecuted, "")+response(200, "a", "", "x"),
+			upstream.ErrResponseMismatch),
+	)
+
+	// Guards against the loss of responses to requests that a target cannot parse.
+	It("accepts a failure without an id on a new connection", func() {
+		_, err := exchange(upstream.NewPool(), script(response(400, "", "", "x")).call())
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -42,9 +42,6 @@
 	OnSilence func() error
 }
 
-// ErrResponseMismatch means that the response carries the id of another request.
-var ErrResponseMismatch = errors.New("response carries the id of another request; connection closed")
-
 // Do sends a request and reads the head of its response. Done must be called on the
 // returned exchange, also after an error. Cancelling the context aborts the
 // exchange at any time.
@@ -84,10 +81,7 @@
 	default:
 		resp.Close = true // the request body is not fully written yet
 	}
-	if x.Head.RequestID != "" && x.Head.RequestID != call.ID {
-		return x, ErrResponseMismatch
-	}
-	return x, nil
+	return x, conn.attribute(&x.Head, call.ID)
 }
 
 // inlineBodyBytes is the largest body that is written without a goroutine: it fits
