Reject a success without an id on a new connection too

Callers could receive a signed 2xx from a process that does not echo the request's id. Targets echo it in every response to a request, so such a response comes from something else at the target's address, or is damaged.

Only failures may now lack the id, and only on a connection that has carried no other request. A success without one counts as lost.

The spec on responses cut off by a reset sent a 200 without an id. It now sends the id; otherwise the head would be rejected and the spec would pass without reaching the reset.

--- a/internal/upstream/attribution_test.go
+++ b/internal/upstream/attribution_test.go
@@ -67,4 +67,11 @@
 		_, err := exchange(upstream.NewPool(), script(response(400, "", "", "x")).call())
 		Expect(err).NotTo(HaveOccurred())
 	})
+
+	// Guards against the delivery of a success from a process that does not echo ids:
+	// another service may have been given the target's address.
+	It("rejects a success without an id on a new connection", func() {
+		_, err := exchange(upstream.NewPool(), script(response(200, "", "", "x")).call())
+		Expect(err).To(MatchError(upstream.ErrResponseUnidentified))
+	})
 })
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -81,7 +81,7 @@
 	default:
 		resp.Close = true // the request body is not fully written yet
 	}
-	return x, conn.attribute(&x.Head, call.ID)
+	return x, conn.attribute(resp, &x.Head, call.ID)
 }
 
 // inlineBodyBytes is the largest body that is written without a goroutine: it fits
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -156,7 +156,7 @@
 
 	It("does not treat a response cut off by a reset as complete", func() {
 		t := serve(func(_ int64, conn net.Conn, _ *http.Request) bool {
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTamarackreach-Attempt-Id: a\r\n\r\npart")
 			time.Sleep(20 * time.Millisecond)
 			_ = conn.(*net.TCPConn).SetLinger(0)
 			return false
