Reject a response head with more than one request id

A caller could receive a response that belongs to two requests or is pieced together from two heads, for example the start of a late response and the response behind it; with Tamarackreach-Not-Executed in the first part, a request that ran could be sent again.

Only the first id of a head was read. Before the fix, a 503 with Tamarackreach-Not-Executed and two equal ids and a 200 with its own and an earlier id were accepted on a reused connection ("Expected an error, got nil", 2 of 2).

--- a/internal/upstream/attribution_test.go
+++ b/internal/upstream/attribution_test.go
@@ -60,6 +60,9 @@
 		Entry("a success without an id", response(200, "", "", "x"), upstream.ErrResponseUnidentified),
 		Entry("the response to an earlier request", response(503, "earlier", notExecuted, "")+response(200, "a", "", "x"),
 			upstream.ErrResponseMismatch),
+		Entry("two ids", response(503, "a", notExecuted+"Tamarackreach-Attempt-Id: a\r\n", ""), upstream.ErrResponseMismatch),
+		Entry("an earlier id after its own", response(200, "earlier", "Tamarackreach-Attempt-Id: a\r\n", "x"),
+			upstream.ErrResponseMismatch),
 	)
 
 	// Guards against the loss of responses to requests that a target cannot parse.
