Drop the head of a response that is not attributed to the send

After a response with another request's id, the exchange still held its head, and the handler passed its At-Server on with the end of the send: the target named by another request's failure became suspect for this one, so that callers' requests could avoid a target that works.

The response is now attributed before the exchange gets it. The connection of a rejected response is closed as before, because the exchange has no response.

--- a/internal/upstream/attribution_test.go
+++ b/internal/upstream/attribution_test.go
@@ -53,6 +53,8 @@
 		x.Done(false)
 		Expect(t.conns.Load()).To(BeEquivalentTo(1))
 		Expect(err).To(MatchError(rejected))
+		Expect(x.Response).To(BeNil())
+		Expect(x.Head).To(BeZero(), "another response's fields must not affect this request")
 	},
 		Entry("a rejection without an id", response(503, "", notExecuted, ""), upstream.ErrResponseUnidentified),
 		Entry("a 421 without an id", response(421, "", "", ""), upstream.ErrResponseUnidentified),
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -21,7 +21,8 @@
 	released  atomic.Bool
 	// Sent is true once a byte may have been sent to the target.
 	Sent bool
-	// Response is the target's response; its body must be read to the end or closed.
+	// Response is the target's response to this send, nil if there is none; its body
+	// must be read to the end or closed.
 	Response *http.Response
 	Head     platform.ResponseHead
 }
@@ -72,7 +73,11 @@
 	if err != nil {
 		return x, errors.Wrap(err, "cannot read a response")
 	}
-	x.Response, x.Head = resp, platform.DecodeResponseHead(resp)
+	head := platform.DecodeResponseHead(resp)
+	if err := conn.attribute(resp, &head, call.ID); err != nil {
+		return x, err
+	}
+	x.Response, x.Head = resp, head
 	select {
 	case err := <-written:
 		if err != nil {
@@ -81,7 +86,7 @@
 	default:
 		resp.Close = true // the request body is not fully written yet
 	}
-	return x, conn.attribute(resp, &x.Head, call.ID)
+	return x, nil
 }
 
 // inlineBodyBytes is the largest body that is written without a goroutine: it fits
