Reject a response head that runs on from a partial response

A caller could receive a status that its target did not send, and a non-idempotent request could run twice: if a target sends the start of a response that ends inside a line, the real response continues that line, and its id makes the combined head pass as the response to the request.

Before the fix "503 X", Tamarackreach-Not-Executed and "Date: Fri", followed by a whole 200, was accepted as a 503 that was not executed; "503 Serv" followed by the 200 was accepted as a 503. Stray bytes that end elsewhere (garbage, the rest of a longer body, whole lines, inside a header name or an id) failed to parse or had another id already; the specs now state that too.

The status line of the second response remains in the reason phrase or in a header value. A head with one there is rejected.

--- a/internal/upstream/attribution.go
+++ b/internal/upstream/attribution.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"regexp"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -21,8 +23,33 @@
 // target must have read one, or that it may belong to another request.
 var ErrResponseUnidentified = errors.New("response carries no request id; connection closed")
 
+// ErrResponseMerged means that the head of a partial response continues with the head
+// of the next one.
+var ErrResponseMerged = errors.New("response head contains another status line; connection closed")
+
+// statusLine matches the status line of a response that follows a partial one.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+
+// merged reports whether a response head contains a second status line. Bytes that
+// end inside a line run on into the response that follows, whose id the head then
+// has.
+func merged(resp *http.Response) bool {
+	if statusLine.MatchString(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // attribute returns an error unless the response read from c answers request id.
 func (c *connection) attribute(resp *http.Response, head *platform.ResponseHead, id model.RequestID) error {
+	if merged(resp) {
+		return ErrResponseMerged
+	}
 	switch head.RequestID {
 	case id:
 		return nil
--- a/internal/upstream/attribution_test.go
+++ b/internal/upstream/attribution_test.go
@@ -65,6 +65,28 @@
 		Entry("two ids", response(503, "a", notExecuted+"Tamarackreach-Attempt-Id: a\r\n", ""), upstream.ErrResponseMismatch),
 		Entry("an earlier id after its own", response(200, "earlier", "Tamarackreach-Attempt-Id: a\r\n", "x"),
 			upstream.ErrResponseMismatch),
+		Entry("a response behind a partial header line", "HTTP/1.1 503 X\r\n"+notExecuted+"Date: Fri"+response(200, "a", "", "x"),
+			upstream.ErrResponseMerged),
+		Entry("a response behind a partial status line", "HTTP/1.1 503 Serv"+response(200, "a", "", "x"), upstream.ErrResponseMerged),
+	)
+
+	// Guards against bytes that a target sends without a request being parsed as a part of
+	// the next response.
+	DescribeTable("accepts no response behind stray bytes", func(stray string) {
+		t := script(response(200, "earlier", "", "first"), stray+response(200, "a", "", "x"))
+		p := upstream.NewPool()
+		_, err := exchange(p, t.callWithID("earlier"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = exchange(p, t.call())
+		Expect(t.conns.Load()).To(BeEquivalentTo(1))
+		Expect(err).To(HaveOccurred())
+	},
+		Entry("garbage", "garbage\r\n\r\n"),
+		Entry("the rest of a longer body", "x"),
+		Entry("a status line", "HTTP/1.1 503 X\r\n"),
+		Entry("whole header lines", "HTTP/1.1 503 X\r\n"+notExecuted),
+		Entry("a partial header name", "HTTP/1.1 503 X\r\n"+notExecuted+"Da"),
+		Entry("a partial id", "HTTP/1.1 503 X\r\n"+notExecuted+"Tamarackreach-Attempt-Id: "),
 	)
 
 	// Guards against the loss of responses to requests that a target cannot parse.
