Send no request twice on the same connection

A caller could receive the response to an earlier send of its request, and a request that ran could be sent again: the router's repeat of a request, or a caller's repeat with the same id, could use the connection of the first send, where a late second response to that send carries the expected id.

The pool now skips idle connections that have carried the request's id; they stay available to other requests. A connection is closed after 256 requests, which bounds the ids that it holds.

--- a/internal/upstream/attribution.go
+++ b/internal/upstream/attribution.go
@@ -12,9 +12,10 @@
 )
 
 // Targets may send responses that no request is waiting for, at any time. A response
-// is attributed to the request in flight only if it echoes the request's id. A
-// failure without an id is also accepted from a connection that has carried no other
-// request: the target may have failed to parse the request.
+// is attributed to the request in flight only if it echoes the request's id, and no
+// connection carries the same id twice. A failure without an id is also accepted from
+// a connection that has carried no other request: the target may have failed to parse
+// the request.
 
 // ErrResponseMismatch means that the response carries the id of another request.
 var ErrResponseMismatch = errors.New("response carries the id of another request; connection closed")
--- a/internal/upstream/attribution_test.go
+++ b/internal/upstream/attribution_test.go
@@ -37,6 +37,7 @@
 func (t *target) callWithID(id model.RequestID) *upstream.Call {
 	call := t.call()
 	call.ID = id
+	call.Header.Set("Tamarackreach-Attempt-Id", string(id))
 	return call
 }
 
@@ -89,6 +90,47 @@
 		Entry("a partial id", "HTTP/1.1 503 X\r\n"+notExecuted+"Tamarackreach-Attempt-Id: "),
 	)
 
+	// Guards against the late response to an earlier send of a request that is delivered
+	// as the response to the next send of the same request.
+	DescribeTable("sends no request twice on a connection", func(late string, ids ...model.RequestID) {
+		var t *target
+		t = serve(func(n int64, conn net.Conn, r *http.Request) bool {
+			if int(n) == len(ids) && t.conns.Load() == 1 {
+				_, _ = io.WriteString(conn, late)
+			}
+			echo(conn, r, fmt.Sprint(n))
+			return true
+		})
+		p := upstream.NewPool()
+		for i, id := range ids {
+			body, err := exchange(p, t.callWithID(id))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal(fmt.Sprint(i + 1)))
+		}
+		Expect(t.conns.Load()).To(BeEquivalentTo(2))
+	},
+		Entry("when it was rejected late", response(503, "a", notExecuted, ""), model.RequestID("a"), model.RequestID("a")),
+		Entry("when it was answered late", response(200, "a", "", "late"), model.RequestID("a"), model.RequestID("a")),
+		Entry("when another request came between", response(200, "a", "", "late"), model.RequestID("a"), model.RequestID("b"), model.RequestID("a")),
+	)
+
+	// Guards against a pool that stops reusing connections after a repeated send, and
+	// against ids that accumulate on a connection without limit.
+	It("keeps reusing a connection for other requests, up to a limit", func() {
+		t := serve(func(_ int64, conn net.Conn, r *http.Request) bool { echo(conn, r, "body"); return true })
+		p := upstream.NewPool()
+		for n := range 300 {
+			_, err := exchange(p, t.callWithID(model.RequestID(fmt.Sprint(n))))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(t.conns.Load()).To(BeEquivalentTo(2))
+		_, err := exchange(p, t.callWithID("299"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = exchange(p, t.callWithID("other"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(t.conns.Load()).To(BeEquivalentTo(3))
+	})
+
 	// Guards against the loss of responses to requests that a target cannot parse.
 	It("accepts a failure without an id on a new connection", func() {
 		_, err := exchange(upstream.NewPool(), script(response(400, "", "", "x")).call())
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -48,7 +48,7 @@
 // exchange at any time.
 func (p *Pool) Do(ctx context.Context, call *Call) (*Exchange, error) {
 	x := &Exchange{pool: p, address: call.Address}
-	conn, err := p.get(ctx, call.Address)
+	conn, err := p.get(ctx, call.Address, call.ID)
 	if err != nil {
 		return x, err
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,12 +6,15 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"tamarackreach/internal/model"
 )
 
 const (
@@ -27,6 +30,9 @@
 	// idleMargin is subtracted from the limit that a target states, to cover the
 	// network latency of a request.
 	idleMargin = 500 * time.Millisecond
+	// maxRequests limits how many requests a connection carries, and so the memory for
+	// their ids.
+	maxRequests = 256
 	// readBufferBytes holds several stream events.
 	readBufferBytes = 4096
 )
@@ -60,6 +66,8 @@
 	expiresAt time.Time
 	// reused is true from the second request on.
 	reused bool
+	// requests holds the ids of the requests that the connection has carried.
+	requests []model.RequestID
 }
 
 // Read implements io.Reader for the buffered reader.
@@ -108,16 +116,17 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool { return &Pool{idle: map[string][]*connection{}} }
 
-// get returns a reusable idle connection, the most recently used first, or opens a
-// new one.
-func (p *Pool) get(ctx context.Context, address string) (*connection, error) {
+// get returns a reusable idle connection that has not carried the request id, the
+// most recently used first, or opens a new one.
+func (p *Pool) get(ctx context.Context, address string, id model.RequestID) (*connection, error) {
 	for {
-		c := p.take(address)
+		c := p.take(address, id)
 		if c == nil {
 			break
 		}
 		if time.Now().Before(c.expiresAt) && c.reusable() {
 			c.reused = true
+			c.requests = append(c.requests, id)
 			return c, nil
 		}
 		_ = c.Close() // a close error is harmless: no request is in flight on it
@@ -129,22 +138,28 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	c := &connection{Conn: conn}
+	c := &connection{Conn: conn, requests: []model.RequestID{id}}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
 
-func (p *Pool) take(address string) *connection {
+// take removes the most recently used idle connection that has not carried the
+// request id: a late response to an earlier send of the same request could not be
+// told from the response to the next one.
+func (p *Pool) take(address string, id model.RequestID) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if slices.Contains(c.requests, id) {
+			continue
+		}
+		p.idle[address] = slices.Delete(list, i, i+1)
+		p.reused++
+		return c
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	p.reused++
-	return c
+	return nil
 }
 
 // put returns a connection whose response was read to its end to the pool. limit is
@@ -154,7 +169,7 @@
 	if limit > 0 {
 		keep = limit - idleMargin
 	}
-	if keep <= 0 || c.reader.Buffered() > 0 {
+	if keep <= 0 || c.reader.Buffered() > 0 || len(c.requests) >= maxRequests {
 		_ = c.Close() // a close error is harmless: the response is complete
 		return
 	}
