Do not take a reset for the end of a response without a length

Callers could receive a truncated response that looked complete, with the target's signature: a response without Content-Length ends with its connection, and a reset of that connection could pass as its end while a long request body was still being written.

The kernel reports a reset to one system call. If the concurrent write of the body receives the error, the next read returns EOF.

At EOF the connection now asks for its TCP state: after a FIN it is not closed, after a reset it is, whichever call received the error.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -78,6 +79,9 @@
 		}
 		n, err := c.Conn.Read(p)
 		var timeout net.Error
+		if errors.Is(err, io.EOF) && c.wasReset() {
+			return n, errReset
+		}
 		if n > 0 || err == nil || !errors.As(err, &timeout) || !timeout.Timeout() {
 			return n, err
 		}
@@ -87,6 +91,25 @@
 	}
 }
 
+// errReset means that the target reset the connection.
+var errReset = errors.New("connection reset by the target")
+
+// wasReset reports whether a connection whose read returned io.EOF was reset. The
+// kernel reports a reset only once: if a concurrent write receives the error, a read
+// then returns io.EOF, as if the target had ended its response.
+func (c *connection) wasReset() bool {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	var info *unix.TCPInfo
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		info, failed = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	return err != nil || failed != nil || info.State == unix.BPF_TCP_CLOSE
+}
+
 // reusable reports whether the connection is open and has no unread bytes: bytes
 // that arrive between requests belong to no response.
 func (c *connection) reusable() bool {
