Find the end and the id of events whose lines exceed the read buffer

A caller could receive the first part of a stream event as a whole one, and a stream resumed on another target could then repeat or skip a part of it.

A line longer than the buffer is read in parts, and each last part was examined as if it were the line: an empty one counted as the end of the event, and one that begins with "id:" as its id. Before the fix an event of 4104 bytes was returned in two parts, the first of 4097 bytes, and an event with the id 7 had the id 9 of its data.

The whole line is now examined.

--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -43,9 +43,10 @@
 func (e *EventReader) Next() (Event, error) {
 	var out Event
 	e.event = e.event[:0]
+	lineStart := 0
 	for {
-		line, err := e.reader.ReadSlice('\n')
-		e.event = append(e.event, line...)
+		part, err := e.reader.ReadSlice('\n') // a part of the line if it exceeds the buffer
+		e.event = append(e.event, part...)
 		if len(e.event) > maxEventBytes {
 			return out, ErrEventTooLong
 		}
@@ -58,7 +59,8 @@
 			}
 			return out, err
 		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(e.event[lineStart:], "\r\n")
+		lineStart = len(e.event)
 		if len(line) == 0 {
 			out.Bytes, out.MoreBuffered = e.event, e.reader.Buffered() > 0
 			return out, nil
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -252,6 +252,18 @@
 		Expect(err).To(Equal(io.ErrUnexpectedEOF))
 	})
 
+	// Guards against an event that is delivered in two parts, or with an id from its
+	// data: a resumed stream would then repeat or skip a part of it.
+	DescribeTable("finds the end and the id of an event whose line fills its buffer", func(stream string) {
+		event, err := upstream.NewEventReader(strings.NewReader(stream)).Next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(event.Bytes).To(HaveLen(len(stream)))
+		Expect(event.ID).To(BeEquivalentTo(7))
+	},
+		Entry("up to the newline", "data: "+strings.Repeat("x", 4096-6)+"\nid: 7\n\n"),
+		Entry("up to text that looks like an id", "id: 7\ndata: "+strings.Repeat("x", 4096-12)+"id: 9\n\n"),
+	)
+
 	It("accepts lines longer than its buffer and limits the size of an event", func() {
 		long := "id: 1\ndata: " + strings.Repeat("x", 20000) + "\n\n"
 		event, err := upstream.NewEventReader(strings.NewReader(long)).Next()
