Skip informational responses of targets

Callers could receive 100 or 103 and then an empty 200 in place of the target's response, and an idempotent request was not repeated: the first head on the connection was taken for the response, also an informational one.

Up to five informational responses are now skipped, as net/http's client does.

--- a/internal/upstream/completeness_test.go
+++ b/internal/upstream/completeness_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -92,4 +93,21 @@
 		Entry("without the end of its last chunk", "Transfer-Encoding: chunked\r\n", "7\r\nid: 1\n\n\r\n0\r\n"),
 		Entry("before its length", "Content-Length: 8\r\n", "id: 1\n\n"),
 	)
+
+	// Guards against an informational response that is delivered in place of the final
+	// one.
+	DescribeTable("reads the final response after", func(informational string) {
+		body, err := exchange(upstream.NewPool(), script(informational+response(200, "a", "", "final")).call())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("final"))
+	},
+		Entry("100 Continue", "HTTP/1.1 100 Continue\r\n\r\n"),
+		Entry("103 Early Hints", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"),
+		Entry("several informational responses", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"),
+	)
+
+	It("fails after too many informational responses", func() {
+		_, err := exchange(upstream.NewPool(), script(strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100)).call())
+		Expect(err).To(MatchError(ContainSubstring("informational")))
+	})
 })
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -69,7 +70,7 @@
 		}()
 	}
 	//nolint:bodyclose // the caller reads the body and calls Done, which closes the connection
-	resp, err := http.ReadResponse(conn.reader, &http.Request{Method: call.Method})
+	resp, err := readResponse(conn.reader, call.Method)
 	if err != nil {
 		return x, errors.Wrap(err, "cannot read a response")
 	}
@@ -93,6 +94,21 @@
 // into the socket buffers, so the write does not wait for the target to read.
 const inlineBodyBytes = 16 << 10
 
+// maxInformational is the number of informational responses accepted before a final
+// one.
+const maxInformational = 5
+
+// readResponse reads the head of the final response; informational ones are dropped.
+func readResponse(r *bufio.Reader, method string) (*http.Response, error) {
+	for range maxInformational + 1 {
+		resp, err := http.ReadResponse(r, &http.Request{Method: method})
+		if err != nil || resp.StatusCode/100 != 1 {
+			return resp, err
+		}
+	}
+	return nil, errors.Newf("more than %d informational responses", maxInformational)
+}
+
 func (x *Exchange) abort() {
 	if x.released.CompareAndSwap(false, true) {
 		_ = x.conn.Close() // the exchange is aborted; its reader gets the error
