Reject responses with an invalid status

A caller could lose its connection in place of a response: net/http panics when a handler forwards a status below 100, and the request is then no longer sent to another target. (Read from the code; the specs cover the pool only.)

Before the fix the pool accepted "000" and "099" with the request's id ("Expected an error, got nil"); it skipped a 101 as informational and then failed only at the end of the connection. The router never asks for an upgrade, so 101 is invalid as well.

Such a send now counts as lost.

--- a/internal/upstream/completeness_test.go
+++ b/internal/upstream/completeness_test.go
@@ -110,4 +110,15 @@
 		_, err := exchange(upstream.NewPool(), script(strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100)).call())
 		Expect(err).To(MatchError(ContainSubstring("informational")))
 	})
+
+	// Guards against a status that cannot be forwarded: it fails the request after the
+	// point where it could be sent to another target.
+	DescribeTable("rejects the status", func(status string) {
+		_, err := exchange(upstream.NewPool(), script("HTTP/1.1 "+status+" X\r\nTamarackreach-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n").call())
+		Expect(err).To(MatchError(ContainSubstring("invalid status")))
+	},
+		Entry(nil, "000"),
+		Entry(nil, "099"),
+		Entry(nil, "101"),
+	)
 })
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -102,8 +102,13 @@
 func readResponse(r *bufio.Reader, method string) (*http.Response, error) {
 	for range maxInformational + 1 {
 		resp, err := http.ReadResponse(r, &http.Request{Method: method})
-		if err != nil || resp.StatusCode/100 != 1 {
-			return resp, err
+		switch {
+		case err != nil:
+			return nil, err
+		case resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errors.Newf("response has the invalid status %d", resp.StatusCode)
+		case resp.StatusCode >= http.StatusOK:
+			return resp, nil
 		}
 	}
 	return nil, errors.Newf("more than %d informational responses", maxInformational)
