Reuse a connection only after the end of its response was read

The next caller on a connection could lose its request: the handler reads at most 16 MiB of a response and then releases the connection as complete, and the rest of the response, if it had not arrived yet, preceded the next response.

The pool relied on the caller of Done. Before the fix, with half of a body read and the rest on its way, the next response failed with "malformed HTTP version "cdHTTP/1.1"" in place of a new connection. Connections with Connection: close, of HTTP/1.0, or with bytes behind the response were not reused before either; the specs now state these cases too.

The exchange records whether its body was read to the end, and Done requires it.

--- a/internal/upstream/attribution_test.go
+++ b/internal/upstream/attribution_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -143,4 +145,37 @@
 		_, err := exchange(upstream.NewPool(), script(response(200, "", "", "x")).call())
 		Expect(err).To(MatchError(upstream.ErrResponseUnidentified))
 	})
+
+	// Guards against bytes of a response that precede the response to the next request.
+	DescribeTable("does not reuse a connection after", func(first, later string, read int64, pause time.Duration) {
+		t := serve(func(n int64, conn net.Conn, r *http.Request) bool {
+			if n > 1 {
+				echo(conn, r, "second")
+				return true
+			}
+			_, _ = io.WriteString(conn, first)
+			time.Sleep(10 * time.Millisecond)
+			_, _ = io.WriteString(conn, later)
+			return true
+		})
+		p := upstream.NewPool()
+		x, err := p.Do(context.Background(), t.call())
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadAll(io.LimitReader(x.Response.Body, read))
+		Expect(err).NotTo(HaveOccurred())
+		x.Done(true)
+		time.Sleep(pause)
+		body, err := exchange(p, t.callWithID("b"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("second"))
+		Expect(t.conns.Load()).To(BeEquivalentTo(2))
+	},
+		Entry("a response that was not read to its end", "HTTP/1.1 200 X\r\nTamarackreach-Attempt-Id: a\r\nContent-Length: 4\r\n\r\nab", "cd",
+			int64(2), time.Duration(0)),
+		Entry("Connection: close", response(200, "a", "Connection: close\r\n", "x"), "", int64(9), 30*time.Millisecond),
+		Entry("an HTTP/1.0 response", strings.Replace(response(200, "a", "", "x"), "1.1", "1.0", 1), "", int64(9), 30*time.Millisecond),
+		Entry("a response longer than its length", response(200, "a", "", "x")+"y", "", int64(9), 30*time.Millisecond),
+		Entry("bytes that follow a response later", response(200, "a", "", "x"), "y", int64(9), 30*time.Millisecond),
+		Entry("a body where none is allowed", response(204, "a", "", "x"), "", int64(9), 30*time.Millisecond),
+	)
 })
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 	conn      *connection
 	stopAbort func() bool
 	released  atomic.Bool
+	body      *responseBody
 	// Sent is true once a byte may have been sent to the target.
 	Sent bool
 	// Response is the target's response to this send, nil if there is none; its body
@@ -78,6 +80,8 @@
 	if err := conn.attribute(resp, &head, call.ID); err != nil {
 		return x, err
 	}
+	x.body = &responseBody{ReadCloser: resp.Body, ended: resp.Body == http.NoBody}
+	resp.Body = x.body
 	x.Response, x.Head = resp, head
 	select {
 	case err := <-written:
@@ -120,14 +124,28 @@
 	}
 }
 
+// responseBody records whether a body was read to its end.
+type responseBody struct {
+	io.ReadCloser
+	ended bool
+}
+
+// Read implements io.Reader.
+func (b *responseBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || errors.Is(err, io.EOF)
+	return n, err
+}
+
 // Done releases the exchange's connection. It returns to the pool only if complete
-// is true, that is, if the response was read to its end.
+// is true and the response was read to its end: the rest of it would otherwise precede
+// the next response.
 func (x *Exchange) Done(complete bool) {
 	if x.conn == nil {
 		return
 	}
 	aborted := x.stopAbort != nil && !x.stopAbort()
-	if !complete || aborted || x.Response == nil || x.Response.Close {
+	if !complete || aborted || x.Response == nil || x.Response.Close || !x.body.ended {
 		x.abort()
 		return
 	}
