Count the connections closed for unsolicited bytes

Bytes that arrive on an idle connection, or behind a response, closed it without a trace, so that targets that send extra responses could not be seen afterwards. A rejected response was only in the log of its request.

Pool.Unsolicited counts all three. The specs on rejected responses and on connections that are not reused state the count.

--- a/internal/upstream/attribution_test.go
+++ b/internal/upstream/attribution_test.go
@@ -56,6 +56,7 @@
 		x.Done(false)
 		Expect(t.conns.Load()).To(BeEquivalentTo(1))
 		Expect(err).To(MatchError(rejected))
+		Expect(p.Unsolicited()).To(Equal(1))
 		Expect(x.Response).To(BeNil())
 		Expect(x.Head).To(BeZero(), "another response's fields must not affect this request")
 	},
@@ -147,7 +148,7 @@
 	})
 
 	// Guards against bytes of a response that precede the response to the next request.
-	DescribeTable("does not reuse a connection after", func(first, later string, read int64, pause time.Duration) {
+	DescribeTable("does not reuse a connection after", func(first, later string, read int64, pause time.Duration, unsolicited int) {
 		t := serve(func(n int64, conn net.Conn, r *http.Request) bool {
 			if n > 1 {
 				echo(conn, r, "second")
@@ -169,13 +170,14 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(body).To(Equal("second"))
 		Expect(t.conns.Load()).To(BeEquivalentTo(2))
+		Expect(p.Unsolicited()).To(Equal(unsolicited))
 	},
 		Entry("a response that was not read to its end", "HTTP/1.1 200 X\r\nTamarackreach-Attempt-Id: a\r\nContent-Length: 4\r\n\r\nab", "cd",
-			int64(2), time.Duration(0)),
-		Entry("Connection: close", response(200, "a", "Connection: close\r\n", "x"), "", int64(9), 30*time.Millisecond),
-		Entry("an HTTP/1.0 response", strings.Replace(response(200, "a", "", "x"), "1.1", "1.0", 1), "", int64(9), 30*time.Millisecond),
-		Entry("a response longer than its length", response(200, "a", "", "x")+"y", "", int64(9), 30*time.Millisecond),
-		Entry("bytes that follow a response later", response(200, "a", "", "x"), "y", int64(9), 30*time.Millisecond),
-		Entry("a body where none is allowed", response(204, "a", "", "x"), "", int64(9), 30*time.Millisecond),
+			int64(2), time.Duration(0), 0),
+		Entry("Connection: close", response(200, "a", "Connection: close\r\n", "x"), "", int64(9), 30*time.Millisecond, 0),
+		Entry("an HTTP/1.0 response", strings.Replace(response(200, "a", "", "x"), "1.1", "1.0", 1), "", int64(9), 30*time.Millisecond, 0),
+		Entry("a response longer than its length", response(200, "a", "", "x")+"y", "", int64(9), 30*time.Millisecond, 1),
+		Entry("bytes that follow a response later", response(200, "a", "", "x"), "y", int64(9), 30*time.Millisecond, 1),
+		Entry("a body where none is allowed", response(204, "a", "", "x"), "", int64(9), 30*time.Millisecond, 1),
 	)
 })
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -78,6 +78,7 @@
 	}
 	head := platform.DecodeResponseHead(resp)
 	if err := conn.attribute(resp, &head, call.ID); err != nil {
+		p.countUnsolicited()
 		return x, err
 	}
 	x.body = &responseBody{ReadCloser: resp.Body, ended: resp.Body == http.NoBody}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -110,21 +110,22 @@
 	return err != nil || failed != nil || info.State == unix.BPF_TCP_CLOSE
 }
 
-// reusable reports whether the connection is open and has no unread bytes: bytes
-// that arrive between requests belong to no response.
-func (c *connection) reusable() bool {
+// checkIdle reports whether the idle connection is open and has no unread bytes, and
+// whether it has such bytes: bytes that arrive between requests belong to no response.
+func (c *connection) checkIdle() (reusable, unread bool) {
 	if c.reader.Buffered() > 0 {
-		return false
+		return false, true
 	}
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
+	var n int
 	var peeked error
 	err = raw.Control(func(fd uintptr) {
-		_, _, peeked = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		n, _, peeked = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && errors.Is(peeked, unix.EAGAIN)
+	return err == nil && errors.Is(peeked, unix.EAGAIN), err == nil && peeked == nil && n > 0
 }
 
 // Pool holds idle connections by target address.
@@ -134,6 +135,8 @@
 	idle   map[string][]*connection
 	opened int
 	reused int
+	// unsolicited counts the connections closed for bytes of no request in flight.
+	unsolicited int
 }
 
 // NewPool returns an empty pool.
@@ -147,11 +150,15 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.expiresAt) && c.reusable() {
+		reusable, unread := c.checkIdle()
+		if reusable && time.Now().Before(c.expiresAt) {
 			c.reused = true
 			c.requests = append(c.requests, id)
 			return c, nil
 		}
+		if unread {
+			p.countUnsolicited()
+		}
 		_ = c.Close() // a close error is harmless: no request is in flight on it
 	}
 	conn, err := p.dialer.Dial(ctx, address)
@@ -192,7 +199,11 @@
 	if limit > 0 {
 		keep = limit - idleMargin
 	}
-	if keep <= 0 || c.reader.Buffered() > 0 || len(c.requests) >= maxRequests {
+	unread := c.reader.Buffered() > 0
+	if unread {
+		p.countUnsolicited()
+	}
+	if keep <= 0 || unread || len(c.requests) >= maxRequests {
 		_ = c.Close() // a close error is harmless: the response is complete
 		return
 	}
@@ -234,3 +245,17 @@
 	defer p.mu.Unlock()
 	return p.opened, p.reused
 }
+
+// Unsolicited returns how many connections were closed because bytes arrived on them
+// that could not be attributed to a request in flight.
+func (p *Pool) Unsolicited() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unsolicited
+}
+
+func (p *Pool) countUnsolicited() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unsolicited++
+}
