--- a/internal/upstream/attribution.go
+++ b/internal/upstream/attribution.go
@@ -20,8 +20,8 @@
 // ErrResponseMismatch means that the response carries the id of another request.
 var ErrResponseMismatch = errors.New("response carries the id of another request; connection closed")
 
-// ErrResponseUnidentified means that the response carries no id although the
-// target must have read one, or that it may belong to another request.
+// ErrResponseUnidentified means that the response carries no id and is a success or
+// may belong to another request.
 var ErrResponseUnidentified = errors.New("response carries no request id; connection closed")
 
 // ErrResponseMerged means that the head of a partial response continues with the head
