--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -1,7 +1,9 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -19,9 +21,11 @@
 	conn      *connection
 	stopAbort func() bool
 	released  atomic.Bool
+	body      *responseBody
 	// Sent is true once a byte may have been sent to the target.
 	Sent bool
-	// Response is the target's response; its body must be read to the end or closed.
+	// Response is the target's response to this send, nil if there is none; its body
+	// must be read to the end or closed.
 	Response *http.Response
 	Head     platform.ResponseHead
 }
@@ -42,15 +46,12 @@
 	OnSilence func() error
 }
 
-// ErrResponseMismatch means that the response carries the id of another request.
-var ErrResponseMismatch = errors.New("response carries the id of another request; connection closed")
-
 // Do sends a request and reads the head of its response. Done must be called on the
 // returned exchange, also after an error. Cancelling the context aborts the
 // exchange at any time.
 func (p *Pool) Do(ctx context.Context, call *Call) (*Exchange, error) {
 	x := &Exchange{pool: p, address: call.Address}
-	conn, err := p.get(ctx, call.Address)
+	conn, err := p.get(ctx, call.Address, call.ID)
 	if err != nil {
 		return x, err
 	}
@@ -71,11 +72,18 @@
 		}()
 	}
 	//nolint:bodyclose // the caller reads the body and calls Done, which closes the connection
-	resp, err := http.ReadResponse(conn.reader, &http.Request{Method: call.Method})
+	resp, err := readResponse(conn.reader, call.Method)
 	if err != nil {
 		return x, errors.Wrap(err, "cannot read a response")
 	}
-	x.Response, x.Head = resp, platform.DecodeResponseHead(resp)
+	head := platform.DecodeResponseHead(resp)
+	if err := conn.attribute(resp, &head, call.ID); err != nil {
+		p.countUnsolicited()
+		return x, err
+	}
+	x.body = &responseBody{ReadCloser: resp.Body, ended: resp.Body == http.NoBody}
+	resp.Body = x.body
+	x.Response, x.Head = resp, head
 	select {
 	case err := <-written:
 		if err != nil {
@@ -84,9 +92,6 @@
 	default:
 		resp.Close = true // the request body is not fully written yet
 	}
-	if x.Head.RequestID != "" && x.Head.RequestID != call.ID {
-		return x, ErrResponseMismatch
-	}
 	return x, nil
 }
 
@@ -94,20 +99,54 @@
 // into the socket buffers, so the write does not wait for the target to read.
 const inlineBodyBytes = 16 << 10
 
+// maxInformational is the number of informational responses accepted before a final
+// one.
+const maxInformational = 5
+
+// readResponse reads the head of the final response; informational ones are dropped.
+func readResponse(r *bufio.Reader, method string) (*http.Response, error) {
+	for range maxInformational + 1 {
+		resp, err := http.ReadResponse(r, &http.Request{Method: method})
+		switch {
+		case err != nil:
+			return nil, err
+		case resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errors.Newf("response has the invalid status %d", resp.StatusCode)
+		case resp.StatusCode >= http.StatusOK:
+			return resp, nil
+		}
+	}
+	return nil, errors.Newf("more than %d informational responses", maxInformational)
+}
+
 func (x *Exchange) abort() {
 	if x.released.CompareAndSwap(false, true) {
 		_ = x.conn.Close() // the exchange is aborted; its reader gets the error
 	}
 }
 
+// responseBody records whether a body was read to its end.
+type responseBody struct {
+	io.ReadCloser
+	ended bool
+}
+
+// Read implements io.Reader.
+func (b *responseBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || errors.Is(err, io.EOF)
+	return n, err
+}
+
 // Done releases the exchange's connection. It returns to the pool only if complete
-// is true, that is, if the response was read to its end.
+// is true and the response was read to its end: the rest of it would otherwise precede
+// the next response.
 func (x *Exchange) Done(complete bool) {
 	if x.conn == nil {
 		return
 	}
 	aborted := x.stopAbort != nil && !x.stopAbort()
-	if !complete || aborted || x.Response == nil || x.Response.Close {
+	if !complete || aborted || x.Response == nil || x.Response.Close || !x.body.ended {
 		x.abort()
 		return
 	}
