--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -35,12 +35,14 @@
 	requests int
 }
 
+var harnessSettings = director.Settings{
+	VM: "vm-1", Zone: "a", ConfigApply: 2 * time.Second, Revoke: 5 * time.Second, Stall: 2500 * time.Millisecond,
+	Retries: retrybudget.Settings{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
+}
+
 func newHarness() *harness {
 	h := &harness{
-		state: director.New(director.Settings{
-			VM: "vm-1", Zone: "a", ConfigApply: 2 * time.Second, Revoke: 5 * time.Second, Stall: 2500 * time.Millisecond,
-			Retries: retrybudget.Settings{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
-		}),
+		state:   director.New(harnessSettings),
 		now:     model.Instant(time.Hour),
 		targets: map[model.TargetID]*fleet.Target{}, rows: map[model.TargetID]model.RowVersion{},
 		config: config(7),
--- a/internal/director/retries_test.go
+++ b/internal/director/retries_test.go
@@ -80,3 +80,79 @@
 		Expect(h.budgetOf(llm).Granted).To(BeEmpty())
 	})
 })
+
+var _ = Describe("the retry budget of a VM", func() {
+	var h *harness
+	BeforeEach(func() {
+		h = newHarness()
+		h.addTarget("a1", llm, "a", 0, 40)
+		h.addTarget("a2", llm, "a", 40, 80)
+		h.addTarget("a3", llm, "a", 40, 80)
+		h.addTarget("o1", orders, "a", 0, 0)
+		h.addTarget("o2", orders, "b", 0, 0)
+		h.read()
+	})
+
+	// Guards against a VM that takes the whole slack until it has read how many VMs
+	// share it.
+	It("has no slack before the number of VMs is known", func() {
+		h.state = director.New(harnessSettings)
+		h.read()
+		for range 20 {
+			id, e := h.arrive("/r/x")
+			expectSend(e)
+			h.endSend(id, director.Rejected)
+			h.state.Step(h.now, director.RequestFinished{ID: id})
+		}
+		Expect(h.budgetOf(orders).Spent).To(BeNumerically("<=", 20*harnessSettings.Retries.Ratio))
+	})
+
+	holdLayers := func() {
+		for _, id := range []model.TargetID{"a2", "a3"} {
+			h.changeTarget(id, func(t *fleet.Target) { t.Held = model.LayerRange{First: 40, End: 80} })
+		}
+		h.read()
+	}
+
+	// waiting returns a started stream that was diverted and waits for a path, with its
+	// retry taken from the budget.
+	waiting := func() model.RequestID {
+		holdLayers()
+		id, e := h.arrive("/s/x")
+		at := expectSend(e).Hops[1].Target
+		h.state.Step(h.now, director.AnswerStarted{ID: id})
+		h.changeTarget(at, func(t *fleet.Target) { t.Held = model.LayerRange{} })
+		h.read()
+		Expect(lastEffect(h.state.Step(h.now, director.StreamIdle{ID: id, For: time.Second}))).To(BeAssignableToTypeOf(&director.Divert{}))
+		for _, other := range []model.TargetID{"a2", "a3"} {
+			h.changeTarget(other, func(t *fleet.Target) { t.Held = model.LayerRange{} })
+		}
+		h.read()
+		Expect(h.endSend(id, director.Diverted)).To(BeAssignableToTypeOf(&director.Wait{}))
+		return id
+	}
+
+	// Guards against a retry that was taken at the divert, sent seconds later and
+	// dropped from the count a window after the divert: its window then holds it and a
+	// whole budget besides.
+	It("counts a retry that waits for a path when it is sent", func() {
+		id := waiting()
+		h.advance(1800 * time.Millisecond)
+		holdLayers()
+		expectSend(lastEffect(h.state.Step(h.now, director.WaitElapsed{ID: id})))
+		h.advance(harnessSettings.Retries.Window - 100*time.Millisecond)
+		Expect(h.budgetOf(llm).Spent).To(Equal(1))
+	})
+
+	// Guards against retries that are taken from the budget and never sent.
+	It("returns a retry that is not sent", func() {
+		id := waiting()
+		Expect(h.budgetOf(llm).Spent).To(Equal(1))
+		h.state.Step(h.now, director.RequestFinished{ID: id})
+		Expect(h.budgetOf(llm).Spent).To(BeZero())
+		id = waiting()
+		h.advance(19900 * time.Millisecond)
+		expectRefusal(lastEffect(h.state.Step(h.now, director.WaitElapsed{ID: id})))
+		Expect(h.budgetOf(llm).Spent).To(BeZero())
+	})
+})
