Retry budget: keep each retry for a whole window

The count moved by tenths of a window, so a retry late in a tenth was dropped up to a tenth of a window early: 4 VMs that spend all they may every 330 ms spent 360 retries in 10 s where 200 are allowed. Retries are now kept by their time; first attempts, of which there are far more, are counted by twentieths of a window and dropped early, which is the safe direction.

Eleven buckets would be safe as well, but a VM would then wait up to a tenth longer for room; a token bucket allows nearly twice its size in a window.

--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -3,6 +3,8 @@
 package retrybudget
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"tamarackreach/internal/model"
@@ -19,10 +21,14 @@
 }
 
 const (
-	// buckets is the number of buckets in a window.
-	buckets = 10
-	// usableFraction is the fraction of the budget that may be spent: the buckets of
-	// a VM are not aligned with the window in which the limit must hold.
+	// resolution is the number of intervals per window by which first attempts are
+	// counted.
+	resolution = 20
+	// minHistory is the minimum time for which counts are kept, so that a window that
+	// becomes longer still holds what was spent before.
+	minHistory = time.Minute
+	// usableFraction is the fraction of the budget that may be spent: sends arrive at
+	// targets later than they are counted, and VMs may know different numbers of VMs.
 	usableFraction = 0.9
 )
 
@@ -30,25 +36,34 @@
 type Budget struct {
 	settings Settings
 	vms      int
-	services map[model.ServiceID]*window
+	services map[model.ServiceID]*history
 }
 
-type window struct {
-	firstAttempts, retries [buckets]int
-	// current is the number of the newest bucket, counted from instant 0.
-	current int64
+// history holds the counts of a service, in order of time.
+type history struct {
+	firstAttempts []interval
+	// retries holds the time of each retry: a retry must stay in the count for exactly
+	// a window.
+	retries []model.Instant
+}
+
+// interval is a number of first attempts that began at start or up to a fraction of
+// a window later.
+type interval struct {
+	start model.Instant
+	count int
 }
 
 // New returns an unused budget for one VM.
 func New(s Settings) *Budget {
-	return &Budget{settings: s, vms: 1, services: map[model.ServiceID]*window{}}
+	return &Budget{settings: s, vms: 1, services: map[model.ServiceID]*history{}}
 }
 
 // SetSettings replaces the limits. A change of the window's length resets the
 // counts; other changes keep them.
 func (b *Budget) SetSettings(s Settings) {
 	if s.Window != b.settings.Window {
-		b.services = map[model.ServiceID]*window{}
+		b.services = map[model.ServiceID]*history{}
 	}
 	b.settings = s
 }
@@ -56,27 +71,42 @@
 // SetVMs sets the number of VMs that share the slack.
 func (b *Budget) SetVMs(n int) { b.vms = max(n, 1) }
 
-// window returns the window of a service, advanced to now.
-func (b *Budget) window(now model.Instant, service model.ServiceID) *window {
-	w := b.services[service]
-	if w == nil {
-		w = &window{}
-		b.services[service] = w
-	}
-	bucketLength := int64(max(b.settings.Window, time.Second)) / buckets
-	current := int64(now) / bucketLength
-	for n := 0; w.current < current && n < buckets; n++ {
-		w.current = max(w.current+1, current-buckets+1)
-		w.firstAttempts[w.current%buckets], w.retries[w.current%buckets] = 0, 0
+func (b *Budget) window() time.Duration { return max(b.settings.Window, time.Second) }
+
+// history returns the counts of a service without those that are too old to matter.
+func (b *Budget) history(now model.Instant, service model.ServiceID) *history {
+	h := b.services[service]
+	if h == nil {
+		h = &history{}
+		b.services[service] = h
 	}
-	w.current = max(w.current, current)
-	return w
+	oldest := now.Add(-max(2*b.window(), minHistory))
+	h.firstAttempts = h.firstAttempts[h.firstIntervalAt(oldest):]
+	h.retries = h.retries[h.firstRetryAt(oldest):]
+	return h
+}
+
+// firstIntervalAt returns the index of the first interval that starts at t or later.
+func (h *history) firstIntervalAt(t model.Instant) int {
+	i, _ := slices.BinarySearchFunc(h.firstAttempts, t, func(i interval, t model.Instant) int { return cmp.Compare(i.start, t) })
+	return i
+}
+
+// firstRetryAt returns the index of the first retry at t or later.
+func (h *history) firstRetryAt(t model.Instant) int {
+	i, _ := slices.BinarySearch(h.retries, t)
+	return i
 }
 
 // CountFirstAttempt counts the first attempt of a request.
 func (b *Budget) CountFirstAttempt(now model.Instant, service model.ServiceID) {
-	w := b.window(now, service)
-	w.firstAttempts[w.current%buckets]++
+	h := b.history(now, service)
+	last := len(h.firstAttempts) - 1
+	if last < 0 || now.Sub(h.firstAttempts[last].start) >= b.window()/resolution {
+		h.firstAttempts = append(h.firstAttempts, interval{start: now})
+		last++
+	}
+	h.firstAttempts[last].count++
 }
 
 // TryRetry spends one retry, or returns false when the window's budget is exhausted.
@@ -84,8 +114,8 @@
 	if u := b.Usage(now, service); float64(u.Spent+1) > u.Limit {
 		return false
 	}
-	w := b.window(now, service)
-	w.retries[w.current%buckets]++
+	h := b.history(now, service)
+	h.retries = append(h.retries, now)
 	return true
 }
 
@@ -101,11 +131,11 @@
 
 // Usage returns the budget of a service in the window that ends now.
 func (b *Budget) Usage(now model.Instant, service model.ServiceID) Usage {
-	u := Usage{VMs: b.vms}
-	w := b.window(now, service)
-	for i := range buckets {
-		u.FirstAttempts += w.firstAttempts[i]
-		u.Spent += w.retries[i]
+	h := b.history(now, service)
+	start := now.Add(-b.window())
+	u := Usage{VMs: b.vms, Spent: len(h.retries) - h.firstRetryAt(start+1)}
+	for _, i := range h.firstAttempts[h.firstIntervalAt(start):] {
+		u.FirstAttempts += i.count
 	}
 	u.Limit = usableFraction * (b.settings.Ratio*float64(u.FirstAttempts) + b.settings.Slack/float64(b.vms))
 	return u
