Retry budget: no share of the slack for a VM that has just started

A VM divided the slack by 1 until it had read how many VMs there are, and a restarted VM spent what its predecessor had spent in the same window.

A VM now has no share before it has known the number of VMs for one and a half windows, which covers a replaced process and VMs that lower their share when it joins. Until then it spends the ratio of its own first attempts. With a window of 10 s a deployment lacks slack for 15 s after its start, and so does each restarted VM: it retries at most 9 in 50 of its requests in that time.

Alternatives: sending the spent retries to peers, which protects nothing while VMs are partitioned or start together; a record of the spent retries in the store, which costs a write per window and VM and is unavailable when it matters.

The tests of the reducer, and those with a daemon, now begin with a VM that has its share, which they took for granted.

--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -47,6 +47,9 @@
 		targets: map[model.TargetID]*fleet.Target{}, rows: map[model.TargetID]model.RowVersion{},
 		config: config(7),
 	}
+	// The VM has known for long that it is the only one, and has the slack of the retry
+	// budget.
+	h.state.Step(h.now.Add(-time.Minute), director.VMsCounted{Count: 1})
 	return h
 }
 
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -47,7 +47,6 @@
 	targetsRead      bool
 	requests         map[model.RequestID]*request
 	peers            map[model.NodeID]*peer
-	vms              int
 	budget           *retrybudget.Budget
 	// retries holds the figures of each service that has sent a retry or been denied
 	// one.
@@ -109,7 +108,7 @@
 	return &State{
 		settings: s, targets: map[model.TargetID]*target{}, byAddress: map[string]*target{},
 		byService: map[model.ServiceID][]*target{}, requests: map[model.RequestID]*request{},
-		peers: map[model.NodeID]*peer{}, vms: 1, budget: retrybudget.New(s.Retries),
+		peers: map[model.NodeID]*peer{}, budget: retrybudget.New(s.Retries),
 		crashRecords: map[model.Fingerprint]*crashRecord{}, retries: map[model.ServiceID]*serviceRetries{},
 	}
 }
@@ -161,8 +160,7 @@
 	case StoreFailed:
 		return s.storeFailed(now)
 	case VMsCounted:
-		s.vms = max(e.Count, 1)
-		s.budget.SetVMs(s.vms)
+		s.budget.SetVMs(now, e.Count)
 	case SettingsChanged:
 		return s.settingsChanged(e.Settings)
 	case Terminating:
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -30,13 +30,20 @@
 	// usableFraction is the fraction of the budget that may be spent: sends arrive at
 	// targets later than they are counted, and VMs may know different numbers of VMs.
 	usableFraction = 0.9
+	// shareDelay is the time, in windows, from when a VM first knows how many VMs there
+	// are until it has a share of the slack. The VM that it replaces may have spent its
+	// share in the last window, and VMs that it joins lower theirs within half a window.
+	shareDelay = 1.5
 )
 
 // Budget counts the first attempts and the retries of one VM per service.
 type Budget struct {
 	settings Settings
-	vms      int
 	services map[model.ServiceID]*history
+	// vms is the number of VMs that share the slack; 0 while it is unknown.
+	vms int
+	// vmsKnownAt is when it was first known.
+	vmsKnownAt model.Instant
 }
 
 // history holds the counts of a service, in order of time.
@@ -54,9 +61,9 @@
 	count int
 }
 
-// New returns an unused budget for one VM.
+// New returns an unused budget of a VM that does not know how many VMs there are.
 func New(s Settings) *Budget {
-	return &Budget{settings: s, vms: 1, services: map[model.ServiceID]*history{}}
+	return &Budget{settings: s, services: map[model.ServiceID]*history{}}
 }
 
 // SetSettings replaces the limits. A change of the window's length resets the
@@ -69,7 +76,23 @@
 }
 
 // SetVMs sets the number of VMs that share the slack.
-func (b *Budget) SetVMs(n int) { b.vms = max(n, 1) }
+func (b *Budget) SetVMs(now model.Instant, n int) {
+	if b.vms == 0 {
+		b.vmsKnownAt = now
+	}
+	b.vms = max(n, 1)
+}
+
+// share returns the VM's share of the slack.
+//
+// Invariant: the shares of all VMs, and of processes that they replaced within a
+// window, add up to at most the slack. A VM that does not know the others has none.
+func (b *Budget) share(now model.Instant) float64 {
+	if b.vms == 0 || now.Sub(b.vmsKnownAt) < time.Duration(shareDelay*float64(b.window())) {
+		return 0
+	}
+	return b.settings.Slack / float64(b.vms)
+}
 
 func (b *Budget) window() time.Duration { return max(b.settings.Window, time.Second) }
 
@@ -125,7 +148,7 @@
 	Spent, FirstAttempts int
 	// Limit is the number of retries that the window allows.
 	Limit float64
-	// VMs is the number of VMs that share the slack.
+	// VMs is the number of VMs that share the slack; 0 while it is unknown.
 	VMs int
 }
 
@@ -137,6 +160,6 @@
 	for _, i := range h.firstAttempts[h.firstIntervalAt(start):] {
 		u.FirstAttempts += i.count
 	}
-	u.Limit = usableFraction * (b.settings.Ratio*float64(u.FirstAttempts) + b.settings.Slack/float64(b.vms))
+	u.Limit = usableFraction * (b.settings.Ratio*float64(u.FirstAttempts) + b.share(now))
 	return u
 }
