Retry budget: a lower number of VMs takes effect after a window

A number that is too low for a moment, as after a read of a store that was restored from an older copy, raised the share at once: 2 of 8 VMs that counted 2 VMs and 6 that counted 8 spent 312 retries in a window where 200 are allowed. The share now divides by the largest number of the last window.

Adopting a lower number never would be simpler, but leaves the slack of VMs that were removed unused until all others restart.

--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -40,12 +40,19 @@
 type Budget struct {
 	settings Settings
 	services map[model.ServiceID]*history
-	// vms is the number of VMs that share the slack; 0 while it is unknown.
-	vms int
+	// vmCounts are the numbers of VMs that were known in the last window, the current
+	// one last; empty while it is unknown.
+	vmCounts []vmCount
 	// vmsKnownAt is when it was first known.
 	vmsKnownAt model.Instant
 }
 
+// vmCount is a number of VMs that was known until another replaced it.
+type vmCount struct {
+	vms        int
+	replacedAt model.Instant
+}
+
 // history holds the counts of a service, in order of time.
 type history struct {
 	firstAttempts []interval
@@ -75,12 +82,28 @@
 	b.settings = s
 }
 
-// SetVMs sets the number of VMs that share the slack.
+// SetVMs sets the number of VMs that share the slack. A lower number takes effect
+// after a window: it may be wrong for a moment, and VMs that left have spent retries.
 func (b *Budget) SetVMs(now model.Instant, n int) {
-	if b.vms == 0 {
+	last := len(b.vmCounts) - 1
+	if last < 0 {
 		b.vmsKnownAt = now
+	} else {
+		b.vmCounts[last].replacedAt = now
+	}
+	b.vmCounts = append(b.vmCounts, vmCount{vms: max(n, 1)})
+	b.vmCounts = slices.DeleteFunc(b.vmCounts, func(c vmCount) bool { return c.replacedAt != 0 && now.Sub(c.replacedAt) >= b.window() })
+}
+
+// vms returns the number of VMs that share the slack; 0 while it is unknown.
+func (b *Budget) vms(now model.Instant) int {
+	n := 0
+	for _, c := range b.vmCounts {
+		if c.replacedAt == 0 || now.Sub(c.replacedAt) < b.window() {
+			n = max(n, c.vms)
+		}
 	}
-	b.vms = max(n, 1)
+	return n
 }
 
 // share returns the VM's share of the slack.
@@ -88,10 +111,11 @@
 // Invariant: the shares of all VMs, and of processes that they replaced within a
 // window, add up to at most the slack. A VM that does not know the others has none.
 func (b *Budget) share(now model.Instant) float64 {
-	if b.vms == 0 || now.Sub(b.vmsKnownAt) < time.Duration(shareDelay*float64(b.window())) {
+	vms := b.vms(now)
+	if vms == 0 || now.Sub(b.vmsKnownAt) < time.Duration(shareDelay*float64(b.window())) {
 		return 0
 	}
-	return b.settings.Slack / float64(b.vms)
+	return b.settings.Slack / float64(vms)
 }
 
 func (b *Budget) window() time.Duration { return max(b.settings.Window, time.Second) }
@@ -156,7 +180,7 @@
 func (b *Budget) Usage(now model.Instant, service model.ServiceID) Usage {
 	h := b.history(now, service)
 	start := now.Add(-b.window())
-	u := Usage{VMs: b.vms, Spent: len(h.retries) - h.firstRetryAt(start+1)}
+	u := Usage{VMs: b.vms(now), Spent: len(h.retries) - h.firstRetryAt(start+1)}
 	for _, i := range h.firstAttempts[h.firstIntervalAt(start):] {
 		u.FirstAttempts += i.count
 	}
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -93,4 +93,23 @@
 		}
 		Expect(b.TryRetry(settledAt, "other")).To(BeTrue())
 	})
+
+	// Guards against a VM that never gets its share of the slack, or not all of it once
+	// other VMs have left.
+	It("has its share some time after it knows the number of VMs, and a larger one when there are fewer", func() {
+		b := retrybudget.New(settings)
+		limit := func(at model.Instant) float64 { return b.Usage(at, "s").Limit }
+		window := model.Instant(settings.Window)
+		Expect(limit(window)).To(BeZero())
+		b.SetVMs(window, 4)
+		Expect(limit(5*window/2 - 1)).To(BeZero())
+		share := limit(5 * window / 2)
+		Expect(share).To(BeNumerically("~", settings.Slack/4, settings.Slack/30))
+		b.SetVMs(3*window, 2)
+		b.SetVMs(3*window+1, 2)
+		Expect(limit(4*window - 1)).To(Equal(share))
+		Expect(limit(4 * window)).To(Equal(2 * share))
+		b.SetVMs(4*window, 8)
+		Expect(limit(4 * window)).To(Equal(share / 2))
+	})
 })
