Retry budget: keep the counts when the length of the window changes

A change of the window discarded what was spent: 4 VMs whose window grew by 2 s spent 360 retries where 200 are allowed.

--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -73,14 +73,8 @@
 	return &Budget{settings: s, services: map[model.ServiceID]*history{}}
 }
 
-// SetSettings replaces the limits. A change of the window's length resets the
-// counts; other changes keep them.
-func (b *Budget) SetSettings(s Settings) {
-	if s.Window != b.settings.Window {
-		b.services = map[model.ServiceID]*history{}
-	}
-	b.settings = s
-}
+// SetSettings replaces the limits and keeps the counts.
+func (b *Budget) SetSettings(s Settings) { b.settings = s }
 
 // SetVMs sets the number of VMs that share the slack. A lower number takes effect
 // after a window: it may be wrong for a moment, and VMs that left have spent retries.
