Retry budget: count a diverted request's retry when it is sent

A divert took the retry from the budget at once. The send may wait up to two seconds for a path, and its retry then left the count as much before its window ended; one that was never sent stayed in it. A divert now reserves the retry, which counts until it is sent and for a window from then, or is returned when the request ends.

Reserving nothing would be simpler, but then streams are cancelled for a retry that the budget forbids.

--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -40,7 +40,7 @@
 		}
 	}
 	s.adjustLoad(r, -1)
-	delete(s.requests, e.ID)
+	s.remove(now, r)
 	return nil
 }
 
@@ -58,7 +58,7 @@
 	r.random = e.Random
 	next := s.nextEffect(now, r, e)
 	if _, refused := next.(*Refuse); refused {
-		delete(s.requests, e.ID)
+		s.remove(now, r)
 	}
 	return append(effects, next)
 }
@@ -126,12 +126,10 @@
 // other targets within seconds.
 func (s *State) resend(now model.Instant, r *request, e SendEnded) Effect {
 	reason := "the retry budget is spent"
-	if r.retryReserved || s.tryRetry(now, r, e.Outcome) {
-		r.retryReserved = true
+	if r.retryReserved || s.reserveRetry(now, r, e.Outcome) {
 		var send *Send
 		if send, reason = s.send(now, r); send != nil {
-			r.retryReserved = false
-			s.serviceRetries(r.service.ID).granted[retryCause(e.Outcome)]++
+			s.useRetry(now, r, e.Outcome)
 			return send
 		}
 	}
@@ -150,7 +148,7 @@
 	r.random = e.Random
 	next := s.resend(now, r, SendEnded{ID: e.ID, Random: e.Random})
 	if _, refused := next.(*Refuse); refused {
-		delete(s.requests, e.ID)
+		s.remove(now, r)
 	}
 	return []Effect{next}
 }
@@ -239,11 +237,11 @@
 	before := r.possibleRuns
 	s.recordPossibleRun(r)
 	hops, _ := s.choose(now, r)
-	if hops == nil || slices.Equal(hops, r.hops) || !s.tryRetry(now, r, Diverted) {
+	if hops == nil || slices.Equal(hops, r.hops) || !s.reserveRetry(now, r, Diverted) {
 		r.possibleRuns = before
 		return nil // no other path: the targets may recover
 	}
-	r.diverted, r.retryReserved = true, true
+	r.diverted = true
 	return []Effect{&Divert{Reason: "target " + string(hop.Target) + " on its path is at fault"}}
 }
 
--- a/internal/director/retries.go
+++ b/internal/director/retries.go
@@ -68,11 +68,12 @@
 	return s.retries[id]
 }
 
-// tryRetry takes a retry of a request from the budget, or returns false when the
-// budget is exhausted.
-func (s *State) tryRetry(now model.Instant, r *request, cause Outcome) bool {
+// reserveRetry takes the next send of a request from the retry budget, or returns
+// false when the budget is exhausted.
+func (s *State) reserveRetry(now model.Instant, r *request, cause Outcome) bool {
 	id := r.service.ID
-	if s.budget.TryRetry(now, id) {
+	if s.budget.Reserve(now, id) {
+		r.retryReserved = true
 		s.checkBudgetRestored(now, id)
 		return true
 	}
@@ -85,6 +86,22 @@
 	return false
 }
 
+// useRetry counts the reserved retry of a request as sent.
+func (s *State) useRetry(now model.Instant, r *request, cause Outcome) {
+	r.retryReserved = false
+	s.budget.UseReserved(now, r.service.ID)
+	s.serviceRetries(r.service.ID).granted[retryCause(cause)]++
+}
+
+// remove removes a request that has ended, and returns the retry that it reserved and
+// did not send.
+func (s *State) remove(now model.Instant, r *request) {
+	if r.retryReserved {
+		s.budget.Release(now, r.service.ID)
+	}
+	delete(s.requests, r.ID)
+}
+
 // checkBudgetRestored records when an exhausted budget has room again.
 func (s *State) checkBudgetRestored(now model.Instant, id model.ServiceID) {
 	retries := s.retries[id]
--- a/internal/director/walk_test.go
+++ b/internal/director/walk_test.go
@@ -241,7 +241,7 @@
 var _ = Describe("a random history", func() {
 	// Pattern: all kinds of events combined, such as a plain request on an idle target
 	// under suspicion, the first fault found (lacing-fleet, trouble-2).
-	It("keeps at-most-once execution, correct refusals, complete paths and no remaining load", func() {
+	It("keeps at-most-once execution, correct refusals, complete paths, no remaining load and no reserved retry", func() {
 		for seed := range uint64(walks) {
 			w := newWalk(seed)
 			for range steps {
@@ -252,6 +252,9 @@
 			}
 			Expect(w.state.InFlight()).To(BeZero(), w.position())
 			Expect(w.state.OwnPeerState(w.now).Loads).To(BeEmpty(), w.position())
+			for _, b := range w.state.RetryBudgets(w.now) {
+				Expect(b.Reserved).To(BeZero(), w.position())
+			}
 		}
 	})
 })
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -59,6 +59,8 @@
 	// retries holds the time of each retry: a retry must stay in the count for exactly
 	// a window.
 	retries []model.Instant
+	// reserved is the number of retries that are taken from the budget and not sent.
+	reserved int
 }
 
 // interval is a number of first attempts that began at start or up to a fraction of
@@ -152,18 +154,41 @@
 
 // TryRetry spends one retry, or returns false when the window's budget is exhausted.
 func (b *Budget) TryRetry(now model.Instant, service model.ServiceID) bool {
+	if !b.Reserve(now, service) {
+		return false
+	}
+	b.UseReserved(now, service)
+	return true
+}
+
+// Reserve takes a retry from the budget that is sent later, or returns false when the
+// window's budget is exhausted. UseReserved or Release must follow.
+func (b *Budget) Reserve(now model.Instant, service model.ServiceID) bool {
 	if u := b.Usage(now, service); float64(u.Spent+1) > u.Limit {
 		return false
 	}
+	b.history(now, service).reserved++
+	return true
+}
+
+// UseReserved counts a reserved retry as sent now: the window that holds it begins
+// when the target receives it.
+func (b *Budget) UseReserved(now model.Instant, service model.ServiceID) {
 	h := b.history(now, service)
+	h.reserved--
 	h.retries = append(h.retries, now)
-	return true
+}
+
+// Release returns a reserved retry to the budget.
+func (b *Budget) Release(now model.Instant, service model.ServiceID) {
+	b.history(now, service).reserved--
 }
 
 // Usage is the budget of a service in the current window.
 type Usage struct {
-	// Spent is the number of retries, and FirstAttempts that of first attempts.
-	Spent, FirstAttempts int
+	// Spent is the number of retries, including Reserved, the number of those not sent
+	// yet. FirstAttempts is the number of first attempts.
+	Spent, Reserved, FirstAttempts int
 	// Limit is the number of retries that the window allows.
 	Limit float64
 	// VMs is the number of VMs that share the slack; 0 while it is unknown.
@@ -174,7 +199,7 @@
 func (b *Budget) Usage(now model.Instant, service model.ServiceID) Usage {
 	h := b.history(now, service)
 	start := now.Add(-b.window())
-	u := Usage{VMs: b.vms(now), Spent: len(h.retries) - h.firstRetryAt(start+1)}
+	u := Usage{VMs: b.vms(now), Spent: h.reserved + len(h.retries) - h.firstRetryAt(start+1), Reserved: h.reserved}
 	for _, i := range h.firstAttempts[h.firstIntervalAt(start):] {
 		u.FirstAttempts += i.count
 	}
