Retry budget: count first attempts so that no sliding window is exceeded

A VM allowed the ratio of the first attempts of the window before each retry. The limit counts the requests of a window that begins at another time, and over all VMs: 2 VMs whose callers move from one to the other spent 864 retries where 600 are allowed, two bursts 9 s apart allowed 900 where 600 are. A VM now uses a weighted mean of the first attempts before and after an instant, the smallest one of the last window. The weight of a quarter for the later ones gives nearly three quarters of the ratio in steady traffic and a quarter of it in the first window after a start, before the fraction of nine tenths that was there before.

Half of the ratio at all times is simpler and costs more in steady traffic; the ratio of a whole earlier window gives all of it there, but nothing for two windows after a start. All of it in both needs VMs that coordinate.

The random histories now also move callers and spend all budgets at once.

--- a/internal/retrybudget/model_test.go
+++ b/internal/retrybudget/model_test.go
@@ -55,6 +55,9 @@
 	registered int
 }
 
+// histories is the number of random histories.
+const histories = 30
+
 const countInterval = model.Instant(5 * time.Second)
 
 func newFleet(vms int) *fleet {
@@ -234,17 +237,17 @@
 		f.expectWithinLimit()
 	})
 
-	// Guards against any combination of restarts, an unreachable store, added VMs, and
-	// bursts and droughts of requests.
+	// Guards against any combination of restarts, an unreachable store, added VMs,
+	// callers that move between VMs, and bursts and droughts of requests.
 	It("stay within the limit in random histories", func() {
-		for seed := range uint64(30) {
+		for seed := range uint64(histories) {
 			random := rand.New(rand.NewPCG(seed, 18))
 			f := newFleet(1 + random.IntN(8))
 			f.advance(0)
 			if random.IntN(2) == 0 {
 				f.settle()
 			}
-			perSecond, failing := 50, false
+			perSecond, perFailure, vms := 50, 0, len(f.budgets)
 			for range 12000 {
 				f.advance(5 * time.Millisecond)
 				switch n := random.IntN(4000); {
@@ -261,16 +264,15 @@
 				case n < 14:
 					perSecond = []int{0, 5, 50, 200}[random.IntN(4)]
 				case n < 20:
-					failing = !failing
-				}
-				if random.IntN(200) >= perSecond {
-					continue
+					perFailure = []int{0, 1, 3, 1000}[random.IntN(4)]
+				case n < 24:
+					vms = 1 + random.IntN(len(f.budgets)) // the others receive no callers
+				case n < 27:
+					f.retryAll()
 				}
-				retries := 0
-				if failing {
-					retries = 3
+				if random.IntN(200) < perSecond {
+					f.request(random.IntN(vms), perFailure)
 				}
-				f.request(random.IntN(len(f.budgets)), retries)
 			}
 			f.expectWithinLimit("seed ", seed)
 		}
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -21,9 +22,12 @@
 }
 
 const (
-	// resolution is the number of intervals per window by which first attempts are
-	// counted.
-	resolution = 20
+	// cellLength is the time by which first attempts are counted.
+	cellLength = 250 * time.Millisecond
+	// recentWeight is the weight of the first attempts after an instant against those
+	// in the window before it. A higher one allows more retries soon after a start or
+	// a rise of the traffic, and fewer in steady traffic.
+	recentWeight = 0.25
 	// minHistory is the minimum time for which counts are kept, so that a window that
 	// becomes longer still holds what was spent before.
 	minHistory = time.Minute
@@ -55,7 +59,7 @@
 
 // history holds the counts of a service, in order of time.
 type history struct {
-	firstAttempts []interval
+	firstAttempts []cell
 	// retries holds the time of each retry: a retry must stay in the count for exactly
 	// a window.
 	retries []model.Instant
@@ -63,13 +67,15 @@
 	reserved int
 }
 
-// interval is a number of first attempts that began at start or up to a fraction of
-// a window later.
-type interval struct {
-	start model.Instant
-	count int
+// cell is the number of first attempts in a period of cellLength; number counts the
+// periods from instant 0.
+type cell struct {
+	number int64
+	count  int
 }
 
+func cellNumber(t model.Instant) int64 { return int64(t) / int64(cellLength) }
+
 // New returns an unused budget of a VM that does not know how many VMs there are.
 func New(s Settings) *Budget {
 	return &Budget{settings: s, services: map[model.ServiceID]*history{}}
@@ -123,15 +129,15 @@
 		h = &history{}
 		b.services[service] = h
 	}
-	oldest := now.Add(-max(2*b.window(), minHistory))
-	h.firstAttempts = h.firstAttempts[h.firstIntervalAt(oldest):]
+	oldest := now.Add(-max(2*b.window()+cellLength, minHistory))
+	h.firstAttempts = h.firstAttempts[h.firstCellAt(cellNumber(oldest)):]
 	h.retries = h.retries[h.firstRetryAt(oldest):]
 	return h
 }
 
-// firstIntervalAt returns the index of the first interval that starts at t or later.
-func (h *history) firstIntervalAt(t model.Instant) int {
-	i, _ := slices.BinarySearchFunc(h.firstAttempts, t, func(i interval, t model.Instant) int { return cmp.Compare(i.start, t) })
+// firstCellAt returns the index of the first cell with a number of at least n.
+func (h *history) firstCellAt(n int64) int {
+	i, _ := slices.BinarySearchFunc(h.firstAttempts, n, func(c cell, n int64) int { return cmp.Compare(c.number, n) })
 	return i
 }
 
@@ -145,13 +151,43 @@
 func (b *Budget) CountFirstAttempt(now model.Instant, service model.ServiceID) {
 	h := b.history(now, service)
 	last := len(h.firstAttempts) - 1
-	if last < 0 || now.Sub(h.firstAttempts[last].start) >= b.window()/resolution {
-		h.firstAttempts = append(h.firstAttempts, interval{start: now})
+	if last < 0 || h.firstAttempts[last].number < cellNumber(now) {
+		h.firstAttempts = append(h.firstAttempts, cell{number: cellNumber(now)})
 		last++
 	}
 	h.firstAttempts[last].count++
 }
 
+// guaranteed returns a number of first attempts that the limit holds for, whichever
+// window of retries ends at now or later.
+//
+// The limit of a window that begins at x counts the requests from x or those of the
+// window before x, whichever are more, over all VMs. Both are at least their weighted
+// mean, and the means of the VMs add up, also when callers move between VMs. The VM
+// does not know x, and uses the smallest mean of all x in the last window.
+func (b *Budget) guaranteed(now model.Instant, h *history) float64 {
+	whole := int64(b.window() / cellLength)
+	span := int64((b.window() + cellLength - 1) / cellLength)
+	current := cellNumber(now)
+	oldest := current - 2*span
+	// before[i] is the number of first attempts in cells before oldest+i.
+	before := make([]int, 2*span+2)
+	for _, c := range h.firstAttempts[h.firstCellAt(oldest):] {
+		before[c.number-oldest+1] = c.count
+	}
+	for i := 1; i < len(before); i++ {
+		before[i] += before[i-1]
+	}
+	least := math.Inf(1)
+	for x := current - span; x <= current; x++ {
+		// x is somewhere in its cell, which counts for neither side.
+		recent := before[len(before)-1] - before[x+1-oldest]
+		earlier := before[x-oldest] - before[x+1-whole-oldest]
+		least = min(least, recentWeight*float64(recent)+(1-recentWeight)*float64(earlier))
+	}
+	return least
+}
+
 // TryRetry spends one retry, or returns false when the window's budget is exhausted.
 func (b *Budget) TryRetry(now model.Instant, service model.ServiceID) bool {
 	if !b.Reserve(now, service) {
@@ -200,9 +236,9 @@
 	h := b.history(now, service)
 	start := now.Add(-b.window())
 	u := Usage{VMs: b.vms(now), Spent: h.reserved + len(h.retries) - h.firstRetryAt(start+1), Reserved: h.reserved}
-	for _, i := range h.firstAttempts[h.firstIntervalAt(start):] {
-		u.FirstAttempts += i.count
+	for _, c := range h.firstAttempts[h.firstCellAt(cellNumber(start)+1):] {
+		u.FirstAttempts += c.count
 	}
-	u.Limit = usableFraction * (b.settings.Ratio*float64(u.FirstAttempts) + b.share(now))
+	u.Limit = usableFraction * (b.settings.Ratio*b.guaranteed(now, h) + b.share(now))
 	return u
 }
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -112,4 +112,20 @@
 		b.SetVMs(4*window, 8)
 		Expect(limit(4 * window)).To(Equal(share / 2))
 	})
+
+	// Guards against a limit on steady traffic that is far below the ratio.
+	It("allows most of the ratio in steady traffic, and some of it at a start", func() {
+		b := retrybudget.New(settings)
+		const requests = 1000
+		window := model.Instant(settings.Window)
+		ratio := func(at model.Instant) float64 { return b.Usage(at, "s").Limit / requests / settings.Ratio }
+		for i := range model.Instant(requests) {
+			b.CountFirstAttempt(i*window/requests, "s")
+		}
+		Expect(ratio(window)).To(BeNumerically("~", 0.22, 0.02))
+		for i := range model.Instant(2 * requests) {
+			b.CountFirstAttempt(window+i*window/requests, "s")
+		}
+		Expect(ratio(3 * window)).To(BeNumerically("~", 0.65, 0.03))
+	})
 })
