--- a/internal/retrybudget/model_test.go
+++ b/internal/retrybudget/model_test.go
@@ -14,7 +14,8 @@
 	"tamarackreach/internal/retrybudget"
 )
 
-// traffic holds the requests and the retries of all VMs, in order of time.
+// traffic holds the requests of all VMs, in order of time, and the retries as they
+// reach targets.
 type traffic struct{ requests, retries []model.Instant }
 
 func countIn(times []model.Instant, from, to model.Instant) int {
@@ -26,6 +27,7 @@
 // text, and by how many. The limit counts the requests of that window, of the one
 // before or of the one half a window before, whichever has most.
 func (t *traffic) worst(s retrybudget.Settings) (excess float64, at string) {
+	slices.Sort(t.retries)
 	window := model.Instant(s.Window)
 	starts := slices.Clone(t.retries)
 	if len(t.retries) > 0 {
@@ -56,15 +58,20 @@
 	storeAway  bool
 	now        model.Instant
 	registered int
+	random     *rand.Rand
 }
 
-// histories is the number of random histories.
-const histories = 400
-
-const countInterval = model.Instant(5 * time.Second)
+const (
+	// countInterval is how often a VM reads the number of VMs.
+	countInterval = model.Instant(5 * time.Second)
+	// maxTransit is the longest time from the decision to retry to the arrival.
+	maxTransit = 400 * time.Millisecond
+	// histories is the number of random histories.
+	histories = 400
+)
 
 func newFleet(vms int) *fleet {
-	f := &fleet{settings: settings, now: model.Instant(time.Hour)}
+	f := &fleet{settings: settings, now: model.Instant(time.Hour), random: rand.New(rand.NewPCG(18, 0))}
 	for range vms {
 		f.add()
 	}
@@ -128,8 +135,17 @@
 		if !f.budgets[vm].TryRetry(f.now, "s") {
 			return
 		}
-		f.retries = append(f.retries, f.now)
+		f.retries = append(f.retries, f.now.Add(f.transit()))
+	}
+}
+
+// transit returns the time until a retry reaches its target, which is longer where a
+// connection must be opened first.
+func (f *fleet) transit() time.Duration {
+	if f.random.IntN(4) > 0 {
+		return 0
 	}
+	return time.Duration(f.random.Int64N(int64(maxTransit)))
 }
 
 // retryAll spends all that all VMs may spend.
