Failing tests: a request runs on more targets than its route allows

Targets that miss two report requests, and a later incarnation of a target under the same id, do not count against the bound of a route.

--- /dev/null
+++ b/internal/director/targetlimit_test.go
@@ -0,0 +1,82 @@
+package director_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tamarackreach/internal/director"
+	"tamarackreach/internal/fleet"
+	"tamarackreach/internal/model"
+)
+
+var _ = Describe("the bound of a route on targets that may have run a request", func() {
+	var h *harness
+	BeforeEach(func() {
+		h = newHarness()
+		for _, id := range []model.TargetID{"a1", "a2", "a3"} {
+			h.addTarget(id, llm, "a", 0, 40)
+		}
+		h.addTarget("a4", llm, "a", 40, 80)
+		h.addTarget("o1", orders, "a", 0, 0)
+		h.addTarget("o2", orders, "a", 0, 0)
+		h.addTarget("o3", orders, "a", 0, 0)
+		h.read()
+	})
+
+	// runs counts the targets that ran a request of a route with a bound of 2; each of
+	// its sends is lost, and then changed is applied to the target.
+	runs := func(path string, changed func(model.TargetID)) int {
+		id, e := h.arrive(path)
+		ran := map[model.TargetID]bool{}
+		for {
+			send, ok := e.(*director.Send)
+			if !ok {
+				expectRefusal(e)
+				return len(ran)
+			}
+			target := send.Hops[0].Target
+			ran[target] = true
+			changed(target)
+			e = h.endSend(id, director.Lost)
+		}
+	}
+
+	// Guards against targets that are too slow to answer two report requests, go on
+	// running the request and are no longer counted.
+	It("counts targets that only miss report requests", func() {
+		Expect(runs("/s/x", func(id model.TargetID) {
+			h.state.Step(h.now, director.ReportRead{Target: id})
+			h.state.Step(h.now, director.ReportRead{Target: id})
+		})).To(Equal(2))
+	})
+
+	// Guards against a target that ended, started again under its id and ran the
+	// request again, and is taken for the incarnation that ended.
+	It("counts a later incarnation that ran the request again", func() {
+		id, e := h.arrive("/s/x")
+		first := expectSend(e).Hops[0].Target
+		h.state.Step(h.now, director.AnswerStarted{ID: id})
+		hold := func(others model.LayerRange) {
+			for _, other := range []model.TargetID{"a1", "a2", "a3"} {
+				if other != first {
+					h.changeTarget(other, func(t *fleet.Target) { t.Held = others })
+				}
+			}
+			h.read()
+		}
+		hold(model.LayerRange{})
+		wait, ok := h.endSend(id, director.Broken).(*director.Wait)
+		Expect(ok).To(BeTrue())
+		h.changeTarget(first, func(t *fleet.Target) { t.StartedMs++ })
+		h.read()
+		h.advance(wait.For)
+		again := lastEffect(h.state.Step(h.now, director.WaitElapsed{ID: id}))
+		Expect(expectSend(again).Hops[0].Target).To(Equal(first))
+		hold(model.LayerRange{End: 40})
+		ran := map[model.TargetID]bool{first: true}
+		for send, ok := h.endSend(id, director.Broken).(*director.Send); ok; send, ok = h.endSend(id, director.Broken).(*director.Send) {
+			ran[send.Hops[0].Target] = true
+		}
+		Expect(ran).To(HaveLen(2))
+	})
+})
--- a/internal/director/walk_test.go
+++ b/internal/director/walk_test.go
@@ -27,6 +27,7 @@
 	path          string
 	sent          *director.Send
 	sentAt        model.Instant
+	expiresAt     model.Instant
 	mayHaveRun    bool
 	answerStarted bool
 	divert        bool
@@ -178,6 +179,10 @@
 		Expect(w.now.Sub(w.confirmed)).To(BeNumerically("<=", 5*time.Second), w.position())
 	}
 	Expect(e.TimeLeft).To(BeNumerically(">", 0), w.position())
+	if r.expiresAt == 0 {
+		r.expiresAt = w.now.Add(e.TimeLeft)
+	}
+	Expect(w.now.Add(e.TimeLeft)).To(Equal(r.expiresAt), "the deadline is that of the first send, "+w.position())
 	Expect(e.Hops).NotTo(BeEmpty(), w.position())
 	if !e.Layered() {
 		Expect(e.Hops).To(HaveLen(1), w.position())
