--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -47,8 +47,14 @@
 	targetsRead      bool
 	requests         map[model.RequestID]*request
 	peers            map[model.NodeID]*peer
-	vms              int
-	budget           *retrybudget.Budget
+	// listedVMs is the number of VMs registered in the store; 0 while it is unknown.
+	listedVMs int
+	budget    *retrybudget.Budget
+	// retries holds the figures of each service that has sent a retry or been denied
+	// one.
+	retries map[model.ServiceID]*serviceRetries
+	// budgetChanges are the changes of budgets since the last event.
+	budgetChanges []Effect
 	// lostAnswers are kept until a crash of their target is confirmed or ruled out.
 	lostAnswers []lostAnswer
 	// crashRecords holds the content that was running on targets that crashed.
@@ -104,13 +110,23 @@
 	return &State{
 		settings: s, targets: map[model.TargetID]*target{}, byAddress: map[string]*target{},
 		byService: map[model.ServiceID][]*target{}, requests: map[model.RequestID]*request{},
-		peers: map[model.NodeID]*peer{}, vms: 1, budget: retrybudget.New(s.Retries),
-		crashRecords: map[model.Fingerprint]*crashRecord{},
+		peers: map[model.NodeID]*peer{}, budget: retrybudget.New(s.Retries),
+		crashRecords: map[model.Fingerprint]*crashRecord{}, retries: map[model.ServiceID]*serviceRetries{},
 	}
 }
 
-// Step applies an event and returns its effects.
+// Step applies an event and returns its effects; an effect for the request of the
+// event comes last.
 func (s *State) Step(now model.Instant, e Event) []Effect {
+	effects := s.apply(now, e)
+	if len(s.budgetChanges) > 0 {
+		effects = append(s.budgetChanges, effects...)
+		s.budgetChanges = nil
+	}
+	return effects
+}
+
+func (s *State) apply(now model.Instant, e Event) []Effect {
 	switch e := e.(type) {
 	case RequestArrived:
 		return s.requestArrived(now, e)
@@ -146,8 +162,8 @@
 	case StoreFailed:
 		return s.storeFailed(now)
 	case VMsCounted:
-		s.vms = max(e.Count, 1)
-		s.budget.SetVMs(s.vms)
+		s.listedVMs = max(e.Count, 1)
+		s.updateVMs(now)
 	case SettingsChanged:
 		return s.settingsChanged(e.Settings)
 	case Terminating:
--- a/internal/director/walk_test.go
+++ b/internal/director/walk_test.go
@@ -27,6 +27,7 @@
 	path          string
 	sent          *director.Send
 	sentAt        model.Instant
+	expiresAt     model.Instant
 	mayHaveRun    bool
 	answerStarted bool
 	divert        bool
@@ -178,6 +179,10 @@
 		Expect(w.now.Sub(w.confirmed)).To(BeNumerically("<=", 5*time.Second), w.position())
 	}
 	Expect(e.TimeLeft).To(BeNumerically(">", 0), w.position())
+	if r.expiresAt == 0 {
+		r.expiresAt = w.now.Add(e.TimeLeft)
+	}
+	Expect(w.now.Add(e.TimeLeft)).To(Equal(r.expiresAt), "the deadline is that of the first send, "+w.position())
 	Expect(e.Hops).NotTo(BeEmpty(), w.position())
 	if !e.Layered() {
 		Expect(e.Hops).To(HaveLen(1), w.position())
@@ -241,7 +246,7 @@
 var _ = Describe("a random history", func() {
 	// Pattern: all kinds of events combined, such as a plain request on an idle target
 	// under suspicion, the first fault found (lacing-fleet, trouble-2).
-	It("keeps at-most-once execution, correct refusals, complete paths and no remaining load", func() {
+	It("keeps at-most-once execution, correct refusals, complete paths, no remaining load and no reserved retry", func() {
 		for seed := range uint64(walks) {
 			w := newWalk(seed)
 			for range steps {
@@ -252,6 +257,9 @@
 			}
 			Expect(w.state.InFlight()).To(BeZero(), w.position())
 			Expect(w.state.OwnPeerState(w.now).Loads).To(BeEmpty(), w.position())
+			for _, b := range w.state.RetryBudgets(w.now) {
+				Expect(b.Reserved).To(BeZero(), w.position())
+			}
 		}
 	})
 })
