--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -39,6 +39,8 @@
 		VM: "vm-1", Zone: "a", ConfigApply: 2 * time.Second,
 		Retries: retrybudget.Settings{Ratio: 1, Slack: 100, Window: 10 * time.Second},
 	})
+	// The VM has its share of the retry budget.
+	state.Step(bootclock.Now().Add(-time.Minute), director.VMsCounted{Count: 1})
 	reducer := ingress.NewReducer(state)
 	split := []fleet.WeightedService{{Service: "desk", Weight: 1}}
 	reducer.Step(director.ConfigRead{Started: bootclock.Now(), Config: &fleet.Config{
