Attribute a crash although a later connection of the attempt was refused

Callers could send content that crashes targets on and on: a crash was not attributed when the stream had been reopened before the target ended, or when a second call of the attempt failed while the target was being checked. The refused connection then counted as proof that the attempt had never run there, the content was neither held nor quarantined, and it went to the next target at once.

The cause is that the last failure of an attempt replaced what earlier ones had shown. A refused connection now counts as "not run" only if it is the first failure of the attempt at that target, and its stream neither delivered a token nor was reopened.

A third test keeps what was right, that content sent to a target which had crashed already is no suspect.

--- /dev/null
+++ b/internal/attempt/crash_test.go
@@ -0,0 +1,80 @@
+package attempt_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tamarackreach/internal/event"
+	"tamarackreach/internal/fault"
+)
+
+var _ = Describe("content on a target that crashes", func() {
+	var b *bench
+
+	BeforeEach(func() {
+		b = newBench(GinkgoTB(), 3)
+		b.request("r1", "listing")
+	})
+
+	// breakStream reports that the stream of r1's attempt at its last target failed.
+	breakStream := func(notListening bool) {
+		open := b.open["r1"]
+		b.reduce(event.StreamBroken{
+			Request: "r1", Attempt: open.Attempt, FailedTarget: open.Chain[2].Target, OwnConnection: true, NotListening: notListening,
+		})
+	}
+
+	// awaitNextAttempt advances time until r1's next attempt starts or r1 is refused.
+	awaitNextAttempt := func(open event.OpenChain) {
+		GinkgoHelper()
+		for waited := time.Duration(0); waited < 2*time.Second; waited += 50 * time.Millisecond {
+			if b.open["r1"].Attempt > open.Attempt || len(b.refused) > 0 {
+				return
+			}
+			b.advance(50 * time.Millisecond)
+		}
+		Fail("r1 neither goes on nor is refused")
+	}
+
+	// Guards against content that crashes targets without end: a connection refused
+	// to a reopened stream was taken as proof that the attempt had never run there.
+	It("is refused after two crashes, also when the stream had been reopened", func() {
+		for range 2 {
+			open := b.open["r1"]
+			b.advance(time.Second)
+			Expect(b.open["r1"].Attempt).To(Equal(open.Attempt))
+			b.down[open.Chain[2].Target] = true
+			breakStream(true)
+			awaitNextAttempt(open)
+		}
+		Expect(b.refused).To(HaveKey(BeEquivalentTo("r1")))
+		Expect(b.refused["r1"].Fault.Code).To(Equal(fault.Quarantined))
+	})
+
+	// Guards against the same when a second call of the attempt fails during the check
+	// of the target: its refused connection replaced what the first failure had shown.
+	It("is refused after two crashes, also when a later connection of the attempt was refused", func() {
+		for range 2 {
+			open := b.open["r1"]
+			last := open.Chain[2].Target
+			b.silent[last] = true
+			breakStream(false)
+			breakStream(true)
+			b.down[last] = true
+			b.reduce(event.TargetLost{Target: last, NotListening: true})
+			awaitNextAttempt(open)
+		}
+		Expect(b.refused).To(HaveKey(BeEquivalentTo("r1")))
+		Expect(b.refused["r1"].Fault.Code).To(Equal(fault.Quarantined))
+	})
+
+	// Guards against the refusal of content that was only sent to targets that had
+	// crashed already.
+	It("is not suspected when the first connection of the attempt was refused", func() {
+		b.down[b.open["r1"].Chain[2].Target] = true
+		breakStream(true)
+		Expect(b.open["r1"].Attempt).To(BeEquivalentTo(2))
+	})
+})
--- a/internal/attempt/recovery.go
+++ b/internal/attempt/recovery.go
@@ -42,6 +42,17 @@
 	return r.Chain[at], true
 }
 
+// Suspect records a suspicion of a target of the chain. A refused connection shows
+// that the attempt has not run on the target only if no connection of the attempt to
+// it was open before: the target may have crashed after the attempt reached it.
+func (r *Request) Suspect(suspicion Suspicion) {
+	failedBefore := r.Suspicion.Target == suspicion.Target && !r.Suspicion.NotRun
+	if failedBefore || r.StreamReopened || r.AttemptTokens > 0 {
+		suspicion.NotRun = false
+	}
+	r.Suspicion = suspicion
+}
+
 // MayHaveRunOn reports whether the current attempt may have run on a failed
 // target: the attempt began no later than the target was first suspected and is
 // not known not to have run there.
--- a/internal/reducer/recovery.go
+++ b/internal/reducer/recovery.go
@@ -54,7 +54,7 @@
 		s.replaceTarget(c, request, suspicion.Target)
 		return
 	}
-	request.Suspicion = suspicion
+	request.Suspect(suspicion)
 }
 
 // targetLost handles the failure of a target's watch.
