Leave a non-idempotent call in doubt when its response has no length

A caller could get an empty answer to a call that may not be repeated, and every repeat with its idempotency key got the same answer as recorded: the head of the response had arrived, the rest had not.

Such calls use HTTP/1, where a response without Content-Length or chunks ends with its connection. A service, or a proxy before it, that breaks off after the head looks the same as one that answers with an empty message, so the outcome "done" was written to the ledger before the response was known to be whole.

A successful response without a length is now no answer: the call is in doubt, as after any other lost response. Before the fix the two new entries without a length failed (an empty CallAnswered); those with a short body or without a last chunk passed and hold the rest of the rule. Idempotent calls use HTTP/2, which marks the end of each response.

--- a/internal/targetclient/call_test.go
+++ b/internal/targetclient/call_test.go
@@ -63,6 +63,28 @@
 	}
 }
 
+// startCutServer starts a raw HTTP/1 server that writes the start of a response to
+// each request and closes the connection. It returns its address.
+func startCutServer(start string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = io.WriteString(conn, start)
+			}
+			_ = conn.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
+
 type refusing struct {
 	tamarackv1connect.UnimplementedPlainServiceHandler
 	code connect.Code
@@ -124,6 +146,18 @@
 		Expect(served.Load()).To(BeEquivalentTo(1))
 	})
 
+	// Guards against an empty answer that is recorded as the outcome of a call: without
+	// a length, the end of a response that is cut off after its head looks complete.
+	DescribeTable("is in doubt when its response is cut off", func(head string) {
+		address := startCutServer("HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\n" + head + "\r\n")
+		Expect(call(address)).To(HaveField("MaybeSent", true))
+	},
+		Entry("without a length", ""),
+		Entry("without a length, on a connection that closes", "Connection: close\r\n"),
+		Entry("short of its length", "Content-Length: 12\r\n"),
+		Entry("before its last chunk", "Transfer-Encoding: chunked\r\n"),
+	)
+
 	It("is not run when nothing listens", func() {
 		Expect(call("127.0.0.1:1")).To(HaveField("MaybeSent", false))
 	})
--- a/internal/targetclient/gate.go
+++ b/internal/targetclient/gate.go
@@ -16,6 +16,7 @@
 	errDeadlinePassed = errors.New("the deadline passed before the call was sent")
 	errAbandoned      = errors.New("the call was given up before it was sent")
 	errSecondDial     = errors.New("a call that may not be repeated gets one connection")
+	errNoLength       = errors.New("the response has no length, so a cut-off one would look complete")
 )
 
 // sendGate decides whether bytes of a call may be written to its connection and
@@ -80,6 +81,23 @@
 	return c.Conn.Write(data)
 }
 
+// lengthChecker rejects successful responses of which only the end of the connection
+// marks the end.
+type lengthChecker struct{ next http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (l lengthChecker) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := l.next.RoundTrip(request)
+	if err != nil || response.StatusCode != http.StatusOK {
+		return response, err
+	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed {
+		_ = response.Body.Close()
+		return nil, errNoLength
+	}
+	return response, nil
+}
+
 // newOnceClient returns a client for one request over one HTTP/1 connection, and
 // a function that closes it. It does not follow redirects, because following one
 // would send the call again.
@@ -100,7 +118,7 @@
 		return &gatedConn{Conn: conn, gate: gate}, nil
 	}
 	client := &http.Client{
-		Transport:     transport,
+		Transport:     lengthChecker{next: transport},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return client, transport.CloseIdleConnections
