Discard frames of another request on a token stream

A caller could get a token that a target sent on the stream of another request: the event of a token took its request and attempt from the frame, not from the stream that it arrived on. Attempts of two requests on the same chain have the same receipts, so nothing after that told the frames apart. Such a frame with its last flag set also ended the stream on which it arrived, whose request then waited for its idle timeout.

The driver now compares the frame with the attempt that it collects and discards any other, also heartbeats and reports of lost targets. Engines set both fields in every frame.

--- a/internal/targetclient/stream.go
+++ b/internal/targetclient/stream.go
@@ -131,9 +131,11 @@
 }
 
 // frame posts the event of one frame; it returns true if the frame ends the
-// stream.
+// stream. A frame of another request or attempt is discarded.
 func (c *Client) frame(key streamKey, frame *tamarackv1.CollectResponse) bool {
 	switch {
+	case frame.RequestId != string(key.request) || frame.Attempt != uint32(key.attempt):
+		return false
 	case frame.LostTargetId != "":
 		c.post(event.StreamBroken{
 			Request: key.request, Attempt: key.attempt,
