Attribute a crash that the list of VMs shows first

Callers could send content that crashes targets on and on when a target did not close its connections as it went down, for example because its whole VM was replaced. The list of VMs then had the new incarnation before the watch failed, the record of the target was replaced without a verdict, and a later failure of the request's stream found another incarnation on record and moved the request on at once. Requests without a stream of their own to the target waited until they counted as stalled.

A listed incarnation later than that of a connected target is now a crash, as it is when the target itself reports it: requests on it are retried at once, and the crash counts against their content. Before the fix the new test failed, the content was not refused after two crashes.

--- a/internal/attempt/crash_test.go
+++ b/internal/attempt/crash_test.go
@@ -70,6 +70,19 @@
 		Expect(b.refused["r1"].Fault.Code).To(Equal(fault.Quarantined))
 	})
 
+	// Guards against the same when the list of VMs is the first to show the restart.
+	It("is refused after two crashes, also when the list of VMs shows them first", func() {
+		for range 2 {
+			open := b.open["r1"]
+			last := open.Chain[2].Target
+			b.silent[last] = true
+			b.replaceVM(last)
+			awaitNextAttempt(open)
+		}
+		Expect(b.refused).To(HaveKey(BeEquivalentTo("r1")))
+		Expect(b.refused["r1"].Fault.Code).To(Equal(fault.Quarantined))
+	})
+
 	// Guards against the refusal of content that was only sent to targets that had
 	// crashed already.
 	It("is not suspected when the first connection of the attempt was refused", func() {
--- a/internal/attempt/suite_test.go
+++ b/internal/attempt/suite_test.go
@@ -43,6 +43,7 @@
 	refused map[model.RequestID]event.RefuseRequest
 	tokens  map[model.RequestID]int
 	reports uint64
+	vms     []event.VM
 	// extra counts the steps of single stages of attempts after the first.
 	extra   int
 	retired map[model.TargetID]int
@@ -78,12 +79,22 @@
 }
 
 func (b *bench) listVMs(d *deployment.Deployment) {
-	var vms []event.VM
 	for _, vm := range d.VMs {
-		vms = append(vms, event.VM{ID: vm.Id, Incarnation: 1, Role: event.Role(vm.Role), Zone: model.AvailabilityZone(vm.Zone), Address: vm.Address})
+		b.vms = append(b.vms, event.VM{ID: vm.Id, Incarnation: 1, Role: event.Role(vm.Role), Zone: model.AvailabilityZone(vm.Zone), Address: vm.Address})
 		b.incarnations[model.TargetID(vm.Id)] = 1
 	}
-	b.reduce(event.VMsListed{VMs: vms})
+	b.reduce(event.VMsListed{VMs: b.vms})
+}
+
+// replaceVM lists a new incarnation of an engine's VM.
+func (b *bench) replaceVM(id model.TargetID) {
+	b.incarnations[id]++
+	for i := range b.vms {
+		if b.vms[i].ID == string(id) {
+			b.vms[i].Incarnation = b.incarnations[id]
+		}
+	}
+	b.reduce(event.VMsListed{VMs: b.vms})
 }
 
 // reduce reduces an event and then the events that answer its effects
--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -33,10 +33,14 @@
 }
 
 func (s *State) vmsListed(c *decision.Context, ev event.VMsListed) {
-	if !ev.Failed {
-		s.vms = ev.VMs
-		s.targets.ApplyVMList(c, ev.VMs)
-		s.peers.ApplyVMList(c, ev.VMs)
+	if ev.Failed {
+		return
+	}
+	s.vms = ev.VMs
+	crashed := s.targets.ApplyVMList(c, ev.VMs)
+	s.peers.ApplyVMList(c, ev.VMs)
+	for _, verdict := range crashed {
+		s.applyVerdict(c, verdict)
 	}
 }
 
--- a/internal/targets/check.go
+++ b/internal/targets/check.go
@@ -54,6 +54,15 @@
 	return Verdict{Target: t.ID, Incarnation: t.Incarnation, Outcome: outcome, SuspectedAt: suspectedAt}
 }
 
+// suspectedAt returns when the pending check of the target began, or now if there is
+// none.
+func (t *Target) suspectedAt(now model.Instant) model.Instant {
+	if t.Checking {
+		return t.CheckedAt
+	}
+	return now
+}
+
 // Check probes a target over a new connection. The verdict follows from a later
 // report, failure or timer; until then the target counts as connected. It
 // returns false for a target that is unknown or already unreachable.
@@ -187,10 +196,7 @@
 // with the one on record.
 func (t *Table) resolveCheck(now model.Instant, target *Target, incarnation model.Incarnation) Verdict {
 	checking := target.Checking
-	suspectedAt := now
-	if checking {
-		suspectedAt = target.CheckedAt
-	}
+	suspectedAt := target.suspectedAt(now)
 	target.Checking = false
 	if incarnation == target.Incarnation {
 		if checking {
--- a/internal/targets/listed.go
+++ b/internal/targets/listed.go
@@ -8,33 +8,42 @@
 )
 
 // ApplyVMList applies the platform's list of VMs. A list without any target means
-// that the platform lost its state, so no target is removed because of it.
-func (t *Table) ApplyVMList(c *decision.Context, vms []event.VM) {
+// that the platform lost its state, so no target is removed because of it. It
+// returns the verdicts on connected targets of which the list has a later
+// incarnation.
+func (t *Table) ApplyVMList(c *decision.Context, vms []event.VM) []Verdict {
+	var crashed []Verdict
 	seen := make(map[model.TargetID]bool, len(vms))
 	for _, vm := range vms {
 		if vm.Role != event.RoleEntry {
 			seen[model.TargetID(vm.ID)] = true
-			t.applyVM(c, vm)
+			if verdict := t.applyVM(c, vm); verdict.Outcome != Undecided {
+				crashed = append(crashed, verdict)
+			}
 		}
 	}
 	if len(seen) == 0 {
-		return
+		return nil
 	}
 	for _, id := range t.IDs() {
 		if !seen[id] {
 			t.handleUnlisted(c, id)
 		}
 	}
+	return crashed
 }
 
 // applyVM updates the record of a target from its entry in the list.
-func (t *Table) applyVM(c *decision.Context, vm event.VM) {
+func (t *Table) applyVM(c *decision.Context, vm event.VM) (verdict Verdict) {
 	id := model.TargetID(vm.ID)
 	target, known := t.targets[id]
 	if known && vm.Incarnation < target.ListedIncarnation {
-		return
+		return Verdict{}
 	}
 	if !known || vm.Incarnation > target.Incarnation {
+		if known && target.Connected {
+			verdict = target.verdict(Crashed, target.suspectedAt(c.Now))
+		}
 		target = t.replaceVM(c, id, vm)
 	}
 	target.ListedAt = c.Now
@@ -47,6 +56,7 @@
 		// An engine that restarted on a leaving VM is leaving, too.
 		t.Mark(c, id, target.Incarnation, event.TargetLeaving)
 	}
+	return verdict
 }
 
 // replaceVM creates the record of a new VM, or of a new incarnation of one.
