Wait for the verdict on a target that refuses an attempt while it is checked

Callers could send content that crashes targets on and on when the targets restart faster than their crash is found: the new process refuses the attempt, which names the earlier incarnation, and the refusal moved the request to another target at once. The verdict on the check then found no request on the crashed incarnation and attributed the crash to nobody.

A crash is attributed, a live target rebuilds its state as after any refusal. Before the fix the new test on crashes failed, the content was not refused after two of them; the one on a live target held and still does.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -74,6 +74,8 @@
 	OwnConnection bool
 	// NotRun is true when the attempt is known not to have run on the target.
 	NotRun bool
+	// Refused is true when the target refused the attempt.
+	Refused bool
 }
 
 // Verdict is the result of checking a token frame.
--- a/internal/attempt/crash_test.go
+++ b/internal/attempt/crash_test.go
@@ -70,6 +70,39 @@
 		Expect(b.refused["r1"].Fault.Code).To(Equal(fault.Quarantined))
 	})
 
+	// Guards against the same when the target is back before its watch is: it refuses the
+	// attempt as one of its earlier incarnation, and the request had moved on when the
+	// crash was found.
+	It("is refused after two crashes, also when the restarted target refuses the attempt", func() {
+		for range 2 {
+			open := b.open["r1"]
+			last := open.Chain[2].Target
+			b.silent[last] = true
+			b.reduce(event.TargetLost{Target: last})
+			b.incarnations[last]++
+			b.reduce(event.StreamBroken{Request: "r1", Attempt: open.Attempt, FailedTarget: last, Refused: true})
+			b.silent[last] = false
+			b.reduce(b.report(last, 0))
+			awaitNextAttempt(open)
+		}
+		Expect(b.refused).To(HaveKey(BeEquivalentTo("r1")))
+		Expect(b.refused["r1"].Fault.Code).To(Equal(fault.Quarantined))
+	})
+
+	It("rebuilds at a target that refuses the attempt while it is checked and is alive", func() {
+		open := b.open["r1"]
+		last := open.Chain[2].Target
+		b.silent[last] = true
+		b.reduce(event.TargetLost{Target: last})
+		b.reduce(event.StreamBroken{Request: "r1", Attempt: open.Attempt, FailedTarget: last, Refused: true})
+		b.silent[last] = false
+		b.reduce(b.report(last, 0))
+		Expect(b.open["r1"].Attempt).To(Equal(open.Attempt + 1))
+		Expect(rebuiltTargets(b.open["r1"])).To(ContainElement(b.open["r1"].Chain[2].Target))
+		b.reduce(event.CallerGone{Request: "r1"})
+		Expect(b.request("r2", "listing").Attempt).To(BeEquivalentTo(1))
+	})
+
 	// Guards against the same when the list of VMs is the first to show the restart.
 	It("is refused after two crashes, also when the list of VMs shows them first", func() {
 		for range 2 {
--- a/internal/reducer/recovery.go
+++ b/internal/reducer/recovery.go
@@ -23,6 +23,8 @@
 	switch {
 	case !ok || request.Held || request.CurrentAttempt != ev.Attempt:
 		return
+	case ev.Refused && s.awaitsVerdict(request, ev.FailedTarget):
+		request.Suspect(attempt.Suspicion{Target: ev.FailedTarget, Refused: true})
 	case ev.Refused || ev.FailedTarget == "":
 		s.attemptRefused(c, request, ev.FailedTarget)
 	default:
@@ -30,6 +32,14 @@
 	}
 }
 
+// awaitsVerdict reports whether a target of the request's chain is being checked. A
+// target that restarted refuses attempts of its earlier incarnation, so that the
+// request has to stay on the chain until the crash is attributed.
+func (s *State) awaitsVerdict(request *attempt.Request, target model.TargetID) bool {
+	hop, ok := request.HopOf(target)
+	return ok && s.targets.HopChecking(hop)
+}
+
 // attemptRefused retries after a target refused the attempt, for example because it
 // has no state of the request. After a first refusal the target rebuilds its state;
 // after a second consecutive one it is avoided.
@@ -116,6 +126,8 @@
 		request.Suspicion = attempt.Suspicion{}
 		switch {
 		case suspicion.Target != verdict.Target:
+		case suspicion.Refused:
+			s.attemptRefused(c, request, verdict.Target)
 		case !suspicion.OwnConnection:
 			s.replaceTarget(c, request, verdict.Target)
 		default:
--- a/internal/targets/check.go
+++ b/internal/targets/check.go
@@ -88,6 +88,12 @@
 	return ok && target.Connected && target.Incarnation == hop.Incarnation
 }
 
+// HopChecking reports whether the incarnation that a hop names is being checked.
+func (t *Table) HopChecking(hop model.Hop) bool {
+	target, ok := t.targets[hop.Target]
+	return ok && target.Checking && target.Incarnation == hop.Incarnation
+}
+
 // Retire replaces the connections to a target that were open when it was
 // suspected.
 func (t *Table) Retire(c *decision.Context, id model.TargetID, suspectedAt model.Instant) {
