Discard reports of another target on a watch

A target could count as alive, and keep receiving requests, on the word of another one: the report of a watch was applied to the target that it names, not to the one that is watched. When the address of a removed VM belongs to another VM, the two watches often have the same number, so that the check against earlier watches did not help.

The driver now discards a report that names another target; the watched target then has no report in time and is unreachable. Before the fix the new test received the report of the other target.

--- a/internal/targetclient/stream_test.go
+++ b/internal/targetclient/stream_test.go
@@ -18,10 +18,12 @@
 	"tamarackreach/internal/rpc"
 )
 
-// scriptedEngine accepts every attempt and sends the given frames on each stream.
+// scriptedEngine accepts every attempt and sends the given frames on each token
+// stream and the given reports on each watch.
 type scriptedEngine struct {
 	tamarackv1connect.UnimplementedEngineServiceHandler
-	frames []*tamarackv1.CollectResponse
+	frames  []*tamarackv1.CollectResponse
+	reports []*tamarackv1.WatchResponse
 }
 
 func (e *scriptedEngine) Start(context.Context, *connect.Request[tamarackv1.StartRequest]) (*connect.Response[tamarackv1.StartResponse], error) {
@@ -37,6 +39,15 @@
 	return nil
 }
 
+func (e *scriptedEngine) Watch(_ context.Context, _ *connect.Request[tamarackv1.WatchRequest], stream *connect.ServerStream[tamarackv1.WatchResponse]) error {
+	for _, report := range e.reports {
+		if err := stream.Send(report); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // startEngine serves an engine and returns its address.
 func startEngine(engine tamarackv1connect.EngineServiceHandler) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -70,3 +81,22 @@
 		Consistently(events).Should(BeEmpty())
 	})
 })
+
+var _ = Describe("a watch", func() {
+	// Guards against a target that counts as alive because another one, which now has
+	// the address of a removed VM, reports on that VM's watch.
+	It("delivers only reports of its own target", func() {
+		address := startEngine(&scriptedEngine{reports: []*tamarackv1.WatchResponse{
+			{TargetId: "t2", Sequence: 1}, {TargetId: "t1", Sequence: 2},
+		}})
+		events := make(chan event.Event, 16)
+		client := New(func(ev event.Event) { events <- ev }, func() model.Instant { return 0 })
+		client.Watch(event.WatchTarget{Target: "t1", Address: address, Watch: 7})
+		var received event.Event
+		Eventually(events).WithTimeout(5 * time.Second).Should(Receive(&received))
+		Expect(received).To(MatchFields(IgnoreExtras, Fields{
+			"Target": BeEquivalentTo("t1"), "Sequence": BeEquivalentTo(2), "Watch": BeEquivalentTo(7),
+		}))
+		Eventually(events).Should(Receive(BeAssignableToTypeOf(event.TargetLost{})))
+	})
+})
--- a/internal/targetclient/watch.go
+++ b/internal/targetclient/watch.go
@@ -54,6 +54,9 @@
 		defer func() { _ = stream.Close() }()
 		for stream.Receive() {
 			report := reportEvent(stream.Msg())
+			if report.Target != effect.Target {
+				continue
+			}
 			report.Watch = effect.Watch
 			c.post(report)
 		}
