Put a change in force on the node that committed it before it is reported

Operators were told that a change was accepted while it was in force nowhere: the node that committed it still had to read it back from the table, and when the platform failed in between, no node had the change until the outage ended.

That is the failure of "starts a replaced entry VM from its peers while the platform is down", which sets the outage as soon as the change is accepted.

The node now puts the change in force from the row that it wrote, once the table has confirmed the transaction, and offers it to its peers at once. It is decoded from the row, so that the digest over all changes is that of the nodes which read it.

The new test makes the platform fail with the first read after the commit, or with the answer to the operator, whichever is first.

--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -43,8 +43,10 @@
 	request  model.RequestID
 	change   event.Change
 	deadline model.Instant
-	// revision is the revision of the change if the latest transaction commits.
+	// revision is the revision of the change if the latest transaction commits; row is
+	// the row that the transaction writes for it.
 	revision model.Revision
+	row      []byte
 	// awaitedHead is the revision that must be in force on this node before the
 	// next attempt; 0 when the proposal waits for none.
 	awaitedHead model.Revision
@@ -106,6 +108,7 @@
 	next.Revision = m.follower.Revision() + 1
 	next.AcceptedUnixMs = c.UnixMs
 	p.revision = next.Revision
+	p.row = encode(next)
 	c.After(timer.ChangeRetry, string(p.change.ID), decisionTimeout)
 	c.Emit(event.Transact{
 		Transaction: transactionPrefix + string(p.change.ID),
@@ -117,7 +120,7 @@
 		Writes: []event.Write{
 			{Key: settingsync.HeadKey, Value: encode(settingsync.RevisionRow{Revision: next.Revision})},
 			{Key: settingsync.IDKey(next.ID), Value: encode(settingsync.RevisionRow{Revision: next.Revision})},
-			{Key: settingsync.ChangeKey(next.Revision), Value: encode(next)},
+			{Key: settingsync.ChangeKey(next.Revision), Value: p.row},
 		},
 	})
 }
@@ -189,6 +192,7 @@
 		return
 	}
 	if ev.Committed {
+		m.putInForce(c, p)
 		m.follower.ObserveHead(c, p.revision, ev.Version)
 		m.accept(c, p, p.revision)
 		return
@@ -208,6 +212,16 @@
 	m.follower.Poll(c)
 }
 
+// putInForce puts a committed change in force on this node, which may be the only one
+// that can supply it to peers if the platform fails now. The change is decoded from
+// the row, so that it is the one that other nodes read.
+func (m *Committer) putInForce(c *decision.Context, p *proposal) {
+	var change event.Change
+	if err := json.Unmarshal(p.row, &change); err == nil {
+		m.follower.Advance(c, change)
+	}
+}
+
 // headConflict handles a transaction that failed because the head row has changed.
 // It retries once that head is in force on this node. If the table returned an
 // older head than this node knows of, it retries after readRetryInterval.
@@ -224,9 +238,8 @@
 	m.attempt(c, p)
 }
 
-// accept reports to the operator that the change was accepted. The change comes
-// into force only once the follower has read it from the table, so that the
-// settings in force always match the table.
+// accept reports to the operator that the change was accepted. If it is not in force
+// on this node yet, the follower fetches it.
 func (m *Committer) accept(c *decision.Context, p *proposal, revision model.Revision) {
 	m.remove(c, p)
 	c.Emit(event.AnswerChange{Request: p.request, Revision: revision})
--- a/internal/reducer/dispatch.go
+++ b/internal/reducer/dispatch.go
@@ -93,7 +93,7 @@
 	case idempotency.Owns(ev.Transaction):
 		s.ledger.TransactionDone(c, ev)
 	case commit.Owns(ev.Transaction):
-		s.committer.TransactionDone(c, ev)
+		s.updateSettings(c, func() { s.committer.TransactionDone(c, ev) })
 	case quota.Owns(ev.Transaction):
 		s.quotas.TransactionDone(c, ev)
 	}
--- a/internal/settingsync/settingsync_test.go
+++ b/internal/settingsync/settingsync_test.go
@@ -88,6 +88,36 @@
 		expectNoFault(n)
 	})
 
+	// Guards against a change that was reported as accepted and is in force nowhere: the
+	// node that committed it still had to read it back when the platform failed.
+	It("brings an accepted change into force when the platform fails at that moment", func() {
+		n := startNetwork(1)
+		n.Effect = func(_ int, effect event.Effect) {
+			switch effect := effect.(type) {
+			case event.AnswerChange:
+				Expect(effect.Fault).To(BeNil())
+				n.Platform.Down = true
+			case event.ReadRows:
+				readsChanges := effect.Prefix != ""
+				n.Platform.Down = n.Platform.Down || readsChanges
+			}
+		}
+		propose(n, 0, "last")
+		n.Run(maxPropagation)
+		Expect(n.Platform.Down).To(BeTrue())
+		Expect(revisions(n)).To(HaveEach(2))
+		n.Platform.Down = false
+		n.Effect = nil
+		propose(n, 1, "next")
+		n.Run(maxPropagation)
+		Expect(revisions(n)).To(HaveEach(3))
+		for _, node := range n.Nodes {
+			Expect(node.State.Follower().Alarms()).To(BeEmpty())
+			Expect(node.State.Follower().Digest()).To(Equal(n.Nodes[0].State.Follower().Digest()))
+		}
+		expectNoFault(n)
+	})
+
 	It("starts a replacement node from its peers during a long platform outage", func() {
 		n := startNetwork(3)
 		n.Platform.Down = true
