Do not count the return of a removed VM as a crash

Since a later incarnation in the list of VMs is a crash, content in progress on a VM that the platform removed was counted as the cause when that VM was started anew, and one crash elsewhere was then enough to refuse it. Requests on such a VM still move on at once, but nothing is attributed to their content: the outcome for an incarnation that was gone is "unreachable". Before the fix the new test failed, content without a crash of its own was refused after the first.

--- a/internal/attempt/crash_test.go
+++ b/internal/attempt/crash_test.go
@@ -1,6 +1,7 @@
 package attempt_test
 
 import (
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -116,6 +117,28 @@
 		Expect(b.refused["r1"].Fault.Code).To(Equal(fault.Quarantined))
 	})
 
+	// Guards against the refusal of content that was in progress on a VM which the
+	// platform removed and later started anew.
+	It("is not counted as the cause when a VM that was gone returns", func() {
+		last := b.open["r1"].Chain[2].Target
+		all := b.vms
+		b.vms = slices.DeleteFunc(slices.Clone(all), func(vm event.VM) bool { return vm.ID == string(last) })
+		for range 5 {
+			b.advance(time.Second, "r1")
+			b.deliverToken("r1")
+			b.reduce(event.VMsListed{VMs: b.vms})
+		}
+		b.vms = all
+		b.silent[last] = true
+		b.replaceVM(last)
+		Expect(b.open["r1"].Attempt).To(BeEquivalentTo(2))
+		b.reduce(event.CallerGone{Request: "r1"})
+		b.crash(b.request("r2", "listing").Chain[1].Target)
+		b.advance(2*time.Second, "r2")
+		Expect(b.refused).To(BeEmpty())
+		Expect(b.open["r2"].Attempt).To(BeEquivalentTo(2))
+	})
+
 	// Guards against the refusal of content that was only sent to targets that had
 	// crashed already.
 	It("is not suspected when the first connection of the attempt was refused", func() {
--- a/internal/reducer/lifecycle.go
+++ b/internal/reducer/lifecycle.go
@@ -37,9 +37,9 @@
 		return
 	}
 	s.vms = ev.VMs
-	crashed := s.targets.ApplyVMList(c, ev.VMs)
+	replaced := s.targets.ApplyVMList(c, ev.VMs)
 	s.peers.ApplyVMList(c, ev.VMs)
-	for _, verdict := range crashed {
+	for _, verdict := range replaced {
 		s.applyVerdict(c, verdict)
 	}
 }
--- a/internal/targets/listed.go
+++ b/internal/targets/listed.go
@@ -12,13 +12,13 @@
 // returns the verdicts on connected targets of which the list has a later
 // incarnation.
 func (t *Table) ApplyVMList(c *decision.Context, vms []event.VM) []Verdict {
-	var crashed []Verdict
+	var replaced []Verdict
 	seen := make(map[model.TargetID]bool, len(vms))
 	for _, vm := range vms {
 		if vm.Role != event.RoleEntry {
 			seen[model.TargetID(vm.ID)] = true
 			if verdict := t.applyVM(c, vm); verdict.Outcome != Undecided {
-				crashed = append(crashed, verdict)
+				replaced = append(replaced, verdict)
 			}
 		}
 	}
@@ -30,7 +30,7 @@
 			t.handleUnlisted(c, id)
 		}
 	}
-	return crashed
+	return replaced
 }
 
 // applyVM updates the record of a target from its entry in the list.
@@ -42,7 +42,7 @@
 	}
 	if !known || vm.Incarnation > target.Incarnation {
 		if known && target.Connected {
-			verdict = target.verdict(Crashed, target.suspectedAt(c.Now))
+			verdict = target.verdict(replacedOutcome(target), target.suspectedAt(c.Now))
 		}
 		target = t.replaceVM(c, id, vm)
 	}
@@ -59,6 +59,15 @@
 	return verdict
 }
 
+// replacedOutcome returns the outcome for an incarnation that was replaced. One that
+// the platform had removed did not crash.
+func replacedOutcome(target *Target) Outcome {
+	if target.Status == event.TargetGone {
+		return Unreachable
+	}
+	return Crashed
+}
+
 // replaceVM creates the record of a new VM, or of a new incarnation of one.
 func (t *Table) replaceVM(c *decision.Context, id model.TargetID, vm event.VM) *Target {
 	target := &Target{ID: id, Incarnation: vm.Incarnation, Address: vm.Address, Role: vm.Role}
