Count a request's deadline from its head, and state the time left as of the send

The time began when the whole body had been read, and the header was built before the connection was opened, which may take 400 ms.

The specs "counts the deadline from the head of the request" and "states the time left as of the send, and sends nothing after the deadline" name fields that did not exist before.

Why this works: the instant at which the head was read comes with RequestArrived, and the pool writes the header with the time left after it has a connection. A request whose time ended with its body is refused as not run.

--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -218,7 +218,7 @@
 func (m *Committer) putInForce(c *decision.Context, p *proposal) {
 	var change event.Change
 	if err := json.Unmarshal(p.row, &change); err != nil {
-		return // the follower reads the row and raises the alarm
+		return // the follower reads the row, as on the other nodes
 	}
 	m.follower.Advance(c, change)
 }
--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -68,7 +68,14 @@
 	if denial != nil {
 		return []Effect{denial}
 	}
-	r := &request{Request: req, route: route, workspace: workspace, random: e.Random, expiresAt: now.Add(timeoutFor(req, route))}
+	arrivedAt := now
+	if e.At != 0 {
+		arrivedAt = e.At
+	}
+	r := &request{Request: req, route: route, workspace: workspace, random: e.Random, expiresAt: arrivedAt.Add(timeoutFor(req, route))}
+	if r.expiresAt <= now {
+		return refuse(http.StatusRequestTimeout, 0, "the time of the request ended before its body was read")
+	}
 	r.service = s.config.Services[chooseService(route.Split, e.Random)]
 	if r.service == nil {
 		return refuse(http.StatusServiceUnavailable, jitter(unconfirmedRetryAfter, e.Random), "the route's service is not in the configuration")
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -309,6 +309,17 @@
 		Expect(expectRefusal(e).RetryAfter).To(BeNumerically(">", 500*time.Millisecond))
 	})
 
+	// Guards against a target that is given the time in which the caller sent the body.
+	It("counts the deadline from the head of the request", func() {
+		arrive := func(after time.Duration) director.Effect {
+			return lastEffect(h.state.Step(h.now, director.RequestArrived{At: h.now.Add(-after), Request: &fleet.Request{
+				ID: model.RequestID(after.String()), Method: "GET", Host: "h", Path: "/r/x", Key: "key", HasKey: true, Deadline: time.Second,
+			}}))
+		}
+		Expect(expectSend(arrive(400 * time.Millisecond)).TimeLeft).To(Equal(600 * time.Millisecond))
+		Expect(expectRefusal(arrive(time.Second)).Status).To(Equal(http.StatusRequestTimeout))
+	})
+
 	It("jitters the Retry-After of refused requests", func() {
 		h.targets = map[model.TargetID]*fleet.Target{}
 		h.read()
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -35,6 +35,9 @@
 // RequestArrived reports a new request of a caller.
 type RequestArrived struct {
 	Request *fleet.Request
+	// At is when the head of the request was read: its deadline counts from then; 0
+	// means now.
+	At model.Instant
 	// Random is uniform in [0,1); it chooses between split services and jitters
 	// Refuse.RetryAfter.
 	Random float64
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -120,6 +120,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *RequestHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrivedAt := bootclock.Now()
 	request, err := platform.DecodeRequest(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -143,14 +144,14 @@
 		http.Error(w, "the body cannot be read: "+err.Error(), status)
 		return
 	}
-	a.run()
+	a.run(arrivedAt)
 }
 
-// run serves the request until it is answered or refused, or the caller
-// disconnects.
-func (a *activeRequest) run() {
+// run serves the request, whose head was read at arrivedAt, until it is answered or
+// refused, or the caller disconnects.
+func (a *activeRequest) run(arrivedAt model.Instant) {
 	defer a.recoverPanic()
-	effects := a.handler.reducer.Step(director.RequestArrived{Request: a.request, Random: rand.Float64()})
+	effects := a.handler.reducer.Step(director.RequestArrived{Request: a.request, At: arrivedAt, Random: rand.Float64()})
 	for {
 		switch e := effects[len(effects)-1].(type) {
 		case *director.Refuse:
@@ -246,12 +247,14 @@
 // send sends the request to the first target of a path. It returns nil once a
 // response is delivered to the caller, and otherwise how the send ended.
 func (a *activeRequest) send(e *director.Send) *director.SendEnded {
+	expiresAt := bootclock.Now().Add(e.TimeLeft)
 	ctx, cancel := context.WithTimeout(a.r.Context(), e.TimeLeft)
 	defer cancel()
 	sentAt := time.Now()
 	a.lastReceived, a.diverted, a.streaming = sentAt, false, false
 	a.sends = e.Number
 	call := a.call(e)
+	call.ExpiresAt = expiresAt
 	x, err := a.handler.pool.Do(ctx, call)
 	a.log.WithFields(logrus.Fields{
 		"send": e.Number, "target": e.Hops[0].Target, "path": pathText(e.Hops), "route": e.Route.Name,
@@ -298,7 +301,7 @@
 
 func (a *activeRequest) call(e *director.Send) *upstream.Call {
 	send := &platform.Send{
-		Target: e.Hops[0].Target, Workspace: e.Workspace, Deadline: e.TimeLeft, ResumeAfter: a.request.ResumeAfter,
+		Target: e.Hops[0].Target, Workspace: e.Workspace, ResumeAfter: a.request.ResumeAfter,
 	}
 	if e.Layered() {
 		send.Hops, send.Priority = e.Hops, e.Priority
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"tamarackreach/internal/bootclock"
 	"tamarackreach/internal/model"
 	"tamarackreach/platform"
 )
@@ -39,6 +40,8 @@
 	Host    string
 	Header  http.Header
 	Body    []byte
+	// ExpiresAt is the deadline of the request; 0 when it has none.
+	ExpiresAt model.Instant
 	// SilenceInterval is the time without received bytes after which OnSilence is
 	// called; while no byte arrives, it is called again at that interval.
 	SilenceInterval time.Duration
@@ -58,6 +61,14 @@
 	x.conn = conn
 	conn.silenceInterval, conn.onSilence = call.SilenceInterval, call.OnSilence
 	x.stopAbort = context.AfterFunc(ctx, x.abort)
+	if call.ExpiresAt != 0 {
+		// The time left is stated as of the send: connecting takes a part of it.
+		left := call.ExpiresAt.Sub(bootclock.Now())
+		if left <= 0 {
+			return x, errDeadlinePassed
+		}
+		platform.SetTimeLeft(call.Header, left)
+	}
 	if err := conn.SetWriteDeadline(time.Now().Add(unackedTimeout)); err != nil {
 		return x, errors.Wrap(err, "cannot set the write deadline")
 	}
@@ -95,6 +106,9 @@
 	return x, nil
 }
 
+// errDeadlinePassed means that the deadline passed before the request was sent.
+var errDeadlinePassed = errors.New("the deadline passed while the connection was opened; not sent")
+
 // inlineBodyBytes is the largest body that is written without a goroutine: it fits
 // into the socket buffers, so the write does not wait for the target to read.
 const inlineBodyBytes = 16 << 10
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -16,6 +17,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"tamarackreach/internal/bootclock"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/upstream"
 )
@@ -105,6 +107,31 @@
 		Expect(t.conns.Load()).To(BeEquivalentTo(1))
 	})
 
+	// Guards against a target that is given the time that connecting took.
+	It("states the time left as of the send, and sends nothing after the deadline", func() {
+		stated := make(chan string, 1)
+		t := serve(func(_ int64, conn net.Conn, r *http.Request) bool {
+			stated <- r.Header.Get("Tamarackreach-Deadline-Ms")
+			echo(conn, r, "body")
+			return true
+		})
+		p := upstream.NewPool()
+		call := t.call()
+		call.ExpiresAt = bootclock.Now().Add(-time.Millisecond)
+		x, err := p.Do(context.Background(), call)
+		x.Done(false)
+		Expect(err).To(MatchError(ContainSubstring("deadline")))
+		Expect(x.Sent).To(BeFalse())
+		call = t.callWithID("b")
+		call.ExpiresAt = bootclock.Now().Add(500 * time.Millisecond)
+		_, err = exchange(p, call)
+		Expect(err).NotTo(HaveOccurred())
+		left, err := strconv.Atoi(<-stated)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(left).To(And(BeNumerically(">", 300), BeNumerically("<=", 500)))
+		Expect(t.requests.Load()).To(BeEquivalentTo(1))
+	})
+
 	It("never retries a request by itself, not even on a reused connection that fails", func() {
 		t := serve(func(n int64, conn net.Conn, r *http.Request) bool {
 			if n == 1 {
