Failing test: a request that crashes its targets reaches more of them for ever

Several VMs with a simulated clock, network and targets, some of them restarted; one request arrives again and again and crashes each target that runs it.

--- /dev/null
+++ b/internal/director/crash_simulation_test.go
@@ -0,0 +1,283 @@
+package director_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tamarackreach/internal/director"
+	"tamarackreach/internal/fleet"
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/retrybudget"
+)
+
+const (
+	// simulationStep is the resolution of a simulation's clock.
+	simulationStep = 10 * time.Millisecond
+	// stabilityWindow is how long after its third crash a request may still reach
+	// targets freely.
+	stabilityWindow = 3 * time.Second
+	// startWindow is how long after its start the sends of a VM do not count.
+	startWindow = time.Second
+	// restartInterval is the interval of the VMs' restarts.
+	restartInterval = 7 * time.Second
+	// maxLateSends bounds the sends that reach a target after that.
+	maxLateSends = 3
+)
+
+// crashingRequest is how a request crashes its targets, as observed by a VM.
+type crashingRequest struct {
+	path    string
+	outcome director.Outcome
+	// events is the number of events before the crash.
+	events int
+}
+
+// simulatedTarget crashes when it runs the request, and restarts.
+type simulatedTarget struct {
+	id          model.TargetID
+	down        bool
+	incarnation int64
+}
+
+// simulatedVM is an entry VM with its current state.
+type simulatedVM struct {
+	id        model.NodeID
+	state     *director.State
+	startedAt model.Instant
+}
+
+// crashSimulation runs several VMs with a simulated clock, network and targets.
+type crashSimulation struct {
+	request crashingRequest
+	now     model.Instant
+	config  *fleet.Config
+	vms     []*simulatedVM
+	targets map[model.TargetID]*simulatedTarget
+	// registered is the content of the store.
+	registered map[model.TargetID]*fleet.Target
+	rows       map[model.TargetID]model.RowVersion
+	scheduled  []scheduledAction
+	restart    time.Duration
+	requests   int
+	crashes    int
+	thirdAt    model.Instant
+	// lateSends are the times since the third crash of the sends that count.
+	lateSends []time.Duration
+}
+
+type scheduledAction struct {
+	at model.Instant
+	do func()
+}
+
+func newCrashSimulation(request crashingRequest, vms int) *crashSimulation {
+	c := &crashSimulation{
+		request: request, now: model.Instant(time.Hour), config: config(7), restart: 2 * time.Second,
+		targets: map[model.TargetID]*simulatedTarget{}, registered: map[model.TargetID]*fleet.Target{}, rows: map[model.TargetID]model.RowVersion{},
+	}
+	c.config.Services[llm].Engine.LayerMB = 500 // a target holds the whole model
+	for n := range 6 {
+		c.addTarget(model.TargetID(fmt.Sprint("o", n)), orders, "")
+		c.addTarget(model.TargetID(fmt.Sprint("l", n)), llm, "big")
+	}
+	for n := range vms {
+		vm := &simulatedVM{id: model.NodeID(fmt.Sprint("vm-", n))}
+		c.vms = append(c.vms, vm)
+		c.start(vm)
+	}
+	return c
+}
+
+func (c *crashSimulation) addTarget(id model.TargetID, service model.ServiceID, kind model.AcceleratorKind) {
+	c.targets[id] = &simulatedTarget{id: id, incarnation: 1}
+	t := &fleet.Target{
+		ID: id, Service: service, Address: "at-" + string(id), Zone: "a", State: fleet.TargetReady, Slots: 192, Kind: kind, StartedMs: 1,
+	}
+	if service == llm {
+		t.Held = model.LayerRange{End: 80}
+	}
+	c.registered[id], c.rows[id] = t, 1
+}
+
+// start replaces a VM's state by that of a process that has just started.
+func (c *crashSimulation) start(vm *simulatedVM) {
+	vm.startedAt = c.now
+	vm.state = director.New(director.Settings{
+		VM: vm.id, Zone: "a", ConfigApply: 2 * time.Second, Revoke: 5 * time.Second, Stall: 2500 * time.Millisecond,
+		Retries: retrybudget.Settings{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
+	})
+	c.step(vm, director.VMsCounted{Count: len(c.vms)})
+	c.readStore(vm)
+}
+
+func (c *crashSimulation) readStore(vm *simulatedVM) {
+	read := director.TargetsRead{Rows: map[model.TargetID]model.RowVersion{}}
+	for id, t := range c.registered {
+		read.Targets = append(read.Targets, t)
+		read.Rows[id] = c.rows[id]
+	}
+	c.step(vm, director.ConfigRead{Config: c.config, Started: c.now})
+	c.step(vm, read)
+}
+
+// after schedules an action; after a restart of the VM it is dropped.
+func (c *crashSimulation) after(d time.Duration, vm *simulatedVM, do func()) {
+	state := vm.state
+	c.scheduled = append(c.scheduled, scheduledAction{at: c.now.Add(d), do: func() {
+		if vm.state == state {
+			do()
+		}
+	}})
+}
+
+func (c *crashSimulation) step(vm *simulatedVM, e director.Event) []director.Effect {
+	effects := vm.state.Step(c.now, e)
+	for _, effect := range effects {
+		report, ok := effect.(*director.RequestReport)
+		if !ok {
+			continue
+		}
+		c.after(simulationStep, vm, func() {
+			answer := director.ReportRead{Target: report.Target}
+			if t := c.targets[report.Target]; !t.down {
+				answer.Report = &fleet.Report{Slowdown: 1, StartedMs: t.incarnation}
+			}
+			c.step(vm, answer)
+		})
+	}
+	return effects
+}
+
+// arrive sends the request to a VM.
+func (c *crashSimulation) arrive(vm *simulatedVM) {
+	c.requests++
+	id := model.RequestID(fmt.Sprint("q", c.requests))
+	c.handle(vm, id, c.step(vm, director.RequestArrived{Request: &fleet.Request{
+		ID: id, Method: "POST", Host: "h", Path: c.request.path, Key: "key", HasKey: true, Deadline: 20 * time.Second, PromptTokens: 800, AnswerTokens: 200,
+	}, Random: float64(c.requests%97) / 97}))
+}
+
+func (c *crashSimulation) handle(vm *simulatedVM, id model.RequestID, effects []director.Effect) {
+	switch e := lastEffect(effects).(type) {
+	case *director.Wait:
+		c.after(e.For, vm, func() { c.handle(vm, id, c.step(vm, director.WaitElapsed{ID: id, Random: 0.5})) })
+	case *director.Send:
+		c.send(vm, id, c.targets[e.Hops[0].Target])
+	}
+}
+
+func (c *crashSimulation) send(vm *simulatedVM, id model.RequestID, t *simulatedTarget) {
+	end := func(outcome director.Outcome) {
+		c.handle(vm, id, c.step(vm, director.SendEnded{ID: id, Outcome: outcome, Took: simulationStep, Random: 0.5}))
+	}
+	if t.down {
+		c.after(simulationStep, vm, func() { end(director.NotSent) })
+		return
+	}
+	if late := c.now.Sub(c.thirdAt); c.thirdAt != 0 && late > stabilityWindow && c.now.Sub(vm.startedAt) > startWindow {
+		c.lateSends = append(c.lateSends, late)
+	}
+	for range c.request.events {
+		c.after(5*simulationStep, vm, func() { c.step(vm, director.AnswerStarted{ID: id}) })
+	}
+	c.after(6*simulationStep, vm, func() { end(c.request.outcome) })
+	c.scheduled = append(c.scheduled, scheduledAction{at: c.now.Add(5 * simulationStep), do: func() { c.crash(t) }})
+}
+
+func (c *crashSimulation) crash(t *simulatedTarget) {
+	if t.down {
+		return
+	}
+	t.down = true
+	c.crashes++
+	if c.crashes == 3 {
+		c.thirdAt = c.now
+	}
+	c.scheduled = append(c.scheduled, scheduledAction{at: c.now.Add(c.restart), do: func() {
+		t.down = false
+		t.incarnation++
+		registration := *c.registered[t.id]
+		registration.StartedMs = t.incarnation
+		c.registered[t.id] = &registration
+		c.rows[t.id]++
+	}})
+}
+
+// exchange sends a VM's state to the others.
+func (c *crashSimulation) exchange(from *simulatedVM) {
+	message := from.state.OwnPeerState(c.now)
+	for _, to := range c.vms {
+		if to != from {
+			c.after(2*simulationStep, to, func() { c.step(to, message) })
+		}
+	}
+}
+
+// arrivals is how a request arrives: at the VMs in turn, and at intervals at all of
+// them at once; the VMs may restart in turn.
+type arrivals struct {
+	interval, toAll time.Duration
+	restarts        bool
+}
+
+// run runs the simulation for a duration.
+func (c *crashSimulation) run(a arrivals, d time.Duration) {
+	every := func(elapsed, interval, offset time.Duration) bool { return elapsed%interval == offset%interval }
+	vms := time.Duration(len(c.vms))
+	for elapsed := time.Duration(0); elapsed < d; elapsed += simulationStep {
+		c.now = c.now.Add(simulationStep)
+		due := slices.Clone(c.scheduled)
+		c.scheduled = nil
+		for _, action := range due {
+			if action.at > c.now {
+				c.scheduled = append(c.scheduled, action)
+				continue
+			}
+			action.do()
+		}
+		for n, vm := range c.vms {
+			offset := time.Duration(n) * 3 * simulationStep
+			if a.restarts && every(elapsed, restartInterval*vms, restartInterval*time.Duration(n+1)) {
+				c.start(vm)
+			}
+			if every(elapsed, 250*time.Millisecond, offset) {
+				c.readStore(vm)
+				c.step(vm, director.ProbeDue{All: n == 0, Lead: n == 0})
+			}
+			if every(elapsed, 600*time.Millisecond, offset) {
+				c.exchange(vm)
+			}
+			if elapsed > 0 && every(elapsed, a.toAll, 0) || every(elapsed, a.interval*vms, a.interval*time.Duration(n)) {
+				c.arrive(vm)
+			}
+		}
+	}
+}
+
+// A request that crashes its targets comes again and again at every VM, beside
+// restarts of the VMs. Guards against crashes that are not attributed to it, VMs that
+// do not know of the quarantine, and VMs that all try it again once it has expired.
+var _ = Describe("a request that crashes its targets and is sent to several VMs", func() {
+	DescribeTable("reaches at most three targets after the stability window",
+		func(request crashingRequest) {
+			for _, a := range []arrivals{
+				{interval: 100 * time.Millisecond, toAll: time.Second}, {interval: 100 * time.Millisecond, toAll: time.Second, restarts: true},
+				{interval: 400 * time.Millisecond, toAll: 2 * time.Second}, {interval: 400 * time.Millisecond, toAll: 2 * time.Second, restarts: true},
+				{interval: 700 * time.Millisecond, toAll: time.Hour, restarts: true}, {interval: 1500 * time.Millisecond, toAll: 4 * time.Second},
+			} {
+				c := newCrashSimulation(request, 4)
+				c.run(a, time.Minute)
+				Expect(c.crashes).To(BeNumerically(">=", 3))
+				Expect(len(c.lateSends)).To(BeNumerically("<=", maxLateSends), "%+v: %d crashes, sent after %v", a, c.crashes, c.lateSends)
+			}
+		},
+		Entry("crashing request: plain, without a head", crashingRequest{path: "/r/bad", outcome: director.Lost}),
+		Entry("crashing request: stream, without a head", crashingRequest{path: "/s/bad", outcome: director.Lost}),
+		Entry("crashing request: stream, after the head", crashingRequest{path: "/s/bad", outcome: director.Broken}),
+		Entry("crashing request: stream, after one event", crashingRequest{path: "/s/bad", outcome: director.Broken, events: 1}),
+	)
+})
