Attribute a crash between the head and the first event to the request's content

Cause: a stream whose head came is reported as Broken, and only Lost counted as a possible crash. The same held for each further send of a stream that had started. Whether an event of this send came is known to the reducer; a stream that ends before it now counts.

Harmless content: a target is still counted once and only when its crash is confirmed, and a complete answer to the same content still clears it. A stream that its target had begun to answer still counts nothing.

--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -51,7 +51,8 @@
 	Rejected
 	// Lost means that the request may have run and no usable answer was received.
 	Lost
-	// Broken means that a stream failed after its first event.
+	// Broken means that a stream failed after the head of this send's response, or
+	// after an event of an earlier send.
 	Broken
 	// TimedOut means that the request's deadline passed.
 	TimedOut
--- a/internal/director/poison.go
+++ b/internal/director/poison.go
@@ -69,10 +69,16 @@
 	return quarantine.FingerprintOf(workspace, model.ModelName(r.Path), string(r.Body))
 }
 
+// mayBeCause reports whether the content of a request may have crashed the target of
+// the send that ended with the outcome. A stream is unlikely to be the cause once this
+// send has delivered an event; events of earlier sends do not count.
+func (r *request) mayBeCause(outcome Outcome) bool {
+	return outcome == Lost || outcome == Broken && r.awaitingFirst
+}
+
 // recordLostAnswer keeps a lost answer until it is known whether its target crashed.
-// A stream that had started is unlikely to be the cause and not recorded.
 func (s *State) recordLostAnswer(now model.Instant, r *request, outcome Outcome) {
-	if outcome != Lost || len(r.possibleRuns) == 0 || len(r.hops) == 0 {
+	if !r.mayBeCause(outcome) || len(r.possibleRuns) == 0 || len(r.hops) == 0 {
 		return
 	}
 	ran := r.possibleRuns[len(r.possibleRuns)-1]
--- a/internal/director/poison_test.go
+++ b/internal/director/poison_test.go
@@ -19,6 +19,10 @@
 		for _, id := range []model.TargetID{"o1", "o2", "o3", "o4"} {
 			h.addTarget(id, orders, "a", 0, 0)
 		}
+		h.config.Services[llm].Engine.LayerMB = 500 // a target holds the whole model
+		for _, id := range []model.TargetID{"l1", "l2", "l3", "l4"} {
+			h.addTarget(id, llm, "a", 0, 80)
+		}
 		h.read()
 	})
 
@@ -79,6 +83,19 @@
 		Expect(expectRefusal(e).Reason).To(ContainSubstring("crashed"))
 	})
 
+	// Pattern: each target sends the head of a stream and crashes before the first event.
+	It("is refused when the targets crash between the head and the first event", func() {
+		id, e := h.arrive("/s/bad")
+		for range 3 {
+			send := expectSend(e)
+			e = h.endSend(id, director.Broken)
+			crash(send.Hops[0].Target)
+		}
+		Expect(expectRefusal(h.endSend(id, director.Rejected)).Reason).To(ContainSubstring("crashed"))
+		_, e = h.arrive("/s/bad")
+		Expect(expectRefusal(e).Status).To(Equal(http.StatusServiceUnavailable))
+	})
+
 	// Pattern: many callers send the same content, and several targets crash at once
 	// while running it (soak seeds 106, 125, 128, 142).
 	It("is not assumed when its content is answered meanwhile for any caller", func() {
