Attribute a lost answer to the incarnation of the target that was sent to

Content that crashed one target again and again was not refused: where a layer has a single holder, a started stream is sent again to that target's next incarnation, and only the first of these sends counted. New test 'is refused when it crashes three incarnations of one target': sent instead of refused before.

Cause: a target that may have run the request was recorded once, by name, with the incarnation registered when the send ended. The incarnation is now taken when the send begins, and each is recorded. The route's bound on targets also counts a new incarnation that may have run the request; the one that ended does not count, as before.

Harmless content: an incarnation still counts once, and an answer clears it.

--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -51,7 +51,7 @@
 	}
 	effects := s.suspectFaultyHop(now, r, e)
 	if e.Outcome != NotSent && e.Outcome != Rejected {
-		s.recordPossibleRun(r)
+		r.recordPossibleRun()
 		s.recordLostAnswer(now, r, e.Outcome)
 	}
 	s.adjustLoad(r, -1)
@@ -155,16 +155,11 @@
 }
 
 // recordPossibleRun records that the first target of the request's path may have
-// run it.
-func (s *State) recordPossibleRun(r *request) {
-	if len(r.hops) == 0 || r.mayHaveRunOn(r.hops[0].Target) {
-		return
+// run it, as the incarnation to which it was sent.
+func (r *request) recordPossibleRun() {
+	if len(r.hops) > 0 && !slices.Contains(r.possibleRuns, r.sentTo) {
+		r.possibleRuns = append(r.possibleRuns, r.sentTo)
 	}
-	run := incarnation{target: r.hops[0].Target}
-	if t := s.targets[run.target]; t != nil {
-		run.startedMs = t.StartedMs
-	}
-	r.possibleRuns = append(r.possibleRuns, run)
 }
 
 // targetLimitReached reports whether as many targets as the route allows may have
@@ -236,7 +231,7 @@
 	}
 	// The next path is chosen as if this send had ended, and its retry is reserved.
 	before := r.possibleRuns
-	s.recordPossibleRun(r)
+	r.recordPossibleRun()
 	hops, _ := s.choose(now, r)
 	if hops == nil || slices.Equal(hops, r.hops) || !s.budget.TryRetry(now, r.service.ID) {
 		r.possibleRuns = before
--- a/internal/director/poison.go
+++ b/internal/director/poison.go
@@ -78,17 +78,13 @@
 
 // recordLostAnswer keeps a lost answer until it is known whether its target crashed.
 func (s *State) recordLostAnswer(now model.Instant, r *request, outcome Outcome) {
-	if !r.mayBeCause(outcome) || len(r.possibleRuns) == 0 || len(r.hops) == 0 {
-		return
-	}
-	ran := r.possibleRuns[len(r.possibleRuns)-1]
-	if ran.target != r.hops[0].Target {
+	if !r.mayBeCause(outcome) || len(r.hops) == 0 {
 		return
 	}
 	if len(s.lostAnswers) >= maxLostAnswers {
 		s.lostAnswers = s.lostAnswers[1:]
 	}
-	s.lostAnswers = append(s.lostAnswers, lostAnswer{content: r.fingerprint(), ran: ran, at: now})
+	s.lostAnswers = append(s.lostAnswers, lostAnswer{content: r.fingerprint(), ran: r.sentTo, at: now})
 }
 
 // confirmCrashes records a crash for each lost answer whose target has crashed since,
--- a/internal/director/poison_test.go
+++ b/internal/director/poison_test.go
@@ -96,6 +96,28 @@
 		Expect(expectRefusal(e).Status).To(Equal(http.StatusServiceUnavailable))
 	})
 
+	// Pattern: a layer has a single holder, to which a stream is sent again after each
+	// restart.
+	It("is refused when it crashes three incarnations of one target", func() {
+		for _, id := range []model.TargetID{"l2", "l3", "l4"} {
+			delete(h.targets, id)
+		}
+		h.read()
+		id, e := h.arrive("/s/bad")
+		h.state.Step(h.now, director.AnswerStarted{ID: id})
+		for range 4 {
+			expectSend(e)
+			e = h.endSend(id, director.Broken)
+			crash("l1")
+			if wait, ok := e.(*director.Wait); ok {
+				h.advance(wait.For)
+				e = lastEffect(h.state.Step(h.now, director.WaitElapsed{ID: id}))
+			}
+		}
+		_, e = h.arrive("/s/bad")
+		Expect(expectRefusal(e).Reason).To(ContainSubstring("crashed"))
+	})
+
 	// Pattern: many callers send the same content, and several targets crash at once
 	// while running it (soak seeds 106, 125, 128, 142).
 	It("is not assumed when its content is answered meanwhile for any caller", func() {
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -70,6 +70,8 @@
 	sentAt model.Instant
 	// possibleRuns are the incarnations of targets that may have run the request.
 	possibleRuns []incarnation
+	// sentTo is the first target of the last send, as registered when it began.
+	sentTo incarnation
 	// hops is the path of the send in flight; nil between sends.
 	hops     []fleet.Hop
 	diverted bool
