Attribute a crash right after the first event to the request's content

Cause: a stream that had started counted nothing, but a request starts to run with its first token, and that event may be delivered before the target crashes. A stream that breaks within 300 ms after the first event of its send now counts.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -247,7 +247,7 @@
 	if r == nil || !r.awaitingFirst {
 		return
 	}
-	r.answerStarted = true
+	r.answerStarted, r.firstEventAt = true, now
 	for _, hop := range r.hops {
 		if t := s.targets[hop.Target]; t != nil {
 			t.ownLoad.Waiting--
--- a/internal/director/poison.go
+++ b/internal/director/poison.go
@@ -24,6 +24,9 @@
 	// attributed to the content: the time to detect that a target is dead, or to read
 	// the registration of its next incarnation.
 	crashConfirmWindow = 5 * time.Second
+	// earlyCrashWindow is how long after the first event of a send a crash of its target
+	// is still attributed to the content: a few events, and the time to notice the crash.
+	earlyCrashWindow = 300 * time.Millisecond
 	// crashExpiry is how long a crash counts.
 	crashExpiry = 10 * time.Minute
 	// crashSendWindow is how long a crash is sent to other VMs: several messages.
@@ -69,16 +72,15 @@
 	return quarantine.FingerprintOf(workspace, model.ModelName(r.Path), string(r.Body))
 }
 
-// mayBeCause reports whether the content of a request may have crashed the target of
-// the send that ended with the outcome. A stream is unlikely to be the cause once this
-// send has delivered an event; events of earlier sends do not count.
-func (r *request) mayBeCause(outcome Outcome) bool {
-	return outcome == Lost || outcome == Broken && r.awaitingFirst
-}
-
 // recordLostAnswer keeps a lost answer until it is known whether its target crashed.
+// A request starts to run with its first token, so the first event may be delivered
+// before the crash. Content that ran for longer on this target, or before on another
+// one, is unlikely to be the cause and not recorded.
 func (s *State) recordLostAnswer(now model.Instant, r *request, outcome Outcome) {
-	if !r.mayBeCause(outcome) || len(r.hops) == 0 {
+	if !r.awaitingFirst && now.Sub(r.firstEventAt) >= earlyCrashWindow {
+		r.progressed = true
+	}
+	if r.progressed || outcome != Lost && outcome != Broken || len(r.hops) == 0 {
 		return
 	}
 	if len(s.lostAnswers) >= maxLostAnswers {
--- a/internal/director/poison_test.go
+++ b/internal/director/poison_test.go
@@ -118,6 +118,52 @@
 		Expect(expectRefusal(e).Reason).To(ContainSubstring("crashed"))
 	})
 
+	// breakStream starts a stream on each of three targets, breaks each off some time
+	// after its first event, and crashes the target.
+	breakStream := func(path string, after time.Duration) director.Effect {
+		id, e := h.arrive(path)
+		for range 3 {
+			send := expectSend(e)
+			h.state.Step(h.now, director.AnswerStarted{ID: id})
+			h.advance(after)
+			e = h.endSend(id, director.Broken)
+			crash(send.Hops[0].Target)
+		}
+		h.state.Step(h.now, director.RequestFinished{ID: id})
+		_, e = h.arrive(path)
+		return e
+	}
+
+	// Pattern: the request starts to run with its first token, which is delivered
+	// before the target crashes.
+	It("is refused when the targets crash right after the first event", func() {
+		Expect(expectRefusal(breakStream("/s/bad", 50*time.Millisecond)).Reason).To(ContainSubstring("crashed"))
+	})
+
+	// Pattern: targets that crash for another reason break off streams that many
+	// callers have read for a while.
+	It("is not assumed when its streams had run for a while", func() {
+		expectSend(breakStream("/s/popular", time.Second))
+	})
+
+	// Pattern: a stream that has run for a while is sent on to targets that crash in
+	// the same fault before they send its next event.
+	It("is not assumed when one of its sends had run for a while", func() {
+		id, e := h.arrive("/s/popular")
+		first := expectSend(e)
+		h.state.Step(h.now, director.AnswerStarted{ID: id})
+		h.advance(time.Second)
+		e = h.endSend(id, director.Broken)
+		crash(first.Hops[0].Target)
+		for range 3 {
+			send := expectSend(e)
+			e = h.endSend(id, director.Broken)
+			crash(send.Hops[0].Target)
+		}
+		_, e = h.arrive("/s/popular")
+		expectSend(e)
+	})
+
 	// Pattern: many callers send the same content, and several targets crash at once
 	// while running it (soak seeds 106, 125, 128, 142).
 	It("is not assumed when its content is answered meanwhile for any caller", func() {
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -86,6 +86,10 @@
 	waits int
 	// awaitingFirst is true from the send to the first part of the answer.
 	awaitingFirst bool
+	// firstEventAt is when the first event of the send in flight was delivered.
+	firstEventAt model.Instant
+	// progressed is true once a send delivered events for longer than earlyCrashWindow.
+	progressed bool
 	// random is uniform in [0,1) and drawn for each send.
 	random float64
 }
