Do not count crashes again that another VM repeats after an answer

Harmless content that many callers send was refused with 503 and a Retry-After of up to 20 s right after a complete answer had cleared it: another VM sends its crashes for two seconds, and the record that would have known them was removed.

The record is kept until it expires, with the crashes that an answer followed marked as cleared; these neither count again nor are sent on. Content that does crash targets is never answered, so nothing is cleared for it.

--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -35,10 +35,12 @@
 	requests int
 }
 
-func newHarness() *harness {
+func newHarness() *harness { return newHarnessOf("vm-1") }
+
+func newHarnessOf(vm model.NodeID) *harness {
 	h := &harness{
 		state: director.New(director.Settings{
-			VM: "vm-1", Zone: "a", ConfigApply: 2 * time.Second, Revoke: 5 * time.Second, Stall: 2500 * time.Millisecond,
+			VM: vm, Zone: "a", ConfigApply: 2 * time.Second, Revoke: 5 * time.Second, Stall: 2500 * time.Millisecond,
 			Retries: retrybudget.Settings{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
 		}),
 		now:     model.Instant(time.Hour),
@@ -48,6 +50,15 @@
 	return h
 }
 
+// peer returns another VM that has just started, with the same configuration and
+// targets.
+func (h *harness) peer(vm model.NodeID) *harness {
+	other := newHarnessOf(vm)
+	other.now, other.config, other.targets, other.rows = h.now, h.config, h.targets, h.rows
+	other.read()
+	return other
+}
+
 func config(version model.Revision) *fleet.Config {
 	return &fleet.Config{
 		Version: version,
--- a/internal/director/poison.go
+++ b/internal/director/poison.go
@@ -45,8 +45,11 @@
 
 // crashRecord lists the crashes of targets that were running some content.
 type crashRecord struct {
-	// crashed are the crashed incarnations, each once.
+	// crashed are the crashed incarnations, each once. The first cleared of them were
+	// followed by an answer to the content and do not count; they are kept since other
+	// VMs may still send them.
 	crashed []incarnation
+	cleared int
 	// at is when the last crash was detected.
 	at model.Instant
 	// quarantinedUntil is when the content stops being refused.
@@ -121,25 +124,28 @@
 		return nil
 	}
 	c.crashed, c.at = append(c.crashed, ran), now
-	if len(c.crashed) < crashThreshold {
+	counted := len(c.crashed) - c.cleared
+	if counted < crashThreshold {
 		return nil
 	}
 	c.quarantinePeriod = min(max(2*c.quarantinePeriod, initialQuarantine), maxQuarantine)
 	c.quarantinedUntil = now.Add(c.quarantinePeriod)
 	return &StateChanged{
 		What: "request content refused", Subject: strconv.FormatUint(uint64(content), 16),
-		Detail: strconv.Itoa(len(c.crashed)) + " targets crashed while running it, most recently " + string(ran.target) + "; for " + c.quarantinePeriod.String(),
+		Detail: strconv.Itoa(counted) + " targets crashed while running it, most recently " + string(ran.target) + "; for " + c.quarantinePeriod.String(),
 	}
 }
 
-// clearContent removes the crashes and lost answers of a request's content once it
-// has been answered completely.
+// clearContent clears the crashes and lost answers of a request's content once it has
+// been answered completely.
 func (s *State) clearContent(r *request) {
 	if len(s.crashRecords) == 0 && len(s.lostAnswers) == 0 {
 		return
 	}
 	content := r.fingerprint()
-	delete(s.crashRecords, content)
+	if c := s.crashRecords[content]; c != nil {
+		c.cleared, c.quarantinedUntil, c.quarantinePeriod = len(c.crashed), 0, 0
+	}
 	s.lostAnswers = slices.DeleteFunc(s.lostAnswers, func(l lostAnswer) bool { return l.content == content })
 }
 
@@ -164,7 +170,7 @@
 		if now.Sub(c.at) > crashSendWindow {
 			continue
 		}
-		for _, ran := range c.crashed {
+		for _, ran := range c.crashed[c.cleared:] {
 			out = append(out, Crash{Content: content, Target: ran.target, Born: ran.startedMs})
 		}
 	}
--- a/internal/director/poison_test.go
+++ b/internal/director/poison_test.go
@@ -75,9 +75,7 @@
 
 	It("is refused by VMs that received its crashes", func() {
 		lose(h, "/r/bad", true)
-		other := newHarness()
-		other.targets, other.rows = h.targets, h.rows
-		other.read()
+		other := h.peer("vm-2")
 		other.state.Step(other.now, h.state.OwnPeerState(h.now))
 		_, e := other.arrive("/r/bad")
 		Expect(expectRefusal(e).Reason).To(ContainSubstring("crashed"))
@@ -164,6 +162,19 @@
 		expectSend(e)
 	})
 
+	// Pattern: a request of popular content that was in flight before the quarantine is
+	// answered, while another VM still sends the crashes that were counted before.
+	It("is served once its content was answered, though another VM repeats its crashes", func() {
+		answered, _ := h.arrive("/r/popular")
+		lose(h, "/r/popular", true)
+		other := h.peer("vm-2")
+		other.state.Step(other.now, h.state.OwnPeerState(h.now))
+		h.state.Step(h.now, director.RequestFinished{ID: answered, Delivered: true})
+		h.state.Step(h.now, other.state.OwnPeerState(other.now))
+		_, e := h.arrive("/r/popular")
+		expectSend(e)
+	})
+
 	// Pattern: many callers send the same content, and several targets crash at once
 	// while running it (soak seeds 106, 125, 128, 142).
 	It("is not assumed when its content is answered meanwhile for any caller", func() {
