Send quarantines to other VMs for as long as they are known

A VM that started, or that was cut off from the others for longer than two seconds, served content again that all others refused, and it crashed three more targets; so after every restart.

Cause: a crash is sent for two seconds, the quarantine that follows was not sent at all. VMs now send the level of each quarantine, the level at the last answer and the remaining time, since clocks differ. Levels only grow and the highest is adopted, so the order of messages does not matter; the end of the same level is only moved forward, so that VMs which repeat each other do not prolong it.

Harmless content is released sooner than before: an answer at any VM ends the quarantine at all of them, and the log says 'request content released' ('is served by every VM once one of them has received an answer to its content' failed before).

--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -18,6 +18,8 @@
 	// Crashes are recent crashes of targets, with the content that they were
 	// processing.
 	Crashes []director.Crash `json:"crashes,omitempty"`
+	// Quarantines are the quarantines of content that crashed targets.
+	Quarantines []contentQuarantine `json:"quarantines,omitempty"`
 	// Query is the number of a query for the recipient's state of the store; State is
 	// the reply to it. Such a message has no other fields but VM.
 	Query uint64 `json:"ask,omitempty"`
@@ -44,6 +46,20 @@
 	RejectsRequests bool  `json:"refuses,omitempty"`
 }
 
+// contentQuarantine encodes a director.Quarantine as integers without field names:
+// content, level, level at the last answer, remaining milliseconds.
+type contentQuarantine [4]uint64
+
+func encodeQuarantine(q director.Quarantine) contentQuarantine {
+	return contentQuarantine{uint64(q.Content), uint64(q.Level), uint64(q.Cleared), uint64(q.Remaining.Milliseconds())}
+}
+
+func (q contentQuarantine) decode() director.Quarantine {
+	return director.Quarantine{
+		Content: model.Fingerprint(q[0]), Level: int(q[1]), Cleared: int(q[2]), Remaining: time.Duration(q[3]) * time.Millisecond,
+	}
+}
+
 // encodePeerState returns the message for a VM's state.
 func encodePeerState(peerState director.PeerState) peerMessage {
 	message := peerMessage{
@@ -56,6 +72,9 @@
 	for id, s := range peerState.Suspects {
 		message.Suspects[id] = suspicion{LeftMs: s.Remaining.Milliseconds(), AgeMs: s.Age.Milliseconds(), RejectsRequests: s.RejectsRequests}
 	}
+	for _, q := range peerState.Quarantines {
+		message.Quarantines = append(message.Quarantines, encodeQuarantine(q))
+	}
 	return message
 }
 
@@ -73,5 +92,8 @@
 			Remaining: time.Duration(s.LeftMs) * time.Millisecond, Age: time.Duration(s.AgeMs) * time.Millisecond, RejectsRequests: s.RejectsRequests,
 		}
 	}
+	for _, q := range m.Quarantines {
+		out.Quarantines = append(out.Quarantines, q.decode())
+	}
 	return out
 }
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -31,8 +31,9 @@
 	if r == nil {
 		return nil
 	}
+	var effects []Effect
 	if e.Delivered {
-		s.clearContent(r)
+		effects = effectList(s.clearContent(r))
 		for _, hop := range r.hops {
 			if t := s.targets[hop.Target]; t != nil {
 				t.completed(now, r.sentAt)
@@ -41,7 +42,7 @@
 	}
 	s.adjustLoad(r, -1)
 	delete(s.requests, e.ID)
-	return nil
+	return effects
 }
 
 func (s *State) sendEnded(now model.Instant, e SendEnded) []Effect {
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -130,6 +130,8 @@
 	Paces map[model.TargetID]float64
 	// Crashes are recent crashes of targets and the content that they were running.
 	Crashes []Crash
+	// Quarantines are the quarantines of content that crashed targets.
+	Quarantines []Quarantine
 }
 
 // Suspicion is a VM's suspicion that a target is faulty.
--- a/internal/director/poison.go
+++ b/internal/director/poison.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strconv"
@@ -15,7 +16,7 @@
 	// some content before it is refused: two crash together in an ordinary fault.
 	crashThreshold = 3
 	// initialQuarantine is how long content is refused at first, and maxQuarantine at
-	// most; each further crash doubles the period. Afterwards the content may run
+	// most; each further level doubles the period. Afterwards the content may run
 	// again, since harmless content that many callers send can be running on several
 	// targets that crash.
 	initialQuarantine = 10 * time.Second
@@ -32,7 +33,7 @@
 	// crashSendWindow is how long a crash is sent to other VMs: several messages.
 	crashSendWindow = 2 * time.Second
 	// maxLostAnswers bounds the lost answers that await confirmation of a crash, and
-	// maxSentCrashes the crashes in one message.
+	// maxSentCrashes the crashes, and the quarantines, in one message.
 	maxLostAnswers, maxSentCrashes = 1024, 64
 )
 
@@ -50,11 +51,34 @@
 	// VMs may still send them.
 	crashed []incarnation
 	cleared int
-	// at is when the last crash was detected.
+	// at is when the last crash was detected, or the last change received.
 	at model.Instant
+	// level counts the quarantines of the content, by the crashThreshold-th crash and
+	// each further one, and clearedLevel is the level at the last answer: the content is
+	// quarantined while level is higher. Both only grow, so that VMs agree on the highest
+	// that they received, in whatever order.
+	level, clearedLevel int
 	// quarantinedUntil is when the content stops being refused.
 	quarantinedUntil model.Instant
-	quarantinePeriod time.Duration
+}
+
+// quarantined reports whether the content was quarantined and not answered since.
+func (c *crashRecord) quarantined() bool { return c.level > c.clearedLevel }
+
+// quarantine puts the content under the next quarantine.
+func (c *crashRecord) quarantine(now model.Instant) {
+	c.level, c.at = c.level+1, now
+	c.quarantinedUntil = now.Add(c.period())
+}
+
+// period returns the duration of the quarantine.
+func (c *crashRecord) period() time.Duration {
+	return min(initialQuarantine<<min(c.level-c.clearedLevel-1, 8), maxQuarantine)
+}
+
+// clear ends the quarantine; the crashes so far do not count any more.
+func (c *crashRecord) clear() {
+	c.cleared, c.clearedLevel, c.quarantinedUntil = len(c.crashed), c.level, 0
 }
 
 // Crash is a crash of a target that was running some content, for other VMs. Born is
@@ -66,6 +90,15 @@
 	Born    int64
 }
 
+// Quarantine is the state of content that was quarantined, for other VMs.
+type Quarantine struct {
+	Content model.Fingerprint
+	// Level is the number of quarantines, and Cleared that number at the last answer.
+	Level, Cleared int
+	// Remaining is the time for which the content is still refused.
+	Remaining time.Duration
+}
+
 // fingerprint identifies the content of a request independently of its id.
 func (r *request) fingerprint() model.Fingerprint {
 	var workspace model.WorkspaceID
@@ -113,39 +146,89 @@
 	return effects
 }
 
-// recordCrash records the crash of a target that was running some content.
-func (s *State) recordCrash(now model.Instant, content model.Fingerprint, ran incarnation) Effect {
+// record returns the crash record of some content, a new one if there is none.
+func (s *State) record(now model.Instant, content model.Fingerprint) *crashRecord {
 	c := s.crashRecords[content]
 	if c == nil {
-		c = &crashRecord{}
+		c = &crashRecord{at: now}
 		s.crashRecords[content] = c
 	}
+	return c
+}
+
+// recordCrash records the crash of a target that was running some content.
+func (s *State) recordCrash(now model.Instant, content model.Fingerprint, ran incarnation) Effect {
+	c := s.record(now, content)
 	if slices.Contains(c.crashed, ran) {
 		return nil
 	}
 	c.crashed, c.at = append(c.crashed, ran), now
-	counted := len(c.crashed) - c.cleared
-	if counted < crashThreshold {
+	if !c.quarantined() && len(c.crashed)-c.cleared < crashThreshold {
 		return nil
 	}
-	c.quarantinePeriod = min(max(2*c.quarantinePeriod, initialQuarantine), maxQuarantine)
-	c.quarantinedUntil = now.Add(c.quarantinePeriod)
-	return &StateChanged{
-		What: "request content refused", Subject: strconv.FormatUint(uint64(content), 16),
-		Detail: strconv.Itoa(counted) + " targets crashed while running it, most recently " + string(ran.target) + "; for " + c.quarantinePeriod.String(),
+	c.quarantine(now)
+	return contentRefused(content, c, strconv.Itoa(len(c.crashed)-c.cleared)+" targets crashed while running it, most recently "+string(ran.target))
+}
+
+func contentRefused(content model.Fingerprint, c *crashRecord, detail string) Effect {
+	return &StateChanged{What: "request content refused", Subject: subject(content), Detail: detail + "; for " + c.period().String()}
+}
+
+func contentReleased(content model.Fingerprint, detail string) Effect {
+	return &StateChanged{What: "request content released", Subject: subject(content), Detail: detail}
+}
+
+// subject formats content for the log, which never holds the content itself.
+func subject(content model.Fingerprint) string { return strconv.FormatUint(uint64(content), 16) }
+
+// applyQuarantine applies a quarantine received from another VM. The end of the same
+// quarantine is only moved forward: a VM that passes on what it received, later, would
+// otherwise prolong it.
+func (s *State) applyQuarantine(now model.Instant, q Quarantine, peer model.NodeID) Effect {
+	c := s.record(now, q.Content)
+	if q.Cleared > c.clearedLevel {
+		released := c.quarantined() && q.Cleared >= c.level
+		c.level, c.cleared, c.clearedLevel, c.at = max(c.level, q.Cleared), len(c.crashed), q.Cleared, now
+		s.dropLostAnswers(q.Content)
+		if released {
+			return contentReleased(q.Content, string(peer)+" received an answer to it")
+		}
+	}
+	ends := now.Add(q.Remaining)
+	switch {
+	case !c.quarantined() && q.Level <= c.level || q.Level < c.level:
+	case q.Level == c.level:
+		c.quarantinedUntil = min(c.quarantinedUntil, ends)
+	default:
+		c.level, c.at, c.quarantinedUntil = q.Level, now, ends
+		if c.quarantined() {
+			return contentRefused(q.Content, c, "quarantined by "+string(peer))
+		}
 	}
+	return nil
 }
 
 // clearContent clears the crashes and lost answers of a request's content once it has
 // been answered completely.
-func (s *State) clearContent(r *request) {
+func (s *State) clearContent(r *request) Effect {
 	if len(s.crashRecords) == 0 && len(s.lostAnswers) == 0 {
-		return
+		return nil
 	}
 	content := r.fingerprint()
-	if c := s.crashRecords[content]; c != nil {
-		c.cleared, c.quarantinedUntil, c.quarantinePeriod = len(c.crashed), 0, 0
+	s.dropLostAnswers(content)
+	c := s.crashRecords[content]
+	if c == nil {
+		return nil
 	}
+	released := c.quarantined()
+	c.clear()
+	if !released {
+		return nil
+	}
+	return contentReleased(content, "it was answered")
+}
+
+func (s *State) dropLostAnswers(content model.Fingerprint) {
 	s.lostAnswers = slices.DeleteFunc(s.lostAnswers, func(l lostAnswer) bool { return l.content == content })
 }
 
@@ -156,7 +239,7 @@
 		return 0
 	}
 	c := s.crashRecords[r.fingerprint()]
-	if c == nil || now >= c.quarantinedUntil {
+	if c == nil || !c.quarantined() || now >= c.quarantinedUntil {
 		return 0
 	}
 	return c.quarantinedUntil.Sub(now)
@@ -176,3 +259,25 @@
 	}
 	return out[:min(len(out), maxSentCrashes)]
 }
+
+// quarantines returns the quarantines to send to other VMs, the latest change first.
+// They are sent for as long as they are known, for VMs that start or were cut off.
+func (s *State) quarantines(now model.Instant) []Quarantine {
+	var contents []model.Fingerprint
+	for content, c := range s.crashRecords {
+		if c.level > 0 {
+			contents = append(contents, content)
+		}
+	}
+	slices.SortFunc(contents, func(a, b model.Fingerprint) int {
+		return cmp.Or(cmp.Compare(s.crashRecords[b].at, s.crashRecords[a].at), cmp.Compare(a, b))
+	})
+	var out []Quarantine
+	for _, content := range contents[:min(len(contents), maxSentCrashes)] {
+		c := s.crashRecords[content]
+		out = append(out, Quarantine{
+			Content: content, Level: c.level, Cleared: c.clearedLevel, Remaining: max(c.quarantinedUntil.Sub(now), 0),
+		})
+	}
+	return out
+}
--- a/internal/director/poison_test.go
+++ b/internal/director/poison_test.go
@@ -162,6 +162,38 @@
 		expectSend(e)
 	})
 
+	// Pattern: a VM starts, or is reachable again, long after the crashes.
+	It("is refused by a VM that starts during the quarantine, for the rest of it", func() {
+		lose(h, "/r/bad", true)
+		_, e := h.arrive("/r/bad")
+		left := expectRefusal(e).RetryAfter - 6*time.Second
+		h.advance(6 * time.Second)
+		other := h.peer("vm-2")
+		other.state.Step(other.now, h.state.OwnPeerState(h.now))
+		_, e = other.arrive("/r/bad")
+		Expect(expectRefusal(e).RetryAfter).To(Equal(left))
+	})
+
+	// Pattern: a VM is suspended and receives old messages when it continues, or two VMs
+	// receive each other's messages late.
+	It("is not refused for longer because VMs repeat each other's quarantine", func() {
+		lose(h, "/r/bad", true)
+		_, e := h.arrive("/r/bad")
+		ends := h.now.Add(expectRefusal(e).RetryAfter)
+		other := h.peer("vm-2")
+		for range 10 {
+			toOther := h.state.OwnPeerState(h.now)
+			h.advance(500 * time.Millisecond)
+			other.now = h.now
+			h.read()
+			other.read()
+			other.state.Step(other.now, toOther)
+			h.state.Step(h.now, other.state.OwnPeerState(other.now))
+		}
+		_, e = h.arrive("/r/bad")
+		Expect(h.now.Add(expectRefusal(e).RetryAfter)).To(Equal(ends))
+	})
+
 	// Pattern: a request of popular content that was in flight before the quarantine is
 	// answered, while another VM still sends the crashes that were counted before.
 	It("is served once its content was answered, though another VM repeats its crashes", func() {
@@ -175,6 +207,18 @@
 		expectSend(e)
 	})
 
+	// Pattern: the same, on a VM that only received the crashes.
+	It("is served by every VM once one of them has received an answer to its content", func() {
+		answered, _ := h.arrive("/r/popular")
+		lose(h, "/r/popular", true)
+		other := h.peer("vm-2")
+		other.state.Step(other.now, h.state.OwnPeerState(h.now))
+		h.state.Step(h.now, director.RequestFinished{ID: answered, Delivered: true})
+		other.state.Step(other.now, h.state.OwnPeerState(h.now))
+		_, e := other.arrive("/r/popular")
+		expectSend(e)
+	})
+
 	// Pattern: many callers send the same content, and several targets crash at once
 	// while running it (soak seeds 106, 125, 128, 142).
 	It("is not assumed when its content is answered meanwhile for any caller", func() {
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -247,6 +247,9 @@
 	for _, c := range e.Crashes {
 		effects = append(effects, effectList(s.recordCrash(now, c.Content, incarnation{target: c.Target, startedMs: c.Born}))...)
 	}
+	for _, q := range e.Quarantines {
+		effects = append(effects, effectList(s.applyQuarantine(now, q, e.VM))...)
+	}
 	for id, suspicion := range e.Suspects {
 		if t := s.targets[id]; t != nil {
 			effects = append(effects, effectList(s.adoptSuspicion(now, t, suspicion, e.VM))...)
@@ -271,12 +274,12 @@
 	return l
 }
 
-// OwnPeerState returns the state for other VMs: own loads, suspicions, slowdowns and
-// crashes.
+// OwnPeerState returns the state for other VMs: own loads, suspicions, slowdowns,
+// crashes and quarantines.
 func (s *State) OwnPeerState(now model.Instant) PeerState {
 	out := PeerState{
 		VM: s.settings.VM, Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
-		Paces: map[model.TargetID]float64{}, Crashes: s.recentCrashes(now),
+		Paces: map[model.TargetID]float64{}, Crashes: s.recentCrashes(now), Quarantines: s.quarantines(now),
 	}
 	for id, t := range s.targets {
 		if t.ownLoad.Requests > 0 {
