Refuse quarantined content also where a started stream waited for a path

A started stream whose content was quarantined while it waited was sent to one more target: only sends that end were checked, not waits ('is not sent on after a wait while it is quarantined': a fifth send before, refused now). The check is repeated when the wait has elapsed.

Harmless content: a stream that waits while its content is quarantined ends with 502, as one whose send ends at that time did before; a quarantine still needs three confirmed crashes without an answer.

'is refused when it crashes three incarnations of one target' sent a fourth time through this hole; it now requires the refusal after the third crash already, of the waiting request and of the next one.

--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -126,6 +126,9 @@
 // caller has begun to read waits for a path meanwhile: missing layers are placed on
 // other targets within seconds.
 func (s *State) resend(now model.Instant, r *request, e SendEnded) Effect {
+	if s.quarantineLeft(now, r) > 0 {
+		return s.failRequest(r, e, http.StatusBadGateway, reasonCrashes) // quarantined while it waited
+	}
 	reason := "the retry budget is spent"
 	if r.retryReserved || s.budget.TryRetry(now, r.service.ID) {
 		r.retryReserved = true
--- a/internal/director/poison_test.go
+++ b/internal/director/poison_test.go
@@ -103,7 +103,7 @@
 		h.read()
 		id, e := h.arrive("/s/bad")
 		h.state.Step(h.now, director.AnswerStarted{ID: id})
-		for range 4 {
+		for range 3 {
 			expectSend(e)
 			e = h.endSend(id, director.Broken)
 			crash("l1")
@@ -112,6 +112,7 @@
 				e = lastEffect(h.state.Step(h.now, director.WaitElapsed{ID: id}))
 			}
 		}
+		Expect(expectRefusal(e).Reason).To(ContainSubstring("crashed"))
 		_, e = h.arrive("/s/bad")
 		Expect(expectRefusal(e).Reason).To(ContainSubstring("crashed"))
 	})
@@ -219,6 +220,25 @@
 		expectSend(e)
 	})
 
+	// Pattern: a stream waits for a path while its content is quarantined by another VM.
+	It("is not sent on after a wait while it is quarantined", func() {
+		other := h.peer("vm-2")
+		id, e := other.arrive("/s/bad")
+		expectSend(e)
+		other.state.Step(other.now, director.AnswerStarted{ID: id})
+		other.advance(time.Second)
+		for range 4 {
+			e = other.endSend(id, director.Rejected)
+			other.advance(10 * time.Millisecond)
+		}
+		Expect(e).To(BeAssignableToTypeOf(&director.Wait{}))
+		lose(h, "/s/bad", true)
+		other.advance(3 * time.Second)
+		other.state.Step(other.now, h.state.OwnPeerState(h.now))
+		e = lastEffect(other.state.Step(other.now, director.WaitElapsed{ID: id}))
+		Expect(expectRefusal(e).Reason).To(ContainSubstring("crashed"))
+	})
+
 	// Pattern: many callers send the same content, and several targets crash at once
 	// while running it (soak seeds 106, 125, 128, 142).
 	It("is not assumed when its content is answered meanwhile for any caller", func() {
