Try content on probation once, at one VM at a time

After its quarantine content was let through by every VM at once, each time with sends to further targets, until a crash was confirmed again.

After a quarantine the content is on probation: the VMs take turns in the order of their names, one request is in flight, it is not sent on once it may have run, and a lost answer quarantines the content again at once, without a confirmed crash. VMs agree on the end of a quarantine, so that the turns need no messages; a request in flight is sent to the other VMs besides.

Harmless content: probation needs three confirmed crashes without an answer before, as the quarantine did. An answer to the one request releases the content at all VMs, and a rejected one may be sent on. A stream that has run for more than 300 ms is sent on in spite of a quarantine now ('is sent on after it had run for a while, though its content is quarantined'); it was ended with 502 before.

--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -47,16 +47,22 @@
 }
 
 // contentQuarantine encodes a director.Quarantine as integers without field names:
-// content, level, level at the last answer, remaining milliseconds.
-type contentQuarantine [4]uint64
+// content, level, level at the last answer, remaining milliseconds, and 1 while a
+// request runs on probation.
+type contentQuarantine [5]uint64
 
 func encodeQuarantine(q director.Quarantine) contentQuarantine {
-	return contentQuarantine{uint64(q.Content), uint64(q.Level), uint64(q.Cleared), uint64(q.Remaining.Milliseconds())}
+	out := contentQuarantine{uint64(q.Content), uint64(q.Level), uint64(q.Cleared), uint64(q.Remaining.Milliseconds())}
+	if q.Trial {
+		out[4] = 1
+	}
+	return out
 }
 
 func (q contentQuarantine) decode() director.Quarantine {
 	return director.Quarantine{
 		Content: model.Fingerprint(q[0]), Level: int(q[1]), Cleared: int(q[2]), Remaining: time.Duration(q[3]) * time.Millisecond,
+		Trial: q[4] != 0,
 	}
 }
 
--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -87,7 +87,7 @@
 		return []Effect{refusal}
 	}
 	s.budget.CountFirstAttempt(now, r.service.ID)
-	return []Effect{send}
+	return append(effectList(s.startTrial(r)), send)
 }
 
 // mayOutliveProcess reports whether a request that arrives now may still be
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -53,7 +53,7 @@
 	effects := s.suspectFaultyHop(now, r, e)
 	if e.Outcome != NotSent && e.Outcome != Rejected {
 		r.recordPossibleRun()
-		s.recordLostAnswer(now, r, e.Outcome)
+		effects = append(effects, effectList(s.recordLostAnswer(now, r, e.Outcome))...)
 	}
 	s.adjustLoad(r, -1)
 	r.random = e.Random
@@ -100,7 +100,7 @@
 		return s.failRequest(r, e, http.StatusGatewayTimeout, "the time of the request is over")
 	case mayHaveRun && !r.route.Repeatable():
 		return s.failRequest(r, e, http.StatusBadGateway, "the request may have run and may not be repeated")
-	case s.quarantineLeft(now, r) > 0:
+	case !s.mayResend(now, r):
 		return s.failRequest(r, e, http.StatusBadGateway, reasonCrashes)
 	case r.sends >= maxSends && !r.mayWaitForPath(now) || s.targetLimitReached(r) && r.service.Engine == nil:
 		return s.failRequest(r, e, http.StatusBadGateway, "the request was sent as often as its route allows")
@@ -126,7 +126,7 @@
 // caller has begun to read waits for a path meanwhile: missing layers are placed on
 // other targets within seconds.
 func (s *State) resend(now model.Instant, r *request, e SendEnded) Effect {
-	if s.quarantineLeft(now, r) > 0 {
+	if !s.mayResend(now, r) {
 		return s.failRequest(r, e, http.StatusBadGateway, reasonCrashes) // quarantined while it waited
 	}
 	reason := "the retry budget is spent"
@@ -230,7 +230,7 @@
 	if !r.route.Repeatable() || r.expiresAt.Sub(now) < minTimeLeft || r.sends >= maxSends {
 		return nil
 	}
-	if r.service.Engine == nil && s.onLastTarget(r) || s.quarantineLeft(now, r) > 0 {
+	if r.service.Engine == nil && s.onLastTarget(r) || !s.mayDivert(now, r) {
 		return nil
 	}
 	// The next path is chosen as if this send had ended, and its retry is reserved.
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -59,6 +59,17 @@
 	return other
 }
 
+// exchange sends the state of each VM to all others.
+func exchange(vms []*harness) {
+	for _, from := range vms {
+		for _, to := range vms {
+			if to != from {
+				to.state.Step(to.now, from.state.OwnPeerState(from.now))
+			}
+		}
+	}
+}
+
 func config(version model.Revision) *fleet.Config {
 	return &fleet.Config{
 		Version: version,
--- a/internal/director/poison.go
+++ b/internal/director/poison.go
@@ -16,8 +16,8 @@
 	// some content before it is refused: two crash together in an ordinary fault.
 	crashThreshold = 3
 	// initialQuarantine is how long content is refused at first, and maxQuarantine at
-	// most; each further level doubles the period. Afterwards the content may run
-	// again, since harmless content that many callers send can be running on several
+	// most; each further level doubles the period. Afterwards the content is on
+	// probation, since harmless content that many callers send can be running on several
 	// targets that crash.
 	initialQuarantine = 10 * time.Second
 	maxQuarantine     = 10 * time.Minute
@@ -30,6 +30,18 @@
 	earlyCrashWindow = 300 * time.Millisecond
 	// crashExpiry is how long a crash counts.
 	crashExpiry = 10 * time.Minute
+	// trialSlot is the time in which one VM may send content that is on probation; the
+	// VMs take turns. None does in the last trialGuard of a slot, so that the next VM has
+	// received the trial: messages to other zones are sent each 600 ms.
+	trialSlot  = 2 * time.Second
+	trialGuard = 800 * time.Millisecond
+	// trialOrderWindow is how long after its last message a VM takes part in the turns,
+	// and maxTrialSlots bounds their number; further VMs share slots.
+	trialOrderWindow = 10 * time.Second
+	maxTrialSlots    = 16
+	// trialRetryAfter is the Retry-After while another request with the content runs on
+	// probation.
+	trialRetryAfter = 2 * time.Second
 	// crashSendWindow is how long a crash is sent to other VMs: several messages.
 	crashSendWindow = 2 * time.Second
 	// maxLostAnswers bounds the lost answers that await confirmation of a crash, and
@@ -58,8 +70,13 @@
 	// quarantined while level is higher. Both only grow, so that VMs agree on the highest
 	// that they received, in whatever order.
 	level, clearedLevel int
-	// quarantinedUntil is when the content stops being refused.
+	// quarantinedUntil is when probation begins: one request with the content at a time
+	// is sent, once, until its content is answered or quarantined again.
 	quarantinedUntil model.Instant
+	// trial is the last request of this VM that was sent on probation.
+	trial model.RequestID
+	// peerTrialUntil is when another VM's trial counts as over without a message.
+	peerTrialUntil model.Instant
 }
 
 // quarantined reports whether the content was quarantined and not answered since.
@@ -95,34 +112,47 @@
 	Content model.Fingerprint
 	// Level is the number of quarantines, and Cleared that number at the last answer.
 	Level, Cleared int
-	// Remaining is the time for which the content is still refused.
+	// Remaining is the time until the content is on probation.
 	Remaining time.Duration
+	// Trial is true while a request of the sender's runs on probation.
+	Trial bool
 }
 
 // fingerprint identifies the content of a request independently of its id.
 func (r *request) fingerprint() model.Fingerprint {
-	var workspace model.WorkspaceID
-	if r.workspace != nil {
-		workspace = r.workspace.ID
+	if r.content == 0 {
+		var workspace model.WorkspaceID
+		if r.workspace != nil {
+			workspace = r.workspace.ID
+		}
+		r.content = quarantine.FingerprintOf(workspace, model.ModelName(r.Path), string(r.Body))
 	}
-	return quarantine.FingerprintOf(workspace, model.ModelName(r.Path), string(r.Body))
+	return r.content
+}
+
+// hasProgressed reports whether a send delivered events for longer than
+// earlyCrashWindow.
+func (r *request) hasProgressed(now model.Instant) bool {
+	return r.progressed || len(r.hops) > 0 && !r.awaitingFirst && now.Sub(r.firstEventAt) >= earlyCrashWindow
 }
 
 // recordLostAnswer keeps a lost answer until it is known whether its target crashed.
 // A request starts to run with its first token, so the first event may be delivered
 // before the crash. Content that ran for longer on this target, or before on another
 // one, is unlikely to be the cause and not recorded.
-func (s *State) recordLostAnswer(now model.Instant, r *request, outcome Outcome) {
-	if !r.awaitingFirst && now.Sub(r.firstEventAt) >= earlyCrashWindow {
-		r.progressed = true
-	}
+func (s *State) recordLostAnswer(now model.Instant, r *request, outcome Outcome) Effect {
+	r.progressed = r.hasProgressed(now)
 	if r.progressed || outcome != Lost && outcome != Broken || len(r.hops) == 0 {
-		return
+		return nil
+	}
+	if s.onTrial(r) {
+		return s.failTrial(now, r)
 	}
 	if len(s.lostAnswers) >= maxLostAnswers {
 		s.lostAnswers = s.lostAnswers[1:]
 	}
 	s.lostAnswers = append(s.lostAnswers, lostAnswer{content: r.fingerprint(), ran: r.sentTo, at: now})
+	return nil
 }
 
 // confirmCrashes records a crash for each lost answer whose target has crashed since,
@@ -194,6 +224,9 @@
 			return contentReleased(q.Content, string(peer)+" received an answer to it")
 		}
 	}
+	if q.Trial {
+		c.peerTrialUntil = now.Add(peerExpiry)
+	}
 	ends := now.Add(q.Remaining)
 	switch {
 	case !c.quarantined() && q.Level <= c.level || q.Level < c.level:
@@ -232,17 +265,101 @@
 	s.lostAnswers = slices.DeleteFunc(s.lostAnswers, func(l lostAnswer) bool { return l.content == content })
 }
 
-// quarantineLeft returns how long the content of a request is still refused because
-// targets crashed while running it; 0 when it is not refused.
-func (s *State) quarantineLeft(now model.Instant, r *request) time.Duration {
+// recordOf returns the crash record of a request's content, nil if there is none.
+func (s *State) recordOf(r *request) *crashRecord {
 	if len(s.crashRecords) == 0 {
+		return nil
+	}
+	return s.crashRecords[r.fingerprint()]
+}
+
+// quarantineLeft returns how long the content of a request that arrives is still
+// refused because targets crashed while running it; 0 when it is not refused.
+func (s *State) quarantineLeft(now model.Instant, r *request) time.Duration {
+	c := s.recordOf(r)
+	switch {
+	case c == nil || !c.quarantined():
 		return 0
+	case s.trialInFlight(c):
+		return trialRetryAfter
 	}
-	c := s.crashRecords[r.fingerprint()]
-	if c == nil || !c.quarantined() || now >= c.quarantinedUntil {
+	return max(s.trialWait(now, c), c.peerTrialUntil.Sub(now), 0)
+}
+
+// mayResend reports whether a request may be sent again as far as its content goes.
+// Under quarantine or on probation it may not, unless it has progressed, or is the
+// trial and has not run.
+func (s *State) mayResend(now model.Instant, r *request) bool {
+	c := s.recordOf(r)
+	return c == nil || !c.quarantined() || r.hasProgressed(now) || s.onTrial(r) && len(r.possibleRuns) == 0
+}
+
+// mayDivert reports whether a send may be cancelled for another one as far as the
+// request's content goes.
+func (s *State) mayDivert(now model.Instant, r *request) bool {
+	c := s.recordOf(r)
+	return c == nil || !c.quarantined() || r.hasProgressed(now)
+}
+
+// trialWait returns the time until this VM's next turn to send content that is
+// quarantined, 0 during its turn. The turns begin with the end of the quarantine, on
+// which the VMs agree, and follow the order of the VMs' names.
+func (s *State) trialWait(now model.Instant, c *crashRecord) time.Duration {
+	vms, before := 1, 0
+	for vm, p := range s.peers {
+		if now.Sub(p.receivedAt) >= trialOrderWindow {
+			continue
+		}
+		vms++
+		if vm < s.settings.VM {
+			before++
+		}
+	}
+	turn := time.Duration(before%maxTrialSlots) * trialSlot
+	cycle := time.Duration(min(vms, maxTrialSlots)) * trialSlot
+	since := now.Sub(c.quarantinedUntil)
+	if since > 0 {
+		since %= cycle
+	}
+	switch sinceTurn := since - turn; {
+	case sinceTurn < 0:
+		return -sinceTurn
+	case sinceTurn < trialSlot-trialGuard:
 		return 0
+	default:
+		return cycle - sinceTurn
 	}
-	return c.quarantinedUntil.Sub(now)
+}
+
+// startTrial records that a request whose content is on probation is sent.
+func (s *State) startTrial(r *request) Effect {
+	c := s.recordOf(r)
+	if c == nil || !c.quarantined() {
+		return nil
+	}
+	c.trial = r.ID
+	return &StateChanged{What: "request content on probation", Subject: subject(r.fingerprint()), Detail: "request " + string(r.ID) + " is sent"}
+}
+
+// failTrial quarantines content again whose trial was lost, without waiting for the
+// crash to be confirmed: the next trial may come before.
+func (s *State) failTrial(now model.Instant, r *request) Effect {
+	c := s.recordOf(r)
+	if !slices.Contains(c.crashed, r.sentTo) {
+		c.crashed = append(c.crashed, r.sentTo)
+	}
+	c.quarantine(now)
+	return contentRefused(r.fingerprint(), c, "its trial was lost on "+string(r.sentTo.target))
+}
+
+func (s *State) trialInFlight(c *crashRecord) bool {
+	return c.trial != "" && s.requests[c.trial] != nil
+}
+
+// onTrial reports whether a request is the one that its content's probation allows.
+func (s *State) onTrial(r *request) bool {
+	c := s.recordOf(r)
+	return c != nil && c.quarantined() && c.trial == r.ID
 }
 
 // recentCrashes returns the crashes to send to other VMs, in a fixed order.
@@ -277,6 +394,7 @@
 		c := s.crashRecords[content]
 		out = append(out, Quarantine{
 			Content: content, Level: c.level, Cleared: c.clearedLevel, Remaining: max(c.quarantinedUntil.Sub(now), 0),
+			Trial: c.quarantined() && s.trialInFlight(c),
 		})
 	}
 	return out
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -63,6 +63,8 @@
 	route     *fleet.Route
 	workspace *fleet.Workspace
 	service   *fleet.Service
+	// content is the fingerprint of the content, 0 until it is needed.
+	content model.Fingerprint
 	// expiresAt is the earlier of the caller's deadline and the route's timeout.
 	expiresAt model.Instant
 	sends     int
