Let quarantines expire though VMs send them to each other

A quarantine that VMs send for as long as they know it would never have expired: a VM that starts learns of it late and sends it back to the others when they have removed it ('expires at all VMs, though they send it to each other' failed: known after 12 minutes, due after 10). Harmless content would have stayed on probation. The message now has the age of the last change, from which each VM takes the expiry.

--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -47,14 +47,16 @@
 }
 
 // contentQuarantine encodes a director.Quarantine as integers without field names:
-// content, level, level at the last answer, remaining milliseconds, and 1 while a
-// request runs on probation.
-type contentQuarantine [5]uint64
+// content, level, level at the last answer, remaining milliseconds, milliseconds since
+// the last change, and 1 while a request runs on probation.
+type contentQuarantine [6]uint64
 
 func encodeQuarantine(q director.Quarantine) contentQuarantine {
-	out := contentQuarantine{uint64(q.Content), uint64(q.Level), uint64(q.Cleared), uint64(q.Remaining.Milliseconds())}
+	out := contentQuarantine{
+		uint64(q.Content), uint64(q.Level), uint64(q.Cleared), uint64(q.Remaining.Milliseconds()), uint64(q.Age.Milliseconds()),
+	}
 	if q.Trial {
-		out[4] = 1
+		out[5] = 1
 	}
 	return out
 }
@@ -62,7 +64,7 @@
 func (q contentQuarantine) decode() director.Quarantine {
 	return director.Quarantine{
 		Content: model.Fingerprint(q[0]), Level: int(q[1]), Cleared: int(q[2]), Remaining: time.Duration(q[3]) * time.Millisecond,
-		Trial: q[4] != 0,
+		Age: time.Duration(q[4]) * time.Millisecond, Trial: q[5] != 0,
 	}
 }
 
--- a/internal/controller/message_test.go
+++ b/internal/controller/message_test.go
@@ -20,7 +20,7 @@
 			Suspects:    map[model.TargetID]director.Suspicion{"t2": {Remaining: time.Second, Age: 20 * time.Millisecond, RejectsRequests: true}},
 			Paces:       map[model.TargetID]float64{"t3": 12},
 			Crashes:     []director.Crash{{Content: 7, Target: "t4", Born: 3}},
-			Quarantines: []director.Quarantine{{Content: 1<<64 - 1, Level: 3, Cleared: 1, Remaining: 40 * time.Second, Trial: true}},
+			Quarantines: []director.Quarantine{{Content: 1<<64 - 1, Level: 3, Cleared: 1, Remaining: 40 * time.Second, Age: time.Second, Trial: true}},
 		}
 		text, err := json.Marshal(encodePeerState(peerState))
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/director/poison.go
+++ b/internal/director/poison.go
@@ -63,7 +63,7 @@
 	// VMs may still send them.
 	crashed []incarnation
 	cleared int
-	// at is when the last crash was detected, or the last change received.
+	// at is when the last crash, quarantine or answer was detected, by any VM.
 	at model.Instant
 	// level counts the quarantines of the content, by the crashThreshold-th crash and
 	// each further one, and clearedLevel is the level at the last answer: the content is
@@ -114,6 +114,8 @@
 	Level, Cleared int
 	// Remaining is the time until the content is on probation.
 	Remaining time.Duration
+	// Age is the time since the last change, from which the quarantine expires.
+	Age time.Duration
 	// Trial is true while a request of the sender's runs on probation.
 	Trial bool
 }
@@ -216,9 +218,10 @@
 // otherwise prolong it.
 func (s *State) applyQuarantine(now model.Instant, q Quarantine, peer model.NodeID) Effect {
 	c := s.record(now, q.Content)
+	changed := now.Add(-q.Age)
 	if q.Cleared > c.clearedLevel {
 		released := c.quarantined() && q.Cleared >= c.level
-		c.level, c.cleared, c.clearedLevel, c.at = max(c.level, q.Cleared), len(c.crashed), q.Cleared, now
+		c.level, c.cleared, c.clearedLevel, c.at = max(c.level, q.Cleared), len(c.crashed), q.Cleared, changed
 		s.dropLostAnswers(q.Content)
 		if released {
 			return contentReleased(q.Content, string(peer)+" received an answer to it")
@@ -233,7 +236,7 @@
 	case q.Level == c.level:
 		c.quarantinedUntil = min(c.quarantinedUntil, ends)
 	default:
-		c.level, c.at, c.quarantinedUntil = q.Level, now, ends
+		c.level, c.at, c.quarantinedUntil = q.Level, changed, ends
 		if c.quarantined() {
 			return contentRefused(q.Content, c, "quarantined by "+string(peer))
 		}
@@ -394,7 +397,7 @@
 		c := s.crashRecords[content]
 		out = append(out, Quarantine{
 			Content: content, Level: c.level, Cleared: c.clearedLevel, Remaining: max(c.quarantinedUntil.Sub(now), 0),
-			Trial: c.quarantined() && s.trialInFlight(c),
+			Age: now.Sub(c.at), Trial: c.quarantined() && s.trialInFlight(c),
 		})
 	}
 	return out
--- a/internal/director/poison_test.go
+++ b/internal/director/poison_test.go
@@ -220,6 +220,28 @@
 		expectSend(e)
 	})
 
+	// Pattern: a VM that starts learns of a quarantine shortly before the others remove it,
+	// and sends it to them again.
+	It("expires at all VMs, though they send it to each other", func() {
+		lose(h, "/r/bad", true)
+		vms := []*harness{h, h.peer("vm-2")}
+		for minute := range 12 {
+			if minute == 8 {
+				vms[1] = h.peer("vm-2")
+			}
+			exchange(vms)
+			for _, vm := range vms {
+				vm.advance(time.Minute)
+				vm.read()
+			}
+		}
+		exchange(vms)
+		for _, vm := range vms {
+			vm.read()
+			Expect(vm.state.OwnPeerState(vm.now).Quarantines).To(BeEmpty())
+		}
+	})
+
 	// vmsAtExpiry returns four VMs that quarantined the content of a path, at the end of
 	// the quarantine.
 	vmsAtExpiry := func(path string) []*harness {
