Confirm crashes of targets without reports by refused connections

A crash of a target of a plain service was confirmed only by its registration. The simulation runs with both restart times now.

Once two targets have lost answers to the same content, a connection to each is opened at the next probe interval. Two refusals in a row count as a crash: nothing listens at the address any more. A time-out or a reset does not.

Harmless content: refusals confirm a lost answer, they do not replace it; three targets and no answer since are required as before, an accepted connection or an answer of the target ends the row of refusals. A single lost answer causes no probe, since a connection costs the target a slot for a moment.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,6 +37,8 @@
 	// callTimeout bounds a call to the store: twice the slowest response time of a
 	// degraded store.
 	callTimeout = time.Second
+	// connectionProbeTimeout bounds the wait for a connection to a target.
+	connectionProbeTimeout = 200 * time.Millisecond
 	// probeInterval is the interval of the probe loop; the reducer limits how often
 	// each target is probed.
 	probeInterval = 250 * time.Millisecond
@@ -324,12 +327,30 @@
 func (c *Controller) probe() {
 	now := bootclock.Now()
 	for _, effect := range c.reducer.Step(director.ProbeDue{All: c.holdsLease(now), Lead: c.peers.isLeader(now)}) {
-		if request, ok := effect.(*director.RequestReport); ok {
-			go c.RequestReport(request)
+		switch e := effect.(type) {
+		case *director.RequestReport:
+			go c.RequestReport(e)
+		case *director.ProbeConnection:
+			go c.probeConnection(e)
 		}
 	}
 }
 
+// probeConnection reports to the reducer whether a target refuses connections.
+func (c *Controller) probeConnection(e *director.ProbeConnection) {
+	c.reducer.Step(director.ConnectionProbed{Target: e.Target, Refused: refusesConnections(e.Address)})
+}
+
+// refusesConnections opens and closes a connection, and reports whether nothing listens
+// at the address.
+func refusesConnections(address string) bool {
+	conn, err := (&net.Dialer{Timeout: connectionProbeTimeout}).Dial("tcp", address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // HoldsLease reports whether this VM holds the placement lease.
 func (c *Controller) HoldsLease() bool { return c.holdsLease(bootclock.Now()) }
 
--- a/internal/director/crash_simulation_test.go
+++ b/internal/director/crash_simulation_test.go
@@ -61,10 +61,11 @@
 	registered map[model.TargetID]*fleet.Target
 	rows       map[model.TargetID]model.RowVersion
 	scheduled  []scheduledAction
-	restart    time.Duration
-	requests   int
-	crashes    int
-	thirdAt    model.Instant
+	// restart is the time from a target's crash to its next registration.
+	restart  time.Duration
+	requests int
+	crashes  int
+	thirdAt  model.Instant
 	// lateSends are the times since the third crash of the sends that count.
 	lateSends []time.Duration
 }
@@ -74,9 +75,9 @@
 	do func()
 }
 
-func newCrashSimulation(request crashingRequest, vms int) *crashSimulation {
+func newCrashSimulation(request crashingRequest, vms int, restart time.Duration) *crashSimulation {
 	c := &crashSimulation{
-		request: request, now: model.Instant(time.Hour), config: config(7), restart: 2 * time.Second,
+		request: request, now: model.Instant(time.Hour), config: config(7), restart: restart,
 		targets: map[model.TargetID]*simulatedTarget{}, registered: map[model.TargetID]*fleet.Target{}, rows: map[model.TargetID]model.RowVersion{},
 	}
 	c.config.Services[llm].Engine.LayerMB = 500 // a target holds the whole model
@@ -137,17 +138,20 @@
 func (c *crashSimulation) step(vm *simulatedVM, e director.Event) []director.Effect {
 	effects := vm.state.Step(c.now, e)
 	for _, effect := range effects {
-		report, ok := effect.(*director.RequestReport)
-		if !ok {
-			continue
+		switch probe := effect.(type) {
+		case *director.RequestReport:
+			c.after(simulationStep, vm, func() {
+				answer := director.ReportRead{Target: probe.Target}
+				if t := c.targets[probe.Target]; !t.down {
+					answer.Report = &fleet.Report{Slowdown: 1, StartedMs: t.incarnation}
+				}
+				c.step(vm, answer)
+			})
+		case *director.ProbeConnection:
+			c.after(simulationStep, vm, func() {
+				c.step(vm, director.ConnectionProbed{Target: probe.Target, Refused: c.targets[probe.Target].down})
+			})
 		}
-		c.after(simulationStep, vm, func() {
-			answer := director.ReportRead{Target: report.Target}
-			if t := c.targets[report.Target]; !t.down {
-				answer.Report = &fleet.Report{Slowdown: 1, StartedMs: t.incarnation}
-			}
-			c.step(vm, answer)
-		})
 	}
 	return effects
 }
@@ -269,10 +273,12 @@
 				{interval: 400 * time.Millisecond, toAll: 2 * time.Second}, {interval: 400 * time.Millisecond, toAll: 2 * time.Second, restarts: true},
 				{interval: 700 * time.Millisecond, toAll: time.Hour, restarts: true}, {interval: 1500 * time.Millisecond, toAll: 4 * time.Second},
 			} {
-				c := newCrashSimulation(request, 4)
-				c.run(a, time.Minute)
-				Expect(c.crashes).To(BeNumerically(">=", 3))
-				Expect(len(c.lateSends)).To(BeNumerically("<=", maxLateSends), "%+v: %d crashes, sent after %v", a, c.crashes, c.lateSends)
+				for _, restart := range []time.Duration{2 * time.Second, 6 * time.Second} {
+					c := newCrashSimulation(request, 4, restart)
+					c.run(a, time.Minute)
+					Expect(c.crashes).To(BeNumerically(">=", 3))
+					Expect(len(c.lateSends)).To(BeNumerically("<=", maxLateSends), "%+v, restart after %v: %d crashes, sent after %v", a, restart, c.crashes, c.lateSends)
+				}
 			}
 		},
 		Entry("crashing request: plain, without a head", crashingRequest{path: "/r/bad", outcome: director.Lost}),
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -110,6 +110,13 @@
 	Report *fleet.Report
 }
 
+// ConnectionProbed reports whether a target refused a connection. A connection whose
+// result is unknown counts as accepted.
+type ConnectionProbed struct {
+	Target  model.TargetID
+	Refused bool
+}
+
 // ProbeDue triggers probes of targets under suspicion.
 type ProbeDue struct {
 	// All also selects targets that only other VMs suspect; true on the VM that
@@ -154,21 +161,22 @@
 // Terminating reports that termination of the process was requested.
 type Terminating struct{}
 
-func (ConfigRead) event()      {}
-func (TargetsRead) event()     {}
-func (StoreFailed) event()     {}
-func (RequestArrived) event()  {}
-func (SendEnded) event()       {}
-func (AnswerStarted) event()   {}
-func (StreamIdle) event()      {}
-func (RequestFinished) event() {}
-func (WaitElapsed) event()     {}
-func (ReportRead) event()      {}
-func (ProbeDue) event()        {}
-func (PeerState) event()       {}
-func (VMsCounted) event()      {}
-func (SettingsChanged) event() {}
-func (Terminating) event()     {}
+func (ConfigRead) event()       {}
+func (TargetsRead) event()      {}
+func (StoreFailed) event()      {}
+func (RequestArrived) event()   {}
+func (SendEnded) event()        {}
+func (AnswerStarted) event()    {}
+func (StreamIdle) event()       {}
+func (RequestFinished) event()  {}
+func (WaitElapsed) event()      {}
+func (ReportRead) event()       {}
+func (ConnectionProbed) event() {}
+func (ProbeDue) event()         {}
+func (PeerState) event()        {}
+func (VMsCounted) event()       {}
+func (SettingsChanged) event()  {}
+func (Terminating) event()      {}
 
 // Effect is an action for the driver.
 type Effect interface{ effect() }
@@ -222,14 +230,22 @@
 	Address string
 }
 
+// ProbeConnection opens and closes a connection to a target; a ConnectionProbed
+// follows.
+type ProbeConnection struct {
+	Target  model.TargetID
+	Address string
+}
+
 // StateChanged records a change of the state, for the log.
 type StateChanged struct {
 	What, Subject, Detail string
 }
 
-func (*Send) effect()          {}
-func (*Refuse) effect()        {}
-func (*Wait) effect()          {}
-func (*Divert) effect()        {}
-func (*RequestReport) effect() {}
-func (*StateChanged) effect()  {}
+func (*Send) effect()            {}
+func (*Refuse) effect()          {}
+func (*Wait) effect()            {}
+func (*Divert) effect()          {}
+func (*RequestReport) effect()   {}
+func (*ProbeConnection) effect() {}
+func (*StateChanged) effect()    {}
--- a/internal/director/poison.go
+++ b/internal/director/poison.go
@@ -25,6 +25,13 @@
 	// attributed to the content: the time to detect that a target is dead, or to read
 	// the registration of its next incarnation.
 	crashConfirmWindow = 5 * time.Second
+	// probeThreshold is the number of targets that must have lost answers to some content
+	// before they are probed: a single lost answer is common, and a probe costs a
+	// connection.
+	probeThreshold = 2
+	// crashedAfterRefusals is the number of refused connections in a row after which a
+	// target counts as crashed.
+	crashedAfterRefusals = 2
 	// earlyCrashWindow is how long after the first event of a send a crash of its target
 	// is still attributed to the content: a few events, and the time to notice the crash.
 	earlyCrashWindow = 300 * time.Millisecond
@@ -54,6 +61,8 @@
 	content model.Fingerprint
 	ran     incarnation
 	at      model.Instant
+	// probed is true once a connection to the target was probed.
+	probed bool
 }
 
 // crashRecord lists the crashes of targets that were running some content.
@@ -165,7 +174,7 @@
 	for _, l := range s.lostAnswers {
 		switch t := s.targets[l.ran.target]; {
 		case now.Sub(l.at) > crashConfirmWindow:
-		case t == nil || t.dead() || t.StartedMs != l.ran.startedMs:
+		case t == nil || t.dead() || t.refusedConnections >= crashedAfterRefusals || t.StartedMs != l.ran.startedMs:
 			effects = append(effects, effectList(s.recordCrash(now, l.content, l.ran))...)
 		default:
 			kept = append(kept, l)
@@ -178,6 +187,51 @@
 	return effects
 }
 
+// probeConnections probes targets that have no report and lost answers to content that
+// lost answers on other targets as well. Their crash would otherwise be known only from
+// the registration, seconds later or not at all while the store is unreachable.
+func (s *State) probeConnections(now model.Instant) []Effect {
+	ran := map[model.Fingerprint]map[incarnation]bool{}
+	for _, l := range s.lostAnswers {
+		if ran[l.content] == nil {
+			ran[l.content] = map[incarnation]bool{}
+			if c := s.crashRecords[l.content]; c != nil {
+				for _, crashed := range c.crashed[c.cleared:] {
+					ran[l.content][crashed] = true
+				}
+			}
+		}
+		ran[l.content][l.ran] = true
+	}
+	var effects []Effect
+	for i := range s.lostAnswers {
+		l := &s.lostAnswers[i]
+		t := s.targets[l.ran.target]
+		if t == nil || t.Kind != "" || t.StartedMs != l.ran.startedMs || len(ran[l.content]) < probeThreshold {
+			continue
+		}
+		if l.probed && t.refusedConnections == 0 || t.connectionProbedAt != 0 && now.Sub(t.connectionProbedAt) < reportInterval {
+			continue
+		}
+		l.probed, t.connectionProbedAt = true, now
+		effects = append(effects, &ProbeConnection{Target: t.ID, Address: t.Address})
+	}
+	return effects
+}
+
+func (s *State) connectionProbed(now model.Instant, e ConnectionProbed) []Effect {
+	t := s.targets[e.Target]
+	if t == nil {
+		return nil
+	}
+	if !e.Refused {
+		t.refusedConnections = 0
+		return nil
+	}
+	t.refusedConnections++
+	return s.confirmCrashes(now)
+}
+
 // record returns the crash record of some content, a new one if there is none.
 func (s *State) record(now model.Instant, content model.Fingerprint) *crashRecord {
 	c := s.crashRecords[content]
--- a/internal/director/poison_test.go
+++ b/internal/director/poison_test.go
@@ -242,6 +242,47 @@
 		}
 	})
 
+	// probe answers the connection probes of the next intervals and returns their number.
+	probe := func(refused bool) int {
+		probes := 0
+		for range 4 {
+			h.advance(250 * time.Millisecond)
+			for _, effect := range h.state.Step(h.now, director.ProbeDue{}) {
+				if e, ok := effect.(*director.ProbeConnection); ok {
+					probes++
+					h.state.Step(h.now, director.ConnectionProbed{Target: e.Target, Refused: refused})
+				}
+			}
+		}
+		return probes
+	}
+
+	// Pattern: the targets of a plain service take long to restart, or the store is
+	// unreachable, so that no registration shows their crashes.
+	It("is refused once the targets refuse connections, though they stay registered", func() {
+		h.config.Routes[1].MaxTargets = 3
+		lose(h, "/r/bad", false)
+		Expect(probe(true)).To(Equal(6), "two for each target")
+		_, e := h.arrive("/r/bad")
+		Expect(expectRefusal(e).Reason).To(ContainSubstring("crashed"))
+	})
+
+	It("is not assumed when the targets accept connections", func() {
+		for range 3 {
+			lose(h, "/r/unlucky", false)
+			Expect(probe(false)).To(BeNumerically("<=", 4))
+		}
+		_, e := h.arrive("/r/unlucky")
+		expectSend(e)
+	})
+
+	It("is not looked for after a single lost answer", func() {
+		id, e := h.arrive("/r/unlucky")
+		expectSend(e)
+		h.endSend(id, director.Lost)
+		Expect(probe(true)).To(BeZero())
+	})
+
 	// vmsAtExpiry returns four VMs that quarantined the content of a path, at the end of
 	// the quarantine.
 	vmsAtExpiry := func(path string) []*harness {
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -148,7 +148,9 @@
 	case ReportRead:
 		return s.reportRead(now, e)
 	case ProbeDue:
-		return s.probe(now, e)
+		return append(s.probe(now, e), s.probeConnections(now)...)
+	case ConnectionProbed:
+		return s.connectionProbed(now, e)
 	case PeerState:
 		return s.applyPeer(now, e)
 	case StoreFailed:
--- a/internal/director/suspicion.go
+++ b/internal/director/suspicion.go
@@ -88,7 +88,7 @@
 // answered records that an answer was received through the target. It clears a
 // suspicion reported by others; one from this VM's own observation remains.
 func (t *target) answered(now model.Instant) {
-	t.lastAnswerAt = now
+	t.lastAnswerAt, t.refusedConnections = now, 0
 	if t.indirect && now.Sub(t.faultSeenAt) > answerTransit {
 		t.suspectedUntil, t.indirect = 0, false
 	}
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -48,6 +48,10 @@
 	superseded bool
 	// missedReports counts unanswered report requests in a row.
 	missedReports int
+	// refusedConnections counts refused connection probes in a row, the last of which
+	// was sent at connectionProbedAt.
+	refusedConnections int
+	connectionProbedAt model.Instant
 	// slowdown is the slowdown factor last received; 1 is normal.
 	slowdown float64
 	// slowdownAt is when slowdown was received, from the target or a peer.
@@ -141,7 +145,7 @@
 		known.suspectedUntil, known.consecutiveFaults, known.layersChangedAt = 0, 0, now
 	}
 	if known.StartedMs != t.StartedMs {
-		known.superseded = false
+		known.superseded, known.refusedConnections = false, 0
 		known.consecutiveFaults, known.suspectedUntil, known.faultSeenAt, known.slowdown, known.missedReports = 0, 0, 0, 1, 0
 	}
 	before := describe(known.Target)
