--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -259,7 +259,7 @@
 		return effectList(s.suspect(now, t, fault{reason: "it did not answer a report request"}))
 	}
 	if e.Report.StartedMs != 0 && e.Report.StartedMs != t.StartedMs {
-		return s.markSuperseded(t, e.Report.StartedMs)
+		return append(s.markSuperseded(t, e.Report.StartedMs), s.confirmCrashes(now)...)
 	}
 	var effects []Effect
 	if t.dead() {
--- a/internal/director/poison_test.go
+++ b/internal/director/poison_test.go
@@ -267,6 +267,19 @@
 		Expect(expectRefusal(e).Reason).To(ContainSubstring("crashed"))
 	})
 
+	// Pattern: targets restart within a report interval while the store is unreachable.
+	It("is refused once other incarnations answer at the targets' addresses", func() {
+		id, e := h.arrive("/s/bad")
+		for range 3 {
+			send := expectSend(e)
+			e = h.endSend(id, director.Lost)
+			h.state.Step(h.now, director.ReportRead{Target: send.Hops[0].Target, Report: &fleet.Report{Slowdown: 1, StartedMs: 2}})
+		}
+		h.state.Step(h.now, director.RequestFinished{ID: id})
+		_, e = h.arrive("/s/bad")
+		Expect(expectRefusal(e).Reason).To(ContainSubstring("crashed"))
+	})
+
 	It("is not assumed when the targets accept connections", func() {
 		for range 3 {
 			lose(h, "/r/unlucky", false)
