Simulate popular harmless content on targets that crash together

Guard for the changes to the quarantine: half of the targets crash at once each 4 s while all VMs receive requests with the same content, 1 to 50 a second.

--- a/internal/director/crash_simulation_test.go
+++ b/internal/director/crash_simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -34,6 +35,9 @@
 	outcome director.Outcome
 	// events is the number of events before the crash.
 	events int
+	// answerTime is the time after which a target answers a harmless request, whose
+	// targets crash for another reason; 0 otherwise.
+	answerTime time.Duration
 }
 
 // simulatedTarget crashes when it runs the request, and restarts.
@@ -66,6 +70,9 @@
 	requests int
 	crashes  int
 	thirdAt  model.Instant
+	// answered counts the requests that were answered, and refusedForCrashes those that
+	// were refused because targets crashed.
+	answered, refusedForCrashes int
 	// lateSends are the times since the third crash of the sends that count.
 	lateSends []time.Duration
 }
@@ -167,6 +174,10 @@
 
 func (c *crashSimulation) handle(vm *simulatedVM, id model.RequestID, effects []director.Effect) {
 	switch e := lastEffect(effects).(type) {
+	case *director.Refuse:
+		if strings.Contains(e.Reason, "crashed") {
+			c.refusedForCrashes++
+		}
 	case *director.Wait:
 		c.after(e.For, vm, func() { c.handle(vm, id, c.step(vm, director.WaitElapsed{ID: id, Random: 0.5})) })
 	case *director.Send:
@@ -185,6 +196,18 @@
 	if late := c.now.Sub(c.thirdAt); c.thirdAt != 0 && late > stabilityWindow && c.now.Sub(vm.startedAt) > startWindow {
 		c.lateSends = append(c.lateSends, late)
 	}
+	if c.request.answerTime > 0 {
+		incarnation := t.incarnation
+		c.after(c.request.answerTime, vm, func() {
+			if t.down || t.incarnation != incarnation {
+				end(c.request.outcome)
+				return
+			}
+			c.answered++
+			c.step(vm, director.RequestFinished{ID: id, Delivered: true})
+		})
+		return
+	}
 	for range c.request.events {
 		c.after(5*simulationStep, vm, func() { c.step(vm, director.AnswerStarted{ID: id}) })
 	}
@@ -243,6 +266,13 @@
 			}
 			action.do()
 		}
+		if c.request.answerTime > 0 && every(elapsed, 4*time.Second, 0) {
+			for n := range 3 {
+				n = (n + int(elapsed/(4*time.Second))) % 6
+				c.crash(c.targets[model.TargetID(fmt.Sprint("o", n))])
+				c.crash(c.targets[model.TargetID(fmt.Sprint("l", n))])
+			}
+		}
 		for n, vm := range c.vms {
 			offset := time.Duration(n) * 3 * simulationStep
 			if a.restarts && every(elapsed, restartInterval*vms, restartInterval*time.Duration(n+1)) {
@@ -286,4 +316,20 @@
 		Entry("crashing request: stream, after the head", crashingRequest{path: "/s/bad", outcome: director.Broken}),
 		Entry("crashing request: stream, after one event", crashingRequest{path: "/s/bad", outcome: director.Broken, events: 1}),
 	)
+
+	// Half of the targets crash at once again and again, and all VMs receive requests with
+	// the same content. Guards against taking it for the cause.
+	DescribeTable("is told from popular content on targets that crash for another reason",
+		func(request crashingRequest) {
+			for _, interval := range []time.Duration{20 * time.Millisecond, 200 * time.Millisecond, time.Second} {
+				c := newCrashSimulation(request, 4, 2*time.Second)
+				c.run(arrivals{interval: interval, toAll: 10 * time.Second, restarts: true}, time.Minute)
+				Expect(c.crashes).To(BeNumerically(">", 80))
+				Expect(c.refusedForCrashes).To(BeZero(), "interval %s: %d answered", interval, c.answered)
+			}
+		},
+		Entry("plain", crashingRequest{path: "/r/popular", outcome: director.Lost, answerTime: 60 * time.Millisecond}),
+		Entry("plain, slow", crashingRequest{path: "/r/popular", outcome: director.Lost, answerTime: 500 * time.Millisecond}),
+		Entry("stream", crashingRequest{path: "/s/popular", outcome: director.Broken, answerTime: 300 * time.Millisecond}),
+	)
 })
