--- a/internal/director/walk_test.go
+++ b/internal/director/walk_test.go
@@ -13,6 +13,7 @@
 	"tamarackreach/internal/director"
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/quarantine"
 )
 
 const (
@@ -97,6 +98,10 @@
 				Remaining: time.Duration(w.rand.IntN(900)) * time.Millisecond, Age: time.Duration(w.rand.IntN(900)) * time.Millisecond,
 			}},
 			Paces: map[model.TargetID]float64{w.randomTarget(): 1 + 4*w.rand.Float64()},
+			Quarantines: []director.Quarantine{{
+				Content: quarantine.FingerprintOf("ws", model.ModelName(w.randomPath()), ""), Level: 1 + w.rand.IntN(3), Cleared: w.rand.IntN(4),
+				Remaining: time.Duration(w.rand.IntN(900)) * time.Millisecond, Trial: w.rand.IntN(4) == 0,
+			}},
 		})
 	case n < 94:
 		w.state.Step(w.now, director.StoreFailed{})
@@ -139,9 +144,13 @@
 	w.state.Step(w.now, r)
 }
 
-func (w *walk) randomArrival() {
+func (w *walk) randomPath() string {
 	paths := []string{"/s/x", "/s/x", "/o/x", "/e/x", "/r/x", "/p/x", "/r/open/x", "/none"}
-	path := paths[w.rand.IntN(len(paths))]
+	return paths[w.rand.IntN(len(paths))]
+}
+
+func (w *walk) randomArrival() {
+	path := w.randomPath()
 	id, e := w.arrive(path)
 	w.handle(&walkRequest{id: id, path: path}, e)
 }
