--- a/internal/director/poison.go
+++ b/internal/director/poison.go
@@ -37,18 +37,6 @@
 	earlyCrashWindow = 300 * time.Millisecond
 	// crashExpiry is how long a crash counts.
 	crashExpiry = 10 * time.Minute
-	// trialSlot is the time in which one VM may send content that is on probation; the
-	// VMs take turns. None does in the last trialGuard of a slot, so that the next VM has
-	// received the trial: messages to other zones are sent each 600 ms.
-	trialSlot  = 2 * time.Second
-	trialGuard = 800 * time.Millisecond
-	// trialOrderWindow is how long after its last message a VM takes part in the turns,
-	// and maxTrialSlots bounds their number; further VMs share slots.
-	trialOrderWindow = 10 * time.Second
-	maxTrialSlots    = 16
-	// trialRetryAfter is the Retry-After while another request with the content runs on
-	// probation.
-	trialRetryAfter = 2 * time.Second
 	// crashSendWindow is how long a crash is sent to other VMs: several messages.
 	crashSendWindow = 2 * time.Second
 	// maxLostAnswers bounds the lost answers that await confirmation of a crash, and
@@ -343,82 +331,6 @@
 	return max(s.trialWait(now, c), c.peerTrialUntil.Sub(now), 0)
 }
 
-// mayResend reports whether a request may be sent again as far as its content goes.
-// Under quarantine or on probation it may not, unless it has progressed, or is the
-// trial and has not run.
-func (s *State) mayResend(now model.Instant, r *request) bool {
-	c := s.recordOf(r)
-	return c == nil || !c.quarantined() || r.hasProgressed(now) || s.onTrial(r) && len(r.possibleRuns) == 0
-}
-
-// mayDivert reports whether a send may be cancelled for another one as far as the
-// request's content goes.
-func (s *State) mayDivert(now model.Instant, r *request) bool {
-	c := s.recordOf(r)
-	return c == nil || !c.quarantined() || r.hasProgressed(now)
-}
-
-// trialWait returns the time until this VM's next turn to send content that is
-// quarantined, 0 during its turn. The turns begin with the end of the quarantine, on
-// which the VMs agree, and follow the order of the VMs' names.
-func (s *State) trialWait(now model.Instant, c *crashRecord) time.Duration {
-	vms, before := 1, 0
-	for vm, p := range s.peers {
-		if now.Sub(p.receivedAt) >= trialOrderWindow {
-			continue
-		}
-		vms++
-		if vm < s.settings.VM {
-			before++
-		}
-	}
-	turn := time.Duration(before%maxTrialSlots) * trialSlot
-	cycle := time.Duration(min(vms, maxTrialSlots)) * trialSlot
-	since := now.Sub(c.quarantinedUntil)
-	if since > 0 {
-		since %= cycle
-	}
-	switch sinceTurn := since - turn; {
-	case sinceTurn < 0:
-		return -sinceTurn
-	case sinceTurn < trialSlot-trialGuard:
-		return 0
-	default:
-		return cycle - sinceTurn
-	}
-}
-
-// startTrial records that a request whose content is on probation is sent.
-func (s *State) startTrial(r *request) Effect {
-	c := s.recordOf(r)
-	if c == nil || !c.quarantined() {
-		return nil
-	}
-	c.trial = r.ID
-	return &StateChanged{What: "request content on probation", Subject: subject(r.fingerprint()), Detail: "request " + string(r.ID) + " is sent"}
-}
-
-// failTrial quarantines content again whose trial was lost, without waiting for the
-// crash to be confirmed: the next trial may come before.
-func (s *State) failTrial(now model.Instant, r *request) Effect {
-	c := s.recordOf(r)
-	if !slices.Contains(c.crashed, r.sentTo) {
-		c.crashed = append(c.crashed, r.sentTo)
-	}
-	c.quarantine(now)
-	return contentRefused(r.fingerprint(), c, "its trial was lost on "+string(r.sentTo.target))
-}
-
-func (s *State) trialInFlight(c *crashRecord) bool {
-	return c.trial != "" && s.requests[c.trial] != nil
-}
-
-// onTrial reports whether a request is the one that its content's probation allows.
-func (s *State) onTrial(r *request) bool {
-	c := s.recordOf(r)
-	return c != nil && c.quarantined() && c.trial == r.ID
-}
-
 // recentCrashes returns the crashes to send to other VMs, in a fixed order.
 func (s *State) recentCrashes(now model.Instant) []Crash {
 	var out []Crash
