Do not send a trial on once its content was quarantined again

A request on probation that a target rejected was sent to the next one, although another VM's trial had been lost meanwhile and the content was quarantined again ('is not sent on when another VM quarantines it again meanwhile': sent before). The trial ends with the quarantine. The request has not run, so its caller gets 503.

--- a/internal/director/poison.go
+++ b/internal/director/poison.go
@@ -70,7 +70,7 @@
 	// quarantinedUntil is when probation begins: one request with the content at a time
 	// is sent, once, until its content is answered or quarantined again.
 	quarantinedUntil model.Instant
-	// trial is the last request of this VM that was sent on probation.
+	// trial is the request of this VM that was sent since the last quarantine.
 	trial model.RequestID
 	// peerTrialUntil is when another VM's trial counts as over without a message.
 	peerTrialUntil model.Instant
@@ -81,7 +81,7 @@
 
 // quarantine puts the content under the next quarantine.
 func (c *crashRecord) quarantine(now model.Instant) {
-	c.level, c.at = c.level+1, now
+	c.level, c.at, c.trial = c.level+1, now, ""
 	c.quarantinedUntil = now.Add(c.period())
 }
 
@@ -278,7 +278,7 @@
 	case q.Level == c.level:
 		c.quarantinedUntil = min(c.quarantinedUntil, ends)
 	default:
-		c.level, c.at, c.quarantinedUntil = q.Level, changed, ends
+		c.level, c.at, c.trial, c.quarantinedUntil = q.Level, changed, "", ends
 		if c.quarantined() {
 			return contentRefused(q.Content, c, "quarantined by "+string(peer))
 		}
--- a/internal/director/poison_test.go
+++ b/internal/director/poison_test.go
@@ -375,6 +375,17 @@
 		Expect(idle).NotTo(ContainElement(BeAssignableToTypeOf(&director.Divert{})))
 	})
 
+	// Pattern: two VMs try the content at once, and the other one loses its answer first.
+	It("is not sent on when another VM quarantines it again meanwhile", func() {
+		vms := vmsAtExpiry("/r/bad")
+		id, e := h.arrive("/r/bad")
+		expectSend(e)
+		again := h.state.OwnPeerState(h.now).Quarantines[0]
+		again.Level, again.Remaining = again.Level+1, 20*time.Second
+		h.state.Step(h.now, director.PeerState{VM: vms[1].state.OwnPeerState(h.now).VM, Quarantines: []director.Quarantine{again}})
+		Expect(expectRefusal(h.endSend(id, director.Rejected)).Status).To(Equal(http.StatusServiceUnavailable), "it has not run")
+	})
+
 	// Pattern: harmless streams that callers have read for a while lose their targets
 	// while their content is quarantined.
 	It("is sent on after it had run for a while, though its content is quarantined", func() {
