Merge the attribution of crashes to content, its probation, and quarantines known to all VMs

A single lost answer of a plain service is probed now, with one connection, or two when the first is refused; the spec that expected no probe is replaced by one that bounds their number.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -95,7 +95,7 @@
 	}
 	s.budget.CountFirstAttempt(now, r.service.ID)
 	s.checkBudgetRestored(now, r.service.ID)
-	return []Effect{send}
+	return append(effectList(s.startTrial(r)), send)
 }
 
 // mayOutliveProcess reports whether a request that arrives now may still be
@@ -196,6 +196,7 @@
 	}
 	r.hops, r.diverted, r.awaitingFirst, r.sentAt = hops, false, true, now
 	r.sends++
+	r.sentTo = incarnation{target: hops[0].Target, startedMs: s.targets[hops[0].Target].StartedMs}
 	s.adjustLoad(r, 1)
 	out := &Send{Route: r.route, Service: r.service, Hops: hops, TimeLeft: r.expiresAt.Sub(now), Number: r.sends, Predicted: r.predicted, Priority: r.priority()}
 	if r.workspace != nil {
@@ -254,7 +255,7 @@
 	if r == nil || !r.awaitingFirst {
 		return
 	}
-	r.answerStarted = true
+	r.answerStarted, r.firstEventAt = true, now
 	for _, hop := range r.hops {
 		if t := s.targets[hop.Target]; t != nil {
 			t.ownLoad.Waiting--
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -69,6 +69,8 @@
 	route     *fleet.Route
 	workspace *fleet.Workspace
 	service   *fleet.Service
+	// content is the fingerprint of the content, 0 until it is needed.
+	content model.Fingerprint
 	// expiresAt is the earlier of the caller's deadline and the route's timeout.
 	expiresAt model.Instant
 	sends     int
@@ -76,6 +78,8 @@
 	sentAt model.Instant
 	// possibleRuns are the incarnations of targets that may have run the request.
 	possibleRuns []incarnation
+	// sentTo is the first target of the last send, as registered when it began.
+	sentTo incarnation
 	// hops is the path of the send in flight; nil between sends.
 	hops     []fleet.Hop
 	diverted bool
@@ -90,6 +94,10 @@
 	waits int
 	// awaitingFirst is true from the send to the first part of the answer.
 	awaitingFirst bool
+	// firstEventAt is when the first event of the send in flight was delivered.
+	firstEventAt model.Instant
+	// progressed is true once a send delivered events for longer than earlyCrashWindow.
+	progressed bool
 	// random is uniform in [0,1) and drawn for each send.
 	random float64
 }
@@ -156,7 +164,9 @@
 	case ReportRead:
 		return s.reportRead(now, e)
 	case ProbeDue:
-		return s.probe(now, e)
+		return append(s.probe(now, e), s.probeConnections(now)...)
+	case ConnectionProbed:
+		return s.connectionProbed(now, e)
 	case PeerState:
 		return s.applyPeer(now, e)
 	case StoreFailed:
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -48,6 +48,10 @@
 	superseded bool
 	// missedReports counts unanswered report requests in a row.
 	missedReports int
+	// refusedConnections counts refused connection probes in a row, the last of which
+	// was sent at connectionProbedAt.
+	refusedConnections int
+	connectionProbedAt model.Instant
 	// slowdown is the slowdown factor last received; 1 is normal.
 	slowdown float64
 	// slowdownAt is when slowdown was received, from the target or a peer.
@@ -141,7 +145,7 @@
 		known.suspectedUntil, known.consecutiveFaults, known.layersChangedAt = 0, 0, now
 	}
 	if known.StartedMs != t.StartedMs {
-		known.superseded = false
+		known.superseded, known.refusedConnections = false, 0
 		known.consecutiveFaults, known.suspectedUntil, known.faultSeenAt, known.slowdown, known.missedReports = 0, 0, 0, 1, 0
 	}
 	before := describe(known.Target)
@@ -251,6 +255,9 @@
 	for _, c := range e.Crashes {
 		effects = append(effects, effectList(s.recordCrash(now, c.Content, incarnation{target: c.Target, startedMs: c.Born}))...)
 	}
+	for _, q := range e.Quarantines {
+		effects = append(effects, effectList(s.applyQuarantine(now, q, e.VM))...)
+	}
 	for id, suspicion := range e.Suspects {
 		if t := s.targets[id]; t != nil {
 			effects = append(effects, effectList(s.adoptSuspicion(now, t, suspicion, e.VM))...)
@@ -275,12 +282,12 @@
 	return l
 }
 
-// OwnPeerState returns the state for other VMs: own loads, suspicions, slowdowns and
-// crashes.
+// OwnPeerState returns the state for other VMs: own loads, suspicions, slowdowns,
+// crashes and quarantines.
 func (s *State) OwnPeerState(now model.Instant) PeerState {
 	out := PeerState{
 		VM: s.settings.VM, Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
-		Paces: map[model.TargetID]float64{}, Crashes: s.recentCrashes(now),
+		Paces: map[model.TargetID]float64{}, Crashes: s.recentCrashes(now), Quarantines: s.quarantines(now),
 	}
 	for id, t := range s.targets {
 		if t.ownLoad.Requests > 0 {
