Count a silent target against the route's bound until it has surely ended

Cause: a target that leaves two report requests unanswered counts as dead, so that its layers are placed elsewhere soon. The same belief took it out of the bound. A VM that was suspended misses the reports of all targets at once, while they go on running its requests.

Why this works: only a new incarnation, refused connections, or four unanswered requests in a row, some three seconds, take a target out of the bound. When to place layers elsewhere is decided as before.

--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -166,12 +166,12 @@
 }
 
 // targetLimitReached reports whether as many targets as the route allows may have
-// run the request. A dead target or a superseded incarnation does not count; one
-// whose registration was removed does, since it may continue to serve for a while.
+// run the request. An incarnation that has ended does not count; one whose
+// registration was removed does, since it may continue to serve for a while.
 func (s *State) targetLimitReached(r *request) bool {
 	count := 0
 	for _, run := range r.possibleRuns {
-		if t := s.targets[run.target]; t == nil || !t.dead() && (t.StartedMs == run.startedMs || run.startedMs == 0) {
+		if t := s.targets[run.target]; t == nil || !t.ended(run.startedMs) {
 			count++
 		}
 	}
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -221,6 +221,17 @@
 // incarnation answers at its address.
 func (t *target) dead() bool { return t.missedReports >= deadAfterMissedReports || t.superseded }
 
+// endedAfterMissedReports is the number of unanswered report requests in a row after
+// which a target is assumed to have ended or to be partitioned: fewer are also missed
+// by a VM that was suspended, or by a target that is slow.
+const endedAfterMissedReports = 4
+
+// ended reports whether an incarnation of the target runs no request any more.
+func (t *target) ended(startedMs int64) bool {
+	return t.superseded || t.missedReports >= endedAfterMissedReports || t.refusedConnections >= crashedAfterRefusals ||
+		t.StartedMs != startedMs && startedMs != 0
+}
+
 // probe requests the reports of suspected, dead and monitored targets.
 func (s *State) probe(now model.Instant, e ProbeDue) []Effect {
 	var effects []Effect
