--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -167,4 +167,5 @@
 		time.Sleep(time.Duration(r.random.Int64N(2 * int64(meanFaultGap))))
 	}
 	wait.Wait()
+	r.background.Wait()
 }
--- a/internal/soak/responsefaults.go
+++ b/internal/soak/responsefaults.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"syscall"
 	"time"
 
@@ -13,8 +12,10 @@
 
 const (
 	// crashingInterval is the time between two requests with content that crashes
-	// targets.
+	// targets, and crashingDuration the time for which they are sent: several
+	// stability windows.
 	crashingInterval = 150 * time.Millisecond
+	crashingDuration = 5 * time.Second
 	// restarts and restartInterval describe a series of restarts, which lie within
 	// one window of the retry budget.
 	restarts        = 4
@@ -31,16 +32,20 @@
 		{"llm spoils responses", func(r *run) func() { return r.spoil(r.fleet.Targets("llm")...) }},
 		{"crashing content", sendCrashingContent},
 		{"crashing content", sendCrashingContent},
-		{"restarts of a VM", func(r *run) func() { v := r.vm(); return r.restartOften(func() { v.signal(syscall.SIGKILL) }) }},
+		{"restarts of a VM", func(r *run) func() {
+			v := r.vm()
+			r.restartOften(func() { v.signal(syscall.SIGKILL) }, func() {})
+			return nil
+		}},
 		{"restarts of all VMs, store away", func(r *run) func() {
 			endSpan := r.spans.begin(storeSubject)
 			r.store.Fail(http.StatusServiceUnavailable)
-			end := r.restartOften(func() {
+			r.restartOften(func() {
 				for _, v := range r.vms {
 					v.signal(syscall.SIGKILL)
 				}
-			})
-			return func() { end(); r.store.Fail(0); endSpan() }
+			}, func() { r.store.Fail(0); endSpan() })
+			return nil
 		}},
 	}
 }
@@ -69,7 +74,7 @@
 }
 
 // sendCrashingContent sends content that crashes targets to random VMs, each time as
-// a new request, until the fault ends.
+// a new request.
 func sendCrashingContent(r *run) func() {
 	random := rand.New(rand.NewPCG(r.random.Uint64(), 3))
 	kind := []string{"s", "r", "p"}[random.IntN(3)]
@@ -79,45 +84,33 @@
 	}
 	name := fmt.Sprintf("%s-crash-%d-%d", kind, r.Seed, random.Uint64())
 	path := "/" + kind + "/" + point + "/" + name
-	done := make(chan struct{})
-	var wait sync.WaitGroup
-	wait.Add(1)
+	r.background.Add(1)
 	go func() {
-		defer wait.Done()
-		for number := 0; ; number++ {
-			select {
-			case <-done:
-				return
-			case <-time.After(crashingInterval):
-			}
-			wait.Add(1)
+		defer r.background.Done()
+		for number := range int(crashingDuration / crashingInterval) {
+			time.Sleep(crashingInterval)
 			to := r.vms[random.IntN(len(r.vms))]
+			r.background.Add(1)
 			go func() {
-				defer wait.Done()
+				defer r.background.Done()
 				from := &client{}
 				defer from.close()
 				r.callers.send(from, to, kind, path, fmt.Sprintf("%s-%d", name, number), permanentKey)
 			}()
 		}
 	}()
-	return func() { close(done); wait.Wait() }
+	return nil
 }
 
-// restartOften runs stop several times, at an interval.
-func (r *run) restartOften(stop func()) func() {
-	done := make(chan struct{})
-	var wait sync.WaitGroup
-	wait.Add(1)
+// restartOften calls stop several times, at an interval, and then done.
+func (r *run) restartOften(stop, done func()) {
+	r.background.Add(1)
 	go func() {
-		defer wait.Done()
+		defer r.background.Done()
 		for range restarts {
 			stop()
-			select {
-			case <-done:
-				return
-			case <-time.After(restartInterval):
-			}
+			time.Sleep(restartInterval)
 		}
+		done()
 	}()
-	return func() { close(done); wait.Wait() }
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,8 +34,8 @@
 	ResponseFaults bool
 }
 
-// Report is the result of a run.
-type Report struct {
+// Result is the result of a run.
+type Result struct {
 	Calls, Served, Refused int
 	// Arrivals is the number of requests that reached targets.
 	Arrivals int
@@ -68,12 +69,14 @@
 	callers *callers
 	spans   spanLog
 	started time.Time
-	report  Report
+	// background counts the faults that end by themselves.
+	background sync.WaitGroup
+	report     Result
 }
 
 // Run runs the soak for one seed. It returns an error if the deployment does not
 // start; violations are in the report.
-func Run(o Options) (*Report, error) {
+func Run(o Options) (*Result, error) {
 	r := &run{
 		Options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), proxies: map[*platformtest.Target]*proxy{},
 		keys: &keyring{removed: map[string]time.Time{}}, started: time.Now(),
