--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -26,6 +26,7 @@
 	byID       map[string]*call
 	byRequest  map[string][]*platformtest.Arrival
 	byRun      map[int]*platformtest.Arrival
+	histories  map[string]int
 	violations []string
 }
 
@@ -46,6 +47,7 @@
 }
 
 func (r *records) index() {
+	r.histories = map[string]int{}
 	r.byID, r.byRequest, r.byRun = map[string]*call{}, map[string][]*platformtest.Arrival{}, map[int]*platformtest.Arrival{}
 	for i := range r.calls {
 		r.byID[r.calls[i].id] = &r.calls[i]
@@ -59,11 +61,15 @@
 	}
 }
 
-// violation records a violated guarantee and the history of a request; the id may be
-// empty.
+// maxHistories bounds the violations that are reported with a history, by the rule
+// that they begin with.
+const maxHistories = 5
+
+// violation records a violated guarantee and the history of a request.
 func (r *records) violation(id, format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
-	if id != "" {
+	rule, _, _ := strings.Cut(format, ":")
+	if r.histories[rule]++; r.histories[rule] <= maxHistories {
 		text += "\n" + r.history(id)
 	}
 	r.violations = append(r.violations, text)
@@ -184,41 +190,56 @@
 	}
 }
 
-// history returns what callers and targets recorded of a request, in order of time.
+// history returns what callers and targets recorded of a request, in order of time,
+// and for content that crashes targets of all requests with it.
 func (r *records) history(id string) string {
-	type line struct {
-		at   time.Time
-		text string
+	lines := r.historyOf(id)
+	if c := r.byID[id]; c != nil && isCrashing(c.path) {
+		lines = nil
+		for i := range r.calls {
+			if r.calls[i].path == c.path {
+				lines = append(lines, r.historyOf(r.calls[i].id)...)
+			}
+		}
 	}
-	var lines []line
+	slices.SortStableFunc(lines, func(a, b historyLine) int { return a.at.Compare(b.at) })
+	var b strings.Builder
+	for _, l := range lines {
+		fmt.Fprintf(&b, "    %8.3f s  %s\n", l.at.Sub(r.started).Seconds(), l.text)
+	}
+	return strings.TrimSuffix(b.String(), "\n")
+}
+
+type historyLine struct {
+	at   time.Time
+	text string
+}
+
+func (r *records) historyOf(id string) []historyLine {
+	var lines []historyLine
 	if c := r.byID[id]; c != nil {
-		lines = append(lines, line{c.sent, fmt.Sprintf("caller sends %s %s to %s", c.method(), c.path, c.vm)})
-		end := fmt.Sprintf("caller receives status %d, %d bytes, complete %t", c.status, len(c.body), c.complete)
+		lines = append(lines, historyLine{c.sent, fmt.Sprintf("caller sends %s as %s %s to %s", c.id, c.method(), c.path, c.vm)})
+		end := fmt.Sprintf("caller of %s receives status %d, %d bytes, complete %t", c.id, c.status, len(c.body), c.complete)
 		if s := platformtest.SealOf(c.header); s != "" {
 			end += ", signature " + s
 		}
 		if c.loss != "" {
 			end += ", " + c.loss
 		}
-		lines = append(lines, line{c.ended, end})
+		lines = append(lines, historyLine{c.ended, end})
 	}
 	for _, a := range r.byRequest[id] {
-		text := fmt.Sprintf("reaches %s, run %d, fault %s, status %d, event %d", a.Target, a.Run, a.Fault, a.Status, a.Events)
+		text := fmt.Sprintf("%s reaches %s, run %d, fault %s, status %d, event %d", a.Request, a.Target, a.Run, a.Fault, a.Status, a.Events)
 		if a.ResumeAfter > 0 {
 			text += fmt.Sprintf(", resumed after %d", a.ResumeAfter)
 		}
 		if a.Deadline > 0 {
 			text += ", time left " + a.Deadline.String()
 		}
-		lines = append(lines, line{a.At, text})
+		lines = append(lines, historyLine{a.At, text})
 		if !a.CrashedAt.IsZero() {
-			lines = append(lines, line{a.CrashedAt, "crashes " + a.Target})
+			lines = append(lines, historyLine{a.CrashedAt, "crashes " + a.Target})
 		}
 	}
-	slices.SortStableFunc(lines, func(a, b line) int { return a.at.Compare(b.at) })
-	var b strings.Builder
-	for _, l := range lines {
-		fmt.Fprintf(&b, "    %8.3f s  %s\n", l.at.Sub(r.started).Seconds(), l.text)
-	}
-	return strings.TrimSuffix(b.String(), "\n")
+	return lines
 }
