--- a/cmd/tamarack-soak/main.go
+++ b/cmd/tamarack-soak/main.go
@@ -44,8 +44,8 @@
 				fmt.Printf("seed %d: %v\n", seed, err)
 				return
 			}
-			fmt.Printf("seed %d: %d calls, %d served, %d refused, %d arrivals at targets, %d faults, %d broken\n",
-				seed, report.Calls, report.Served, report.Refused, report.Arrivals, len(report.Faults), len(report.Violations))
+			fmt.Printf("seed %d: %d calls, %d served, %d refused, %d arrivals at targets, %.0f%% of the retry budget, %d faults, %d broken\n",
+				seed, report.Calls, report.Served, report.Refused, report.Arrivals, 100*report.PeakRetries, len(report.Faults), len(report.Violations))
 			for _, line := range report.Violations {
 				failures.Add(1)
 				fmt.Printf("seed %d: BROKEN %s\n", seed, line)
--- a/internal/soak/budget.go
+++ b/internal/soak/budget.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -34,17 +35,22 @@
 		}
 	}
 	for service, list := range retries {
-		first := 0
+		// The window with the largest share of its budget is reported.
+		first, peak, worst, text := 0, 0.0, (*platformtest.Arrival)(nil), ""
 		for i, a := range list {
 			for !list[first].At.After(a.At.Add(-platformtest.RetryWindow)) {
 				first++
 			}
 			spent, allowed := i-first+1, r.allowedRetries(requests[service], a.At)
-			if float64(spent) > allowed {
-				r.violation(a.Request, "budget: %d retries to %s within %s, %.1f are allowed", spent, service, platformtest.RetryWindow, allowed)
-				break
+			if share := float64(spent) / allowed; share > peak {
+				peak, worst = share, a
+				text = fmt.Sprintf("%d retries to %s within %s before %.3f s, %.1f are allowed", spent, service, platformtest.RetryWindow, a.At.Sub(r.started).Seconds(), allowed)
 			}
 		}
+		if peak > 1 {
+			r.violation(worst.Request, "budget: %s", text)
+		}
+		r.peakRetries = max(r.peakRetries, peak)
 	}
 }
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -23,11 +23,13 @@
 	removed map[string]time.Time
 	spans   []span
 
-	byID       map[string]*call
-	byRequest  map[string][]*platformtest.Arrival
-	byRun      map[int]*platformtest.Arrival
-	histories  map[string]int
-	violations []string
+	byID      map[string]*call
+	byRequest map[string][]*platformtest.Arrival
+	byRun     map[int]*platformtest.Arrival
+	// peakRetries is the largest share of the retry budget that a window used.
+	peakRetries float64
+	histories   map[string]int
+	violations  []string
 }
 
 // check returns the violated guarantees, each with the history of a request.
--- a/internal/soak/responsefaults.go
+++ b/internal/soak/responsefaults.go
@@ -30,6 +30,8 @@
 		{"target spoils responses", func(r *run) func() { return r.spoil(r.anyTarget()) }},
 		{"desk spoils responses", func(r *run) func() { return r.spoil(r.fleet.Targets("desk")...) }},
 		{"llm spoils responses", func(r *run) func() { return r.spoil(r.fleet.Targets("llm")...) }},
+		{"desk sheds", overload("desk", platformtest.Reject)}, {"llm sheds", overload("llm", platformtest.Reject)},
+		{"desk fails", overload("desk", platformtest.ServerError)}, {"llm fails", overload("llm", platformtest.ServerError)},
 		{"crashing content", sendCrashingContent},
 		{"crashing content", sendCrashingContent},
 		{"restarts of a VM", func(r *run) func() {
@@ -50,6 +52,14 @@
 	}
 }
 
+// overload returns a fault in which most requests to a service fail in one way, which
+// exhausts the retry budget.
+func overload(service string, f platformtest.Fault) func(*run) func() {
+	return func(r *run) func() {
+		return r.fail(0.7+0.3*r.random.Float64(), []platformtest.Fault{f}, r.fleet.Targets(service)...)
+	}
+}
+
 // spoil injects one to three faults into a share of the responses of targets.
 func (r *run) spoil(targets ...*platformtest.Target) func() {
 	all := platformtest.ResponseFaults()
@@ -57,13 +67,17 @@
 	for range 1 + r.random.IntN(3) {
 		chosen = append(chosen, all[r.random.IntN(len(all))])
 	}
-	share := 0.2 + 0.8*r.random.Float64()
+	return r.fail(0.2+0.8*r.random.Float64(), chosen, targets...)
+}
+
+// fail injects faults into a share of the responses of targets.
+func (r *run) fail(share float64, chosen []platformtest.Fault, targets ...*platformtest.Target) func() {
+	r.report.Faults = append(r.report.Faults, fmt.Sprintf("share %.2f of %s:", share, chosen))
 	for _, t := range targets {
 		if t != nil {
 			t.Often(r.random.Uint64(), share, chosen...)
 		}
 	}
-	r.report.Faults = append(r.report.Faults, fmt.Sprintf("share %.2f of %s:", share, chosen))
 	return func() {
 		for _, t := range targets {
 			if t != nil {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -39,6 +39,8 @@
 	Calls, Served, Refused int
 	// Arrivals is the number of requests that reached targets.
 	Arrivals int
+	// PeakRetries is the largest share of the retry budget that a window used.
+	PeakRetries float64
 	// Faults lists the injected faults, each after the time of its start.
 	Faults []string
 	// Violations lists the violated guarantees.
@@ -230,6 +232,7 @@
 	}
 	r.report.Arrivals = len(evidence.arrivals)
 	r.report.Violations = append(r.report.Violations, evidence.check()...)
+	r.report.PeakRetries = evidence.peakRetries
 }
 
 // LogPath returns the path of a VM's log.
