--- a/cmd/tamarack-soak/main.go
+++ b/cmd/tamarack-soak/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,9 @@
 			}
 			fmt.Printf("seed %d: %d calls, %d served, %d refused, %d arrivals at targets, %.0f%% of the retry budget, %d faults, %d broken\n",
 				seed, report.Calls, report.Served, report.Refused, report.Arrivals, 100*report.PeakRetries, len(report.Faults), len(report.Violations))
+			if len(report.Violations) > 0 {
+				fmt.Printf("seed %d: faults %s\n", seed, strings.Join(report.Faults, "; "))
+			}
 			for _, line := range report.Violations {
 				failures.Add(1)
 				fmt.Printf("seed %d: BROKEN %s\n", seed, line)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -153,7 +153,7 @@
 		lock.Lock()
 		end := f.inject(r)
 		lock.Unlock()
-		r.report.Faults = append(r.report.Faults, fmt.Sprintf("%s %s", time.Since(started).Round(time.Millisecond), f.name))
+		r.report.Faults = append(r.report.Faults, fmt.Sprintf("%.3f s %s", time.Since(r.started).Seconds(), f.name))
 		duration := time.Duration(r.random.Int64N(int64(maxFaultDuration)))
 		if end != nil {
 			wait.Add(1)
--- a/internal/soak/responsefaults.go
+++ b/internal/soak/responsefaults.go
@@ -72,7 +72,7 @@
 
 // fail injects faults into a share of the responses of targets.
 func (r *run) fail(share float64, chosen []platformtest.Fault, targets ...*platformtest.Target) func() {
-	r.report.Faults = append(r.report.Faults, fmt.Sprintf("share %.2f of %s:", share, chosen))
+	r.report.Faults = append(r.report.Faults, fmt.Sprintf("share %.2f of %v:", share, chosen))
 	for _, t := range targets {
 		if t != nil {
 			t.Often(r.random.Uint64(), share, chosen...)
