--- a/internal/controller/era.go
+++ b/internal/controller/era.go
@@ -1,10 +1,10 @@
 package controller
 
 import (
-	"hash/fnv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"tamarackreach/internal/bootclock"
@@ -119,7 +119,6 @@
 	if !c.era.tracker.Restored() {
 		return true
 	}
-	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(c.settings.VM)) // a hash's Write never fails
-	return now.Sub(c.era.since) >= time.Duration(hash.Sum32())%registrationSpread
+	delay := time.Duration(xxhash.Sum64String(string(c.settings.VM)) % uint64(registrationSpread))
+	return now.Sub(c.era.since) >= delay
 }
--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -68,7 +68,14 @@
 	if denial != nil {
 		return []Effect{denial}
 	}
-	r := &request{Request: req, route: route, workspace: workspace, random: e.Random, expiresAt: now.Add(timeoutFor(req, route))}
+	arrivedAt := now
+	if e.At != 0 {
+		arrivedAt = e.At
+	}
+	r := &request{Request: req, route: route, workspace: workspace, random: e.Random, expiresAt: arrivedAt.Add(timeoutFor(req, route))}
+	if r.expiresAt <= now {
+		return refuse(http.StatusRequestTimeout, 0, "the time of the request ended before its body was read")
+	}
 	r.service = s.config.Services[chooseService(route.Split, e.Random)]
 	if r.service == nil {
 		return refuse(http.StatusServiceUnavailable, jitter(unconfirmedRetryAfter, e.Random), "the route's service is not in the configuration")
@@ -87,7 +94,8 @@
 		return []Effect{refusal}
 	}
 	s.budget.CountFirstAttempt(now, r.service.ID)
-	return []Effect{send}
+	s.checkBudgetRestored(now, r.service.ID)
+	return append(effectList(s.startTrial(r)), send)
 }
 
 // mayOutliveProcess reports whether a request that arrives now may still be
@@ -188,6 +196,7 @@
 	}
 	r.hops, r.diverted, r.awaitingFirst, r.sentAt = hops, false, true, now
 	r.sends++
+	r.sentTo = incarnation{target: hops[0].Target, startedMs: s.targets[hops[0].Target].StartedMs}
 	s.adjustLoad(r, 1)
 	out := &Send{Route: r.route, Service: r.service, Hops: hops, TimeLeft: r.expiresAt.Sub(now), Number: r.sends, Predicted: r.predicted, Priority: r.priority()}
 	if r.workspace != nil {
@@ -246,7 +255,7 @@
 	if r == nil || !r.awaitingFirst {
 		return
 	}
-	r.answerStarted = true
+	r.answerStarted, r.firstEventAt = true, now
 	for _, hop := range r.hops {
 		if t := s.targets[hop.Target]; t != nil {
 			t.ownLoad.Waiting--
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -31,8 +31,9 @@
 	if r == nil {
 		return nil
 	}
+	var effects []Effect
 	if e.Delivered {
-		s.clearContent(r)
+		effects = effectList(s.clearContent(r))
 		for _, hop := range r.hops {
 			if t := s.targets[hop.Target]; t != nil {
 				t.completed(now, r.sentAt)
@@ -40,8 +41,8 @@
 		}
 	}
 	s.adjustLoad(r, -1)
-	delete(s.requests, e.ID)
-	return nil
+	s.remove(now, r)
+	return effects
 }
 
 func (s *State) sendEnded(now model.Instant, e SendEnded) []Effect {
@@ -51,14 +52,14 @@
 	}
 	effects := s.suspectFaultyHop(now, r, e)
 	if e.Outcome != NotSent && e.Outcome != Rejected {
-		s.recordPossibleRun(r)
-		s.recordLostAnswer(now, r, e.Outcome)
+		r.recordPossibleRun()
+		effects = append(effects, effectList(s.recordLostAnswer(now, r, e.Outcome))...)
 	}
 	s.adjustLoad(r, -1)
 	r.random = e.Random
 	next := s.nextEffect(now, r, e)
 	if _, refused := next.(*Refuse); refused {
-		delete(s.requests, e.ID)
+		s.remove(now, r)
 	}
 	return append(effects, next)
 }
@@ -99,7 +100,7 @@
 		return s.failRequest(r, e, http.StatusGatewayTimeout, "the time of the request is over")
 	case mayHaveRun && !r.route.Repeatable():
 		return s.failRequest(r, e, http.StatusBadGateway, "the request may have run and may not be repeated")
-	case s.quarantineLeft(now, r) > 0:
+	case !s.mayResend(now, r):
 		return s.failRequest(r, e, http.StatusBadGateway, reasonCrashes)
 	case r.sends >= maxSends && !r.mayWaitForPath(now) || s.targetLimitReached(r) && r.service.Engine == nil:
 		return s.failRequest(r, e, http.StatusBadGateway, "the request was sent as often as its route allows")
@@ -125,12 +126,14 @@
 // caller has begun to read waits for a path meanwhile: missing layers are placed on
 // other targets within seconds.
 func (s *State) resend(now model.Instant, r *request, e SendEnded) Effect {
+	if !s.mayResend(now, r) {
+		return s.failRequest(r, e, http.StatusBadGateway, reasonCrashes) // quarantined while it waited
+	}
 	reason := "the retry budget is spent"
-	if r.retryReserved || s.budget.TryRetry(now, r.service.ID) {
-		r.retryReserved = true
+	if r.retryReserved || s.reserveRetry(now, r, e.Outcome) {
 		var send *Send
 		if send, reason = s.send(now, r); send != nil {
-			r.retryReserved = false
+			s.useRetry(now, r, e.Outcome)
 			return send
 		}
 	}
@@ -149,31 +152,26 @@
 	r.random = e.Random
 	next := s.resend(now, r, SendEnded{ID: e.ID, Random: e.Random})
 	if _, refused := next.(*Refuse); refused {
-		delete(s.requests, e.ID)
+		s.remove(now, r)
 	}
 	return []Effect{next}
 }
 
 // recordPossibleRun records that the first target of the request's path may have
-// run it.
-func (s *State) recordPossibleRun(r *request) {
-	if len(r.hops) == 0 || r.mayHaveRunOn(r.hops[0].Target) {
-		return
-	}
-	run := incarnation{target: r.hops[0].Target}
-	if t := s.targets[run.target]; t != nil {
-		run.startedMs = t.StartedMs
+// run it, as the incarnation to which it was sent.
+func (r *request) recordPossibleRun() {
+	if len(r.hops) > 0 && !slices.Contains(r.possibleRuns, r.sentTo) {
+		r.possibleRuns = append(r.possibleRuns, r.sentTo)
 	}
-	r.possibleRuns = append(r.possibleRuns, run)
 }
 
 // targetLimitReached reports whether as many targets as the route allows may have
-// run the request. A dead target or a superseded incarnation does not count; one
-// whose registration was removed does, since it may continue to serve for a while.
+// run the request. An incarnation that has ended does not count; one whose
+// registration was removed does, since it may continue to serve for a while.
 func (s *State) targetLimitReached(r *request) bool {
 	count := 0
 	for _, run := range r.possibleRuns {
-		if t := s.targets[run.target]; t == nil || !t.dead() && (t.StartedMs == run.startedMs || run.startedMs == 0) {
+		if t := s.targets[run.target]; t == nil || !t.ended(run.startedMs) {
 			count++
 		}
 	}
@@ -231,18 +229,18 @@
 	if !r.route.Repeatable() || r.expiresAt.Sub(now) < minTimeLeft || r.sends >= maxSends {
 		return nil
 	}
-	if r.service.Engine == nil && s.onLastTarget(r) || s.quarantineLeft(now, r) > 0 {
+	if r.service.Engine == nil && s.onLastTarget(r) || !s.mayDivert(now, r) {
 		return nil
 	}
 	// The next path is chosen as if this send had ended, and its retry is reserved.
 	before := r.possibleRuns
-	s.recordPossibleRun(r)
+	r.recordPossibleRun()
 	hops, _ := s.choose(now, r)
-	if hops == nil || slices.Equal(hops, r.hops) || !s.budget.TryRetry(now, r.service.ID) {
+	if hops == nil || slices.Equal(hops, r.hops) || !s.reserveRetry(now, r, Diverted) {
 		r.possibleRuns = before
 		return nil // no other path: the targets may recover
 	}
-	r.diverted, r.retryReserved = true, true
+	r.diverted = true
 	return []Effect{&Divert{Reason: "target " + string(hop.Target) + " on its path is at fault"}}
 }
 
@@ -260,7 +258,7 @@
 		return effectList(s.suspect(now, t, fault{reason: "it did not answer a report request"}))
 	}
 	if e.Report.StartedMs != 0 && e.Report.StartedMs != t.StartedMs {
-		return s.markSuperseded(t, e.Report.StartedMs)
+		return append(s.markSuperseded(t, e.Report.StartedMs), s.confirmCrashes(now)...)
 	}
 	var effects []Effect
 	if t.dead() {
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -35,19 +35,48 @@
 	requests int
 }
 
-func newHarness() *harness {
+var harnessSettings = director.Settings{
+	VM: "vm-1", Zone: "a", ConfigApply: 2 * time.Second, Revoke: 5 * time.Second, Stall: 2500 * time.Millisecond,
+	Retries: retrybudget.Settings{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
+}
+
+func newHarness() *harness { return newHarnessOf(harnessSettings.VM) }
+
+func newHarnessOf(vm model.NodeID) *harness {
+	settings := harnessSettings
+	settings.VM = vm
 	h := &harness{
-		state: director.New(director.Settings{
-			VM: "vm-1", Zone: "a", ConfigApply: 2 * time.Second, Revoke: 5 * time.Second, Stall: 2500 * time.Millisecond,
-			Retries: retrybudget.Settings{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
-		}),
+		state:   director.New(settings),
 		now:     model.Instant(time.Hour),
 		targets: map[model.TargetID]*fleet.Target{}, rows: map[model.TargetID]fleet.StoreVersion{},
 		config: config(7),
 	}
+	// The VM has known for long that it is the only one, and has the slack of the retry
+	// budget.
+	h.state.Step(h.now.Add(-time.Minute), director.VMsCounted{Count: 1})
 	return h
 }
 
+// peer returns another VM that has just started, with the same configuration and
+// targets.
+func (h *harness) peer(vm model.NodeID) *harness {
+	other := newHarnessOf(vm)
+	other.now, other.config, other.targets, other.rows = h.now, h.config, h.targets, h.rows
+	other.read()
+	return other
+}
+
+// exchange sends the state of each VM to all others.
+func exchange(vms []*harness) {
+	for _, from := range vms {
+		for _, to := range vms {
+			if to != from {
+				to.state.Step(to.now, from.state.OwnPeerState(from.now))
+			}
+		}
+	}
+}
+
 func config(version model.Revision) *fleet.Config {
 	return &fleet.Config{
 		Version: version,
@@ -304,6 +333,17 @@
 		Expect(expectRefusal(e).RetryAfter).To(BeNumerically(">", 500*time.Millisecond))
 	})
 
+	// Guards against a target that is given the time in which the caller sent the body.
+	It("counts the deadline from the head of the request", func() {
+		arrive := func(after time.Duration) director.Effect {
+			return lastEffect(h.state.Step(h.now, director.RequestArrived{At: h.now.Add(-after), Request: &fleet.Request{
+				ID: model.RequestID(after.String()), Method: "GET", Host: "h", Path: "/r/x", Key: "key", HasKey: true, Deadline: time.Second,
+			}}))
+		}
+		Expect(expectSend(arrive(400 * time.Millisecond)).TimeLeft).To(Equal(600 * time.Millisecond))
+		Expect(expectRefusal(arrive(time.Second)).Status).To(Equal(http.StatusRequestTimeout))
+	})
+
 	It("jitters the Retry-After of refused requests", func() {
 		h.targets = map[model.TargetID]*fleet.Target{}
 		h.read()
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -42,6 +42,9 @@
 // RequestArrived reports a new request of a caller.
 type RequestArrived struct {
 	Request *fleet.Request
+	// At is when the head of the request was read: its deadline counts from then; 0
+	// means now.
+	At model.Instant
 	// Random is uniform in [0,1); it chooses between split services and jitters
 	// Refuse.RetryAfter.
 	Random float64
@@ -58,7 +61,8 @@
 	Rejected
 	// Lost means that the request may have run and no usable answer was received.
 	Lost
-	// Broken means that a stream failed after its first event.
+	// Broken means that a stream failed after the head of this send's response, or
+	// after an event of an earlier send.
 	Broken
 	// TimedOut means that the request's deadline passed.
 	TimedOut
@@ -116,6 +120,13 @@
 	Report *fleet.Report
 }
 
+// ConnectionProbed reports whether a target refused a connection. A connection whose
+// result is unknown counts as accepted.
+type ConnectionProbed struct {
+	Target  model.TargetID
+	Refused bool
+}
+
 // ProbeDue triggers probes of targets under suspicion.
 type ProbeDue struct {
 	// All also selects targets that only other VMs suspect; true on the VM that
@@ -138,6 +149,8 @@
 	Crashes []Crash
 	// Config is the version of the configuration in force there, 0 before the first.
 	Config model.Revision
+	// Quarantines are the quarantines of content that crashed targets.
+	Quarantines []Quarantine
 }
 
 // Suspicion is a VM's suspicion that a target is faulty.
@@ -160,22 +173,23 @@
 // Terminating reports that termination of the process was requested.
 type Terminating struct{}
 
-func (ConfigRead) event()      {}
-func (TargetsRead) event()     {}
-func (StoreFailed) event()     {}
-func (StoreRestored) event()   {}
-func (RequestArrived) event()  {}
-func (SendEnded) event()       {}
-func (AnswerStarted) event()   {}
-func (StreamIdle) event()      {}
-func (RequestFinished) event() {}
-func (WaitElapsed) event()     {}
-func (ReportRead) event()      {}
-func (ProbeDue) event()        {}
-func (PeerState) event()       {}
-func (VMsCounted) event()      {}
-func (SettingsChanged) event() {}
-func (Terminating) event()     {}
+func (ConfigRead) event()       {}
+func (TargetsRead) event()      {}
+func (StoreFailed) event()      {}
+func (StoreRestored) event()    {}
+func (RequestArrived) event()   {}
+func (SendEnded) event()        {}
+func (AnswerStarted) event()    {}
+func (StreamIdle) event()       {}
+func (RequestFinished) event()  {}
+func (WaitElapsed) event()      {}
+func (ReportRead) event()       {}
+func (ConnectionProbed) event() {}
+func (ProbeDue) event()         {}
+func (PeerState) event()        {}
+func (VMsCounted) event()       {}
+func (SettingsChanged) event()  {}
+func (Terminating) event()      {}
 
 // Effect is an action for the driver.
 type Effect interface{ effect() }
@@ -229,14 +243,22 @@
 	Address string
 }
 
+// ProbeConnection opens and closes a connection to a target; a ConnectionProbed
+// follows.
+type ProbeConnection struct {
+	Target  model.TargetID
+	Address string
+}
+
 // StateChanged records a change of the state, for the log.
 type StateChanged struct {
 	What, Subject, Detail string
 }
 
-func (*Send) effect()          {}
-func (*Refuse) effect()        {}
-func (*Wait) effect()          {}
-func (*Divert) effect()        {}
-func (*RequestReport) effect() {}
-func (*StateChanged) effect()  {}
+func (*Send) effect()            {}
+func (*Refuse) effect()          {}
+func (*Wait) effect()            {}
+func (*Divert) effect()          {}
+func (*RequestReport) effect()   {}
+func (*ProbeConnection) effect() {}
+func (*StateChanged) effect()    {}
--- a/internal/director/poison.go
+++ b/internal/director/poison.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strconv"
@@ -15,8 +16,8 @@
 	// some content before it is refused: two crash together in an ordinary fault.
 	crashThreshold = 3
 	// initialQuarantine is how long content is refused at first, and maxQuarantine at
-	// most; each further crash doubles the period. Afterwards the content may run
-	// again, since harmless content that many callers send can be running on several
+	// most; each further level doubles the period. Afterwards the content is on
+	// probation, since harmless content that many callers send can be running on several
 	// targets that crash.
 	initialQuarantine = 10 * time.Second
 	maxQuarantine     = 10 * time.Minute
@@ -24,12 +25,18 @@
 	// attributed to the content: the time to detect that a target is dead, or to read
 	// the registration of its next incarnation.
 	crashConfirmWindow = 5 * time.Second
+	// crashedAfterRefusals is the number of refused connections in a row after which a
+	// target counts as crashed.
+	crashedAfterRefusals = 2
+	// earlyCrashWindow is how long after the first event of a send a crash of its target
+	// is still attributed to the content: a few events, and the time to notice the crash.
+	earlyCrashWindow = 300 * time.Millisecond
 	// crashExpiry is how long a crash counts.
 	crashExpiry = 10 * time.Minute
 	// crashSendWindow is how long a crash is sent to other VMs: several messages.
 	crashSendWindow = 2 * time.Second
 	// maxLostAnswers bounds the lost answers that await confirmation of a crash, and
-	// maxSentCrashes the crashes in one message.
+	// maxSentCrashes the crashes, and the quarantines, in one message.
 	maxLostAnswers, maxSentCrashes = 1024, 64
 )
 
@@ -38,17 +45,50 @@
 	content model.Fingerprint
 	ran     incarnation
 	at      model.Instant
+	// probed is true once a connection to the target was probed.
+	probed bool
 }
 
 // crashRecord lists the crashes of targets that were running some content.
 type crashRecord struct {
-	// crashed are the crashed incarnations, each once.
+	// crashed are the crashed incarnations, each once. The first cleared of them were
+	// followed by an answer to the content and do not count; they are kept since other
+	// VMs may still send them.
 	crashed []incarnation
-	// at is when the last crash was detected.
+	cleared int
+	// at is when the last crash, quarantine or answer was detected, by any VM.
 	at model.Instant
-	// quarantinedUntil is when the content stops being refused.
+	// level counts the quarantines of the content, by the crashThreshold-th crash and
+	// each further one, and clearedLevel is the level at the last answer: the content is
+	// quarantined while level is higher. Both only grow, so that VMs agree on the highest
+	// that they received, in whatever order.
+	level, clearedLevel int
+	// quarantinedUntil is when probation begins: one request with the content at a time
+	// is sent, once, until its content is answered or quarantined again.
 	quarantinedUntil model.Instant
-	quarantinePeriod time.Duration
+	// trial is the request of this VM that was sent since the last quarantine.
+	trial model.RequestID
+	// peerTrialUntil is when another VM's trial counts as over without a message.
+	peerTrialUntil model.Instant
+}
+
+// quarantined reports whether the content was quarantined and not answered since.
+func (c *crashRecord) quarantined() bool { return c.level > c.clearedLevel }
+
+// quarantine puts the content under the next quarantine.
+func (c *crashRecord) quarantine(now model.Instant) {
+	c.level, c.at, c.trial = c.level+1, now, ""
+	c.quarantinedUntil = now.Add(c.period())
+}
+
+// period returns the duration of the quarantine.
+func (c *crashRecord) period() time.Duration {
+	return min(initialQuarantine<<min(c.level-c.clearedLevel-1, 8), maxQuarantine)
+}
+
+// clear ends the quarantine; the crashes so far do not count any more.
+func (c *crashRecord) clear() {
+	c.cleared, c.clearedLevel, c.quarantinedUntil = len(c.crashed), c.level, 0
 }
 
 // Crash is a crash of a target that was running some content, for other VMs. Born is
@@ -60,29 +100,54 @@
 	Born    int64
 }
 
+// Quarantine is the state of content that was quarantined, for other VMs.
+type Quarantine struct {
+	Content model.Fingerprint
+	// Level is the number of quarantines, and Cleared that number at the last answer.
+	Level, Cleared int
+	// Remaining is the time until the content is on probation.
+	Remaining time.Duration
+	// Age is the time since the last change, from which the quarantine expires.
+	Age time.Duration
+	// Trial is true while a request of the sender's runs on probation.
+	Trial bool
+}
+
 // fingerprint identifies the content of a request independently of its id.
 func (r *request) fingerprint() model.Fingerprint {
-	var workspace model.WorkspaceID
-	if r.workspace != nil {
-		workspace = r.workspace.ID
+	if r.content == 0 {
+		var workspace model.WorkspaceID
+		if r.workspace != nil {
+			workspace = r.workspace.ID
+		}
+		r.content = quarantine.FingerprintOf(workspace, model.ModelName(r.Path), string(r.Body))
 	}
-	return quarantine.FingerprintOf(workspace, model.ModelName(r.Path), string(r.Body))
+	return r.content
+}
+
+// hasProgressed reports whether a send delivered events for longer than
+// earlyCrashWindow.
+func (r *request) hasProgressed(now model.Instant) bool {
+	return r.progressed || len(r.hops) > 0 && !r.awaitingFirst && now.Sub(r.firstEventAt) >= earlyCrashWindow
 }
 
 // recordLostAnswer keeps a lost answer until it is known whether its target crashed.
-// A stream that had started is unlikely to be the cause and not recorded.
-func (s *State) recordLostAnswer(now model.Instant, r *request, outcome Outcome) {
-	if outcome != Lost || len(r.possibleRuns) == 0 || len(r.hops) == 0 {
-		return
+// A request starts to run with its first token, so the first event may be delivered
+// before the crash. Content that ran for longer on this target, or before on another
+// one, is unlikely to be the cause and not recorded.
+func (s *State) recordLostAnswer(now model.Instant, r *request, outcome Outcome) Effect {
+	r.progressed = r.hasProgressed(now)
+	if r.progressed || outcome != Lost && outcome != Broken || len(r.hops) == 0 {
+		return nil
 	}
-	ran := r.possibleRuns[len(r.possibleRuns)-1]
-	if ran.target != r.hops[0].Target {
-		return
+	if s.onTrial(r) {
+		return s.failTrial(now, r)
 	}
 	if len(s.lostAnswers) >= maxLostAnswers {
 		s.lostAnswers = s.lostAnswers[1:]
 	}
-	s.lostAnswers = append(s.lostAnswers, lostAnswer{content: r.fingerprint(), ran: ran, at: now})
+	s.lostAnswers = append(s.lostAnswers, lostAnswer{content: r.fingerprint(), ran: r.sentTo, at: now})
+	return nil
 }
 
 // confirmCrashes records a crash for each lost answer whose target has crashed since,
@@ -93,7 +158,7 @@
 	for _, l := range s.lostAnswers {
 		switch t := s.targets[l.ran.target]; {
 		case now.Sub(l.at) > crashConfirmWindow:
-		case t == nil || t.dead() || t.StartedMs != l.ran.startedMs:
+		case t == nil || t.dead() || t.refusedConnections >= crashedAfterRefusals || t.StartedMs != l.ran.startedMs:
 			effects = append(effects, effectList(s.recordCrash(now, l.content, l.ran))...)
 		default:
 			kept = append(kept, l)
@@ -106,50 +171,148 @@
 	return effects
 }
 
-// recordCrash records the crash of a target that was running some content.
-func (s *State) recordCrash(now model.Instant, content model.Fingerprint, ran incarnation) Effect {
+// probeConnections probes targets that have no report and lost an answer. Their crash
+// would otherwise be known only from the registration, seconds later or not at all
+// while the store is unreachable.
+func (s *State) probeConnections(now model.Instant) []Effect {
+	var effects []Effect
+	for i := range s.lostAnswers {
+		l := &s.lostAnswers[i]
+		t := s.targets[l.ran.target]
+		if t == nil || t.Kind != "" || t.StartedMs != l.ran.startedMs {
+			continue
+		}
+		if l.probed && t.refusedConnections == 0 || t.connectionProbedAt != 0 && now.Sub(t.connectionProbedAt) < reportInterval {
+			continue
+		}
+		l.probed, t.connectionProbedAt = true, now
+		effects = append(effects, &ProbeConnection{Target: t.ID, Address: t.Address})
+	}
+	return effects
+}
+
+func (s *State) connectionProbed(now model.Instant, e ConnectionProbed) []Effect {
+	t := s.targets[e.Target]
+	if t == nil {
+		return nil
+	}
+	if !e.Refused {
+		t.refusedConnections = 0
+		return nil
+	}
+	t.refusedConnections++
+	return s.confirmCrashes(now)
+}
+
+// record returns the crash record of some content, a new one if there is none.
+func (s *State) record(now model.Instant, content model.Fingerprint) *crashRecord {
 	c := s.crashRecords[content]
 	if c == nil {
-		c = &crashRecord{}
+		c = &crashRecord{at: now}
 		s.crashRecords[content] = c
 	}
+	return c
+}
+
+// recordCrash records the crash of a target that was running some content.
+func (s *State) recordCrash(now model.Instant, content model.Fingerprint, ran incarnation) Effect {
+	c := s.record(now, content)
 	if slices.Contains(c.crashed, ran) {
 		return nil
 	}
 	c.crashed, c.at = append(c.crashed, ran), now
-	if len(c.crashed) < crashThreshold {
+	if !c.quarantined() && len(c.crashed)-c.cleared < crashThreshold {
 		return nil
 	}
-	c.quarantinePeriod = min(max(2*c.quarantinePeriod, initialQuarantine), maxQuarantine)
-	c.quarantinedUntil = now.Add(c.quarantinePeriod)
-	return &StateChanged{
-		What: "request content refused", Subject: strconv.FormatUint(uint64(content), 16),
-		Detail: strconv.Itoa(len(c.crashed)) + " targets crashed while running it, most recently " + string(ran.target) + "; for " + c.quarantinePeriod.String(),
+	c.quarantine(now)
+	return contentRefused(content, c, strconv.Itoa(len(c.crashed)-c.cleared)+" targets crashed while running it, most recently "+string(ran.target))
+}
+
+func contentRefused(content model.Fingerprint, c *crashRecord, detail string) Effect {
+	return &StateChanged{What: "request content refused", Subject: subject(content), Detail: detail + "; for " + c.period().String()}
+}
+
+func contentReleased(content model.Fingerprint, detail string) Effect {
+	return &StateChanged{What: "request content released", Subject: subject(content), Detail: detail}
+}
+
+// subject formats content for the log, which never holds the content itself.
+func subject(content model.Fingerprint) string { return strconv.FormatUint(uint64(content), 16) }
+
+// applyQuarantine applies a quarantine received from another VM. The end of the same
+// quarantine is only moved forward: a VM that passes on what it received, later, would
+// otherwise prolong it.
+func (s *State) applyQuarantine(now model.Instant, q Quarantine, peer model.NodeID) Effect {
+	c := s.record(now, q.Content)
+	changed := now.Add(-q.Age)
+	if q.Cleared > c.clearedLevel {
+		released := c.quarantined() && q.Cleared >= c.level
+		c.level, c.cleared, c.clearedLevel, c.at = max(c.level, q.Cleared), len(c.crashed), q.Cleared, changed
+		s.dropLostAnswers(q.Content)
+		if released {
+			return contentReleased(q.Content, string(peer)+" received an answer to it")
+		}
 	}
+	if q.Trial {
+		c.peerTrialUntil = now.Add(peerExpiry)
+	}
+	ends := now.Add(q.Remaining)
+	switch {
+	case !c.quarantined() && q.Level <= c.level || q.Level < c.level:
+	case q.Level == c.level:
+		c.quarantinedUntil = min(c.quarantinedUntil, ends)
+	default:
+		c.level, c.at, c.trial, c.quarantinedUntil = q.Level, changed, "", ends
+		if c.quarantined() {
+			return contentRefused(q.Content, c, "quarantined by "+string(peer))
+		}
+	}
+	return nil
 }
 
-// clearContent removes the crashes and lost answers of a request's content once it
-// has been answered completely.
-func (s *State) clearContent(r *request) {
+// clearContent clears the crashes and lost answers of a request's content once it has
+// been answered completely.
+func (s *State) clearContent(r *request) Effect {
 	if len(s.crashRecords) == 0 && len(s.lostAnswers) == 0 {
-		return
+		return nil
 	}
 	content := r.fingerprint()
-	delete(s.crashRecords, content)
+	s.dropLostAnswers(content)
+	c := s.crashRecords[content]
+	if c == nil {
+		return nil
+	}
+	released := c.quarantined()
+	c.clear()
+	if !released {
+		return nil
+	}
+	return contentReleased(content, "it was answered")
+}
+
+func (s *State) dropLostAnswers(content model.Fingerprint) {
 	s.lostAnswers = slices.DeleteFunc(s.lostAnswers, func(l lostAnswer) bool { return l.content == content })
 }
 
-// quarantineLeft returns how long the content of a request is still refused because
-// targets crashed while running it; 0 when it is not refused.
-func (s *State) quarantineLeft(now model.Instant, r *request) time.Duration {
+// recordOf returns the crash record of a request's content, nil if there is none.
+func (s *State) recordOf(r *request) *crashRecord {
 	if len(s.crashRecords) == 0 {
-		return 0
+		return nil
 	}
-	c := s.crashRecords[r.fingerprint()]
-	if c == nil || now >= c.quarantinedUntil {
+	return s.crashRecords[r.fingerprint()]
+}
+
+// quarantineLeft returns how long the content of a request that arrives is still
+// refused because targets crashed while running it; 0 when it is not refused.
+func (s *State) quarantineLeft(now model.Instant, r *request) time.Duration {
+	c := s.recordOf(r)
+	switch {
+	case c == nil || !c.quarantined():
 		return 0
+	case s.trialInFlight(c):
+		return trialRetryAfter
 	}
-	return c.quarantinedUntil.Sub(now)
+	return max(s.trialWait(now, c), c.peerTrialUntil.Sub(now), 0)
 }
 
 // recentCrashes returns the crashes to send to other VMs, in a fixed order.
@@ -160,9 +323,32 @@
 		if now.Sub(c.at) > crashSendWindow {
 			continue
 		}
-		for _, ran := range c.crashed {
+		for _, ran := range c.crashed[c.cleared:] {
 			out = append(out, Crash{Content: content, Target: ran.target, Born: ran.startedMs})
 		}
 	}
 	return out[:min(len(out), maxSentCrashes)]
 }
+
+// quarantines returns the quarantines to send to other VMs, the latest change first.
+// They are sent for as long as they are known, for VMs that start or were cut off.
+func (s *State) quarantines(now model.Instant) []Quarantine {
+	var contents []model.Fingerprint
+	for content, c := range s.crashRecords {
+		if c.level > 0 {
+			contents = append(contents, content)
+		}
+	}
+	slices.SortFunc(contents, func(a, b model.Fingerprint) int {
+		return cmp.Or(cmp.Compare(s.crashRecords[b].at, s.crashRecords[a].at), cmp.Compare(a, b))
+	})
+	var out []Quarantine
+	for _, content := range contents[:min(len(contents), maxSentCrashes)] {
+		c := s.crashRecords[content]
+		out = append(out, Quarantine{
+			Content: content, Level: c.level, Cleared: c.clearedLevel, Remaining: max(c.quarantinedUntil.Sub(now), 0),
+			Age: now.Sub(c.at), Trial: c.quarantined() && s.trialInFlight(c),
+		})
+	}
+	return out
+}
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -43,6 +43,8 @@
 	storeFailedAt model.Instant
 	// storeRecoveredAt is when a read of the store last succeeded after a failure.
 	storeRecoveredAt model.Instant
+	// storeEra is the era of the last read of the store.
+	storeEra fleet.StoreEra
 	// restore is the last return of the store from an older copy; zero before the first.
 	restore     restore
 	targets     map[model.TargetID]*target
@@ -51,8 +53,14 @@
 	targetsRead bool
 	requests    map[model.RequestID]*request
 	peers       map[model.NodeID]*peer
-	vms         int
-	budget      *retrybudget.Budget
+	// listedVMs is the number of VMs registered in the store; 0 while it is unknown.
+	listedVMs int
+	budget    *retrybudget.Budget
+	// retries holds the figures of each service that has sent a retry or been denied
+	// one.
+	retries map[model.ServiceID]*serviceRetries
+	// budgetChanges are the changes of budgets since the last event.
+	budgetChanges []Effect
 	// lostAnswers are kept until a crash of their target is confirmed or ruled out.
 	lostAnswers []lostAnswer
 	// crashRecords holds the content that was running on targets that crashed.
@@ -67,6 +75,8 @@
 	route     *fleet.Route
 	workspace *fleet.Workspace
 	service   *fleet.Service
+	// content is the fingerprint of the content, 0 until it is needed.
+	content model.Fingerprint
 	// expiresAt is the earlier of the caller's deadline and the route's timeout.
 	expiresAt model.Instant
 	sends     int
@@ -74,6 +84,8 @@
 	sentAt model.Instant
 	// possibleRuns are the incarnations of targets that may have run the request.
 	possibleRuns []incarnation
+	// sentTo is the first target of the last send, as registered when it began.
+	sentTo incarnation
 	// hops is the path of the send in flight; nil between sends.
 	hops     []fleet.Hop
 	diverted bool
@@ -88,6 +100,10 @@
 	waits int
 	// awaitingFirst is true from the send to the first part of the answer.
 	awaitingFirst bool
+	// firstEventAt is when the first event of the send in flight was delivered.
+	firstEventAt model.Instant
+	// progressed is true once a send delivered events for longer than earlyCrashWindow.
+	progressed bool
 	// random is uniform in [0,1) and drawn for each send.
 	random float64
 }
@@ -108,13 +124,23 @@
 	return &State{
 		settings: s, targets: map[model.TargetID]*target{}, byAddress: map[string]*target{},
 		byService: map[model.ServiceID][]*target{}, requests: map[model.RequestID]*request{},
-		peers: map[model.NodeID]*peer{}, vms: 1, budget: retrybudget.New(s.Retries),
-		crashRecords: map[model.Fingerprint]*crashRecord{},
+		peers: map[model.NodeID]*peer{}, budget: retrybudget.New(s.Retries),
+		crashRecords: map[model.Fingerprint]*crashRecord{}, retries: map[model.ServiceID]*serviceRetries{},
 	}
 }
 
-// Step applies an event and returns its effects.
+// Step applies an event and returns its effects; an effect for the request of the
+// event comes last.
 func (s *State) Step(now model.Instant, e Event) []Effect {
+	effects := s.apply(now, e)
+	if len(s.budgetChanges) > 0 {
+		effects = append(s.budgetChanges, effects...)
+		s.budgetChanges = nil
+	}
+	return effects
+}
+
+func (s *State) apply(now model.Instant, e Event) []Effect {
 	switch e := e.(type) {
 	case RequestArrived:
 		return s.requestArrived(now, e)
@@ -144,7 +170,9 @@
 	case ReportRead:
 		return s.reportRead(now, e)
 	case ProbeDue:
-		return s.probe(now, e)
+		return append(s.probe(now, e), s.probeConnections(now)...)
+	case ConnectionProbed:
+		return s.connectionProbed(now, e)
 	case PeerState:
 		return s.applyPeer(now, e)
 	case StoreFailed:
@@ -152,8 +180,8 @@
 	case StoreRestored:
 		return s.storeRestored(now, e)
 	case VMsCounted:
-		s.vms = max(e.Count, 1)
-		s.budget.SetVMs(s.vms)
+		s.listedVMs = max(e.Count, 1)
+		s.updateVMs(now)
 	case SettingsChanged:
 		return s.settingsChanged(e.Settings)
 	case Terminating:
--- a/internal/director/status.go
+++ b/internal/director/status.go
@@ -20,6 +20,8 @@
 	ConfirmedMs int64 `json:"confirmed_ms"`
 	// StoreUnreachable is true while reads of the store fail.
 	StoreUnreachable bool `json:"store_away"`
+	// StoreEra is the era of the last read of the store.
+	StoreEra fleet.StoreEra `json:"store_era"`
 	// InFlight is the number of requests in flight.
 	InFlight int            `json:"in_flight"`
 	Targets  []TargetStatus `json:"targets"`
@@ -52,7 +54,7 @@
 // Status returns the VM's view at a time, in a fixed order.
 func (s *State) Status(now model.Instant) Status {
 	out := Status{
-		VM: s.settings.VM, Zone: s.settings.Zone, ConfirmedMs: -1, StoreUnreachable: s.storeFailedAt != 0, InFlight: len(s.requests),
+		VM: s.settings.VM, Zone: s.settings.Zone, ConfirmedMs: -1, StoreUnreachable: s.storeFailedAt != 0, StoreEra: s.storeEra, InFlight: len(s.requests),
 		Targets: []TargetStatus{}, Holes: s.missingLayers(now),
 	}
 	if s.config != nil {
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -48,6 +48,10 @@
 	superseded bool
 	// missedReports counts unanswered report requests in a row.
 	missedReports int
+	// refusedConnections counts refused connection probes in a row, the last of which
+	// was sent at connectionProbedAt.
+	refusedConnections int
+	connectionProbedAt model.Instant
 	// slowdown is the slowdown factor last received; 1 is normal.
 	slowdown float64
 	// slowdownAt is when slowdown was received, from the target or a peer.
@@ -86,6 +90,7 @@
 
 func (s *State) updateTargets(now model.Instant, e TargetsRead) []Effect {
 	effects := s.storeSucceeded(now)
+	s.storeEra = e.Newest.Era
 	s.restore.begin(e.Newest)
 	known := s.targetsRead
 	s.targetsRead = true
@@ -151,7 +156,7 @@
 		known.suspectedUntil, known.consecutiveFaults, known.layersChangedAt = 0, 0, now
 	}
 	if known.StartedMs != t.StartedMs {
-		known.superseded = false
+		known.superseded, known.refusedConnections = false, 0
 		known.consecutiveFaults, known.suspectedUntil, known.faultSeenAt, known.slowdown, known.missedReports = 0, 0, 0, 1, 0
 	}
 	before := describe(known.Target)
@@ -235,6 +240,17 @@
 // incarnation answers at its address.
 func (t *target) dead() bool { return t.missedReports >= deadAfterMissedReports || t.superseded }
 
+// endedAfterMissedReports is the number of unanswered report requests in a row after
+// which a target is assumed to have ended or to be partitioned: fewer are also missed
+// by a VM that was suspended, or by a target that is slow.
+const endedAfterMissedReports = 4
+
+// ended reports whether an incarnation of the target runs no request any more.
+func (t *target) ended(startedMs int64) bool {
+	return t.superseded || t.missedReports >= endedAfterMissedReports || t.refusedConnections >= crashedAfterRefusals ||
+		t.StartedMs != startedMs && startedMs != 0
+}
+
 // probe requests the reports of suspected, dead and monitored targets.
 func (s *State) probe(now model.Instant, e ProbeDue) []Effect {
 	var effects []Effect
@@ -255,8 +271,12 @@
 
 // applyPeer applies the state received from another VM.
 func (s *State) applyPeer(now model.Instant, e PeerState) []Effect {
+	known := len(s.peers)
 	s.peers[e.VM] = &peer{receivedAt: now, loads: e.Loads}
 	s.newestConfig = max(s.newestConfig, e.Config)
+	if len(s.peers) > known {
+		s.updateVMs(now)
+	}
 	for id, slowdown := range e.Paces {
 		if t := s.targets[id]; t != nil {
 			t.slowdown, t.slowdownAt = slowdown, now
@@ -266,6 +286,9 @@
 	for _, c := range e.Crashes {
 		effects = append(effects, effectList(s.recordCrash(now, c.Content, incarnation{target: c.Target, startedMs: c.Born}))...)
 	}
+	for _, q := range e.Quarantines {
+		effects = append(effects, effectList(s.applyQuarantine(now, q, e.VM))...)
+	}
 	for id, suspicion := range e.Suspects {
 		if t := s.targets[id]; t != nil {
 			effects = append(effects, effectList(s.adoptSuspicion(now, t, suspicion, e.VM))...)
@@ -290,12 +313,12 @@
 	return l
 }
 
-// OwnPeerState returns the state for other VMs: own loads, suspicions, slowdowns and
-// crashes.
+// OwnPeerState returns the state for other VMs: own loads, suspicions, slowdowns,
+// crashes and quarantines.
 func (s *State) OwnPeerState(now model.Instant) PeerState {
 	out := PeerState{
 		VM: s.settings.VM, Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
-		Paces: map[model.TargetID]float64{}, Crashes: s.recentCrashes(now),
+		Paces: map[model.TargetID]float64{}, Crashes: s.recentCrashes(now), Quarantines: s.quarantines(now),
 	}
 	if s.config != nil {
 		out.Config = s.config.Version
--- a/internal/director/walk_test.go
+++ b/internal/director/walk_test.go
@@ -13,6 +13,7 @@
 	"tamarackreach/internal/director"
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/quarantine"
 )
 
 const (
@@ -27,6 +28,7 @@
 	path          string
 	sent          *director.Send
 	sentAt        model.Instant
+	expiresAt     model.Instant
 	mayHaveRun    bool
 	answerStarted bool
 	divert        bool
@@ -97,6 +99,10 @@
 				Remaining: time.Duration(w.rand.IntN(900)) * time.Millisecond, Age: time.Duration(w.rand.IntN(900)) * time.Millisecond,
 			}},
 			Paces: map[model.TargetID]float64{w.randomTarget(): 1 + 4*w.rand.Float64()},
+			Quarantines: []director.Quarantine{{
+				Content: quarantine.FingerprintOf("ws", model.ModelName(w.randomPath()), ""), Level: 1 + w.rand.IntN(3), Cleared: w.rand.IntN(4),
+				Remaining: time.Duration(w.rand.IntN(900)) * time.Millisecond, Trial: w.rand.IntN(4) == 0,
+			}},
 		})
 	case n < 94:
 		w.state.Step(w.now, director.StoreFailed{})
@@ -139,9 +145,13 @@
 	w.state.Step(w.now, r)
 }
 
-func (w *walk) randomArrival() {
+func (w *walk) randomPath() string {
 	paths := []string{"/s/x", "/s/x", "/o/x", "/e/x", "/r/x", "/p/x", "/r/open/x", "/none"}
-	path := paths[w.rand.IntN(len(paths))]
+	return paths[w.rand.IntN(len(paths))]
+}
+
+func (w *walk) randomArrival() {
+	path := w.randomPath()
 	id, e := w.arrive(path)
 	w.handle(&walkRequest{id: id, path: path}, e)
 }
@@ -178,6 +188,10 @@
 		Expect(w.now.Sub(w.confirmed)).To(BeNumerically("<=", 5*time.Second), w.position())
 	}
 	Expect(e.TimeLeft).To(BeNumerically(">", 0), w.position())
+	if r.expiresAt == 0 {
+		r.expiresAt = w.now.Add(e.TimeLeft)
+	}
+	Expect(w.now.Add(e.TimeLeft)).To(Equal(r.expiresAt), "the deadline is that of the first send, "+w.position())
 	Expect(e.Hops).NotTo(BeEmpty(), w.position())
 	if !e.Layered() {
 		Expect(e.Hops).To(HaveLen(1), w.position())
@@ -241,7 +255,7 @@
 var _ = Describe("a random history", func() {
 	// Pattern: all kinds of events combined, such as a plain request on an idle target
 	// under suspicion, the first fault found (lacing-fleet, trouble-2).
-	It("keeps at-most-once execution, correct refusals, complete paths and no remaining load", func() {
+	It("keeps at-most-once execution, correct refusals, complete paths, no remaining load and no reserved retry", func() {
 		for seed := range uint64(walks) {
 			w := newWalk(seed)
 			for range steps {
@@ -252,6 +266,9 @@
 			}
 			Expect(w.state.InFlight()).To(BeZero(), w.position())
 			Expect(w.state.OwnPeerState(w.now).Loads).To(BeEmpty(), w.position())
+			for _, b := range w.state.RetryBudgets(w.now) {
+				Expect(b.Reserved).To(BeZero(), w.position())
+			}
 		}
 	})
 })
--- a/internal/frontdaemon/status.go
+++ b/internal/frontdaemon/status.go
@@ -52,10 +52,22 @@
 	})
 	m.Gauge("tamarack_orders_open", "Orders to targets whose effect was not seen yet.",
 		func() float64 { return float64(d.controller.PendingOrders()) })
+	m.Gauge("tamarack_store_era", "Era of the platform's store: how often it came back from an older copy.",
+		func() float64 { return float64(d.controller.EraCounts().Current) })
+	m.Counter("tamarack_store_responses_stale_total", "Responses of the store discarded because they are of an earlier era.",
+		func() float64 { return float64(d.controller.EraCounts().Stale) })
+	m.Counter("tamarack_store_responses_invalid_total", "Responses of the store discarded because their era is not a number.",
+		func() float64 { return float64(d.controller.EraCounts().Invalid) })
+	m.Counter("tamarack_unsolicited_responses_total", "Connections to targets closed because bytes arrived that belong to no request in flight.",
+		func() float64 { return float64(d.pool.Unsolicited()) })
 	m.Counter("tamarack_target_connections_opened_total", "Connections opened to targets.",
 		func() float64 { opened, _ := d.pool.Counts(); return float64(opened) })
 	m.Counter("tamarack_target_connections_reused_total", "Sends over a connection that was kept.",
 		func() float64 { _, reused := d.pool.Counts(); return float64(reused) })
+	m.Register(&retryCollector{read: func() (budgets []director.RetryBudget) {
+		d.reducer.Read(func(s *director.State) { budgets = s.RetryBudgets(bootclock.Now()) })
+		return budgets
+	}})
 	if d.options.DroppedLines != nil {
 		m.Counter("tamarack_log_lines_dropped_total", "Log lines dropped to bound their volume.",
 			func() float64 { return float64(d.options.DroppedLines()) })
--- a/internal/ingress/restore_test.go
+++ b/internal/ingress/restore_test.go
@@ -26,7 +26,7 @@
 		time.Sleep(time.Second) // the drain is read
 
 		lost := s.store.Restore(copied)
-		runs := desk[0].Runs()
+		arrivals := s.arrivalsAt(desk[0])
 		deadline := time.Now().Add(3 * time.Second)
 		for time.Now().Before(deadline) {
 			time.Sleep(5 * time.Millisecond)
@@ -40,7 +40,18 @@
 		s.store.Rewrite(lost)
 		Eventually(func() int { return status("new") }, 2*time.Second, 20*time.Millisecond).Should(Equal(200))
 		Expect(status("key")).To(Equal(401))
-		Expect(desk[0].Runs()).To(Equal(runs), "the drained target gets nothing")
+		Expect(s.arrivalsAt(desk[0])).To(Equal(arrivals), "the drained target gets nothing")
 		Eventually(func() int { status, _, _, _ := s.callWith("POST", "/s/x", "new", nil); return status }, 6*time.Second, 100*time.Millisecond).Should(Equal(200))
 	})
 })
+
+// arrivalsAt returns the number of requests that reached a target.
+func (s *site) arrivalsAt(t *platformtest.Target) int {
+	n := 0
+	for _, a := range s.fleet.Arrivals() {
+		if a.Target == t.ID {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,13 +5,17 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"tamarackreach/internal/model"
 )
 
 const (
@@ -27,6 +31,9 @@
 	// idleMargin is subtracted from the limit that a target states, to cover the
 	// network latency of a request.
 	idleMargin = 500 * time.Millisecond
+	// maxRequests limits how many requests a connection carries, and so the memory for
+	// their ids.
+	maxRequests = 256
 	// readBufferBytes holds several stream events.
 	readBufferBytes = 4096
 )
@@ -60,6 +67,8 @@
 	expiresAt time.Time
 	// reused is true from the second request on.
 	reused bool
+	// requests holds the ids of the requests that the connection has carried.
+	requests []model.RequestID
 }
 
 // Read implements io.Reader for the buffered reader.
@@ -70,6 +79,9 @@
 		}
 		n, err := c.Conn.Read(p)
 		var timeout net.Error
+		if errors.Is(err, io.EOF) && c.wasReset() {
+			return n, errReset
+		}
 		if n > 0 || err == nil || !errors.As(err, &timeout) || !timeout.Timeout() {
 			return n, err
 		}
@@ -79,21 +91,41 @@
 	}
 }
 
-// reusable reports whether the connection is open and has no unread bytes: bytes
-// that arrive between requests belong to no response.
-func (c *connection) reusable() bool {
+// errReset means that the target reset the connection.
+var errReset = errors.New("connection reset by the target")
+
+// wasReset reports whether a connection whose read returned io.EOF was reset. The
+// kernel reports a reset only once: if a concurrent write receives the error, a read
+// then returns io.EOF, as if the target had ended its response.
+func (c *connection) wasReset() bool {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	var info *unix.TCPInfo
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		info, failed = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	return err != nil || failed != nil || info.State == unix.BPF_TCP_CLOSE
+}
+
+// checkIdle reports whether the idle connection is open and has no unread bytes, and
+// whether it has such bytes: bytes that arrive between requests belong to no response.
+func (c *connection) checkIdle() (reusable, unread bool) {
 	if c.reader.Buffered() > 0 {
-		return false
+		return false, true
 	}
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
+	var n int
 	var peeked error
 	err = raw.Control(func(fd uintptr) {
-		_, _, peeked = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		n, _, peeked = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && errors.Is(peeked, unix.EAGAIN)
+	return err == nil && errors.Is(peeked, unix.EAGAIN), err == nil && peeked == nil && n > 0
 }
 
 // Pool holds idle connections by target address.
@@ -103,23 +135,30 @@
 	idle   map[string][]*connection
 	opened int
 	reused int
+	// unsolicited counts the connections closed for bytes of no request in flight.
+	unsolicited int
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool { return &Pool{idle: map[string][]*connection{}} }
 
-// get returns a reusable idle connection, the most recently used first, or opens a
-// new one.
-func (p *Pool) get(ctx context.Context, address string) (*connection, error) {
+// get returns a reusable idle connection that has not carried the request id, the
+// most recently used first, or opens a new one.
+func (p *Pool) get(ctx context.Context, address string, id model.RequestID) (*connection, error) {
 	for {
-		c := p.take(address)
+		c := p.take(address, id)
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.expiresAt) && c.reusable() {
+		reusable, unread := c.checkIdle()
+		if reusable && time.Now().Before(c.expiresAt) {
 			c.reused = true
+			c.requests = append(c.requests, id)
 			return c, nil
 		}
+		if unread {
+			p.countUnsolicited()
+		}
 		_ = c.Close() // a close error is harmless: no request is in flight on it
 	}
 	conn, err := p.dialer.Dial(ctx, address)
@@ -129,22 +168,28 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	c := &connection{Conn: conn}
+	c := &connection{Conn: conn, requests: []model.RequestID{id}}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
 
-func (p *Pool) take(address string) *connection {
+// take removes the most recently used idle connection that has not carried the
+// request id: a late response to an earlier send of the same request could not be
+// told from the response to the next one.
+func (p *Pool) take(address string, id model.RequestID) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if slices.Contains(c.requests, id) {
+			continue
+		}
+		p.idle[address] = slices.Delete(list, i, i+1)
+		p.reused++
+		return c
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	p.reused++
-	return c
+	return nil
 }
 
 // put returns a connection whose response was read to its end to the pool. limit is
@@ -154,7 +199,11 @@
 	if limit > 0 {
 		keep = limit - idleMargin
 	}
-	if keep <= 0 || c.reader.Buffered() > 0 {
+	unread := c.reader.Buffered() > 0
+	if unread {
+		p.countUnsolicited()
+	}
+	if keep <= 0 || unread || len(c.requests) >= maxRequests {
 		_ = c.Close() // a close error is harmless: the response is complete
 		return
 	}
@@ -196,3 +245,17 @@
 	defer p.mu.Unlock()
 	return p.opened, p.reused
 }
+
+// Unsolicited returns how many connections were closed because bytes arrived on them
+// that could not be attributed to a request in flight.
+func (p *Pool) Unsolicited() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unsolicited
+}
+
+func (p *Pool) countUnsolicited() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unsolicited++
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -16,6 +17,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"tamarackreach/internal/bootclock"
+	"tamarackreach/internal/model"
 	"tamarackreach/internal/upstream"
 )
 
@@ -65,7 +68,8 @@
 
 func (t *target) call() *upstream.Call {
 	return &upstream.Call{
-		ID: "a", Address: t.listener.Addr().String(), Method: "GET", URI: "/x", Host: "h", Header: http.Header{},
+		ID: "a", Address: t.listener.Addr().String(), Method: "GET", URI: "/x", Host: "h",
+		Header:          http.Header{"Tamarackreach-Attempt-Id": {"a"}},
 		SilenceInterval: 50 * time.Millisecond, OnSilence: func() error { return nil },
 	}
 }
@@ -74,6 +78,11 @@
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTamarackreach-Attempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
+// echo responds with the id of the request.
+func echo(conn net.Conn, r *http.Request, body string) {
+	ok(conn, r.Header.Get("Tamarackreach-Attempt-Id"), body)
+}
+
 // exchange sends a call and reads its response to the end.
 func exchange(p *upstream.Pool, call *upstream.Call) (string, error) {
 	x, err := p.Do(context.Background(), call)
@@ -88,20 +97,45 @@
 
 var _ = Describe("Pool", func() {
 	It("reuses a connection whose response was read", func() {
-		t := serve(func(_ int64, conn net.Conn, _ *http.Request) bool { ok(conn, "a", "body"); return true })
+		t := serve(func(_ int64, conn net.Conn, r *http.Request) bool { echo(conn, r, "body"); return true })
 		p := upstream.NewPool()
-		for range 3 {
-			body, err := exchange(p, t.call())
+		for _, id := range []model.RequestID{"a", "b", "c"} {
+			body, err := exchange(p, t.callWithID(id))
 			Expect(err).NotTo(HaveOccurred())
 			Expect(body).To(Equal("body"))
 		}
 		Expect(t.conns.Load()).To(BeEquivalentTo(1))
 	})
 
+	// Guards against a target that is given the time that connecting took.
+	It("states the time left as of the send, and sends nothing after the deadline", func() {
+		stated := make(chan string, 1)
+		t := serve(func(_ int64, conn net.Conn, r *http.Request) bool {
+			stated <- r.Header.Get("Tamarackreach-Deadline-Ms")
+			echo(conn, r, "body")
+			return true
+		})
+		p := upstream.NewPool()
+		call := t.call()
+		call.ExpiresAt = bootclock.Now().Add(-time.Millisecond)
+		x, err := p.Do(context.Background(), call)
+		x.Done(false)
+		Expect(err).To(MatchError(ContainSubstring("deadline")))
+		Expect(x.Sent).To(BeFalse())
+		call = t.callWithID("b")
+		call.ExpiresAt = bootclock.Now().Add(500 * time.Millisecond)
+		_, err = exchange(p, call)
+		Expect(err).NotTo(HaveOccurred())
+		left, err := strconv.Atoi(<-stated)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(left).To(And(BeNumerically(">", 300), BeNumerically("<=", 500)))
+		Expect(t.requests.Load()).To(BeEquivalentTo(1))
+	})
+
 	It("never retries a request by itself, not even on a reused connection that fails", func() {
-		t := serve(func(n int64, conn net.Conn, _ *http.Request) bool {
+		t := serve(func(n int64, conn net.Conn, r *http.Request) bool {
 			if n == 1 {
-				ok(conn, "a", "body")
+				echo(conn, r, "body")
 				return true
 			}
 			return false
@@ -109,15 +143,16 @@
 		p := upstream.NewPool()
 		_, err := exchange(p, t.call())
 		Expect(err).NotTo(HaveOccurred())
-		_, err = exchange(p, t.call())
+		_, err = exchange(p, t.callWithID("b"))
 		Expect(err).To(HaveOccurred())
 		Expect(t.requests.Load()).To(BeEquivalentTo(2))
+		Expect(t.conns.Load()).To(BeEquivalentTo(1))
 	})
 
 	// A target may send a second, unsolicited response.
 	It("does not reuse a connection with bytes after its response", func() {
-		t := serve(func(n int64, conn net.Conn, _ *http.Request) bool {
-			ok(conn, "a", "body")
+		t := serve(func(n int64, conn net.Conn, r *http.Request) bool {
+			echo(conn, r, "body")
 			if n == 1 {
 				ok(conn, "a", "extra")
 			}
@@ -127,7 +162,7 @@
 		_, err := exchange(p, t.call())
 		Expect(err).NotTo(HaveOccurred())
 		time.Sleep(20 * time.Millisecond)
-		body, err := exchange(p, t.call())
+		body, err := exchange(p, t.callWithID("b"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(body).To(Equal("body"))
 		Expect(t.conns.Load()).To(BeEquivalentTo(2))
@@ -156,7 +191,7 @@
 
 	It("does not treat a response cut off by a reset as complete", func() {
 		t := serve(func(_ int64, conn net.Conn, _ *http.Request) bool {
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTamarackreach-Attempt-Id: a\r\n\r\npart")
 			time.Sleep(20 * time.Millisecond)
 			_ = conn.(*net.TCPConn).SetLinger(0)
 			return false
@@ -244,6 +279,18 @@
 		Expect(err).To(Equal(io.ErrUnexpectedEOF))
 	})
 
+	// Guards against an event that is delivered in two parts, or with an id from its
+	// data: a resumed stream would then repeat or skip a part of it.
+	DescribeTable("finds the end and the id of an event whose line fills its buffer", func(stream string) {
+		event, err := upstream.NewEventReader(strings.NewReader(stream)).Next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(event.Bytes).To(HaveLen(len(stream)))
+		Expect(event.ID).To(BeEquivalentTo(7))
+	},
+		Entry("up to the newline", "data: "+strings.Repeat("x", 4096-6)+"\nid: 7\n\n"),
+		Entry("up to text that looks like an id", "id: 7\ndata: "+strings.Repeat("x", 4096-12)+"id: 9\n\n"),
+	)
+
 	It("accepts lines longer than its buffer and limits the size of an event", func() {
 		long := "id: 1\ndata: " + strings.Repeat("x", 20000) + "\n\n"
 		event, err := upstream.NewEventReader(strings.NewReader(long)).Next()
