Start a stream with the status of its target's response

Callers of a streaming route received 200 with a target's signature whatever success the target had answered: the head of a stream was copied without its status, so the server filled in 200. A 206 was delivered as 200, and a 204 as a 200 with an empty body.

The new spec fails before the change (expected 206, got 200). The status is now written together with the header of the same response.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -435,7 +435,7 @@
 		return
 	}
 	a.timeToFirstByte, a.answeredBy = time.Since(a.started), e.Hops[0].Target
-	a.response.startStream(x.Response.Header)
+	a.response.startStream(x.Response)
 }
 
 // recordReceived records the arrival of an event and the gap before it.
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -39,11 +39,12 @@
 
 // startStream starts the response with the head of a target's stream. It must be
 // called with the first event of that stream, or at its end when it has none.
-func (r *response) startStream(head http.Header) {
+func (r *response) startStream(head *http.Response) {
 	r.started = true
-	platform.CopyResponseHeader(r.w.Header(), head)
+	platform.CopyResponseHeader(r.w.Header(), head.Header)
 	// The length of a stream that is resumed elsewhere is not that of its first part.
 	r.w.Header().Del("Content-Length")
+	r.w.WriteHeader(head.StatusCode)
 }
 
 // writeEvent writes a whole event of a started stream.
--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -162,4 +162,16 @@
 		Expect(resp.Header).NotTo(HaveKey(signature))
 		Expect(len(body)).To(BeNumerically("<", 100))
 	})
+
+	// Guards against a status that the target did not send, beside its signature.
+	It("has the status of the stream that it delivers", func() {
+		url := startIngress(func(_ int, w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusPartialContent)
+			writeEvents(w, 1, 2)
+		})
+		resp, _, err := fetch(url + "/s/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Header.Get(signature)).To(Equal("run-1"))
+		Expect(resp.StatusCode).To(Equal(http.StatusPartialContent))
+	})
 })
