Break off a stream that cannot be resumed after an event without an id

Callers of a resumable stream whose events carry no id received the beginning of the stream twice when a target broke it off: the router sent the request again without Last-Event-Id, and appended the events of the new run to those that the caller had. The reducer decides by the route alone that a stream may be sent again; whether the last event names a place to go on from was unknown to it.

The new spec fails before the change: the caller received "data: a" twice instead of a broken response. SendEnded now says when data followed the last event with an id, such a send is the last one of its request, and an idle one is not diverted. Comments between events do not count, which a second spec checks.

--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -100,6 +100,8 @@
 		return s.failRequest(r, e, http.StatusGatewayTimeout, "the time of the request is over")
 	case mayHaveRun && !r.route.Repeatable():
 		return s.failRequest(r, e, http.StatusBadGateway, "the request may have run and may not be repeated")
+	case e.Unresumable:
+		return s.failRequest(r, e, http.StatusBadGateway, "the stream cannot be resumed after an event without an id")
 	case !s.mayResend(now, r):
 		return s.failRequest(r, e, http.StatusBadGateway, reasonCrashes)
 	case r.sends >= maxSends && !r.mayWaitForPath(now) || s.targetLimitReached(r) && r.service.Engine == nil:
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -78,6 +78,9 @@
 	FaultAt string
 	// Took is the duration of the send.
 	Took time.Duration
+	// Unresumable is true when no target can continue the answer that the caller has
+	// begun to receive.
+	Unresumable bool
 	// Random is uniform in [0,1); it jitters Refuse.RetryAfter.
 	Random float64
 }
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -101,6 +101,9 @@
 	lastEventAt time.Time
 	// lastEventID is the id of the last whole event forwarded to the caller.
 	lastEventID int64
+	// unresumable is true when data was forwarded to the caller after lastEventID: no
+	// target can go on behind an event without an id.
+	unresumable bool
 	events      int
 	// longestGap is the longest time between two consecutive events.
 	longestGap time.Duration
@@ -273,7 +276,7 @@
 	}
 	ended := &director.SendEnded{
 		ID: a.request.ID, Outcome: outcome, FaultAt: x.Head.FaultAt, Took: time.Since(sentAt),
-		Random: rand.Float64(),
+		Unresumable: a.unresumable, Random: rand.Float64(),
 	}
 	a.handler.metrics.sends.WithLabelValues(outcome.String()).Inc()
 	line := a.log.WithFields(logrus.Fields{
@@ -318,6 +321,9 @@
 // onSilence notifies the reducer that no data arrives from the target. It returns
 // errDiverted when the reducer cancels the send.
 func (a *activeRequest) onSilence() error {
+	if a.unresumable {
+		return nil
+	}
 	effects := a.handler.reducer.Step(director.StreamIdle{ID: a.request.ID, For: time.Since(a.lastReceived)})
 	for _, effect := range effects {
 		switch e := effect.(type) {
@@ -411,6 +417,7 @@
 			}
 			a.lastEventID = event.ID
 		}
+		a.unresumable = !event.HasID && (a.unresumable || event.HasData)
 		a.startStream(e, x)
 		if !a.streaming {
 			a.streaming = true
--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -174,4 +174,37 @@
 		Expect(resp.Header.Get(signature)).To(Equal("run-1"))
 		Expect(resp.StatusCode).To(Equal(http.StatusPartialContent))
 	})
+
+	// Guards against a part of a stream that the caller receives twice: no target can
+	// resume after an event without an id.
+	It("breaks off a stream whose last delivered event has no id", func() {
+		url := startIngress(func(n int, w http.ResponseWriter, _ *http.Request) {
+			writeEvents(w, 1, 0)
+			_, _ = io.WriteString(w, "data: a\n\n")
+			Expect(http.NewResponseController(w).Flush()).To(Succeed())
+			if n == 1 {
+				time.Sleep(50 * time.Millisecond)
+				breakOff()
+			}
+		})
+		_, body, err := fetch(url + "/s/x")
+		Expect(body).To(Equal("data: a\n\n"))
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	})
+
+	// Guards against a stream that is broken off although each of its parts has an id.
+	It("resumes a stream after an event without data that has no id", func() {
+		url := startIngress(func(n int, w http.ResponseWriter, _ *http.Request) {
+			writeEvents(w, 2*n-1, 2*n)
+			if n == 1 {
+				_, _ = io.WriteString(w, ": comment\n\n")
+				Expect(http.NewResponseController(w).Flush()).To(Succeed())
+				time.Sleep(50 * time.Millisecond)
+				breakOff()
+			}
+		})
+		_, body, err := fetch(url + "/s/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(HaveSuffix("id: 4\ndata: x\n\n"))
+	})
 })
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -34,6 +34,8 @@
 	// ID is the numeric id of the event; HasID is false when it has none.
 	ID    int64
 	HasID bool
+	// HasData is false for an event that only holds comments or fields other than data.
+	HasData bool
 	// MoreBuffered is true when further bytes can be read without blocking.
 	MoreBuffered bool
 }
@@ -70,5 +72,6 @@
 			id, err := strconv.ParseInt(string(bytes.TrimSpace(text)), 10, 64)
 			out.ID, out.HasID = id, err == nil
 		}
+		out.HasData = out.HasData || bytes.HasPrefix(line, []byte("data"))
 	}
 }
