Keep the load of a target while its registration is away

A target whose registration was removed and returned while it served requests counted as less loaded than empty: it came back with a load of zero, and each of those requests was subtracted when it ended. A VM then preferred this target by that many requests until its process ended.

The random histories did not find it: no registration went away in them, and loads below zero were left out of what they check. A target that is registered again now gets the load of the requests in flight on it.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -1,7 +1,9 @@
 package director
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -229,19 +231,9 @@
 // adjustLoad adds the request to the load of its hops when sign is 1, and subtracts
 // it when sign is -1.
 func (s *State) adjustLoad(r *request, sign int) {
-	meanTokens := s.meanTokens(r)
 	for i, hop := range r.hops {
-		t := s.targets[hop.Target]
-		if t == nil {
-			continue
-		}
-		if i == 0 {
-			t.ownLoad.First += sign
-		}
-		t.ownLoad.Requests += sign
-		t.ownLoad.TokenLayers += float64(sign) * meanTokens * float64(hop.Layers.Len())
-		if r.awaitingFirst {
-			t.ownLoad.Waiting += sign
+		if t := s.targets[hop.Target]; t != nil {
+			s.adjustTargetLoad(t, r, i, sign)
 		}
 	}
 	if sign < 0 {
@@ -249,6 +241,32 @@
 	}
 }
 
+// adjustTargetLoad adds the request to the load of the target of its i-th hop when
+// sign is 1, and subtracts it when sign is -1.
+func (s *State) adjustTargetLoad(t *target, r *request, i, sign int) {
+	if i == 0 {
+		t.ownLoad.First += sign
+	}
+	t.ownLoad.Requests += sign
+	t.ownLoad.TokenLayers += float64(sign) * s.meanTokens(r) * float64(r.hops[i].Layers.Len())
+	if r.awaitingFirst {
+		t.ownLoad.Waiting += sign
+	}
+}
+
+// restoreLoad adds the requests in flight to the load of a target whose registration
+// has returned: they are subtracted when they end.
+func (s *State) restoreLoad(t *target) {
+	for _, id := range slices.Sorted(maps.Keys(s.requests)) {
+		r := s.requests[id]
+		for i, hop := range r.hops {
+			if hop.Target == t.ID {
+				s.adjustTargetLoad(t, r, i, 1)
+			}
+		}
+	}
+}
+
 // recordAnswerStart records that a request's prefill is complete.
 func (s *State) recordAnswerStart(now model.Instant, id model.RequestID) {
 	r := s.requests[id]
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -134,6 +134,7 @@
 	known := s.targets[t.ID]
 	if known == nil {
 		s.targets[t.ID] = &target{Target: t, rowVersion: rowVersion, slowdown: 1}
+		s.restoreLoad(s.targets[t.ID])
 		return &StateChanged{What: "target found", Subject: string(t.ID), Detail: describe(t)}
 	}
 	known.missingSince = 0
@@ -301,7 +302,7 @@
 		Paces: map[model.TargetID]float64{}, Crashes: s.recentCrashes(now), Quarantines: s.quarantines(now),
 	}
 	for id, t := range s.targets {
-		if t.ownLoad.Requests > 0 {
+		if t.ownLoad.Requests != 0 {
 			out.Loads[id] = t.ownLoad
 		}
 		if slowdown := t.slowness(now); slowdown > 1 && t.Zone == s.settings.Zone {
--- a/internal/director/walk_test.go
+++ b/internal/director/walk_test.go
@@ -85,7 +85,11 @@
 	case n < 75 && len(w.inFlight) > 0:
 		w.randomRequestEvent(w.inFlight[w.rand.IntN(len(w.inFlight))])
 	case n < 80:
-		w.read()
+		if w.rand.IntN(4) == 0 {
+			w.readWithout(w.randomTarget())
+		} else {
+			w.read()
+		}
 		w.confirmed = w.now
 	case n < 84:
 		w.randomTargetChange()
@@ -115,6 +119,15 @@
 	}
 }
 
+// readWithout applies a read that lacks the registration of a target; the next read
+// has it again.
+func (w *walk) readWithout(id model.TargetID) {
+	t := w.targets[id]
+	delete(w.targets, id)
+	w.read()
+	w.targets[id] = t
+}
+
 func (w *walk) randomTargetChange() {
 	w.changeTarget(w.randomTarget(), func(t *fleet.Target) {
 		switch w.rand.IntN(4) {
