Do not suspect a target that answers a resumption with an error

A target that answered the resumption of a started stream with a complete 4xx or 5xx response was suspected as if its connection had broken, and the send was kept as a lost answer: had the target ended within five seconds for any other reason, its crash would have counted against the request's content. Callers see fewer usable targets, and content refused that is harmless.

Such a send now ends as Failed, as it does before the stream has started; it is sent on or broken off as before.

--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -59,7 +59,8 @@
 	Broken
 	// TimedOut means that the request's deadline passed.
 	TimedOut
-	// Failed means that the target answered with an error.
+	// Failed means that the target answered with an error, also to the resumption of a
+	// stream.
 	Failed
 	// Diverted means that the send was cancelled by a Divert.
 	Diverted
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -379,7 +379,7 @@
 		return a.lossOutcome(), false
 	}
 	if a.response.started {
-		return director.Broken, true // an error status cannot follow a response that has started
+		return director.Failed, true // an error status cannot follow a response that has started
 	}
 	resp := &bufferedResponse{target: e.Hops[0].Target, status: x.Response.StatusCode, header: x.Response.Header, body: body}
 	if resp.status >= http.StatusInternalServerError && e.Route.Repeatable() {
--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -24,7 +24,7 @@
 const signature = "Tamarackreach-Server-Seal"
 
 // startIngress returns the URL of an ingress in front of one target, which handles
-// the n-th send, counted from 1, with respond. Routes: /r/ is idempotent, /s/ is a
+// the n-th send, counted from 1, with respond, and of its metrics. Routes: /r/ is idempotent, /s/ is a
 // stream that may be resumed.
 func startIngress(respond func(n int, w http.ResponseWriter, r *http.Request)) string {
 	sends := 0
@@ -54,7 +54,11 @@
 	reducer.Step(director.TargetsRead{Targets: []*fleet.Target{{
 		ID: "o1", Service: "desk", Address: target.Listener.Addr().String(), Zone: "a", State: fleet.TargetReady, Slots: 6,
 	}}})
-	server := httptest.NewServer(ingress.New(reducer, upstream.NewPool(), nil, ingress.NewMetrics()))
+	metrics := ingress.NewMetrics()
+	mux := http.NewServeMux()
+	mux.Handle("/", ingress.New(reducer, upstream.NewPool(), nil, metrics))
+	mux.Handle("/metrics", metrics.Handler())
+	server := httptest.NewServer(mux)
 	DeferCleanup(server.Close)
 	return server.URL
 }
@@ -207,4 +211,23 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(body).To(HaveSuffix("id: 4\ndata: x\n\n"))
 	})
+
+	// Guards against a target that is suspected, and may count as crashed, because it
+	// answered a resumption with a failure.
+	It("is broken off when a target declines to resume it, which is no fault of the connection", func() {
+		url := startIngress(func(n int, w http.ResponseWriter, _ *http.Request) {
+			if n > 1 {
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+			writeEvents(w, 1, 2)
+			breakOff()
+		})
+		_, _, err := fetch(url + "/s/x")
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		_, metrics, err := fetch(url + "/metrics")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(metrics).To(ContainSubstring(`tamarack_sends_ended_total{outcome="broken"} 1`))
+		Expect(metrics).To(MatchRegexp(`tamarack_sends_ended_total{outcome="failed"} [1-9]`))
+	})
 })
