Count a restarted target as another one once the target limit is reached

A request of a layered service could run on one target more than its route allows. When as many targets as allowed may have run it, only these may be the first hop again; they were told by their ids. A target that had ended, and so did not count, and started again under its id was taken for one of them.

The new spec fails before the change: with a limit of 2 and a target that had ended and returned, the request was sent to a1, a2 and a3. Only a target whose registered incarnation may have run the request is now used again.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -198,7 +198,7 @@
 	}
 	r.hops, r.diverted, r.awaitingFirst, r.sentAt = hops, false, true, now
 	r.sends++
-	r.sentTo = incarnation{target: hops[0].Target, startedMs: s.targets[hops[0].Target].StartedMs}
+	r.sentTo = s.targets[hops[0].Target].incarnation()
 	s.adjustLoad(r, 1)
 	out := &Send{Route: r.route, Service: r.service, Hops: hops, TimeLeft: r.expiresAt.Sub(now), Number: r.sends, Predicted: r.predicted, Priority: r.priority()}
 	if r.workspace != nil {
--- a/internal/director/path.go
+++ b/internal/director/path.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"tamarackreach/internal/fleet"
@@ -90,7 +91,7 @@
 		if t.Held.Len() == 0 || !t.serving() {
 			continue
 		}
-		if limitReached && t.Held.First == 0 && !r.mayHaveRunOn(t.ID) {
+		if limitReached && t.Held.First == 0 && !slices.Contains(r.possibleRuns, t.incarnation()) {
 			continue // the target limit is reached: only earlier targets may be the first hop
 		}
 		load := s.load(now, t)
--- a/internal/director/targetlimit_test.go
+++ b/internal/director/targetlimit_test.go
@@ -79,4 +79,24 @@
 		}
 		Expect(ran).To(HaveLen(2))
 	})
+
+	// Guards against a target that ended, started again under its id and is used as one
+	// that has run the request already, when two others have.
+	It("counts the next incarnation of a target that ended as another target", func() {
+		id, e := h.arrive("/s/x")
+		ended := expectSend(e).Hops[0].Target
+		h.state.Step(h.now, director.ReportRead{Target: ended, Report: &fleet.Report{Slowdown: 1, StartedMs: 2}})
+		running := map[model.TargetID]bool{}
+		for range 2 {
+			e = h.endSend(id, director.Lost)
+			running[expectSend(e).Hops[0].Target] = true
+		}
+		Expect(running).To(And(HaveLen(2), Not(HaveKey(ended))))
+		h.changeTarget(ended, func(t *fleet.Target) { t.StartedMs = 2 })
+		h.read()
+		if send, ok := h.endSend(id, director.Lost).(*director.Send); ok {
+			running[send.Hops[0].Target] = true
+		}
+		Expect(running).To(HaveLen(2))
+	})
 })
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -227,6 +227,11 @@
 // by a VM that was suspended, or by a target that is slow.
 const endedAfterMissedReports = 4
 
+// incarnation returns the incarnation that is registered.
+func (t *target) incarnation() incarnation {
+	return incarnation{target: t.ID, startedMs: t.StartedMs}
+}
+
 // ended reports whether an incarnation of the target runs no request any more.
 func (t *target) ended(startedMs int64) bool {
 	return t.superseded || t.missedReports >= endedAfterMissedReports || t.refusedConnections >= crashedAfterRefusals ||
