--- a/internal/retrybudget/model_test.go
+++ b/internal/retrybudget/model_test.go
@@ -132,7 +132,7 @@
 // retry spends up to n retries at a VM.
 func (f *fleet) retry(vm, n int) {
 	for range n {
-		if !f.budgets[vm].TryRetry(f.now, "s") {
+		if !tryRetry(f.budgets[vm], f.now, "s") {
 			return
 		}
 		f.retries = append(f.retries, f.now.Add(f.transit()))
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -188,15 +188,6 @@
 	return least
 }
 
-// TryRetry spends one retry, or returns false when the window's budget is exhausted.
-func (b *Budget) TryRetry(now model.Instant, service model.ServiceID) bool {
-	if !b.Reserve(now, service) {
-		return false
-	}
-	b.UseReserved(now, service)
-	return true
-}
-
 // Reserve takes a retry from the budget that is sent later, or returns false when the
 // window's budget is exhausted. UseReserved or Release must follow.
 func (b *Budget) Reserve(now model.Instant, service model.ServiceID) bool {
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -30,6 +30,15 @@
 	return b
 }
 
+// tryRetry spends one retry, or returns false when the window's budget is exhausted.
+func tryRetry(b *retrybudget.Budget, now model.Instant, service model.ServiceID) bool {
+	if !b.Reserve(now, service) {
+		return false
+	}
+	b.UseReserved(now, service)
+	return true
+}
+
 var _ = Describe("Budget", func() {
 	It("limits the retries of all VMs together in every sliding window", func() {
 		const vms = 7
@@ -48,7 +57,7 @@
 				vm.CountFirstAttempt(now, "s")
 				firstAttempts = append(firstAttempts, now)
 			}
-			if vm.TryRetry(now, "s") {
+			if tryRetry(vm, now, "s") {
 				retries = append(retries, now)
 			}
 		}
@@ -69,29 +78,29 @@
 
 	It("allows retries again after a window has passed", func() {
 		b := newBudget()
-		for b.TryRetry(settledAt, "s") {
+		for tryRetry(b, settledAt, "s") {
 		}
-		Expect(b.TryRetry(settledAt+model.Instant(settings.Window/2), "s")).To(BeFalse())
-		Expect(b.TryRetry(settledAt+model.Instant(settings.Window)+1, "s")).To(BeTrue())
+		Expect(tryRetry(b, settledAt+model.Instant(settings.Window/2), "s")).To(BeFalse())
+		Expect(tryRetry(b, settledAt+model.Instant(settings.Window)+1, "s")).To(BeTrue())
 	})
 
 	It("applies changed limits immediately and keeps the counts", func() {
 		b := newBudget()
-		for b.TryRetry(settledAt, "s") {
+		for tryRetry(b, settledAt, "s") {
 		}
 		more := settings
 		more.Slack *= 2
 		b.SetSettings(more)
-		Expect(b.TryRetry(settledAt, "s")).To(BeTrue())
+		Expect(tryRetry(b, settledAt, "s")).To(BeTrue())
 		b.SetSettings(settings)
-		Expect(b.TryRetry(settledAt, "s")).To(BeFalse())
+		Expect(tryRetry(b, settledAt, "s")).To(BeFalse())
 	})
 
 	It("counts each service separately", func() {
 		b := newBudget()
-		for b.TryRetry(settledAt, "s") {
+		for tryRetry(b, settledAt, "s") {
 		}
-		Expect(b.TryRetry(settledAt, "other")).To(BeTrue())
+		Expect(tryRetry(b, settledAt, "other")).To(BeTrue())
 	})
 
 	// Guards against a VM that never gets its share of the slack, or not all of it once
