Bound the time for writing a response to the caller

A request whose caller kept its connection open and read nothing stayed in flight for as long as the connection lived: the deadline cancels the send to the target, but nothing ended the write to the caller, and the load of the target counted the request meanwhile.

Writes to the caller now fail 500 ms after the deadline, which closes the connection; the response cannot look complete, since its length or its last chunk is missing. The server removes the bound before it reads the next request, which a third spec checks.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -87,6 +87,10 @@
 	silenceInterval = 150 * time.Millisecond
 	// maxResponseBytes limits a non-streaming response, which is buffered whole.
 	maxResponseBytes = 16 << 20
+	// writeGrace is how long after the deadline of a request its caller may take to
+	// read the response. The connection is closed then, since a caller that reads
+	// nothing would keep the request in flight without end.
+	writeGrace = 500 * time.Millisecond
 )
 
 // activeRequest is the state of a request while it is served.
@@ -254,6 +258,7 @@
 	ctx, cancel := context.WithTimeout(a.r.Context(), e.TimeLeft)
 	defer cancel()
 	sentAt := time.Now()
+	a.setWriteDeadline(sentAt.Add(e.TimeLeft + writeGrace))
 	a.lastReceived, a.diverted, a.streaming = sentAt, false, false
 	a.sends = e.Number
 	call := a.call(e)
@@ -435,6 +440,12 @@
 	}
 }
 
+func (a *activeRequest) setWriteDeadline(t time.Time) {
+	if err := a.response.setWriteDeadline(t); err != nil {
+		a.log.WithError(err).Warn("cannot set the deadline for writing to the caller")
+	}
+}
+
 // startStream starts the response with the head of a send's stream, unless an earlier
 // send has started it.
 func (a *activeRequest) startStream(e *director.Send, x *upstream.Exchange) {
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -53,6 +53,12 @@
 	return err
 }
 
+// setWriteDeadline bounds the time for writing to the caller, until the server reads
+// the next request on the connection.
+func (r *response) setWriteDeadline(t time.Time) error {
+	return http.NewResponseController(r.w).SetWriteDeadline(t)
+}
+
 // flush sends what has been written to the caller.
 func (r *response) flush() error { return http.NewResponseController(r.w).Flush() }
 
--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -1,11 +1,14 @@
 package ingress_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -78,6 +81,20 @@
 	return resp, string(text), err
 }
 
+// dialIngress opens a connection to the ingress at a URL.
+func dialIngress(url string) net.Conn {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(conn.Close)
+	return conn
+}
+
+// writeRequest writes a request with a deadline.
+func writeRequest(conn net.Conn, path string, deadlineMs int) {
+	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nTamarackreach-Attempt-Id: q2\r\nTamarackreach-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n", path, deadlineMs)
+	Expect(err).NotTo(HaveOccurred())
+}
+
 // writeEvents writes the events from first to last of a stream.
 func writeEvents(w http.ResponseWriter, first, last int) {
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -230,4 +247,40 @@
 		Expect(metrics).To(ContainSubstring(`tamarack_sends_ended_total{outcome="broken"} 1`))
 		Expect(metrics).To(MatchRegexp(`tamarack_sends_ended_total{outcome="failed"} [1-9]`))
 	})
+
+	// Guards against a caller that keeps its connection open and reads nothing: its
+	// request would stay in flight, and in the load of its target, without end.
+	DescribeTable("ends at the deadline when the caller does not read it", func(path string) {
+		url := startIngress(func(_ int, w http.ResponseWriter, _ *http.Request) {
+			event := "id: 1\ndata: " + strings.Repeat("x", 1<<19) + "\n\n"
+			for n := range 24 {
+				if _, err := io.WriteString(w, strings.Replace(event, "1", strconv.Itoa(n+1), 1)); err != nil {
+					return
+				}
+			}
+		})
+		writeRequest(dialIngress(url), path, 400)
+		Eventually(func() string {
+			_, metrics, err := fetch(url + "/metrics")
+			Expect(err).NotTo(HaveOccurred())
+			return metrics
+		}, 5*time.Second, 50*time.Millisecond).Should(MatchRegexp(`tamarack_requests_ended_total{outcome="[a-z ]+"} 1`))
+	},
+		Entry("as a stream", "/s/x"),
+		Entry("whole", "/r/x"),
+	)
+
+	// Guards against the deadline of a request that ends the next one on its connection.
+	It("is not bound by the deadline of the request before it", func() {
+		url := startIngress(func(_ int, w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "body") })
+		conn := dialIngress(url)
+		reader := bufio.NewReader(conn)
+		for _, path := range []string{"/r/x", "/none"} {
+			writeRequest(conn, path, 500)
+			resp, err := http.ReadResponse(reader, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(io.ReadAll(resp.Body)).NotTo(BeEmpty())
+			time.Sleep(1100 * time.Millisecond)
+		}
+	})
 })
