Wait for a target's late bytes instead of a fixed time in a spec

The bytes that must not precede the next response were expected 20 ms after the target was to write them; on a busy machine the pool could reuse the connection before. The spec now waits until they are written, and checks the same.

--- a/internal/upstream/attribution_test.go
+++ b/internal/upstream/attribution_test.go
@@ -148,7 +148,8 @@
 	})
 
 	// Guards against bytes of a response that precede the response to the next request.
-	DescribeTable("does not reuse a connection after", func(first, later string, read int64, pause time.Duration, unsolicited int) {
+	DescribeTable("does not reuse a connection after", func(first, later string, read int64, unsolicited int) {
+		written := make(chan struct{})
 		t := serve(func(n int64, conn net.Conn, r *http.Request) bool {
 			if n > 1 {
 				echo(conn, r, "second")
@@ -157,6 +158,7 @@
 			_, _ = io.WriteString(conn, first)
 			time.Sleep(10 * time.Millisecond)
 			_, _ = io.WriteString(conn, later)
+			close(written)
 			return true
 		})
 		p := upstream.NewPool()
@@ -165,7 +167,7 @@
 		_, err = io.ReadAll(io.LimitReader(x.Response.Body, read))
 		Expect(err).NotTo(HaveOccurred())
 		x.Done(true)
-		time.Sleep(pause)
+		Eventually(written, time.Second).Should(BeClosed())
 		body, err := exchange(p, t.callWithID("b"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(body).To(Equal("second"))
@@ -173,11 +175,11 @@
 		Expect(p.Unsolicited()).To(Equal(unsolicited))
 	},
 		Entry("a response that was not read to its end", "HTTP/1.1 200 X\r\nTamarackreach-Attempt-Id: a\r\nContent-Length: 4\r\n\r\nab", "cd",
-			int64(2), time.Duration(0), 0),
-		Entry("Connection: close", response(200, "a", "Connection: close\r\n", "x"), "", int64(9), 30*time.Millisecond, 0),
-		Entry("an HTTP/1.0 response", strings.Replace(response(200, "a", "", "x"), "1.1", "1.0", 1), "", int64(9), 30*time.Millisecond, 0),
-		Entry("a response longer than its length", response(200, "a", "", "x")+"y", "", int64(9), 30*time.Millisecond, 1),
-		Entry("bytes that follow a response later", response(200, "a", "", "x"), "y", int64(9), 30*time.Millisecond, 1),
-		Entry("a body where none is allowed", response(204, "a", "", "x"), "", int64(9), 30*time.Millisecond, 1),
+			int64(2), 0),
+		Entry("Connection: close", response(200, "a", "Connection: close\r\n", "x"), "", int64(9), 0),
+		Entry("an HTTP/1.0 response", strings.Replace(response(200, "a", "", "x"), "1.1", "1.0", 1), "", int64(9), 0),
+		Entry("a response longer than its length", response(200, "a", "", "x")+"y", "", int64(9), 1),
+		Entry("bytes that follow a response later", response(200, "a", "", "x"), "y", int64(9), 1),
+		Entry("a body where none is allowed", response(204, "a", "", "x"), "", int64(9), 1),
 	)
 })
