--- a/internal/director/poison_test.go
+++ b/internal/director/poison_test.go
@@ -220,6 +220,30 @@
 		expectSend(e)
 	})
 
+	// Pattern: the same, while a VM waits to learn whether the targets that lost its own
+	// answers crashed.
+	It("is not refused for answers lost before another VM received an answer to its content", func() {
+		other := h.peer("vm-2")
+		var lostOn []model.TargetID
+		for range 3 {
+			id, e := other.arrive("/r/popular")
+			send := expectSend(e)
+			other.endSend(id, director.Lost)
+			other.state.Step(other.now, director.RequestFinished{ID: id})
+			lostOn = append(lostOn, send.Hops[0].Target)
+		}
+		answered, _ := h.arrive("/r/popular")
+		lose(h, "/r/popular", true)
+		h.state.Step(h.now, director.RequestFinished{ID: answered, Delivered: true})
+		other.state.Step(other.now, h.state.OwnPeerState(h.now))
+		for _, id := range lostOn {
+			crash(id)
+		}
+		other.read()
+		_, e := other.arrive("/r/popular")
+		expectSend(e)
+	})
+
 	// Pattern: a VM that starts learns of a quarantine shortly before the others remove it,
 	// and sends it to them again.
 	It("expires at all VMs, though they send it to each other", func() {
