--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -59,7 +59,8 @@
 	Broken
 	// TimedOut means that the request's deadline passed.
 	TimedOut
-	// Failed means that the target answered with an error.
+	// Failed means that the target answered with an error, also to the resumption of a
+	// stream.
 	Failed
 	// Diverted means that the send was cancelled by a Divert.
 	Diverted
@@ -78,6 +79,9 @@
 	FaultAt string
 	// Took is the duration of the send.
 	Took time.Duration
+	// Unresumable is true when no target can continue the answer that the caller has
+	// begun to receive.
+	Unresumable bool
 	// Random is uniform in [0,1); it jitters Refuse.RetryAfter.
 	Random float64
 }
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -87,6 +87,10 @@
 	silenceInterval = 150 * time.Millisecond
 	// maxResponseBytes limits a non-streaming response, which is buffered whole.
 	maxResponseBytes = 16 << 20
+	// writeGrace is how long after the deadline of a request its caller may take to
+	// read the response. The connection is closed then, since a caller that reads
+	// nothing would keep the request in flight without end.
+	writeGrace = 500 * time.Millisecond
 )
 
 // activeRequest is the state of a request while it is served.
@@ -101,6 +105,9 @@
 	lastEventAt time.Time
 	// lastEventID is the id of the last whole event forwarded to the caller.
 	lastEventID int64
+	// unresumable is true when data was forwarded to the caller after lastEventID: no
+	// target can go on behind an event without an id.
+	unresumable bool
 	events      int
 	// longestGap is the longest time between two consecutive events.
 	longestGap time.Duration
@@ -251,6 +258,7 @@
 	ctx, cancel := context.WithTimeout(a.r.Context(), e.TimeLeft)
 	defer cancel()
 	sentAt := time.Now()
+	a.setWriteDeadline(sentAt.Add(e.TimeLeft + writeGrace))
 	a.lastReceived, a.diverted, a.streaming = sentAt, false, false
 	a.sends = e.Number
 	call := a.call(e)
@@ -273,7 +281,7 @@
 	}
 	ended := &director.SendEnded{
 		ID: a.request.ID, Outcome: outcome, FaultAt: x.Head.FaultAt, Took: time.Since(sentAt),
-		Random: rand.Float64(),
+		Unresumable: a.unresumable, Random: rand.Float64(),
 	}
 	a.handler.metrics.sends.WithLabelValues(outcome.String()).Inc()
 	line := a.log.WithFields(logrus.Fields{
@@ -318,6 +326,9 @@
 // onSilence notifies the reducer that no data arrives from the target. It returns
 // errDiverted when the reducer cancels the send.
 func (a *activeRequest) onSilence() error {
+	if a.unresumable {
+		return nil
+	}
 	effects := a.handler.reducer.Step(director.StreamIdle{ID: a.request.ID, For: time.Since(a.lastReceived)})
 	for _, effect := range effects {
 		switch e := effect.(type) {
@@ -373,7 +384,7 @@
 		return a.lossOutcome(), false
 	}
 	if a.response.started {
-		return director.Broken, true // an error status cannot follow a response that has started
+		return director.Failed, true // an error status cannot follow a response that has started
 	}
 	resp := &bufferedResponse{target: e.Hops[0].Target, status: x.Response.StatusCode, header: x.Response.Header, body: body}
 	if resp.status >= http.StatusInternalServerError && e.Route.Repeatable() {
@@ -411,6 +422,7 @@
 			}
 			a.lastEventID = event.ID
 		}
+		a.unresumable = !event.HasID && (a.unresumable || event.HasData)
 		a.startStream(e, x)
 		if !a.streaming {
 			a.streaming = true
@@ -428,6 +440,12 @@
 	}
 }
 
+func (a *activeRequest) setWriteDeadline(t time.Time) {
+	if err := a.response.setWriteDeadline(t); err != nil {
+		a.log.WithError(err).Warn("cannot set the deadline for writing to the caller")
+	}
+}
+
 // startStream starts the response with the head of a send's stream, unless an earlier
 // send has started it.
 func (a *activeRequest) startStream(e *director.Send, x *upstream.Exchange) {
@@ -435,7 +453,7 @@
 		return
 	}
 	a.timeToFirstByte, a.answeredBy = time.Since(a.started), e.Hops[0].Target
-	a.response.startStream(x.Response.Header)
+	a.response.startStream(x.Response)
 }
 
 // recordReceived records the arrival of an event and the gap before it.
