--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -200,7 +200,7 @@
 	r.sends++
 	r.sentTo = s.targets[hops[0].Target].incarnation()
 	s.adjustLoad(r, 1)
-	out := &Send{Route: r.route, Service: r.service, Hops: hops, TimeLeft: r.expiresAt.Sub(now), Number: r.sends, Predicted: r.predicted, Priority: r.priority()}
+	out := &Send{Route: r.route, Service: r.service, Hops: hops, ExpiresAt: r.expiresAt, TimeLeft: r.expiresAt.Sub(now), Number: r.sends, Predicted: r.predicted, Priority: r.priority()}
 	if r.workspace != nil {
 		out.Workspace = r.workspace.ID
 	}
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -195,8 +195,9 @@
 	Service   *fleet.Service
 	// Hops is the path; on plain services, one entry without layers.
 	Hops []fleet.Hop
-	// TimeLeft is the time until the request's deadline.
-	TimeLeft time.Duration
+	// ExpiresAt is the request's deadline, and TimeLeft the time until then.
+	ExpiresAt model.Instant
+	TimeLeft  time.Duration
 	// Number counts the sends of the request, from 1.
 	Number int
 	// Priority orders requests at a target that lacks capacity; 0 is the most
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -254,7 +254,6 @@
 // send sends the request to the first target of a path. It returns nil once a
 // response is delivered to the caller, and otherwise how the send ended.
 func (a *activeRequest) send(e *director.Send) *director.SendEnded {
-	expiresAt := bootclock.Now().Add(e.TimeLeft)
 	ctx, cancel := context.WithTimeout(a.r.Context(), e.TimeLeft)
 	defer cancel()
 	sentAt := time.Now()
@@ -262,7 +261,7 @@
 	a.lastReceived, a.diverted, a.streaming = sentAt, false, false
 	a.sends = e.Number
 	call := a.call(e)
-	call.ExpiresAt = expiresAt
+	call.ExpiresAt = e.ExpiresAt
 	x, err := a.handler.pool.Do(ctx, call)
 	a.log.WithFields(logrus.Fields{
 		"send": e.Number, "target": e.Hops[0].Target, "path": pathText(e.Hops), "route": e.Route.Name,
