--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -66,7 +66,8 @@
 	Broken
 	// TimedOut means that the request's deadline passed.
 	TimedOut
-	// Failed means that the target answered with an error.
+	// Failed means that the target answered with an error, also to the resumption of a
+	// stream.
 	Failed
 	// Diverted means that the send was cancelled by a Divert.
 	Diverted
@@ -85,6 +86,9 @@
 	FaultAt string
 	// Took is the duration of the send.
 	Took time.Duration
+	// Unresumable is true when no target can continue the answer that the caller has
+	// begun to receive.
+	Unresumable bool
 	// Random is uniform in [0,1); it jitters Refuse.RetryAfter.
 	Random float64
 }
@@ -201,8 +205,9 @@
 	Service   *fleet.Service
 	// Hops is the path; on plain services, one entry without layers.
 	Hops []fleet.Hop
-	// TimeLeft is the time until the request's deadline.
-	TimeLeft time.Duration
+	// ExpiresAt is the request's deadline, and TimeLeft the time until then.
+	ExpiresAt model.Instant
+	TimeLeft  time.Duration
 	// Number counts the sends of the request, from 1.
 	Number int
 	// Priority orders requests at a target that lacks capacity; 0 is the most
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -145,6 +145,7 @@
 	known := s.targets[t.ID]
 	if known == nil {
 		s.targets[t.ID] = &target{Target: t, rowVersion: rowVersion, slowdown: 1}
+		s.restoreLoad(s.targets[t.ID])
 		return &StateChanged{What: "target found", Subject: string(t.ID), Detail: describe(t)}
 	}
 	known.missingSince = 0
@@ -245,6 +246,11 @@
 // by a VM that was suspended, or by a target that is slow.
 const endedAfterMissedReports = 4
 
+// incarnation returns the incarnation that is registered.
+func (t *target) incarnation() incarnation {
+	return incarnation{target: t.ID, startedMs: t.StartedMs}
+}
+
 // ended reports whether an incarnation of the target runs no request any more.
 func (t *target) ended(startedMs int64) bool {
 	return t.superseded || t.missedReports >= endedAfterMissedReports || t.refusedConnections >= crashedAfterRefusals ||
@@ -324,7 +330,7 @@
 		out.Config = s.config.Version
 	}
 	for id, t := range s.targets {
-		if t.ownLoad.Requests > 0 {
+		if t.ownLoad.Requests != 0 {
 			out.Loads[id] = t.ownLoad
 		}
 		if slowdown := t.slowness(now); slowdown > 1 && t.Zone == s.settings.Zone {
--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -1,11 +1,14 @@
 package ingress_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -24,7 +27,7 @@
 const signature = "Tamarackreach-Server-Seal"
 
 // startIngress returns the URL of an ingress in front of one target, which handles
-// the n-th send, counted from 1, with respond. Routes: /r/ is idempotent, /s/ is a
+// the n-th send, counted from 1, with respond, and of its metrics. Routes: /r/ is idempotent, /s/ is a
 // stream that may be resumed.
 func startIngress(respond func(n int, w http.ResponseWriter, r *http.Request)) string {
 	sends := 0
@@ -54,7 +57,11 @@
 	reducer.Step(director.TargetsRead{Targets: []*fleet.Target{{
 		ID: "o1", Service: "desk", Address: target.Listener.Addr().String(), Zone: "a", State: fleet.TargetReady, Slots: 6,
 	}}})
-	server := httptest.NewServer(ingress.New(reducer, upstream.NewPool(), nil, ingress.NewMetrics()))
+	metrics := ingress.NewMetrics()
+	mux := http.NewServeMux()
+	mux.Handle("/", ingress.New(reducer, upstream.NewPool(), nil, metrics))
+	mux.Handle("/metrics", metrics.Handler())
+	server := httptest.NewServer(mux)
 	DeferCleanup(server.Close)
 	return server.URL
 }
@@ -74,6 +81,20 @@
 	return resp, string(text), err
 }
 
+// dialIngress opens a connection to the ingress at a URL.
+func dialIngress(url string) net.Conn {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(conn.Close)
+	return conn
+}
+
+// writeRequest writes a request with a deadline.
+func writeRequest(conn net.Conn, path string, deadlineMs int) {
+	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nTamarackreach-Attempt-Id: q2\r\nTamarackreach-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n", path, deadlineMs)
+	Expect(err).NotTo(HaveOccurred())
+}
+
 // writeEvents writes the events from first to last of a stream.
 func writeEvents(w http.ResponseWriter, first, last int) {
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -162,4 +183,104 @@
 		Expect(resp.Header).NotTo(HaveKey(signature))
 		Expect(len(body)).To(BeNumerically("<", 100))
 	})
+
+	// Guards against a status that the target did not send, beside its signature.
+	It("has the status of the stream that it delivers", func() {
+		url := startIngress(func(_ int, w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusPartialContent)
+			writeEvents(w, 1, 2)
+		})
+		resp, _, err := fetch(url + "/s/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Header.Get(signature)).To(Equal("run-1"))
+		Expect(resp.StatusCode).To(Equal(http.StatusPartialContent))
+	})
+
+	// Guards against a part of a stream that the caller receives twice: no target can
+	// resume after an event without an id.
+	It("breaks off a stream whose last delivered event has no id", func() {
+		url := startIngress(func(n int, w http.ResponseWriter, _ *http.Request) {
+			writeEvents(w, 1, 0)
+			_, _ = io.WriteString(w, "data: a\n\n")
+			Expect(http.NewResponseController(w).Flush()).To(Succeed())
+			if n == 1 {
+				time.Sleep(50 * time.Millisecond)
+				breakOff()
+			}
+		})
+		_, body, err := fetch(url + "/s/x")
+		Expect(body).To(Equal("data: a\n\n"))
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	})
+
+	// Guards against a stream that is broken off although each of its parts has an id.
+	It("resumes a stream after an event without data that has no id", func() {
+		url := startIngress(func(n int, w http.ResponseWriter, _ *http.Request) {
+			writeEvents(w, 2*n-1, 2*n)
+			if n == 1 {
+				_, _ = io.WriteString(w, ": comment\n\n")
+				Expect(http.NewResponseController(w).Flush()).To(Succeed())
+				time.Sleep(50 * time.Millisecond)
+				breakOff()
+			}
+		})
+		_, body, err := fetch(url + "/s/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(HaveSuffix("id: 4\ndata: x\n\n"))
+	})
+
+	// Guards against a target that is suspected, and may count as crashed, because it
+	// answered a resumption with a failure.
+	It("is broken off when a target declines to resume it, which is no fault of the connection", func() {
+		url := startIngress(func(n int, w http.ResponseWriter, _ *http.Request) {
+			if n > 1 {
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+			writeEvents(w, 1, 2)
+			breakOff()
+		})
+		_, _, err := fetch(url + "/s/x")
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		_, metrics, err := fetch(url + "/metrics")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(metrics).To(ContainSubstring(`tamarack_sends_ended_total{outcome="broken"} 1`))
+		Expect(metrics).To(MatchRegexp(`tamarack_sends_ended_total{outcome="failed"} [1-9]`))
+	})
+
+	// Guards against a caller that keeps its connection open and reads nothing: its
+	// request would stay in flight, and in the load of its target, without end.
+	DescribeTable("ends at the deadline when the caller does not read it", func(path string) {
+		url := startIngress(func(_ int, w http.ResponseWriter, _ *http.Request) {
+			event := "id: 1\ndata: " + strings.Repeat("x", 1<<19) + "\n\n"
+			for n := range 24 {
+				if _, err := io.WriteString(w, strings.Replace(event, "1", strconv.Itoa(n+1), 1)); err != nil {
+					return
+				}
+			}
+		})
+		writeRequest(dialIngress(url), path, 400)
+		Eventually(func() string {
+			_, metrics, err := fetch(url + "/metrics")
+			Expect(err).NotTo(HaveOccurred())
+			return metrics
+		}, 5*time.Second, 50*time.Millisecond).Should(MatchRegexp(`tamarack_requests_ended_total{outcome="[a-z ]+"} 1`))
+	},
+		Entry("as a stream", "/s/x"),
+		Entry("whole", "/r/x"),
+	)
+
+	// Guards against the deadline of a request that ends the next one on its connection.
+	It("is not bound by the deadline of the request before it", func() {
+		url := startIngress(func(_ int, w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "body") })
+		conn := dialIngress(url)
+		reader := bufio.NewReader(conn)
+		for _, path := range []string{"/r/x", "/none"} {
+			writeRequest(conn, path, 500)
+			resp, err := http.ReadResponse(reader, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(io.ReadAll(resp.Body)).NotTo(BeEmpty())
+			time.Sleep(1100 * time.Millisecond)
+		}
+	})
 })
