--- a/internal/controller/era.go
+++ b/internal/controller/era.go
@@ -91,13 +91,11 @@
 	c.view.reset(0)
 }
 
-// mayAcquireLease reports whether a lease of an earlier era has expired. The row of
-// such a lease may be lost, and its holder may act until it expires.
+// mayAcquireLease reports whether a lease of an earlier era has expired.
 func (c *Controller) mayAcquireLease(now model.Instant) bool {
 	c.era.mu.Lock()
 	defer c.era.mu.Unlock()
-	noEarlierLease := c.settings.FirstStart || c.era.tracker.Current() == 0
-	return noEarlierLease && !c.era.tracker.Restored() || now.Sub(c.era.since) >= placementlease.LeaseDuration
+	return placementlease.MayAcquire(c.settings.FirstStart, &c.era.tracker, now.Sub(c.era.since))
 }
 
 // rowsMayBeLost reports whether rows of other VMs may be missing because they were
--- a/internal/placementlease/lease.go
+++ b/internal/placementlease/lease.go
@@ -9,6 +9,7 @@
 
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/storeera"
 )
 
 // LeaseDuration is the lease duration: long enough to tolerate a slow store, short
@@ -54,6 +55,14 @@
 	return Acquire, next
 }
 
+// MayAcquire reports whether a lease of an earlier era of the store has expired. The row
+// of such a lease may be lost, and its holder may act until it expires. eraAge is the
+// time since the VM first observed the current era.
+func MayAcquire(firstStart bool, era *storeera.Tracker, eraAge time.Duration) bool {
+	noEarlierLease := firstStart || era.Current() == 0
+	return noEarlierLease && !era.Restored() || eraAge >= LeaseDuration
+}
+
 // Held reports whether a VM still holds the lease at now, on its own clock. Its last
 // successful write was based on a read that began at renewedAt, so the record cannot
 // expire earlier than LeaseDuration after that. Read and write were in the current era
--- a/internal/storeera/storeera.go
+++ b/internal/storeera/storeera.go
@@ -43,6 +43,22 @@
 	return restored, nil
 }
 
+// Check returns ErrStale for a version of another era than the current one. Such a
+// version must not be sent as a precondition.
+func (t *Tracker) Check(v fleet.StoreVersion) error {
+	if v.Era != t.current {
+		return ErrStale
+	}
+	return nil
+}
+
+// Acknowledges reports whether a response to a write states its effect: the response is
+// of the era of the write's precondition. In a later era, the same version number may
+// belong to another state of the row.
+func Acknowledges(response fleet.StoreEra, precondition fleet.StoreVersion) bool {
+	return response == precondition.Era
+}
+
 // Belief is a value that was read from the store or acknowledged by it. It holds in
 // the era of that response only. A nil belief holds in none.
 type Belief[T any] struct {
