Let a drain bind that is written between a restore and the first read

A VM dates the rows of the copy by the newest version in its first read of the era. A drain acknowledged after the restore but before that read has a version below it, was taken for part of the copy and ignored until the target's next heartbeat or the end of the grace. An incarnation never goes from draining to ready, so such a row holds whatever its age.

--- a/internal/director/restore_test.go
+++ b/internal/director/restore_test.go
@@ -89,6 +89,15 @@
 		Expect(sendsTo()).To(BeEmpty())
 	})
 
+	// Guards against a drain that is taken for part of the copy because it was written
+	// after the restore but before this VM's first read.
+	It("leaves out a target that drains between the restore and the first read", func() {
+		restore()
+		h.changeTarget("o1", func(t *fleet.Target) { t.State = fleet.TargetDraining })
+		readCopy(5)
+		Expect(sendsTo()).To(BeEmpty())
+	})
+
 	// Guards against requests to a target whose drain or removal the copy has lost.
 	DescribeTable("leaves out a target that had left before the restore", func(leave func()) {
 		earlier, version := h.targets["o1"], h.rows["o1"]
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -97,9 +97,9 @@
 	listed := make(map[model.TargetID]bool, len(e.Targets))
 	for _, t := range e.Targets {
 		listed[t.ID] = true
-		if known && s.restore.outdated(now, e.Rows[t.ID]) {
+		if old := s.targets[t.ID]; known && s.restore.outdated(now, e.Rows[t.ID]) && !old.drainsBy(t) {
 			// The row is from the older copy: what was known before is newer.
-			if old := s.targets[t.ID]; old != nil {
+			if old != nil {
 				old.listed, old.missingSince = now, 0
 			}
 			continue
@@ -192,6 +192,12 @@
 	}
 }
 
+// drainsBy reports whether a row of any age states that the known incarnation drains.
+// An incarnation that drains does not become ready again.
+func (t *target) drainsBy(row *fleet.Target) bool {
+	return t != nil && row.State == fleet.TargetDraining && row.StartedMs == t.StartedMs
+}
+
 // registeredAfter reports whether t is the newer of two registrations at one address.
 func (t *target) registeredAfter(other *target) bool {
 	if t.StartedMs != other.StartedMs {
