Ignore a read of targets that is of an era before the restore

A read may be accepted, and the new era observed by another loop before the read is applied. It then undid what a read of the new era had stated, a drain among it, and made a target that the copy lacks look registered since the restore, so that the next read dropped it. Reads of an earlier era are ignored, a target counts as registered since the restore by the era of the read that listed it, and a change of the store's address begins anew.

--- a/internal/controller/era.go
+++ b/internal/controller/era.go
@@ -89,6 +89,7 @@
 	c.lease.Store(nil)
 	c.registered.Store(nil)
 	c.view.reset(0)
+	c.reducer.Step(director.StoreReplaced{})
 }
 
 // mayAcquireLease reports whether a lease of an earlier era has expired.
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -36,6 +36,10 @@
 // the operator, the targets and the VMs write it again.
 type StoreRestored struct{ Era fleet.StoreEra }
 
+// StoreReplaced reports that another store is used from now on: its eras are not those
+// of the earlier one.
+type StoreReplaced struct{}
+
 // StoreFailed reports a failed read of the store.
 type StoreFailed struct{}
 
@@ -177,6 +181,7 @@
 func (TargetsRead) event()      {}
 func (StoreFailed) event()      {}
 func (StoreRestored) event()    {}
+func (StoreReplaced) event()    {}
 func (RequestArrived) event()   {}
 func (SendEnded) event()        {}
 func (AnswerStarted) event()    {}
--- a/internal/director/restore.go
+++ b/internal/director/restore.go
@@ -35,6 +35,10 @@
 	return r.at != 0 && now.Sub(r.at) < restoreGrace
 }
 
+// precedes reports whether a read is of an era before the restore. Such a read may have
+// been accepted before the restore was observed, and is applied after it.
+func (r *restore) precedes(newest fleet.StoreVersion) bool { return newest.Era < r.copied.Era }
+
 // begin records the newest version of the copy, from the first read after the restore.
 func (r *restore) begin(newest fleet.StoreVersion) {
 	if r.at != 0 && r.copied.Row == 0 && newest.Era == r.copied.Era {
--- a/internal/director/restore_test.go
+++ b/internal/director/restore_test.go
@@ -79,6 +79,47 @@
 		Expect(sendsTo()).To(BeEmpty())
 	})
 
+	// Guards against a read of the earlier era that is applied after the restore was
+	// observed, and makes the target look registered since.
+	It("keeps a target that the copy lacks and an earlier read lists at the same time", func() {
+		restore()
+		h.read()
+		delete(h.targets, "o1")
+		readCopy(5)
+		Expect(sendsTo()).To(Equal(model.TargetID("o1")))
+	})
+
+	// Guards against a read of the earlier era that is accepted before the restore is
+	// observed, applied after a later read, and undoes it.
+	It("ignores a read of an earlier era", func() {
+		restore()
+		earlier, version := h.targets["o1"], h.rows["o1"]
+		h.changeTarget("o1", func(t *fleet.Target) { t.State = fleet.TargetDraining })
+		readCopy(5)
+		h.targets["o1"], h.rows["o1"] = earlier, version
+		h.read()
+		Expect(sendsTo()).To(BeEmpty())
+		Expect(h.state.Status(h.now).StoreEra).To(Equal(fleet.StoreEra(1)))
+	})
+
+	It("keeps a target that was listed at the very time of the restore", func() {
+		h.read()
+		restore()
+		delete(h.targets, "o1")
+		readCopy(5)
+		Expect(sendsTo()).To(Equal(model.TargetID("o1")))
+	})
+
+	// Guards against a VM that ignores another store because its eras are lower.
+	It("follows another store, whose era is lower", func() {
+		restore()
+		readCopy(5)
+		h.state.Step(h.now, director.StoreReplaced{})
+		h.changeTarget("o1", func(t *fleet.Target) { t.State = fleet.TargetDraining })
+		h.read()
+		Expect(sendsTo()).To(BeEmpty())
+	})
+
 	// Guards against a removal after the restore that is taken for a loss.
 	It("removes a target at once that was registered since the restore", func() {
 		restore()
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -179,6 +179,8 @@
 		return s.storeFailed(now)
 	case StoreRestored:
 		return s.storeRestored(now, e)
+	case StoreReplaced:
+		s.restore = restore{}
 	case VMsCounted:
 		s.listedVMs = max(e.Count, 1)
 		s.updateVMs(now)
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -17,8 +17,10 @@
 	// missingSince is when a read first lacked the registration; 0 while it is
 	// registered.
 	missingSince model.Instant
-	// listed is when a read of the store last contained the registration.
-	listed model.Instant
+	// listed is when a read of the store last contained the registration, and listedIn
+	// the era of that read.
+	listed   model.Instant
+	listedIn fleet.StoreEra
 	// suspectedUntil is when the suspicion ends.
 	suspectedUntil model.Instant
 	// faultSeenAt is when the fault behind the suspicion was last observed.
@@ -90,6 +92,9 @@
 
 func (s *State) updateTargets(now model.Instant, e TargetsRead) []Effect {
 	effects := s.storeSucceeded(now)
+	if s.restore.precedes(e.Newest) {
+		return effects
+	}
 	s.storeEra = e.Newest.Era
 	s.restore.begin(e.Newest)
 	known := s.targetsRead
@@ -100,14 +105,14 @@
 		if old := s.targets[t.ID]; known && s.restore.outdated(now, e.Rows[t.ID]) && !old.drainsBy(t) {
 			// The row is from the older copy: what was known before is newer.
 			if old != nil {
-				old.listed, old.missingSince = now, 0
+				old.listed, old.listedIn, old.missingSince = now, e.Newest.Era, 0
 			}
 			continue
 		}
 		if change := s.updateTarget(now, t, e.Rows[t.ID]); change != nil {
 			effects = append(effects, change)
 		}
-		s.targets[t.ID].listed = now
+		s.targets[t.ID].listed, s.targets[t.ID].listedIn = now, e.Newest.Era
 	}
 	newest := s.newestIncarnations(e.Targets)
 	for id, t := range s.targets {
@@ -121,7 +126,7 @@
 		// that was listed after the store's recovery and is missing now was removed, and
 		// so was one whose address belongs to a newer incarnation.
 		lapsed := t.listed < s.storeRecoveredAt && now.Sub(s.storeRecoveredAt) < lapsedGrace ||
-			t.listed < s.restore.at && s.restore.pending(now)
+			t.listedIn != e.Newest.Era && s.restore.pending(now)
 		if lapsed && newest[t.Address] <= t.StartedMs {
 			continue
 		}
