Send no version of an earlier era as a precondition of a registration

Another loop may observe a new era between a read of the coordination table and the write that rests on it. The version was then sent in the new era, where it may belong to another state of the row.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -299,14 +299,23 @@
 		return
 	}
 	row.Value = value
-	_, err = c.store.Put(ctx, coordinationTable, row)
-	if err != nil {
+	if err := c.put(ctx, row); err != nil {
 		logrus.WithError(err).Info("VM registration failed; retrying")
 		return
 	}
 	c.registered.Store(storeera.Hold(true, row.Version.Era))
 }
 
+// put writes a row of the coordination table. A new era may have begun since the row was
+// read; its version is not sent then.
+func (c *Controller) put(ctx context.Context, row fleet.StoreRow) error {
+	if err := c.era.check(row.Version); err != nil {
+		return err
+	}
+	_, err := c.store.Put(ctx, coordinationTable, row)
+	return err
+}
+
 // renewLease acquires or renews the placement lease when due. The row and the
 // store's clock come from a read that began at started.
 //
--- a/internal/controller/era.go
+++ b/internal/controller/era.go
@@ -39,6 +39,12 @@
 	return e.tracker.Current()
 }
 
+func (e *eraState) check(v fleet.StoreVersion) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.tracker.Check(v)
+}
+
 // EraCounts are counters of the store's eras, from the start of the process.
 type EraCounts struct {
 	Current fleet.StoreEra
--- a/internal/storeera/storeera_test.go
+++ b/internal/storeera/storeera_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/storeera"
 )
 
@@ -38,6 +39,18 @@
 		Expect(t.Restored()).To(BeFalse())
 	})
 
+	// Guards against a version that is sent as a precondition in a later era, and a write
+	// that counts as done by a response of a later era.
+	It("separate what is written in them", func() {
+		var t storeera.Tracker
+		_, err := t.Observe(3)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(t.Check(fleet.StoreVersion{Era: 3, Row: 7})).To(Succeed())
+		Expect(t.Check(fleet.StoreVersion{Era: 2, Row: 7})).To(MatchError(storeera.ErrStale))
+		Expect(storeera.Acknowledges(3, fleet.StoreVersion{Era: 3})).To(BeTrue())
+		Expect(storeera.Acknowledges(4, fleet.StoreVersion{Era: 3})).To(BeFalse())
+	})
+
 	// Guards against a lease or a version of an earlier era that still counts.
 	It("end what is believed in them", func() {
 		lease := storeera.Hold("held", 4)
