Suspend the placement lease after a record of another era

A write of the lease may be performed seconds after its read, also in a later era if the version that it expects was assigned again. It replaced the record of the era's holder by one that had expired, and another VM acquired the lease beside the holder. The record now states its era. A VM that reads a record of another era replaces it by one without a holder, which lets a lease duration pass; the holder's lease has expired by then. After a restore this time runs beside the one before the first acquisition. The lease write, too, sends no version of an earlier era.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -323,7 +323,7 @@
 // that a holder stops acting before its record expires, however slow the store is.
 func (c *Controller) renewLease(ctx context.Context, row fleet.StoreRow, clock time.Duration, started model.Instant) {
 	action, record := placementlease.Decide(c.settings.VM, row, clock)
-	if action == placementlease.Wait || !c.mayAcquireLease(started) {
+	if action == placementlease.Wait || action == placementlease.Acquire && !c.mayAcquireLease(started) {
 		return
 	}
 	value, err := json.Marshal(record)
@@ -333,12 +333,14 @@
 	}
 	heldBefore := c.holdsLease(bootclock.Now())
 	row.Value = value
-	_, err = c.store.Put(ctx, coordinationTable, row)
+	err = c.put(ctx, row)
 	switch {
 	case errors.Is(err, platform.ErrVersionConflict):
-		logrus.Info("another VM acquired the placement lease")
+		logrus.Info("another VM wrote the placement lease")
 	case err != nil:
-		logrus.WithError(err).Info("cannot acquire or renew the placement lease")
+		logrus.WithError(err).Info("cannot write the placement lease; retrying")
+	case action == placementlease.Suspend:
+		logrus.WithField("until_ms", record.UntilMs).Info("the placement lease is of an earlier era of the store; acquisition suspended")
 	default:
 		c.lease.Store(storeera.Hold(started, row.Version.Era))
 		if !heldBefore {
--- a/internal/placementlease/lease.go
+++ b/internal/placementlease/lease.go
@@ -22,9 +22,12 @@
 
 // Record is the content of the lease row.
 type Record struct {
+	// Holder is empty while acquisition is suspended.
 	Holder model.NodeID `json:"holder"`
 	// UntilMs is the expiry on the store's clock, in milliseconds.
 	UntilMs int64 `json:"until_ms"`
+	// Era is the era of the store in which the record was to be written.
+	Era fleet.StoreEra `json:"era,omitempty"`
 }
 
 // Action is the result of Decide.
@@ -37,17 +40,27 @@
 	// Acquire means that the record is to be written on condition that the row is
 	// unchanged, to acquire or renew the lease.
 	Acquire
+	// Suspend means that the record is to be written on condition that the row is
+	// unchanged, so that nobody acquires the lease for a lease duration.
+	Suspend
 )
 
-// Decide returns the action of VM self and, for Acquire, the record to write, given
-// the lease row and the store's clock. A record that does not decode counts as
-// expired.
+// Decide returns the action of VM self and, for Acquire and Suspend, the record to
+// write, given the lease row and the store's clock. A record that does not decode counts
+// as expired.
+//
+// A record of another era is from an older copy, or of a write that was performed late:
+// the version that it expected was assigned again. It may have replaced the record of a
+// holder, and its own expiry says nothing on that lease.
 func Decide(self model.NodeID, row fleet.StoreRow, clock time.Duration) (Action, Record) {
-	next := Record{Holder: self, UntilMs: (clock + LeaseDuration).Milliseconds()}
+	next := Record{Holder: self, UntilMs: (clock + LeaseDuration).Milliseconds(), Era: row.Version.Era}
 	var r Record
 	if row.Absent() || json.Unmarshal(row.Value, &r) != nil {
 		return Acquire, next
 	}
+	if r.Era != row.Version.Era {
+		return Suspend, Record{UntilMs: next.UntilMs, Era: next.Era}
+	}
 	remaining := time.Duration(r.UntilMs)*time.Millisecond - clock
 	if r.Holder == self && remaining > LeaseDuration-RenewInterval || r.Holder != self && remaining > 0 {
 		return Wait, r
--- a/internal/placementlease/lease_test.go
+++ b/internal/placementlease/lease_test.go
@@ -39,6 +39,25 @@
 		Entry("the record does not decode", fleet.StoreRow{Value: []byte("{"), Version: fleet.StoreVersion{Row: 1}}, 5*time.Second, placementlease.Acquire),
 	)
 
+	// Guards against a write of an earlier era that is performed late on a row whose
+	// version was assigned again: it replaces the record of the holder by an expired one.
+	It("lets a lease duration pass after a record of another era", func() {
+		value, err := json.Marshal(placementlease.Record{Holder: "other", UntilMs: 4000, Era: 1})
+		Expect(err).NotTo(HaveOccurred())
+		overwritten := fleet.StoreRow{Value: value, Version: fleet.StoreVersion{Era: 2, Row: 7}}
+		action, barrier := placementlease.Decide("self", overwritten, 5*time.Second)
+		Expect(action).To(Equal(placementlease.Suspend))
+		Expect(barrier).To(Equal(placementlease.Record{UntilMs: 8000, Era: 2}))
+		value, err = json.Marshal(barrier)
+		Expect(err).NotTo(HaveOccurred())
+		row := fleet.StoreRow{Value: value, Version: fleet.StoreVersion{Era: 2, Row: 8}}
+		action, _ = placementlease.Decide("self", row, 7999*time.Millisecond)
+		Expect(action).To(Equal(placementlease.Wait))
+		action, next := placementlease.Decide("self", row, 8*time.Second)
+		Expect(action).To(Equal(placementlease.Acquire))
+		Expect(next).To(Equal(placementlease.Record{Holder: "self", UntilMs: 11000, Era: 2}))
+	})
+
 	// Pattern: the store is slow; a VM's write is applied long after its read.
 	It("never lets two VMs hold the lease at a time, however long their calls take", func() {
 		type call struct {
