Delay the lease of a VM of the first start whose first response is late

A first start skips the wait for an earlier lease. A VM that could not reach the store until after a restore skipped it, too, and acquired the lease beside a holder that had not observed the restore. The wait is skipped only if the store responds within a lease duration of the start.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -64,6 +64,8 @@
 	peers    *peers
 	orders   *orders
 	era      eraState
+	// startedAt is when the process started.
+	startedAt model.Instant
 	// registered is true once the VM's own row is written.
 	registered atomic.Pointer[storeera.Belief[bool]]
 	// lease is when the read that preceded the last successful write of the lease row
@@ -89,7 +91,7 @@
 		DisableCompression:  true,
 	}
 	c := &Controller{
-		settings: s, reducer: r, targets: newTargetClient(), view: &view{},
+		settings: s, reducer: r, targets: newTargetClient(), view: &view{}, startedAt: bootclock.Now(),
 	}
 	c.store = platform.NewStore(s.StoreAddress, transport, c.acceptEra)
 	c.setInterval(s.Bounds)
--- a/internal/controller/era.go
+++ b/internal/controller/era.go
@@ -102,7 +102,9 @@
 func (c *Controller) mayAcquireLease(now model.Instant) bool {
 	c.era.mu.Lock()
 	defer c.era.mu.Unlock()
-	return placementlease.MayAcquire(c.settings.FirstStart, &c.era.tracker, now.Sub(c.era.since))
+	// A VM whose first response is late may have missed an era with a lease.
+	firstStart := c.settings.FirstStart && c.era.since.Sub(c.startedAt) < placementlease.LeaseDuration
+	return placementlease.MayAcquire(firstStart, &c.era.tracker, now.Sub(c.era.since))
 }
 
 // rowsMayBeLost reports whether rows of other VMs may be missing because they were
--- a/internal/controller/era_test.go
+++ b/internal/controller/era_test.go
@@ -46,6 +46,17 @@
 		Expect(c.mayAcquireLease(now.Add(placementlease.LeaseDuration))).To(BeTrue())
 	})
 
+	// Guards against a VM of the first start that reaches the store only after a restore,
+	// and acquires the lease beside a holder that has not observed it.
+	It("delays the lease of a VM whose first response is late", func() {
+		c := newController("vm-1", true)
+		c.startedAt = c.startedAt.Add(-placementlease.LeaseDuration)
+		Expect(c.acceptEra(5, nil)).To(Succeed())
+		now := bootclock.Now()
+		Expect(c.mayAcquireLease(now)).To(BeFalse())
+		Expect(c.mayAcquireLease(now.Add(placementlease.LeaseDuration))).To(BeTrue())
+	})
+
 	It("delays no lease where the store states no era", func() {
 		c := newController("vm-1", false)
 		Expect(c.acceptEra(0, nil)).To(Succeed())
