--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -102,17 +102,9 @@
 	listed := make(map[model.TargetID]bool, len(e.Targets))
 	for _, t := range e.Targets {
 		listed[t.ID] = true
-		if old := s.targets[t.ID]; known && s.restore.outdated(now, e.Rows[t.ID]) && !old.drainsBy(t) {
-			// The row is from the older copy: what was known before is newer.
-			if old != nil {
-				old.listed, old.listedIn, old.missingSince = now, e.Newest.Era, 0
-			}
-			continue
-		}
-		if change := s.updateTarget(now, t, e.Rows[t.ID]); change != nil {
+		if change := s.targetListed(now, t, &e, known); change != nil {
 			effects = append(effects, change)
 		}
-		s.targets[t.ID].listed, s.targets[t.ID].listedIn = now, e.Newest.Era
 	}
 	newest := s.newestIncarnations(e.Targets)
 	for id, t := range s.targets {
@@ -137,6 +129,24 @@
 	return append(effects, s.confirmCrashes(now)...)
 }
 
+// targetListed applies a registration of a read. known is false for the first read.
+func (s *State) targetListed(now model.Instant, t *fleet.Target, e *TargetsRead, known bool) Effect {
+	var change Effect
+	old, row := s.targets[t.ID], e.Rows[t.ID]
+	if known && s.restore.outdated(now, row) && !old.drainsBy(t) {
+		// The row is from the older copy: what was known before is newer.
+		if old == nil {
+			return nil
+		}
+		old.missingSince = 0
+	} else {
+		change = s.updateTarget(now, t, row)
+	}
+	current := s.targets[t.ID]
+	current.listed, current.listedIn = now, e.Newest.Era
+	return change
+}
+
 // newestIncarnations returns the StartedMs of the newest registration of each address.
 func (s *State) newestIncarnations(read []*fleet.Target) map[string]int64 {
 	newest := make(map[string]int64, len(read))
