--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -64,6 +64,8 @@
 	peers    *peers
 	orders   *orders
 	era      eraState
+	// startedAt is when the process started.
+	startedAt model.Instant
 	// registered is true once the VM's own row is written.
 	registered atomic.Pointer[storeera.Belief[bool]]
 	// lease is when the read that preceded the last successful write of the lease row
@@ -89,7 +91,7 @@
 		DisableCompression:  true,
 	}
 	c := &Controller{
-		settings: s, reducer: r, targets: newTargetClient(), view: &view{},
+		settings: s, reducer: r, targets: newTargetClient(), view: &view{}, startedAt: bootclock.Now(),
 	}
 	c.store = platform.NewStore(s.StoreAddress, transport, c.acceptEra)
 	c.setInterval(s.Bounds)
@@ -299,14 +301,23 @@
 		return
 	}
 	row.Value = value
-	_, err = c.store.Put(ctx, coordinationTable, row)
-	if err != nil {
+	if err := c.put(ctx, row); err != nil {
 		logrus.WithError(err).Info("VM registration failed; retrying")
 		return
 	}
 	c.registered.Store(storeera.Hold(true, row.Version.Era))
 }
 
+// put writes a row of the coordination table. A new era may have begun since the row was
+// read; its version is not sent then.
+func (c *Controller) put(ctx context.Context, row fleet.StoreRow) error {
+	if err := c.era.check(row.Version); err != nil {
+		return err
+	}
+	_, err := c.store.Put(ctx, coordinationTable, row)
+	return err
+}
+
 // renewLease acquires or renews the placement lease when due. The row and the
 // store's clock come from a read that began at started.
 //
@@ -314,7 +325,7 @@
 // that a holder stops acting before its record expires, however slow the store is.
 func (c *Controller) renewLease(ctx context.Context, row fleet.StoreRow, clock time.Duration, started model.Instant) {
 	action, record := placementlease.Decide(c.settings.VM, row, clock)
-	if action == placementlease.Wait || !c.mayAcquireLease(started) {
+	if action == placementlease.Wait || action == placementlease.Acquire && !c.mayAcquireLease(started) {
 		return
 	}
 	value, err := json.Marshal(record)
@@ -324,12 +335,14 @@
 	}
 	heldBefore := c.holdsLease(bootclock.Now())
 	row.Value = value
-	_, err = c.store.Put(ctx, coordinationTable, row)
+	err = c.put(ctx, row)
 	switch {
 	case errors.Is(err, platform.ErrVersionConflict):
-		logrus.Info("another VM acquired the placement lease")
+		logrus.Info("another VM wrote the placement lease")
 	case err != nil:
-		logrus.WithError(err).Info("cannot acquire or renew the placement lease")
+		logrus.WithError(err).Info("cannot write the placement lease; retrying")
+	case action == placementlease.Suspend:
+		logrus.WithField("until_ms", record.UntilMs).Info("the placement lease is of an earlier era of the store; acquisition suspended")
 	default:
 		c.lease.Store(storeera.Hold(started, row.Version.Era))
 		if !heldBefore {
--- a/internal/controller/era.go
+++ b/internal/controller/era.go
@@ -39,6 +39,12 @@
 	return e.tracker.Current()
 }
 
+func (e *eraState) check(v fleet.StoreVersion) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.tracker.Check(v)
+}
+
 // EraCounts are counters of the store's eras, from the start of the process.
 type EraCounts struct {
 	Current fleet.StoreEra
@@ -89,15 +95,16 @@
 	c.lease.Store(nil)
 	c.registered.Store(nil)
 	c.view.reset(0)
+	c.reducer.Step(director.StoreReplaced{})
 }
 
-// mayAcquireLease reports whether a lease of an earlier era has expired. The row of
-// such a lease may be lost, and its holder may act until it expires.
+// mayAcquireLease reports whether a lease of an earlier era has expired.
 func (c *Controller) mayAcquireLease(now model.Instant) bool {
 	c.era.mu.Lock()
 	defer c.era.mu.Unlock()
-	noEarlierLease := c.settings.FirstStart || c.era.tracker.Current() == 0
-	return noEarlierLease && !c.era.tracker.Restored() || now.Sub(c.era.since) >= placementlease.LeaseDuration
+	// A VM whose first response is late may have missed an era with a lease.
+	firstStart := c.settings.FirstStart && c.era.since.Sub(c.startedAt) < placementlease.LeaseDuration
+	return placementlease.MayAcquire(firstStart, &c.era.tracker, now.Sub(c.era.since))
 }
 
 // rowsMayBeLost reports whether rows of other VMs may be missing because they were
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -17,8 +17,10 @@
 	// missingSince is when a read first lacked the registration; 0 while it is
 	// registered.
 	missingSince model.Instant
-	// listed is when a read of the store last contained the registration.
-	listed model.Instant
+	// listed is when a read of the store last contained the registration, and listedIn
+	// the era of that read.
+	listed   model.Instant
+	listedIn fleet.StoreEra
 	// suspectedUntil is when the suspicion ends.
 	suspectedUntil model.Instant
 	// faultSeenAt is when the fault behind the suspicion was last observed.
@@ -90,6 +92,9 @@
 
 func (s *State) updateTargets(now model.Instant, e TargetsRead) []Effect {
 	effects := s.storeSucceeded(now)
+	if s.restore.precedes(e.Newest) {
+		return effects
+	}
 	s.storeEra = e.Newest.Era
 	s.restore.begin(e.Newest)
 	known := s.targetsRead
@@ -97,17 +102,9 @@
 	listed := make(map[model.TargetID]bool, len(e.Targets))
 	for _, t := range e.Targets {
 		listed[t.ID] = true
-		if known && s.restore.outdated(now, e.Rows[t.ID]) {
-			// The row is from the older copy: what was known before is newer.
-			if old := s.targets[t.ID]; old != nil {
-				old.listed, old.missingSince = now, 0
-			}
-			continue
-		}
-		if change := s.updateTarget(now, t, e.Rows[t.ID]); change != nil {
+		if change := s.targetListed(now, t, &e, known); change != nil {
 			effects = append(effects, change)
 		}
-		s.targets[t.ID].listed = now
 	}
 	newest := s.newestIncarnations(e.Targets)
 	for id, t := range s.targets {
@@ -121,7 +118,7 @@
 		// that was listed after the store's recovery and is missing now was removed, and
 		// so was one whose address belongs to a newer incarnation.
 		lapsed := t.listed < s.storeRecoveredAt && now.Sub(s.storeRecoveredAt) < lapsedGrace ||
-			t.listed < s.restore.at && s.restore.pending(now)
+			t.listedIn != e.Newest.Era && s.restore.pending(now)
 		if lapsed && newest[t.Address] <= t.StartedMs {
 			continue
 		}
@@ -132,6 +129,24 @@
 	return append(effects, s.confirmCrashes(now)...)
 }
 
+// targetListed applies a registration of a read. known is false for the first read.
+func (s *State) targetListed(now model.Instant, t *fleet.Target, e *TargetsRead, known bool) Effect {
+	var change Effect
+	old, row := s.targets[t.ID], e.Rows[t.ID]
+	if known && s.restore.outdated(now, row) && !old.drainsBy(t) {
+		// The row is from the older copy: what was known before is newer.
+		if old == nil {
+			return nil
+		}
+		old.missingSince = 0
+	} else {
+		change = s.updateTarget(now, t, row)
+	}
+	current := s.targets[t.ID]
+	current.listed, current.listedIn = now, e.Newest.Era
+	return change
+}
+
 // newestIncarnations returns the StartedMs of the newest registration of each address.
 func (s *State) newestIncarnations(read []*fleet.Target) map[string]int64 {
 	newest := make(map[string]int64, len(read))
@@ -193,6 +208,12 @@
 	}
 }
 
+// drainsBy reports whether a row of any age states that the known incarnation drains.
+// An incarnation that drains does not become ready again.
+func (t *target) drainsBy(row *fleet.Target) bool {
+	return t != nil && row.State == fleet.TargetDraining && row.StartedMs == t.StartedMs
+}
+
 // registeredAfter reports whether t is the newer of two registrations at one address.
 func (t *target) registeredAfter(other *target) bool {
 	if t.StartedMs != other.StartedMs {
