Let the soak's store come back from older copies

Adds returns of the store, lost rows that are written again late, drains of targets and a configuration that is lost while a VM restarts; checks drains, lost rows, the rate of writes, and that a restore alone makes no request fail. The check of removed keys excepts times at which no VM can know of the removal: the store lost it before the bound in which the VMs read it, or every VM has restarted since.

--- a/cmd/tamarack-soak/main.go
+++ b/cmd/tamarack-soak/main.go
@@ -26,6 +26,8 @@
 	callers := flag.Int("callers", 12, "callers per seed")
 	faults := flag.Duration("faults", 6*time.Second, "duration of fault injection")
 	responseFaults := flag.Bool("response-faults", true, "also spoil targets' responses, send content that crashes targets and restart VMs in series")
+	restores := flag.Bool("restores", false, "also let the store come back from older copies, and drain targets")
+	restoresOnly := flag.Bool("restores-only", false, "only let the store come back from older copies")
 	buildinfo.ParseFlags()
 	var failures atomic.Int64
 	slots := make(chan struct{}, max(*jobs, 1))
@@ -38,15 +40,15 @@
 			seed := *firstSeed + uint64(i)
 			report, err := soak.Run(soak.Options{
 				Seed: seed, Binary: *binary, Dir: filepath.Join(*dir, fmt.Sprint(seed)), VMs: *vms, Callers: *callers, Faults: *faults,
-				ResponseFaults: *responseFaults,
+				ResponseFaults: *responseFaults, Restores: *restores, RestoresOnly: *restoresOnly,
 			})
 			if err != nil {
 				failures.Add(1)
 				fmt.Printf("seed %d: %v\n", seed, err)
 				return
 			}
-			fmt.Printf("seed %d: %d calls, %d served, %d refused, %d arrivals at targets, %.0f%% of the retry budget, %d faults, %d broken\n",
-				seed, report.Calls, report.Served, report.Refused, report.Arrivals, 100*report.PeakRetries, len(report.Faults), len(report.Violations))
+			fmt.Printf("seed %d: %d calls, %d served, %d refused, %d arrivals at targets, %.0f%% of the retry budget, %d faults, %d restores, %d store writes in the peak second, %d broken\n",
+				seed, report.Calls, report.Served, report.Refused, report.Arrivals, 100*report.PeakRetries, len(report.Faults), report.Restores, report.PeakWrites, len(report.Violations))
 			if len(report.Violations) > 0 {
 				fmt.Printf("seed %d: faults %s\n", seed, strings.Join(report.Faults, "; "))
 			}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -22,6 +22,14 @@
 	// removed is the time at which the store acknowledged the removal of a key.
 	removed map[string]time.Time
 	spans   []span
+	// vms are the names of the VMs.
+	vms []string
+	// drained is when the drain of a target was acknowledged, by its id.
+	drained map[string]time.Time
+	// restoresOnly is true when the store's restores were the only faults.
+	restoresOnly bool
+	// served is when every VM first served every kind of request.
+	served time.Time
 
 	byID      map[string]*call
 	byRequest map[string][]*platformtest.Arrival
@@ -45,6 +53,10 @@
 	r.checkTargetsPerCall()
 	r.checkDeadlines()
 	r.checkCrashingContent()
+	r.checkDrains()
+	if r.restoresOnly {
+		r.checkUnaffected()
+	}
 	return r.violations
 }
 
@@ -178,7 +190,7 @@
 	if c.kind == "p" && runs > 0 && slices.Contains(notExecuted, c.status) {
 		r.violation(c.id, "refused: %s was answered %d and ran", c.id, c.status)
 	}
-	if removed, ok := r.removed[c.key]; ok && runs > 0 && c.sent.Sub(removed) > platformtest.RevokeBound {
+	if removed, ok := r.removed[c.key]; ok && runs > 0 && c.sent.Sub(removed) > platformtest.RevokeBound && !r.forgotten(removed, c.sent) {
 		r.violation(c.id, "revoked: %s ran, sent %s after its key was removed", c.id, c.sent.Sub(removed))
 	}
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -145,26 +145,32 @@
 	if r.ResponseFaults {
 		all = append(all, responseFaults()...)
 	}
-	var lock sync.Mutex // faults end on their own timers
+	gap := meanFaultGap
+	if r.Restores {
+		all = append(all, append(restoreFaults(), mixedFaults()...)...)
+	}
+	if r.RestoresOnly {
+		all, gap = restoreFaults(), meanRestoreGap
+	}
 	var wait sync.WaitGroup
 	started := time.Now()
 	for time.Since(started) < r.Faults {
 		f := all[r.random.IntN(len(all))]
-		lock.Lock()
+		r.lock.Lock()
 		end := f.inject(r)
-		lock.Unlock()
+		r.lock.Unlock()
 		r.report.Faults = append(r.report.Faults, fmt.Sprintf("%.3f s %s", time.Since(r.started).Seconds(), f.name))
 		duration := time.Duration(r.random.Int64N(int64(maxFaultDuration)))
 		if end != nil {
 			wait.Add(1)
 			time.AfterFunc(duration, func() {
 				defer wait.Done()
-				lock.Lock()
-				defer lock.Unlock()
+				r.lock.Lock()
+				defer r.lock.Unlock()
 				end()
 			})
 		}
-		time.Sleep(time.Duration(r.random.Int64N(2 * int64(meanFaultGap))))
+		time.Sleep(time.Duration(r.random.Int64N(2 * int64(gap))))
 	}
 	wait.Wait()
 	r.background.Wait()
--- /dev/null
+++ b/internal/soak/restore_test.go
@@ -0,0 +1,63 @@
+package soak
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tamarackreach/platform/platformtest"
+)
+
+var _ = Describe("the checks of restores", func() {
+	It("find a removed key that runs, unless no process may know of it", func() {
+		run := newRun("r-1", "r", 1, 200)
+		c := newCall("r", "r-1", &run, "whole body")
+		c.key = "old"
+		r := &records{started: start, vms: []string{"vm-1", "vm-2"}, calls: []call{c}, arrivals: []platformtest.Arrival{run}, removed: map[string]time.Time{"old": at(-1600)}}
+		r.spans = []span{{configSubject, at(-1000), at(100)}, {restartOf("vm-1"), at(-500), at(-400)}, {restartOf("vm-2"), at(-1300), at(-1200)}}
+		Expect(r.check()).To(HaveExactElements(ContainSubstring("revoked")))
+		r.violations, r.spans[2] = nil, span{restartOf("vm-2"), at(-300), at(-200)}
+		Expect(r.check()).To(BeEmpty())
+		r.spans[0].to = at(-700)
+		Expect(r.check()).To(HaveExactElements(ContainSubstring("revoked")))
+		r.violations, r.spans = nil, []span{{configSubject, at(-1100), at(100)}}
+		Expect(r.check()).To(BeEmpty(), "the store lost the removal before a VM had to know it")
+	})
+
+	DescribeTable("find a request at a target whose drain its VM has read",
+		func(drained time.Time, fault span, found bool) {
+			run := newRun("r-1", "r", 1, 200)
+			r := &records{
+				started: start, calls: []call{newCall("r", "r-1", &run, "whole body")}, arrivals: []platformtest.Arrival{run},
+				drained: map[string]time.Time{"i-1": drained}, spans: []span{fault},
+			}
+			if found {
+				Expect(r.check()).To(HaveExactElements(ContainSubstring("drained")))
+			} else {
+				Expect(r.check()).To(BeEmpty())
+			}
+		},
+		Entry("after the bound", at(-700), span{}, true),
+		Entry("within the bound", at(-500), span{}, false),
+		Entry("also after a restore", at(-700), span{storeSubject, at(-50), at(-20)}, true),
+		Entry("unless the store was away in the bound", at(-700), span{storeSubject, at(-300), at(-20)}, false),
+		Entry("unless the VM restarted", at(-700), span{"vm-1", at(-50), at(-20)}, false),
+	)
+
+	DescribeTable("find a request that fails because of a restore",
+		func(status int, lost time.Time, found bool) {
+			c := call{id: "r-1", kind: "r", path: "/r/x", key: permanentKey, vm: "vm-1", sent: at(0), ended: at(10), status: status}
+			r := &records{started: start, calls: []call{c}, restoresOnly: true, served: at(-5000), spans: []span{{configSubject, lost, at(0)}}}
+			if found {
+				Expect(r.check()).To(HaveExactElements(ContainSubstring("restore")))
+			} else {
+				Expect(r.check()).To(BeEmpty())
+			}
+		},
+		Entry("refused although the configuration could be confirmed", 503, at(-500), true),
+		Entry("refused because it could not be confirmed", 503, at(-1000), false),
+		Entry("failed", 502, at(-1000), true),
+		Entry("cut off", 0, at(-1000), true),
+	)
+})
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -32,6 +32,9 @@
 	// ResponseFaults adds faults of targets' responses, content that crashes targets
 	// and series of restarts.
 	ResponseFaults bool
+	// Restores adds returns of the store from an older copy, and drains of targets.
+	// RestoresOnly injects no other faults.
+	Restores, RestoresOnly bool
 }
 
 // Result is the result of a run.
@@ -41,6 +44,9 @@
 	Arrivals int
 	// PeakRetries is the largest share of the retry budget that a window used.
 	PeakRetries float64
+	// Restores is the number of times that the store came back from an older copy,
+	// PeakWrites the most write calls to it in a second soon after that.
+	PeakWrites, Restores int
 	// Faults lists the injected faults, each after the time of its start.
 	Faults []string
 	// Violations lists the violated guarantees.
@@ -58,6 +64,8 @@
 	settleTime = 500 * time.Millisecond
 	// maxServiceTime bounds the time that a target takes before it responds.
 	maxServiceTime = 40 * time.Millisecond
+	// maxWritesPerVM bounds the write calls to the store in a second, per VM.
+	maxWritesPerVM = 2
 )
 
 type run struct {
@@ -66,11 +74,24 @@
 	store   *platformtest.Store
 	fleet   *platformtest.Fleet
 	proxies map[*platformtest.Target]*proxy
+	// restoredAt is when the store came back from older copies.
+	restoredAt []time.Time
+	// lock guards random, proxies, drained and restoredAt while faults start and end.
+	lock sync.Mutex
+	// copies are copies of the store, the newest last.
+	copies     []*platformtest.Copy
+	copiesLock sync.Mutex
+	// drained is when the drain of a target was acknowledged, by its id.
+	drained map[string]time.Time
 	vms     []*vm
 	keys    *keyring
 	callers *callers
 	spans   spanLog
 	started time.Time
+	// served is when every VM first served every kind of request.
+	served time.Time
+	// stopped is closed at the end of the run.
+	stopped chan struct{}
 	// background counts the faults that end by themselves.
 	background sync.WaitGroup
 	report     Result
@@ -81,6 +102,7 @@
 func Run(o Options) (*Result, error) {
 	r := &run{
 		Options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), proxies: map[*platformtest.Target]*proxy{},
+		drained: map[string]time.Time{}, stopped: make(chan struct{}),
 		keys: &keyring{removed: map[string]time.Time{}}, started: time.Now(),
 	}
 	defer r.stop()
@@ -90,12 +112,21 @@
 	if err := r.awaitServing(startTimeout); err != nil {
 		return nil, errors.Wrap(err, "the deployment did not start")
 	}
+	for _, v := range r.vms {
+		if err := v.writeSettings(v.settings); err != nil {
+			return nil, err
+		}
+	}
+	r.served = time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	r.callers.start(ctx, o.Seed, o.Callers)
 	r.injectFaults()
 	if err := r.awaitServing(recoveryTimeout); err != nil {
 		r.report.Violations = append(r.report.Violations, fmt.Sprintf("recovery: %v", err))
 	}
+	for _, row := range r.awaitRows() {
+		r.report.Violations = append(r.report.Violations, fmt.Sprintf("recovery: row %s of table %s was lost and is not written again", row.Key, row.Table))
+	}
 	cancel()
 	r.callers.running.Wait()
 	time.Sleep(settleTime)
@@ -131,6 +162,9 @@
 			}
 		}
 	}
+	if r.Restores || r.RestoresOnly {
+		go r.keepCopies(r.stopped)
+	}
 	for i := range r.VMs {
 		host := platformtest.Host(int(r.Seed%1000), i)
 		v, err := startVM(r.Dir, r.Binary, fmt.Sprintf("vm-%d", i+1), []string{"a", "b"}[i%2], host, r.store.Address(), &r.spans)
@@ -144,6 +178,7 @@
 }
 
 func (r *run) stop() {
+	close(r.stopped)
 	for _, v := range r.vms {
 		v.stop()
 	}
@@ -218,7 +253,10 @@
 func (r *run) check() {
 	evidence := &records{
 		started: r.started, calls: r.callers.calls, arrivals: r.fleet.Arrivals(), ends: r.fleet.Ends(),
-		removed: r.keys.removed, spans: r.spans.all(),
+		removed: r.keys.removed, spans: r.spans.all(), drained: r.drained, restoresOnly: r.RestoresOnly, served: r.served,
+	}
+	for _, v := range r.vms {
+		evidence.vms = append(evidence.vms, v.name)
 	}
 	for i := range evidence.calls {
 		c := &evidence.calls[i]
@@ -230,6 +268,8 @@
 			r.report.Refused++
 		}
 	}
+	r.report.Restores = r.store.Restores()
+	r.checkWrites()
 	r.report.Arrivals = len(evidence.arrivals)
 	r.report.Violations = append(r.report.Violations, evidence.check()...)
 	r.report.PeakRetries = evidence.peakRetries
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -69,4 +70,25 @@
 		},
 		Entry("seed 411", uint64(411)), Entry("seed 428", uint64(428)), Entry("seed 429", uint64(429)),
 	)
+
+	// The store comes back from copies that are up to five seconds old: alone, and among
+	// the other faults. The runs are concurrent because they mostly wait.
+	It("hold every guarantee while the store comes back from older copies", func() {
+		var runs sync.WaitGroup
+		for seed, only := range map[uint64]bool{601: true, 602: false} {
+			dir := GinkgoT().TempDir()
+			runs.Add(1)
+			go func() {
+				defer runs.Done()
+				defer GinkgoRecover()
+				report, err := soak.Run(soak.Options{
+					Seed: seed, Binary: binary(), Dir: dir, VMs: 3, Callers: 9, Faults: 2500 * time.Millisecond, Restores: true, RestoresOnly: only,
+				})
+				Expect(err).NotTo(HaveOccurred())
+				Expect(report.Violations).To(BeEmpty(), "seed %d, faults: %v", seed, report.Faults)
+				Expect(report.Restores).To(BeNumerically(">", 0))
+			}()
+		}
+		runs.Wait()
+	})
 })
--- a/internal/soak/spans.go
+++ b/internal/soak/spans.go
@@ -7,8 +7,8 @@
 	"tamarackreach/platform/platformtest"
 )
 
-// span is the time of a fault. Its subject is the name of a VM, the id of a target
-// or storeSubject.
+// span is the time of a fault. Its subject is the name of a VM, restartOf a VM, the
+// id of a target, storeSubject or configSubject.
 type span struct {
 	subject  string
 	from, to time.Time
@@ -16,6 +16,9 @@
 
 const storeSubject = "store"
 
+// restartOf returns the subject of spans in which a VM's process ends and restarts.
+func restartOf(vm string) string { return vm + " restart" }
+
 // spanLog records when each subject had faults.
 type spanLog struct {
 	mu    sync.Mutex
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -21,6 +21,7 @@
 	client     string // address for client connections
 	binary     string
 	configPath string
+	settings   string // of all starts but the first
 	log        *os.File
 	store      *proxy
 	spans      *spanLog
@@ -43,8 +44,8 @@
 		return nil, err
 	}
 	v := &vm{name: name, client: platformtest.ClientAddress(host), binary: binary, store: store, spans: spans, configPath: filepath.Join(dir, name+".toml"), done: make(chan struct{})}
-	text := platformtest.Settings(name, zone, host, store.address())
-	if err := os.WriteFile(v.configPath, []byte(text), 0o600); err != nil {
+	v.settings = platformtest.Settings(name, zone, host, store.address())
+	if err := v.writeSettings(platformtest.FirstStart(v.settings)); err != nil {
 		return nil, err
 	}
 	if v.log, err = os.Create(filepath.Join(dir, name+".log")); err != nil {
@@ -57,6 +58,8 @@
 	return v, nil
 }
 
+func (v *vm) writeSettings(text string) error { return os.WriteFile(v.configPath, []byte(text), 0o600) }
+
 func (v *vm) start() error {
 	cmd := exec.Command(v.binary)
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+v.configPath)
@@ -97,7 +100,8 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if (s == syscall.SIGTERM || s == syscall.SIGKILL) && v.endSpan == nil {
-		v.endSpan = v.spans.begin(v.name)
+		endFault, endRestart := v.spans.begin(v.name), v.spans.begin(restartOf(v.name))
+		v.endSpan = func() { endFault(); endRestart() }
 	}
 	_ = v.process.Signal(s) // fails if the process has exited; supervise restarts it
 }
