Wait for the other VMs before a starting VM confirms a configuration

Cause: the first read confirmed the copy's configuration, and a newer version in another VM's message later did not end that confirmation.

The specs "withdraws a confirmation by the copy when another VM has a newer configuration" and "confirms no configuration just after a start" use what did not exist before.

Why this works: messages between VMs carry the version in force; the delay is longer than their interval. It applies only where the store states an era and the deployment does not start for the first time.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -160,7 +160,7 @@
 	if reported, queriedAt, ok := c.peers.queryLeader(ctx); ok && c.view.sameConfig(reported) {
 		// The reported age is counted back from the query, so that a VM suspended since
 		// then computes the full age.
-		c.reducer.Step(director.ConfigRead{Started: queriedAt.Add(-reported.configAge())})
+		c.reducer.Step(director.ConfigRead{Started: queriedAt.Add(-reported.configAge()), Era: reported.Era})
 		return
 	}
 	c.readConfig(ctx)
@@ -179,7 +179,7 @@
 		return
 	}
 	if c.view.confirmConfig(row.Version, started) {
-		c.reducer.Step(director.ConfigRead{Started: started})
+		c.reducer.Step(director.ConfigRead{Started: started, Era: row.Version.Era})
 		return
 	}
 	config, err := platform.DecodeConfig(row.Value)
@@ -187,7 +187,7 @@
 		logrus.WithError(err).WithField("row", row.Version).Error("configuration not usable")
 		return
 	}
-	c.reducer.Step(director.ConfigRead{Config: config, Started: started})
+	c.reducer.Step(director.ConfigRead{Config: config, Started: started, Era: row.Version.Era})
 	var inForce model.Revision
 	c.reducer.Read(func(s *director.State) { inForce = s.Config().Version })
 	if inForce == config.Version {
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -20,6 +20,8 @@
 	// Started is when the read was sent; the configuration was current at that time
 	// or later.
 	Started model.Instant
+	// Era is the era of the store in which it was read; 0 where the store states none.
+	Era fleet.StoreEra
 }
 
 // TargetsRead carries all registrations in the store.
--- a/internal/director/restore.go
+++ b/internal/director/restore.go
@@ -13,6 +13,10 @@
 // times in it.
 const restoreGrace = 10 * time.Second
 
+// firstConfirmDelay is how long after its first read a VM confirms no configuration: a
+// little longer than the interval of the messages that VMs send to other zones.
+const firstConfirmDelay = 700 * time.Millisecond
+
 // restore is a return of the store from an older copy.
 type restore struct {
 	// at is when the return was observed; 0 before the first.
@@ -51,3 +55,30 @@
 func (r *restore) outdated(now model.Instant, row fleet.StoreVersion) bool {
 	return r.pending(now) && row.Era == r.copied.Era && !row.After(r.copied)
 }
+
+// confirms reports whether a read confirms the configuration that it returned, or the
+// one in force. A VM that starts waits for the messages of the others: what the store
+// holds may be the older copy.
+func (s *State) confirms(now model.Instant, e ConfigRead) bool {
+	config := e.Config
+	if config == nil {
+		config = s.config
+	}
+	if config == nil || config.Version < s.newestConfig {
+		return false
+	}
+	return e.Era == 0 || s.settings.FirstStart || now.Sub(s.firstConfigAt) >= firstConfirmDelay
+}
+
+// peerHasConfig records the version of the configuration that another VM has in force.
+// If it is newer than this VM's soon after a restore, or after the start of the VM, the
+// last confirmation is withdrawn: it may rest on the older copy.
+func (s *State) peerHasConfig(now model.Instant, version model.Revision) {
+	s.newestConfig = max(s.newestConfig, version)
+	if s.config == nil || s.config.Version >= s.newestConfig {
+		return
+	}
+	if s.restore.pending(now) || now.Sub(s.firstConfigAt) < restoreGrace {
+		s.confirmedAt = 0
+	}
+}
--- a/internal/director/restore_test.go
+++ b/internal/director/restore_test.go
@@ -67,6 +67,41 @@
 		Expect(h.state.Ready(h.now)).To(BeTrue())
 	})
 
+	// Guards against the same in the time until the other VM's first message.
+	It("confirms no configuration just after a start, except at the first start of all", func() {
+		for firstStart, ready := range map[bool]bool{false: false, true: true} {
+			settings := harnessSettings
+			settings.FirstStart = firstStart
+			state, now := director.New(settings), h.now
+			state.Step(now, director.TargetsRead{})
+			read := director.ConfigRead{Config: config(7), Started: now, Era: 3}
+			state.Step(now, read)
+			Expect(state.Ready(now)).To(Equal(ready))
+			now = now.Add(800 * time.Millisecond)
+			state.Step(now, director.ConfigRead{Started: now, Era: 3})
+			Expect(state.Ready(now)).To(BeTrue())
+		}
+	})
+
+	// Guards against the same when the VM has read the copy before it receives the other
+	// VM's message.
+	It("withdraws a confirmation by the copy when another VM has a newer configuration", func() {
+		h = newHarness()
+		h.addTarget("o1", orders, "a", 0, 0)
+		h.read()
+		Expect(h.state.Ready(h.now)).To(BeTrue())
+		h.state.Step(h.now, director.PeerState{VM: "vm-2", Config: 8})
+		Expect(h.state.Ready(h.now)).To(BeFalse())
+		_, e := h.arrive("/r/x")
+		Expect(expectRefusal(e).Status).To(Equal(503))
+		h.state.Step(h.now, director.ConfigRead{Config: config(8), Started: h.now})
+		Expect(h.state.Ready(h.now)).To(BeTrue())
+		h.advance(11 * time.Second)
+		h.state.Step(h.now, director.ConfigRead{Started: h.now})
+		h.state.Step(h.now, director.PeerState{VM: "vm-2", Config: 9})
+		Expect(h.state.Ready(h.now)).To(BeTrue(), "a change that this VM is about to read")
+	})
+
 	// Guards against a target that is taken for gone because its registration was lost.
 	It("keeps a target that the copy lacks until it registers again or the grace ends", func() {
 		restore()
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -24,6 +24,8 @@
 	Grace time.Duration
 	// Stall is how long a path waits for an unreachable target before it fails.
 	Stall time.Duration
+	// FirstStart is true when the whole deployment starts for the first time.
+	FirstStart bool
 	// Retries bounds retries over all VMs.
 	Retries retrybudget.Settings
 }
@@ -37,6 +39,8 @@
 	workspaceByKey map[string]*fleet.Workspace
 	// newestConfig is the newest version of the configuration that any VM has in force.
 	newestConfig model.Revision
+	// firstConfigAt is when the first configuration was read; 0 before.
+	firstConfigAt model.Instant
 	// confirmedAt is when the read that last confirmed the configuration was sent.
 	confirmedAt model.Instant
 	// storeFailedAt is when reads of the store began to fail; 0 while they succeed.
@@ -205,7 +209,10 @@
 // older one is from a copy of the store that lost the newer.
 func (s *State) configRead(now model.Instant, e ConfigRead) []Effect {
 	effects := s.storeSucceeded(now)
-	if e.Config != nil && e.Config.Version >= s.newestConfig || e.Config == nil && s.config != nil && s.config.Version >= s.newestConfig {
+	if s.firstConfigAt == 0 && e.Config != nil {
+		s.firstConfigAt = now
+	}
+	if s.confirms(now, e) {
 		// Reads may complete out of order; confirmedAt never moves back.
 		s.confirmedAt = max(s.confirmedAt, e.Started)
 	}
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -300,7 +300,7 @@
 func (s *State) applyPeer(now model.Instant, e PeerState) []Effect {
 	known := len(s.peers)
 	s.peers[e.VM] = &peer{receivedAt: now, loads: e.Loads}
-	s.newestConfig = max(s.newestConfig, e.Config)
+	s.peerHasConfig(now, e.Config)
 	if len(s.peers) > known {
 		s.updateVMs(now)
 	}
--- a/internal/frontdaemon/daemon.go
+++ b/internal/frontdaemon/daemon.go
@@ -77,7 +77,7 @@
 func directorSettings(s *platform.Settings) director.Settings {
 	return director.Settings{
 		VM: s.VM, Zone: s.Zone, ConfigApply: s.Bounds.ConfigApply, Revoke: s.Bounds.Revoke, Stall: s.Bounds.Stall,
-		Grace:   s.Bounds.Grace,
+		Grace: s.Bounds.Grace, FirstStart: s.FirstStart,
 		Retries: retrybudget.Settings{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
 	}
 }
