Merge the eras of the store: what holds when it comes back from an older copy

Every response of the store is accepted by its era. Versions carry their era, and beliefs that rest on a response end with it.

--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -18,6 +18,8 @@
 	// Crashes are recent crashes of targets, with the content that they were
 	// processing.
 	Crashes []director.Crash `json:"crashes,omitempty"`
+	// Config is the version of the configuration in force at the sender.
+	Config model.Revision `json:"config,omitempty"`
 	// Quarantines are the quarantines of content that crashed targets.
 	Quarantines []contentQuarantine `json:"quarantines,omitempty"`
 	// Query is the number of a query for the recipient's state of the store; State is
@@ -71,7 +73,7 @@
 // encodePeerState returns the message for a VM's state.
 func encodePeerState(peerState director.PeerState) peerMessage {
 	message := peerMessage{
-		VM: peerState.VM, Loads: make(map[model.TargetID]load, len(peerState.Loads)), Paces: peerState.Paces, Crashes: peerState.Crashes,
+		VM: peerState.VM, Loads: make(map[model.TargetID]load, len(peerState.Loads)), Paces: peerState.Paces, Crashes: peerState.Crashes, Config: peerState.Config,
 		Suspects: make(map[model.TargetID]suspicion, len(peerState.Suspects)),
 	}
 	for id, l := range peerState.Loads {
@@ -89,7 +91,7 @@
 // received returns the sender's state in the message.
 func (m *peerMessage) received() director.PeerState {
 	out := director.PeerState{
-		VM: m.VM, Loads: make(map[model.TargetID]director.Load, len(m.Loads)), Paces: m.Paces, Crashes: m.Crashes,
+		VM: m.VM, Loads: make(map[model.TargetID]director.Load, len(m.Loads)), Paces: m.Paces, Crashes: m.Crashes, Config: m.Config,
 		Suspects: make(map[model.TargetID]director.Suspicion, len(m.Suspects)),
 	}
 	for id, l := range m.Loads {
--- a/internal/director/crash_simulation_test.go
+++ b/internal/director/crash_simulation_test.go
@@ -63,7 +63,7 @@
 	targets map[model.TargetID]*simulatedTarget
 	// registered is the content of the store.
 	registered map[model.TargetID]*fleet.Target
-	rows       map[model.TargetID]model.RowVersion
+	rows       map[model.TargetID]fleet.StoreVersion
 	scheduled  []scheduledAction
 	// restart is the time from a target's crash to its next registration.
 	restart  time.Duration
@@ -85,7 +85,7 @@
 func newCrashSimulation(request crashingRequest, vms int, restart time.Duration) *crashSimulation {
 	c := &crashSimulation{
 		request: request, now: model.Instant(time.Hour), config: config(7), restart: restart,
-		targets: map[model.TargetID]*simulatedTarget{}, registered: map[model.TargetID]*fleet.Target{}, rows: map[model.TargetID]model.RowVersion{},
+		targets: map[model.TargetID]*simulatedTarget{}, registered: map[model.TargetID]*fleet.Target{}, rows: map[model.TargetID]fleet.StoreVersion{},
 	}
 	c.config.Services[llm].Engine.LayerMB = 500 // a target holds the whole model
 	for n := range 6 {
@@ -108,7 +108,7 @@
 	if service == llm {
 		t.Held = model.LayerRange{End: 80}
 	}
-	c.registered[id], c.rows[id] = t, 1
+	c.registered[id], c.rows[id] = t, fleet.StoreVersion{Row: 1}
 }
 
 // start replaces a VM's state by that of a process that has just started.
@@ -123,7 +123,7 @@
 }
 
 func (c *crashSimulation) readStore(vm *simulatedVM) {
-	read := director.TargetsRead{Rows: map[model.TargetID]model.RowVersion{}}
+	read := director.TargetsRead{Rows: map[model.TargetID]fleet.StoreVersion{}}
 	for id, t := range c.registered {
 		read.Targets = append(read.Targets, t)
 		read.Rows[id] = c.rows[id]
@@ -230,7 +230,7 @@
 		registration := *c.registered[t.id]
 		registration.StartedMs = t.incarnation
 		c.registered[t.id] = &registration
-		c.rows[t.id]++
+		c.rows[t.id] = fleet.StoreVersion{Row: c.rows[t.id].Row + 1}
 	}})
 }
 
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -20,15 +20,28 @@
 	// Started is when the read was sent; the configuration was current at that time
 	// or later.
 	Started model.Instant
+	// Era is the era of the store in which it was read; 0 where the store states none.
+	Era fleet.StoreEra
 }
 
 // TargetsRead carries all registrations in the store.
 type TargetsRead struct {
 	Targets []*fleet.Target
 	// Rows is the row version of each registration.
-	Rows map[model.TargetID]model.RowVersion
+	Rows map[model.TargetID]fleet.StoreVersion
+	// Newest is the newest version of any row of the store.
+	Newest fleet.StoreVersion
 }
 
+// StoreRestored reports that the store has come back from an older copy: a new era
+// has begun. What the store acknowledged in the last seconds before may be lost, until
+// the operator, the targets and the VMs write it again.
+type StoreRestored struct{ Era fleet.StoreEra }
+
+// StoreReplaced reports that another store is used from now on: its eras are not those
+// of the earlier one.
+type StoreReplaced struct{}
+
 // StoreFailed reports a failed read of the store.
 type StoreFailed struct{}
 
@@ -144,6 +157,8 @@
 	Paces map[model.TargetID]float64
 	// Crashes are recent crashes of targets and the content that they were running.
 	Crashes []Crash
+	// Config is the version of the configuration in force there, 0 before the first.
+	Config model.Revision
 	// Quarantines are the quarantines of content that crashed targets.
 	Quarantines []Quarantine
 }
@@ -171,6 +186,8 @@
 func (ConfigRead) event()       {}
 func (TargetsRead) event()      {}
 func (StoreFailed) event()      {}
+func (StoreRestored) event()    {}
+func (StoreReplaced) event()    {}
 func (RequestArrived) event()   {}
 func (SendEnded) event()        {}
 func (AnswerStarted) event()    {}
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -24,6 +24,8 @@
 	Grace time.Duration
 	// Stall is how long a path waits for an unreachable target before it fails.
 	Stall time.Duration
+	// FirstStart is true when the whole deployment starts for the first time.
+	FirstStart bool
 	// Retries bounds retries over all VMs.
 	Retries retrybudget.Settings
 }
@@ -35,18 +37,26 @@
 	// routesByHost lists the routes of each host, the longest prefix first.
 	routesByHost   map[string][]*fleet.Route
 	workspaceByKey map[string]*fleet.Workspace
+	// newestConfig is the newest version of the configuration that any VM has in force.
+	newestConfig model.Revision
+	// firstConfigAt is when the first configuration was read; 0 before.
+	firstConfigAt model.Instant
 	// confirmedAt is when the read that last confirmed the configuration was sent.
 	confirmedAt model.Instant
 	// storeFailedAt is when reads of the store began to fail; 0 while they succeed.
 	storeFailedAt model.Instant
 	// storeRecoveredAt is when a read of the store last succeeded after a failure.
 	storeRecoveredAt model.Instant
-	targets          map[model.TargetID]*target
-	byService        map[model.ServiceID][]*target
-	byAddress        map[string]*target
-	targetsRead      bool
-	requests         map[model.RequestID]*request
-	peers            map[model.NodeID]*peer
+	// storeEra is the era of the last read of the store.
+	storeEra fleet.StoreEra
+	// restore is the last return of the store from an older copy; zero before the first.
+	restore     restore
+	targets     map[model.TargetID]*target
+	byService   map[model.ServiceID][]*target
+	byAddress   map[string]*target
+	targetsRead bool
+	requests    map[model.RequestID]*request
+	peers       map[model.NodeID]*peer
 	// listedVMs is the number of VMs registered in the store; 0 while it is unknown.
 	listedVMs int
 	budget    *retrybudget.Budget
@@ -171,6 +181,10 @@
 		return s.applyPeer(now, e)
 	case StoreFailed:
 		return s.storeFailed(now)
+	case StoreRestored:
+		return s.storeRestored(now, e)
+	case StoreReplaced:
+		s.restore = restore{}
 	case VMsCounted:
 		s.listedVMs = max(e.Count, 1)
 		s.updateVMs(now)
@@ -189,14 +203,24 @@
 	return []Effect{&StateChanged{What: "settings in force", Detail: fmt.Sprintf("%+v", next)}}
 }
 
+// configRead puts a newer configuration in force.
+//
+// Invariant: only a read of the newest configuration known confirms it. A read of an
+// older one is from a copy of the store that lost the newer.
 func (s *State) configRead(now model.Instant, e ConfigRead) []Effect {
-	// Reads may complete out of order; confirmedAt never moves back.
-	s.confirmedAt = max(s.confirmedAt, e.Started)
 	effects := s.storeSucceeded(now)
+	if s.firstConfigAt == 0 && e.Config != nil {
+		s.firstConfigAt = now
+	}
+	if s.confirms(now, e) {
+		// Reads may complete out of order; confirmedAt never moves back.
+		s.confirmedAt = max(s.confirmedAt, e.Started)
+	}
 	if e.Config == nil || s.config != nil && e.Config.Version <= s.config.Version {
 		return effects
 	}
 	s.config = e.Config
+	s.newestConfig = max(s.newestConfig, e.Config.Version)
 	s.routesByHost = map[string][]*fleet.Route{}
 	for i := range e.Config.Routes {
 		r := &e.Config.Routes[i]
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -13,12 +13,14 @@
 // target is this VM's view of a target.
 type target struct {
 	*fleet.Target
-	rowVersion model.RowVersion
+	rowVersion fleet.StoreVersion
 	// missingSince is when a read first lacked the registration; 0 while it is
 	// registered.
 	missingSince model.Instant
-	// listed is when a read of the store last contained the registration.
-	listed model.Instant
+	// listed is when a read of the store last contained the registration, and listedIn
+	// the era of that read.
+	listed   model.Instant
+	listedIn fleet.StoreEra
 	// suspectedUntil is when the suspicion ends.
 	suspectedUntil model.Instant
 	// faultSeenAt is when the fault behind the suspicion was last observed.
@@ -90,14 +92,19 @@
 
 func (s *State) updateTargets(now model.Instant, e TargetsRead) []Effect {
 	effects := s.storeSucceeded(now)
+	if s.restore.precedes(e.Newest) {
+		return effects
+	}
+	s.storeEra = e.Newest.Era
+	s.restore.begin(e.Newest)
+	known := s.targetsRead
 	s.targetsRead = true
 	listed := make(map[model.TargetID]bool, len(e.Targets))
 	for _, t := range e.Targets {
 		listed[t.ID] = true
-		if change := s.updateTarget(now, t, e.Rows[t.ID]); change != nil {
+		if change := s.targetListed(now, t, &e, known); change != nil {
 			effects = append(effects, change)
 		}
-		s.targets[t.ID].listed = now
 	}
 	newest := s.newestIncarnations(e.Targets)
 	for id, t := range s.targets {
@@ -110,7 +117,8 @@
 		// Registrations lapse while the store is unreachable and return soon after. One
 		// that was listed after the store's recovery and is missing now was removed, and
 		// so was one whose address belongs to a newer incarnation.
-		lapsed := t.listed < s.storeRecoveredAt && now.Sub(s.storeRecoveredAt) < lapsedGrace
+		lapsed := t.listed < s.storeRecoveredAt && now.Sub(s.storeRecoveredAt) < lapsedGrace ||
+			t.listedIn != e.Newest.Era && s.restore.pending(now)
 		if lapsed && newest[t.Address] <= t.StartedMs {
 			continue
 		}
@@ -121,6 +129,24 @@
 	return append(effects, s.confirmCrashes(now)...)
 }
 
+// targetListed applies a registration of a read. known is false for the first read.
+func (s *State) targetListed(now model.Instant, t *fleet.Target, e *TargetsRead, known bool) Effect {
+	var change Effect
+	old, row := s.targets[t.ID], e.Rows[t.ID]
+	if known && s.restore.outdated(now, row) && !old.drainsBy(t) {
+		// The row is from the older copy: what was known before is newer.
+		if old == nil {
+			return nil
+		}
+		old.missingSince = 0
+	} else {
+		change = s.updateTarget(now, t, row)
+	}
+	current := s.targets[t.ID]
+	current.listed, current.listedIn = now, e.Newest.Era
+	return change
+}
+
 // newestIncarnations returns the StartedMs of the newest registration of each address.
 func (s *State) newestIncarnations(read []*fleet.Target) map[string]int64 {
 	newest := make(map[string]int64, len(read))
@@ -130,7 +156,7 @@
 	return newest
 }
 
-func (s *State) updateTarget(now model.Instant, t *fleet.Target, rowVersion model.RowVersion) Effect {
+func (s *State) updateTarget(now model.Instant, t *fleet.Target, rowVersion fleet.StoreVersion) Effect {
 	known := s.targets[t.ID]
 	if known == nil {
 		s.targets[t.ID] = &target{Target: t, rowVersion: rowVersion, slowdown: 1}
@@ -173,7 +199,7 @@
 	s.byAddress = map[string]*target{}
 	for _, t := range s.targets {
 		s.byService[t.Service] = append(s.byService[t.Service], t)
-		if other := s.byAddress[t.Address]; other == nil || other.rowVersion < t.rowVersion {
+		if other := s.byAddress[t.Address]; other == nil || t.registeredAfter(other) {
 			s.byAddress[t.Address] = t
 		}
 	}
@@ -182,6 +208,20 @@
 	}
 }
 
+// drainsBy reports whether a row of any age states that the known incarnation drains.
+// An incarnation that drains does not become ready again.
+func (t *target) drainsBy(row *fleet.Target) bool {
+	return t != nil && row.State == fleet.TargetDraining && row.StartedMs == t.StartedMs
+}
+
+// registeredAfter reports whether t is the newer of two registrations at one address.
+func (t *target) registeredAfter(other *target) bool {
+	if t.StartedMs != other.StartedMs {
+		return t.StartedMs > other.StartedMs
+	}
+	return t.rowVersion.After(other.rowVersion)
+}
+
 // serving reports whether the target is ready and not dead.
 func (t *target) serving() bool {
 	return t.State == fleet.TargetReady && !t.dead()
@@ -260,6 +300,7 @@
 func (s *State) applyPeer(now model.Instant, e PeerState) []Effect {
 	known := len(s.peers)
 	s.peers[e.VM] = &peer{receivedAt: now, loads: e.Loads}
+	s.peerHasConfig(now, e.Config)
 	if len(s.peers) > known {
 		s.updateVMs(now)
 	}
@@ -306,6 +347,9 @@
 		VM: s.settings.VM, Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
 		Paces: map[model.TargetID]float64{}, Crashes: s.recentCrashes(now), Quarantines: s.quarantines(now),
 	}
+	if s.config != nil {
+		out.Config = s.config.Version
+	}
 	for id, t := range s.targets {
 		if t.ownLoad.Requests != 0 {
 			out.Loads[id] = t.ownLoad
