Log which send a caller's response comes from and how its end is found

answered_by names a target, so a target that was sent the request twice left open which of its two results the caller received. request ended has answered_send, framing and later_send now, send ended says whether a byte left, whether the connection was reused, and the status, signature and framing of the response. The counter tamarack_kept_failures_delivered_total tells by the outcome of the later send whether a kept failure stood beside a run that had another result.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -117,12 +117,14 @@
 	lastReceived    time.Time
 	timeToFirstByte time.Duration
 	diverted        bool
-	// answeredBy is the first target of the send whose head the caller's response has;
-	// empty for a response of the router.
-	answeredBy model.TargetID
+	// answeredBy is the send whose head the caller's response has; zero for a response
+	// of the router.
+	answeredBy source
 	// failedResponse is a target's 5xx response, delivered if no other send succeeds.
 	failedResponse *bufferedResponse
-	log            *logrus.Entry
+	// laterSend is how the last send after the one of failedResponse ended, 0 for none.
+	laterSend director.Outcome
+	log       *logrus.Entry
 }
 
 // ServeHTTP implements http.Handler.
@@ -218,8 +220,8 @@
 	a.handler.metrics.requestEnded(outcome, took, a.timeToFirstByte)
 	a.log.WithFields(logrus.Fields{
 		"outcome": outcome, "took_ms": took.Milliseconds(), "first_ms": a.timeToFirstByte.Milliseconds(), "events": a.events,
-		"longest_pause_ms": a.longestGap.Milliseconds(), "sends": a.sends, "answered_by": a.answeredBy,
-	}).Info("request ended")
+		"longest_pause_ms": a.longestGap.Milliseconds(), "sends": a.sends,
+	}).WithFields(a.answeredBy.fields()).Info("request ended")
 }
 
 func (a *activeRequest) refuse(e *director.Refuse) {
@@ -228,13 +230,15 @@
 	if a.response.started {
 		outcome = "broken off"
 	} else if a.failedResponse != nil {
-		outcome, a.answeredBy = "answered with the target's failure", a.failedResponse.target
+		outcome = "answered with the target's failure"
+		a.answeredBy = a.failedResponse.source
+		a.handler.metrics.keptFailures.WithLabelValues(a.laterSend.String()).Inc()
 	}
 	a.handler.metrics.requestEnded(outcome, took, a.timeToFirstByte)
 	a.log.WithFields(logrus.Fields{
-		"outcome": outcome, "answered_by": a.answeredBy, "sends": a.sends, "status": e.Status, "reason": e.Reason, "detail": e.Detail, "retry_after_ms": e.RetryAfter.Milliseconds(),
-		"took_ms": took.Milliseconds(), "events": a.events,
-	}).Info("request ended")
+		"outcome": outcome, "sends": a.sends, "status": e.Status, "reason": e.Reason, "detail": e.Detail, "retry_after_ms": e.RetryAfter.Milliseconds(),
+		"took_ms": took.Milliseconds(), "events": a.events, "later_send": a.laterSend.String(),
+	}).WithFields(a.answeredBy.fields()).Info("request ended")
 	switch {
 	case a.response.started:
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
@@ -282,10 +286,17 @@
 		ID: a.request.ID, Outcome: outcome, FaultAt: x.Head.FaultAt, Took: time.Since(sentAt),
 		Unresumable: a.unresumable, Random: rand.Float64(),
 	}
+	if a.failedResponse != nil && a.failedResponse.send != e.Number {
+		a.laterSend = outcome
+	}
 	a.handler.metrics.sends.WithLabelValues(outcome.String()).Inc()
 	line := a.log.WithFields(logrus.Fields{
 		"send": e.Number, "outcome": outcome.String(), "fault_at": ended.FaultAt, "took_ms": ended.Took.Milliseconds(),
+		"target": e.Hops[0].Target, "sent": x.Sent, "reused_connection": x.Reused, "framing": x.Framing(),
 	})
+	if x.Response != nil {
+		line = line.WithFields(logrus.Fields{"response_status": x.Response.StatusCode, "signed": x.Head.Signed})
+	}
 	if err != nil {
 		line = line.WithError(err)
 	}
@@ -385,9 +396,12 @@
 	if a.response.started {
 		return director.Failed, true // an error status cannot follow a response that has started
 	}
-	resp := &bufferedResponse{target: e.Hops[0].Target, status: x.Response.StatusCode, header: x.Response.Header, body: body}
+	resp := &bufferedResponse{
+		source: sourceOf(e, x),
+		status: x.Response.StatusCode, header: x.Response.Header, body: body,
+	}
 	if resp.status >= http.StatusInternalServerError && e.Route.Repeatable() {
-		a.failedResponse = resp
+		a.failedResponse, a.laterSend = resp, 0
 		return director.Failed, true
 	}
 	a.writeWhole(resp)
@@ -395,7 +409,7 @@
 }
 
 func (a *activeRequest) writeWhole(resp *bufferedResponse) {
-	a.timeToFirstByte, a.answeredBy = time.Since(a.started), resp.target
+	a.timeToFirstByte, a.answeredBy = time.Since(a.started), resp.source
 	if err := a.response.writeWhole(resp); err != nil {
 		a.log.WithError(err).Info("cannot write the response to the caller")
 	}
@@ -451,7 +465,7 @@
 	if a.response.started {
 		return
 	}
-	a.timeToFirstByte, a.answeredBy = time.Since(a.started), e.Hops[0].Target
+	a.timeToFirstByte, a.answeredBy = time.Since(a.started), sourceOf(e, x)
 	a.response.startStream(x.Response)
 }
 
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -10,11 +10,14 @@
 
 // Metrics holds the Prometheus metrics of an entry VM.
 type Metrics struct {
-	registry  *prometheus.Registry
-	requests  *prometheus.CounterVec
-	sends     *prometheus.CounterVec
-	firstByte prometheus.Histogram
-	duration  prometheus.Histogram
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	sends    *prometheus.CounterVec
+	// keptFailures counts the 5xx responses of targets that were delivered because no
+	// later send succeeded, by the outcome of the last later one.
+	keptFailures *prometheus.CounterVec
+	firstByte    prometheus.Histogram
+	duration     prometheus.Histogram
 }
 
 // latencyBuckets are histogram bounds in seconds: from tens of milliseconds for
@@ -31,6 +34,9 @@
 		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tamarack_sends_ended_total", Help: "Sends to targets that gave no answer to deliver, by outcome.",
 		}, []string{"outcome"}),
+		keptFailures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tamarack_kept_failures_delivered_total", Help: "Failures of targets that were delivered after no later send succeeded, by outcome of the last later send.",
+		}, []string{"later_send"}),
 		firstByte: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "tamarack_first_byte_seconds", Help: "Time to the first byte of an answer.", Buckets: latencyBuckets,
 		}),
@@ -38,7 +44,7 @@
 			Name: "tamarack_request_seconds", Help: "Time to the end of a request.", Buckets: latencyBuckets,
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.sends, m.firstByte, m.duration)
+	m.registry.MustRegister(m.requests, m.sends, m.keptFailures, m.firstByte, m.duration)
 	return m
 }
 
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -4,7 +4,11 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"tamarackreach/internal/director"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/upstream"
 	"tamarackreach/platform"
 )
 
@@ -19,9 +23,27 @@
 	started bool
 }
 
+// source identifies the send that a response comes from.
+type source struct {
+	// target is the first target of the send's path.
+	target model.TargetID
+	// send is the number of the send, from 1.
+	send    int
+	framing upstream.Framing
+}
+
+func sourceOf(e *director.Send, x *upstream.Exchange) source {
+	return source{target: e.Hops[0].Target, send: e.Number, framing: x.Framing()}
+}
+
+// fields returns the log fields for the response that a caller received.
+func (s source) fields() logrus.Fields {
+	return logrus.Fields{"answered_by": s.target, "answered_send": s.send, "framing": s.framing}
+}
+
 // bufferedResponse is a complete non-streaming response of a target.
 type bufferedResponse struct {
-	target model.TargetID
+	source
 	status int
 	header http.Header
 	body   []byte
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -25,6 +25,8 @@
 	body      *responseBody
 	// Sent is true once a byte may have been sent to the target.
 	Sent bool
+	// Reused is true when the connection had carried another request before.
+	Reused bool
 	// Response is the target's response to this send, nil if there is none; its body
 	// must be read to the end or closed.
 	Response *http.Response
@@ -58,7 +60,7 @@
 	if err != nil {
 		return x, err
 	}
-	x.conn = conn
+	x.conn, x.Reused = conn, conn.reused
 	conn.silenceInterval, conn.onSilence = call.SilenceInterval, call.OnSilence
 	x.stopAbort = context.AfterFunc(ctx, x.abort)
 	if call.ExpiresAt != 0 {
@@ -133,6 +135,31 @@
 	return nil, errors.Newf("more than %d informational responses", maxInformational)
 }
 
+// Framing is how the end of a response is found.
+type Framing string
+
+// The framings of a response. The end of one framed by its connection's end can't be
+// told from an orderly close before its end.
+const (
+	NoResponse      Framing = "none"
+	FramedByLength  Framing = "length"
+	FramedByChunks  Framing = "chunks"
+	FramedByClosing Framing = "close"
+)
+
+// Framing returns how the end of the exchange's response is found.
+func (x *Exchange) Framing() Framing {
+	switch {
+	case x.Response == nil:
+		return NoResponse
+	case x.Response.ContentLength >= 0:
+		return FramedByLength
+	case len(x.Response.TransferEncoding) > 0:
+		return FramedByChunks
+	}
+	return FramedByClosing
+}
+
 func (x *Exchange) abort() {
 	if x.released.CompareAndSwap(false, true) {
 		_ = x.conn.Close() // the exchange is aborted; its reader gets the error
