Withdraw a target's failure once a later send may have run the request

Callers received a 5xx with a target's signature although the request had been sent again and that run had another result: the later send was lost, broke, was diverted or timed out, and the failure kept from the earlier one was delivered in its place. If both sends went to one target, its last run has another status than the caller received.

Cause: a kept failure was delivered whenever no later send succeeded, however that send had ended.

A kept failure is withdrawn when a later send ends otherwise than not sent or rejected; the caller gets the router's own 502 or 504, and a log line names the failure and the later send. The last of several failures is delivered, also after rejections.

The four specs "is not an earlier failure once a later send may have run" failed before (500 where 502 or 504 is due).

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -120,9 +120,7 @@
 	// answeredBy is the send whose head the caller's response has; zero for a response
 	// of the router.
 	answeredBy source
-	// failedResponse is a target's 5xx response, delivered if no other send succeeds.
-	failedResponse *bufferedResponse
-	// laterSend is how the last send after the one of failedResponse ended, 0 for none.
+	// laterSend is how the last send after one with a kept failure ended, 0 for none.
 	laterSend director.Outcome
 	log       *logrus.Entry
 }
@@ -229,9 +227,9 @@
 	outcome := "refused"
 	if a.response.started {
 		outcome = "broken off"
-	} else if a.failedResponse != nil {
+	} else if a.response.kept != nil {
 		outcome = "answered with the target's failure"
-		a.answeredBy = a.failedResponse.source
+		a.answeredBy = a.response.kept.source
 		a.handler.metrics.keptFailures.WithLabelValues(a.laterSend.String()).Inc()
 	}
 	a.handler.metrics.requestEnded(outcome, took, a.timeToFirstByte)
@@ -242,8 +240,8 @@
 	switch {
 	case a.response.started:
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
-	case a.failedResponse != nil:
-		a.writeWhole(a.failedResponse)
+	case a.response.kept != nil:
+		a.writeWhole(a.response.kept)
 	default:
 		a.response.writeLocal(a.request.ID, e.Status, e.RetryAfter, e.Reason)
 	}
@@ -286,9 +284,7 @@
 		ID: a.request.ID, Outcome: outcome, FaultAt: x.Head.FaultAt, Took: time.Since(sentAt),
 		Unresumable: a.unresumable, Random: rand.Float64(),
 	}
-	if a.failedResponse != nil && a.failedResponse.send != e.Number {
-		a.laterSend = outcome
-	}
+	a.withdrawKept(e, x, outcome)
 	a.handler.metrics.sends.WithLabelValues(outcome.String()).Inc()
 	line := a.log.WithFields(logrus.Fields{
 		"send": e.Number, "outcome": outcome.String(), "fault_at": ended.FaultAt, "took_ms": ended.Took.Milliseconds(),
@@ -304,6 +300,19 @@
 	return ended
 }
 
+// withdrawKept withdraws the failure of an earlier send if this one may have run the
+// request.
+func (a *activeRequest) withdrawKept(e *director.Send, x *upstream.Exchange, outcome director.Outcome) {
+	if a.response.kept != nil && a.response.kept.send != e.Number {
+		a.laterSend = outcome
+	}
+	if kept := a.response.sendEnded(e.Number, outcome, x.Sent); kept != nil {
+		a.log.WithFields(logrus.Fields{
+			"send": kept.send, "target": kept.target, "status": kept.status, "later_send": outcome.String(),
+		}).Info("failure of an earlier send withdrawn; a later send may have run the request")
+	}
+}
+
 // pathText formats the hops of a path for the log.
 func pathText(hops []fleet.Hop) string {
 	var b strings.Builder
@@ -393,19 +402,18 @@
 		a.log.WithError(err).WithField("status", x.Response.StatusCode).Info("response incomplete; discarded")
 		return a.lossOutcome(), false
 	}
-	if a.response.started {
-		return director.Failed, true // an error status cannot follow a response that has started
-	}
 	resp := &bufferedResponse{
 		source: sourceOf(e, x),
 		status: x.Response.StatusCode, header: x.Response.Header, body: body,
 	}
-	if resp.status >= http.StatusInternalServerError && e.Route.Repeatable() {
-		a.failedResponse, a.laterSend = resp, 0
-		return director.Failed, true
+	switch a.response.offer(resp, e.Route.Repeatable()) {
+	case deliver:
+		a.writeWhole(resp)
+		return 0, true
+	case keep:
+		a.laterSend = 0
 	}
-	a.writeWhole(resp)
-	return 0, true
+	return director.Failed, true
 }
 
 func (a *activeRequest) writeWhole(resp *bufferedResponse) {
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -21,6 +21,9 @@
 	w http.ResponseWriter
 	// started is true once the head has been chosen; it cannot change afterwards.
 	started bool
+	// kept is a target's failure that is delivered if no later send may have run the
+	// request; nil if there is none.
+	kept *bufferedResponse
 }
 
 // source identifies the send that a response comes from.
--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -169,6 +169,53 @@
 		Expect(body).NotTo(ContainSubstring("no memory"))
 	})
 
+	// Guards against the failure of one send beside a later send that had another result:
+	// the caller receives a signature with another status than that of the last run.
+	DescribeTable("is not an earlier failure once a later send may have run", func(path string, status int, later func(w http.ResponseWriter)) {
+		url := startIngress(func(n int, w http.ResponseWriter, _ *http.Request) {
+			if n > 1 {
+				later(w)
+			}
+			w.WriteHeader(http.StatusInternalServerError)
+		})
+		conn := dialIngress(url)
+		writeRequest(conn, path, 400)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = resp.Body.Close() }()
+		Expect(resp.StatusCode).To(Equal(status))
+		Expect(resp.Header).NotTo(HaveKey(signature))
+	},
+		Entry("that lost its response", "/r/x", 502, func(http.ResponseWriter) { breakOff() }),
+		Entry("whose response is not whole", "/r/x", 502, func(w http.ResponseWriter) {
+			w.Header().Set("Content-Length", "9")
+			_, _ = io.WriteString(w, "part")
+			breakOff()
+		}),
+		Entry("whose stream broke before its first event", "/s/x", 502, func(w http.ResponseWriter) {
+			writeEvents(w, 1, 0)
+			breakOff()
+		}),
+		Entry("that timed out", "/r/x", 504, func(http.ResponseWriter) { time.Sleep(600 * time.Millisecond) }),
+	)
+
+	// Guards against a failure of a target that is withheld although it is the last
+	// result of the request.
+	It("is the last failure when the sends after it were rejected", func() {
+		url := startIngress(func(n int, w http.ResponseWriter, _ *http.Request) {
+			if n > 2 {
+				w.Header().Set("Tamarackreach-Not-Executed", "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			w.WriteHeader(http.StatusInternalServerError + n)
+		})
+		resp, _, err := fetch(url + "/r/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(502))
+		Expect(resp.Header.Get(signature)).To(Equal("run-2"))
+	})
+
 	// Guards against a truncated body that is delivered as complete.
 	It("is not built from a body over the size limit", func() {
 		url := startIngress(func(_ int, w http.ResponseWriter, _ *http.Request) {
