Deliver no 408, 429 or 503 of a target that may have run the request

Callers received a target's 429, 503 or 408 without Tamarackreach-Not-Executed and read it as the promise that the request has not run and never will. One that may not be repeated was then repeated by its caller after it had run; an idempotent one was not sent to another target.

Cause: every whole response that was no success was delivered, a 503 of a repeatable request after it had been kept. Only the header, or 421, states that a request did not run; those responses count as rejections and were never delivered.

response.offer discards such a response: the send counts as failed, so a repeatable request may be sent again and any other gets the router's 502. The discarded response is logged and counted in tamarack_promises_discarded_total, by status.

The seven new specs failed before (the target's status where 502 or the later send's 200 is due).

--- a/internal/ingress/delivery.go
+++ b/internal/ingress/delivery.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"tamarackreach/internal/director"
 )
@@ -11,7 +12,14 @@
 // Invariant: the caller receives the result of the last send that may have run the
 // request, with the sends whose stream that send resumes, or a response of the router.
 // The result of an earlier send is withdrawn, since a later run may have had another
-// one.
+// one. A status that callers read as the promise that the request has not run, and never
+// will, is the router's own: a target that did not run a request states so, and its
+// response counts as a rejection.
+
+// promises are the statuses that callers read as that promise.
+var promises = []int{
+	http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+}
 
 // decision is what becomes of a whole response that is not a stream.
 type decision uint8
@@ -23,14 +31,19 @@
 	keep
 	// discard counts it as a failed send.
 	discard
+	// discardPromise does so because its status would be read as a promise.
+	discardPromise
 )
 
-// offer decides what becomes of the whole response to a send. repeatable is true when
+// offer decides what becomes of the whole response to a send that may have run the
+// request. repeatable is true when
 // the request may be sent again.
 func (r *response) offer(b *bufferedResponse, repeatable bool) decision {
 	switch {
 	case r.started:
 		return discard // no other response can follow one that has started
+	case slices.Contains(promises, b.status):
+		return discardPromise
 	case b.status >= http.StatusInternalServerError && repeatable:
 		r.kept = b
 		return keep
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -412,6 +413,10 @@
 		return 0, true
 	case keep:
 		a.laterSend = 0
+	case discardPromise:
+		a.handler.metrics.promisesDiscarded.WithLabelValues(strconv.Itoa(resp.status)).Inc()
+		a.log.WithFields(logrus.Fields{"send": e.Number, "target": resp.target, "status": resp.status}).
+			Info("response discarded; its status would promise that the request has not run")
 	}
 	return director.Failed, true
 }
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -16,8 +16,11 @@
 	// keptFailures counts the 5xx responses of targets that were delivered because no
 	// later send succeeded, by the outcome of the last later one.
 	keptFailures *prometheus.CounterVec
-	firstByte    prometheus.Histogram
-	duration     prometheus.Histogram
+	// promisesDiscarded counts the responses of targets whose status promises that the
+	// request has not run, without a statement of the target that it did not run it.
+	promisesDiscarded *prometheus.CounterVec
+	firstByte         prometheus.Histogram
+	duration          prometheus.Histogram
 }
 
 // latencyBuckets are histogram bounds in seconds: from tens of milliseconds for
@@ -37,6 +40,9 @@
 		keptFailures: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tamarack_kept_failures_delivered_total", Help: "Failures of targets that were delivered after no later send succeeded, by outcome of the last later send.",
 		}, []string{"later_send"}),
+		promisesDiscarded: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tamarack_promises_discarded_total", Help: "Responses of targets that were discarded because their status promises that the request has not run, by status.",
+		}, []string{"status"}),
 		firstByte: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "tamarack_first_byte_seconds", Help: "Time to the first byte of an answer.", Buckets: latencyBuckets,
 		}),
@@ -44,7 +50,7 @@
 			Name: "tamarack_request_seconds", Help: "Time to the end of a request.", Buckets: latencyBuckets,
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.sends, m.keptFailures, m.firstByte, m.duration)
+	m.registry.MustRegister(m.requests, m.sends, m.keptFailures, m.promisesDiscarded, m.firstByte, m.duration)
 	return m
 }
 
--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -27,8 +27,8 @@
 const signature = "Tamarackreach-Server-Seal"
 
 // startIngress returns the URL of an ingress in front of one target, which handles
-// the n-th send, counted from 1, with respond, and of its metrics. Routes: /r/ is idempotent, /s/ is a
-// stream that may be resumed.
+// the n-th send, counted from 1, with respond, and of its metrics. Routes: /r/ is idempotent, /p/ is
+// not, /s/ is a stream that may be resumed.
 func startIngress(respond func(n int, w http.ResponseWriter, r *http.Request)) string {
 	sends := 0
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -50,6 +50,7 @@
 		Version: 1,
 		Routes: []fleet.Route{
 			{Name: "read", Host: "h", Prefix: "/r/", Kind: fleet.Idempotent, Timeout: 5 * time.Second, MaxTargets: 2, Split: split},
+			{Name: "pay", Host: "h", Prefix: "/p/", Kind: fleet.NonIdempotent, Timeout: 5 * time.Second, MaxTargets: 2, Split: split},
 			{Name: "stream", Host: "h", Prefix: "/s/", Kind: fleet.Stream, Resumable: true, Timeout: 5 * time.Second, MaxTargets: 2, Split: split},
 		},
 		Services: map[model.ServiceID]*fleet.Service{"desk": {ID: "desk"}},
@@ -216,6 +217,44 @@
 		Expect(resp.Header.Get(signature)).To(Equal("run-2"))
 	})
 
+	// Guards against a caller that repeats a request which has run: it reads 408, 429 and
+	// 503 as the promise that the request has not run and never will.
+	DescribeTable("does not promise that a request has not run when its target did not state that", func(path string, status, maxSends int) {
+		sends := 0
+		url := startIngress(func(n int, w http.ResponseWriter, _ *http.Request) {
+			sends = n
+			w.WriteHeader(status)
+		})
+		resp, _, err := fetch(url + path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(502))
+		Expect(resp.Header).NotTo(HaveKey(signature))
+		Expect(sends).To(BeNumerically("<=", maxSends))
+		_, metrics, err := fetch(url + "/metrics")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(metrics).To(ContainSubstring(`tamarack_promises_discarded_total{status="%d"} %d`, status, sends))
+	},
+		Entry("429, not repeatable", "/p/x", 429, 1),
+		Entry("503, not repeatable", "/p/x", 503, 1),
+		Entry("408, not repeatable", "/p/x", 408, 1),
+		Entry("429, idempotent", "/r/x", 429, 4),
+		Entry("503, idempotent", "/r/x", 503, 4),
+		Entry("503 of a stream", "/s/x", 503, 4),
+	)
+
+	// Guards against an idempotent request that is not sent again after such a status.
+	It("is that of a later send after a status that it must not promise", func() {
+		url := startIngress(func(n int, w http.ResponseWriter, _ *http.Request) {
+			if n == 1 {
+				w.WriteHeader(http.StatusTooManyRequests)
+			}
+		})
+		resp, _, err := fetch(url + "/r/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(resp.Header.Get(signature)).To(Equal("run-2"))
+	})
+
 	// Guards against a truncated body that is delivered as complete.
 	It("is not built from a body over the size limit", func() {
 		url := startIngress(func(_ int, w http.ResponseWriter, _ *http.Request) {
