Skip events without an id that the caller has when a target resumes too early

Callers received an event twice: a target that resumes a stream from before the event named in Last-Event-Id sends events again. Those with an id were skipped, those without one between them were delivered a second time.

An event without an id counts as delivered now while the send repeats events from before the last one delivered.

The spec "has no event without an id twice when a target resumes too early" failed before.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -109,7 +109,9 @@
 	// unresumable is true when data was forwarded to the caller after lastEventID: no
 	// target can go on behind an event without an id.
 	unresumable bool
-	events      int
+	// behind is true while the current send repeats events from before lastEventID.
+	behind bool
+	events int
 	// longestGap is the longest time between two consecutive events.
 	longestGap time.Duration
 	sends      int
@@ -261,7 +263,7 @@
 	defer cancel()
 	sentAt := time.Now()
 	a.setWriteDeadline(sentAt.Add(e.TimeLeft + writeGrace))
-	a.lastReceived, a.diverted, a.streaming = sentAt, false, false
+	a.lastReceived, a.diverted, a.streaming, a.behind = sentAt, false, false, false
 	a.sends = e.Number
 	call := a.call(e)
 	call.ExpiresAt = e.ExpiresAt
@@ -442,10 +444,10 @@
 			return director.Broken, false
 		}
 		a.recordReceived()
+		if a.alreadyDelivered(&event) {
+			continue
+		}
 		if event.HasID {
-			if event.ID <= a.lastEventID && a.response.started {
-				continue // already delivered to the caller
-			}
 			a.lastEventID = event.ID
 		}
 		a.unresumable = !event.HasID && (a.unresumable || event.HasData)
@@ -466,6 +468,17 @@
 	}
 }
 
+// alreadyDelivered reports whether the caller has received an event: a target may begin
+// before the event after which it was asked to resume a stream. An event without an id is
+// known by the one before it.
+func (a *activeRequest) alreadyDelivered(event *upstream.Event) bool {
+	if event.HasID && a.response.started {
+		a.behind = event.ID < a.lastEventID
+		return event.ID <= a.lastEventID
+	}
+	return a.behind && !event.HasID
+}
+
 func (a *activeRequest) setWriteDeadline(t time.Time) {
 	if err := a.response.setWriteDeadline(t); err != nil {
 		a.log.WithError(err).Warn("cannot set the deadline for writing to the caller")
--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -299,6 +299,23 @@
 		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 	})
 
+	// Guards against an event without an id that the caller receives twice, because the
+	// target that resumes the stream begins before the event after which it should.
+	It("has no event without an id twice when a target resumes too early", func() {
+		url := startIngress(func(n int, w http.ResponseWriter, _ *http.Request) {
+			writeEvents(w, 1, 1)
+			_, _ = io.WriteString(w, "data: a\n\n")
+			writeEvents(w, 2, 1+n)
+			if n == 1 {
+				time.Sleep(50 * time.Millisecond)
+				breakOff()
+			}
+		})
+		_, body, err := fetch(url + "/s/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("id: 1\ndata: x\n\ndata: a\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"))
+	})
+
 	// Guards against a stream that is broken off although each of its parts has an id.
 	It("resumes a stream after an event without data that has no id", func() {
 		url := startIngress(func(n int, w http.ResponseWriter, _ *http.Request) {
