--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -108,7 +109,9 @@
 	// unresumable is true when data was forwarded to the caller after lastEventID: no
 	// target can go on behind an event without an id.
 	unresumable bool
-	events      int
+	// behind is true while the current send repeats events from before lastEventID.
+	behind bool
+	events int
 	// longestGap is the longest time between two consecutive events.
 	longestGap time.Duration
 	sends      int
@@ -120,9 +123,7 @@
 	// answeredBy is the send whose head the caller's response has; zero for a response
 	// of the router.
 	answeredBy source
-	// failedResponse is a target's 5xx response, delivered if no other send succeeds.
-	failedResponse *bufferedResponse
-	// laterSend is how the last send after the one of failedResponse ended, 0 for none.
+	// laterSend is how the last send after one with a kept failure ended, 0 for none.
 	laterSend director.Outcome
 	log       *logrus.Entry
 }
@@ -229,9 +230,9 @@
 	outcome := "refused"
 	if a.response.started {
 		outcome = "broken off"
-	} else if a.failedResponse != nil {
+	} else if a.response.kept != nil {
 		outcome = "answered with the target's failure"
-		a.answeredBy = a.failedResponse.source
+		a.answeredBy = a.response.kept.source
 		a.handler.metrics.keptFailures.WithLabelValues(a.laterSend.String()).Inc()
 	}
 	a.handler.metrics.requestEnded(outcome, took, a.timeToFirstByte)
@@ -242,8 +243,8 @@
 	switch {
 	case a.response.started:
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
-	case a.failedResponse != nil:
-		a.writeWhole(a.failedResponse)
+	case a.response.kept != nil:
+		a.writeWhole(a.response.kept)
 	default:
 		a.response.writeLocal(a.request.ID, e.Status, e.RetryAfter, e.Reason)
 	}
@@ -262,7 +263,7 @@
 	defer cancel()
 	sentAt := time.Now()
 	a.setWriteDeadline(sentAt.Add(e.TimeLeft + writeGrace))
-	a.lastReceived, a.diverted, a.streaming = sentAt, false, false
+	a.lastReceived, a.diverted, a.streaming, a.behind = sentAt, false, false, false
 	a.sends = e.Number
 	call := a.call(e)
 	call.ExpiresAt = e.ExpiresAt
@@ -286,9 +287,7 @@
 		ID: a.request.ID, Outcome: outcome, FaultAt: x.Head.FaultAt, Took: time.Since(sentAt),
 		Unresumable: a.unresumable, Random: rand.Float64(),
 	}
-	if a.failedResponse != nil && a.failedResponse.send != e.Number {
-		a.laterSend = outcome
-	}
+	a.withdrawKept(e, x, outcome)
 	a.handler.metrics.sends.WithLabelValues(outcome.String()).Inc()
 	line := a.log.WithFields(logrus.Fields{
 		"send": e.Number, "outcome": outcome.String(), "fault_at": ended.FaultAt, "took_ms": ended.Took.Milliseconds(),
@@ -304,6 +303,19 @@
 	return ended
 }
 
+// withdrawKept withdraws the failure of an earlier send if this one may have run the
+// request.
+func (a *activeRequest) withdrawKept(e *director.Send, x *upstream.Exchange, outcome director.Outcome) {
+	if a.response.kept != nil && a.response.kept.send != e.Number {
+		a.laterSend = outcome
+	}
+	if kept := a.response.sendEnded(e.Number, outcome, x.Sent); kept != nil {
+		a.log.WithFields(logrus.Fields{
+			"send": kept.send, "target": kept.target, "status": kept.status, "later_send": outcome.String(),
+		}).Info("failure of an earlier send withdrawn; a later send may have run the request")
+	}
+}
+
 // pathText formats the hops of a path for the log.
 func pathText(hops []fleet.Hop) string {
 	var b strings.Builder
@@ -393,19 +405,22 @@
 		a.log.WithError(err).WithField("status", x.Response.StatusCode).Info("response incomplete; discarded")
 		return a.lossOutcome(), false
 	}
-	if a.response.started {
-		return director.Failed, true // an error status cannot follow a response that has started
-	}
 	resp := &bufferedResponse{
 		source: sourceOf(e, x),
 		status: x.Response.StatusCode, header: x.Response.Header, body: body,
 	}
-	if resp.status >= http.StatusInternalServerError && e.Route.Repeatable() {
-		a.failedResponse, a.laterSend = resp, 0
-		return director.Failed, true
-	}
-	a.writeWhole(resp)
-	return 0, true
+	switch a.response.offer(resp, e.Route.Repeatable()) {
+	case deliver:
+		a.writeWhole(resp)
+		return 0, true
+	case keep:
+		a.laterSend = 0
+	case discardPromise:
+		a.handler.metrics.promisesDiscarded.WithLabelValues(strconv.Itoa(resp.status)).Inc()
+		a.log.WithFields(logrus.Fields{"send": e.Number, "target": resp.target, "status": resp.status}).
+			Info("response discarded; its status would promise that the request has not run")
+	}
+	return director.Failed, true
 }
 
 func (a *activeRequest) writeWhole(resp *bufferedResponse) {
@@ -429,10 +444,10 @@
 			return director.Broken, false
 		}
 		a.recordReceived()
+		if a.alreadyDelivered(&event) {
+			continue
+		}
 		if event.HasID {
-			if event.ID <= a.lastEventID && a.response.started {
-				continue // already delivered to the caller
-			}
 			a.lastEventID = event.ID
 		}
 		a.unresumable = !event.HasID && (a.unresumable || event.HasData)
@@ -453,6 +468,17 @@
 	}
 }
 
+// alreadyDelivered reports whether the caller has received an event: a target may begin
+// before the event after which it was asked to resume a stream. An event without an id is
+// known by the one before it.
+func (a *activeRequest) alreadyDelivered(event *upstream.Event) bool {
+	if event.HasID && a.response.started {
+		a.behind = event.ID < a.lastEventID
+		return event.ID <= a.lastEventID
+	}
+	return a.behind && !event.HasID
+}
+
 func (a *activeRequest) setWriteDeadline(t time.Time) {
 	if err := a.response.setWriteDeadline(t); err != nil {
 		a.log.WithError(err).Warn("cannot set the deadline for writing to the caller")
