Ingress: reset the connection of a caller of HTTP/1.0 whose stream is broken off

Such a caller saw a stream that was broken off as complete: a response without a length ends with its connection in HTTP/1.0, and net/http closes the connection of an aborted response in order, as the system closes those of a process that ends.

While a response is under way that ends with its connection, the connection is set to be reset when it closes, and set back once the response is complete.

--- a/internal/frontdaemon/daemon.go
+++ b/internal/frontdaemon/daemon.go
@@ -102,6 +102,7 @@
 	defer cancel()
 	server := &http.Server{
 		Handler: d.ingress, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: ingress.ConnContext,
 	}
 	if err := d.serve(ctx, server, d.settings.ClientAddress); err != nil {
 		return err
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -133,7 +133,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	a := &activeRequest{handler: h, response: response{w: w}, r: r, request: request, started: time.Now()}
+	a := &activeRequest{handler: h, response: newResponse(w, r), r: r, request: request, started: time.Now()}
 	a.log = logrus.WithField("request", request.ID)
 	var limit int64 = defaultMaxBodyBytes
 	h.reducer.Read(func(s *director.State) {
@@ -152,6 +152,7 @@
 		return
 	}
 	a.run(arrivedAt)
+	a.response.complete()
 }
 
 // run serves the request, whose head was read at arrivedAt, until it is answered or
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -294,6 +294,17 @@
 		s.fleet.EventInterval = 5 * time.Millisecond
 	})
 
+	// Guards against a daemon that does not reset what ingress.ConnContext lets it reset.
+	It("resets the connection of a caller of HTTP/1.0 whose stream is broken off", func() {
+		s.fleet.EventInterval = 100 * time.Millisecond
+		conn := dialIngress(s.client)
+		writeRequest10(conn, "/s/x", 400)
+		text, err := io.ReadAll(conn)
+		s.fleet.EventInterval = 5 * time.Millisecond
+		Expect(string(text)).To(ContainSubstring("id: 1\n"))
+		Expect(err).To(HaveOccurred())
+	})
+
 	It("keeps serving while the store is unreachable, but accepts no key beyond the revocation bound", func() {
 		s.store.Fail(http.StatusServiceUnavailable)
 		status, _, _ := s.call("GET", "/r/x")
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -17,6 +19,36 @@
 	w http.ResponseWriter
 	// started is true once the head has been chosen; it cannot change afterwards.
 	started bool
+	// endsWith is the caller's connection if a response without a length ends with it, as
+	// in HTTP/1.0; else nil.
+	endsWith lingerer
+}
+
+// lingerer is a TCP connection; see net.TCPConn.
+type lingerer interface{ SetLinger(seconds int) error }
+
+const (
+	// resetOnClose and finOnClose are arguments of SetLinger.
+	resetOnClose = 0
+	finOnClose   = -1
+)
+
+type connKey struct{}
+
+// ConnContext stores a caller's connection in the context of its requests. The
+// http.Server of a RequestHandler needs it, to break off responses to callers of
+// HTTP/1.0.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// newResponse returns the response to r, which is written to w.
+func newResponse(w http.ResponseWriter, r *http.Request) response {
+	out := response{w: w}
+	if !r.ProtoAtLeast(1, 1) {
+		out.endsWith, _ = r.Context().Value(connKey{}).(lingerer)
+	}
+	return out
 }
 
 // bufferedResponse is a complete non-streaming response of a target.
@@ -44,9 +76,20 @@
 	platform.CopyResponseHeader(r.w.Header(), head.Header)
 	// The length of a stream that is resumed elsewhere is not that of its first part.
 	r.w.Header().Del("Content-Length")
+	if r.endsWith != nil {
+		// Until the response is complete, also the end of this process must reset it.
+		_ = r.endsWith.SetLinger(resetOnClose) // an error is harmless: the connection is closed
+	}
 	r.w.WriteHeader(head.StatusCode)
 }
 
+// complete ends a response that was written to its end.
+func (r *response) complete() {
+	if r.endsWith != nil && r.flush() == nil {
+		_ = r.endsWith.SetLinger(finOnClose) // an error is harmless: the connection is closed
+	}
+}
+
 // writeEvent writes a whole event of a started stream.
 func (r *response) writeEvent(event []byte) error {
 	_, err := r.w.Write(event)
--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -61,7 +61,9 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", ingress.New(reducer, upstream.NewPool(), nil, metrics))
 	mux.Handle("/metrics", metrics.Handler())
-	server := httptest.NewServer(mux)
+	server := httptest.NewUnstartedServer(mux)
+	server.Config.ConnContext = ingress.ConnContext
+	server.Start()
 	DeferCleanup(server.Close)
 	return server.URL
 }
