Ingress: state the length of every whole response

A caller of HTTP/1.0 that read a body too slowly saw a part of it as the whole: when the target had sent no length, neither did the router, and the write deadline then ended the body with the connection in order.

The body is buffered whole, so its length is known, and a part of it ends early for every caller. Of the four specs that let the deadline end a write, the one with HTTP/1.0 and no length failed before.

The specs of pipelined requests behind a response that is broken off, and of a caller that ends its sending side, passed at once. Such a caller counts as gone, as one that closes its connection: the two look alike until the router writes.

--- a/internal/ingress/caller_test.go
+++ b/internal/ingress/caller_test.go
@@ -1,9 +1,13 @@
 package ingress_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -43,4 +47,95 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(text)).To(HaveSuffix("id: 300\ndata: x\n\n"))
 	})
+
+	// Guards against a part of a body that looks complete to a caller who reads it too
+	// slowly.
+	DescribeTable("ends early without looking complete when the deadline ends a write", func(protocol string, withLength bool) {
+		body := make([]byte, 12<<20)
+		url := startIngress(func(_ int, w http.ResponseWriter, _ *http.Request) {
+			if withLength {
+				w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+			}
+			_, _ = w.Write(body)
+		})
+		conn := dialIngress(url)
+		_, err := fmt.Fprintf(conn, "GET /r/x %s\r\nHost: h\r\nTamarackreach-Attempt-Id: q4\r\nTamarackreach-Deadline-Ms: 300\r\n\r\n", protocol)
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(time.Second)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(200))
+		n, err := io.Copy(io.Discard, resp.Body)
+		Expect(n).To(BeNumerically("<", len(body)))
+		Expect(err).To(HaveOccurred())
+	},
+		Entry("HTTP/1.1, a length", "HTTP/1.1", true),
+		Entry("HTTP/1.1, no length", "HTTP/1.1", false),
+		Entry("HTTP/1.0, a length", "HTTP/1.0", true),
+		Entry("HTTP/1.0, no length", "HTTP/1.0", false),
+	)
+
+	// Guards against a response to a second request on a connection where the first one's
+	// is not complete.
+	DescribeTable("carries no further response after one that is broken off", func(first string, deadlineMs int) {
+		url := startIngress(func(_ int, w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/r/second" {
+				_, _ = io.WriteString(w, "second body")
+				return
+			}
+			if r.URL.Path == "/r/long" {
+				_, _ = w.Write(make([]byte, 12<<20))
+				return
+			}
+			writeEvents(w, 1, 0)
+			_, _ = io.WriteString(w, "data: a\n\n")
+			Expect(http.NewResponseController(w).Flush()).To(Succeed())
+			time.Sleep(20 * time.Millisecond)
+			breakOff()
+		})
+		conn := dialIngress(url)
+		var both strings.Builder
+		writeRequest(conn, first, deadlineMs)
+		writeRequest(conn, "/r/second", 5000)
+		time.Sleep(time.Second)
+		_, _ = io.Copy(&both, conn)
+		Expect(both.String()).To(HavePrefix("HTTP/1.1 200"))
+		Expect(both.String()).NotTo(ContainSubstring("second body"))
+		Expect(strings.Count(both.String(), "HTTP/1.1 ")).To(Equal(1))
+	},
+		Entry("by its target", "/s/x", 5000),
+		Entry("by the deadline", "/r/long", 300),
+	)
+
+	// Guards against a part of a response that looks complete to a caller who ends its
+	// sending side, which counts as a caller that has left.
+	DescribeTable("is closed without a complete response once its caller ends its sending side", func(path, protocol string) {
+		url := startIngress(func(_ int, w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/s/x" {
+				writeEvents(w, 1, 1)
+			}
+			select {
+			case <-r.Context().Done():
+			case <-time.After(time.Second):
+			}
+		})
+		conn := dialIngress(url)
+		_, err := fmt.Fprintf(conn, "GET %s %s\r\nHost: h\r\nTamarackreach-Attempt-Id: q5\r\n\r\n", path, protocol)
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(50 * time.Millisecond)
+		Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+		sentAt := time.Now()
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err == nil {
+			Expect(path).To(Equal("/s/x"))
+			_, err = io.ReadAll(resp.Body)
+		}
+		Expect(err).To(HaveOccurred())
+		Expect(time.Since(sentAt)).To(BeNumerically("<", 500*time.Millisecond))
+	},
+		Entry("before the first event", "/r/x", "HTTP/1.1"),
+		Entry("in a stream", "/s/x", "HTTP/1.1"),
+		Entry("before the first event, HTTP/1.0", "/r/x", "HTTP/1.0"),
+		Entry("in a stream, HTTP/1.0", "/s/x", "HTTP/1.0"),
+	)
 })
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"tamarackreach/internal/model"
@@ -64,6 +65,10 @@
 func (r *response) writeWhole(b *bufferedResponse) error {
 	r.started = true
 	platform.CopyResponseHeader(r.w.Header(), b.header)
+	if len(b.body) > 0 {
+		// A caller of HTTP/1.0 can tell a part of the body from the whole only by its length.
+		r.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
+	}
 	r.w.WriteHeader(b.status)
 	_, err := r.w.Write(b.body)
 	return err
