Flush an event at once when only a part of the next one is buffered

Callers received an event late: if its segment also held the start of the next event, it stayed in the router until that one was whole, without limit while the target paused.

Cause: an event was not flushed while any byte was buffered behind it. MoreBuffered is true now only when another whole event is buffered.

The spec "has each event as soon as it is whole" failed before: the caller had no head after a second.

--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -351,6 +351,33 @@
 		Expect(metrics).To(MatchRegexp(`tamarack_sends_ended_total{outcome="failed"} [1-9]`))
 	})
 
+	// Guards against an event that waits in the router until the next one is whole.
+	It("has each event as soon as it is whole, also when a part of the next one is received", func() {
+		received := make(chan struct{})
+		url := startIngress(func(_ int, w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "id: 1\ndata: x\n\nid: 2\nda")
+			_ = http.NewResponseController(w).Flush() // a failure shows at the caller
+			select {
+			case <-received:
+			case <-time.After(2 * time.Second):
+			}
+			_, _ = io.WriteString(w, "ta: y\n\n")
+		})
+		conn := dialIngress(url)
+		Expect(conn.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+		writeRequest(conn, "/s/x", 4000)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = resp.Body.Close() }()
+		event := make([]byte, len("id: 1\ndata: x\n\n"))
+		_, err = io.ReadFull(resp.Body, event)
+		Expect(err).NotTo(HaveOccurred())
+		close(received)
+		rest, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(event) + string(rest)).To(Equal("id: 1\ndata: x\n\nid: 2\ndata: y\n\n"))
+	})
+
 	// Guards against a caller that keeps its connection open and reads nothing: its
 	// request would stay in flight, and in the load of its target, without end.
 	DescribeTable("ends at the deadline when the caller does not read it", func(path string) {
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -36,7 +36,7 @@
 	HasID bool
 	// HasData is false for an event that only holds comments or fields other than data.
 	HasData bool
-	// MoreBuffered is true when further bytes can be read without blocking.
+	// MoreBuffered is true when another whole event can be read without blocking.
 	MoreBuffered bool
 }
 
@@ -64,7 +64,7 @@
 		line := bytes.TrimRight(e.event[lineStart:], "\r\n")
 		lineStart = len(e.event)
 		if len(line) == 0 {
-			out.Bytes, out.MoreBuffered = e.event, e.reader.Buffered() > 0
+			out.Bytes, out.MoreBuffered = e.event, e.eventBuffered()
 			return out, nil
 		}
 		if text, found := bytes.CutPrefix(line, []byte("id:")); found {
@@ -75,3 +75,19 @@
 		out.HasData = out.HasData || bytes.HasPrefix(line, []byte("data"))
 	}
 }
+
+// eventBuffered reports whether the buffer holds a whole event: the end of a part of one
+// may be long in coming.
+func (e *EventReader) eventBuffered() bool {
+	rest, _ := e.reader.Peek(e.reader.Buffered()) // cannot fail: the bytes are buffered
+	for {
+		line, after, found := bytes.Cut(rest, []byte("\n"))
+		if !found {
+			return false
+		}
+		if len(bytes.TrimRight(line, "\r")) == 0 {
+			return true
+		}
+		rest = after
+	}
+}
