Upstream: no second response is delivered as events of a stream

A caller of a stream without a length, which ends with its connection, received as events what the target sent behind or inside it: the head and the events of a second response, and then an end that looked complete.

A status line in a field of an event other than its data or comments, or a line behind one that is no field of an event, shows the head of a response. The stream counts as interrupted there, and is resumed or broken off. Data that mentions a status line still passes. A head without a single field behind a status line inside data can't be told from data.

--- a/internal/ingress/caller_test.go
+++ b/internal/ingress/caller_test.go
@@ -138,4 +138,22 @@
 		Entry("before the first event, HTTP/1.0", "/r/x", "HTTP/1.0"),
 		Entry("in a stream, HTTP/1.0", "/s/x", "HTTP/1.0"),
 	)
+
+	// Guards against a second response of a target that reaches the caller as events.
+	It("carries no second response that follows a stream without a length", func() {
+		url := startIngress(func(n int, w http.ResponseWriter, r *http.Request) {
+			if n > 1 {
+				writeEvents(w, 3, 4)
+				return
+			}
+			conn, _, err := http.NewResponseController(w).Hijack()
+			Expect(err).NotTo(HaveOccurred())
+			head := "HTTP/1.1 200 OK\r\nTamarackreach-Attempt-Id: " + r.Header.Get("Tamarackreach-Attempt-Id") + "\r\n" + signature + ": raw\r\n\r\n"
+			_, _ = io.WriteString(conn, head+"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"+head+"id: 1\ndata: x\n\n")
+			_ = conn.Close()
+		})
+		_, body, err := fetch(url + "/s/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n"))
+	})
 })
--- a/internal/upstream/attribution.go
+++ b/internal/upstream/attribution.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"net/http"
 	"regexp"
 	"slices"
@@ -24,9 +25,9 @@
 // may belong to another request.
 var ErrResponseUnidentified = errors.New("response carries no request id; connection closed")
 
-// ErrResponseMerged means that the head of a partial response continues with the head
-// of the next one.
-var ErrResponseMerged = errors.New("response head contains another status line; connection closed")
+// ErrResponseMerged means that the head of the next response follows inside a partial
+// response, or inside one without a length.
+var ErrResponseMerged = errors.New("response contains the head of another one; connection closed")
 
 // statusLine matches the status line of a response that follows a partial one.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
@@ -46,6 +47,29 @@
 	return false
 }
 
+// headCheck finds the head of a second response in the lines of a stream's event.
+type headCheck struct {
+	// statusSeen is true when a line of the event contains a status line.
+	statusSeen bool
+}
+
+// merged reports whether line, the next of the event, shows that a second response has
+// begun. Data and comments may mention a status line; no other line does, and none but
+// the fields of events follow.
+func (h *headCheck) merged(line []byte) bool {
+	status := statusLine.Match(line)
+	found := false
+	switch name, _, _ := bytes.Cut(line, []byte(":")); string(name) {
+	case "", "data":
+	case "id", "event", "retry":
+		found = status
+	default: // a field that clients ignore, or a line of a head
+		found = status || h.statusSeen
+	}
+	h.statusSeen = h.statusSeen || status
+	return found
+}
+
 // attribute returns an error unless the response read from c answers request id.
 func (c *connection) attribute(resp *http.Response, head *platform.ResponseHead, id model.RequestID) error {
 	if merged(resp) {
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -41,11 +41,12 @@
 }
 
 // Next returns the next whole event. io.EOF means that the stream ended between
-// two events; any other error means that it was interrupted.
+// two events; ErrResponseMerged means that a second response follows; any other error
+// means that it was interrupted.
 func (e *EventReader) Next() (Event, error) {
 	var out Event
 	e.event = e.event[:0]
-	lineStart := 0
+	lineStart, check := 0, headCheck{}
 	for {
 		part, err := e.reader.ReadSlice('\n') // a part of the line if it exceeds the buffer
 		e.event = append(e.event, part...)
@@ -67,6 +68,9 @@
 			out.Bytes, out.MoreBuffered = e.event, e.reader.Buffered() > 0
 			return out, nil
 		}
+		if check.merged(line) {
+			return out, ErrResponseMerged
+		}
 		if text, found := bytes.CutPrefix(line, []byte("id:")); found {
 			// Non-numeric ids cannot be ordered; such an event counts as one without an id.
 			id, err := strconv.ParseInt(string(bytes.TrimSpace(text)), 10, 64)
