Upstream: a body that continues with another response is broken off

A caller got a body that was not the target's: a response without a length takes what the target sends behind it, and a response that stops before its length or inside a chunk takes the rest from the next response on the connection. Both looked complete.

A body may hold any bytes, so a head in it counts as a second response only if it echoes the id of a request that the connection has carried, as a target's second response does. The body then ends with an error, and the connection is not reused. Not told apart: a second response without an id, with an id that the connection has not carried, or cut before its id; and a rest that is no response.

--- a/internal/upstream/attribution.go
+++ b/internal/upstream/attribution.go
@@ -87,3 +87,79 @@
 		return ErrResponseMismatch
 	}
 }
+
+// maxHeadBytes limits the head of a second response that is looked for in a body.
+const maxHeadBytes = 8 << 10
+
+// statusLineBytes is the length of what statusLine matches.
+const statusLineBytes = len("HTTP/1.1 200")
+
+// bodyCheck finds the head of a second response in a body. A body may hold any bytes,
+// also a response as text, so a head counts only if it echoes the id of a request that
+// the connection has carried.
+type bodyCheck struct {
+	requests []model.RequestID
+	// window holds the last bytes of the body, from where a head may have begun.
+	window []byte
+}
+
+// merged reports whether part, the next of the body, shows that a second response has
+// begun; last is true at the end of the body.
+func (b *bodyCheck) merged(part []byte, last bool) bool {
+	for len(part) > readBufferBytes {
+		if b.scan(part[:readBufferBytes], false) {
+			return true
+		}
+		part = part[readBufferBytes:]
+	}
+	return b.scan(part, last)
+}
+
+// scan is merged for a part that is not longer than readBufferBytes, which bounds the
+// window.
+func (b *bodyCheck) scan(part []byte, last bool) bool {
+	b.window = append(b.window, part...)
+	rest := b.window
+	for {
+		at := statusLine.FindIndex(rest)
+		if at == nil {
+			rest = rest[max(0, len(rest)-statusLineBytes+1):]
+			break
+		}
+		echoes, ended := b.checkHead(rest[at[0]:], last)
+		if echoes {
+			return true
+		}
+		if !ended {
+			rest = rest[at[0]:]
+			break
+		}
+		rest = rest[at[1]:]
+	}
+	b.window = append(b.window[:0], rest...)
+	return false
+}
+
+// checkHead reports whether text, which begins with a status line, is a head that echoes
+// a request of the connection, and whether the head ends in text.
+func (b *bodyCheck) checkHead(text []byte, last bool) (echoes, ended bool) {
+	for first := true; ; first = false {
+		line, rest, whole := bytes.Cut(text, []byte("\n"))
+		if !whole && !last {
+			return false, len(b.window) > maxHeadBytes
+		}
+		line = bytes.TrimRight(line, "\r")
+		name, _, field := bytes.Cut(line, []byte(":"))
+		switch {
+		case first:
+		case !field || len(name) == 0 || bytes.ContainsAny(name, " \t"):
+			return false, true
+		case slices.Contains(b.requests, platform.EchoedID(line)):
+			return true, true
+		}
+		if !whole {
+			return false, true
+		}
+		text = rest
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -92,7 +92,9 @@
 		p.countUnsolicited()
 		return x, err
 	}
-	x.body = &responseBody{ReadCloser: resp.Body, ended: resp.Body == http.NoBody}
+	x.body = &responseBody{
+		ReadCloser: resp.Body, ended: resp.Body == http.NoBody, check: bodyCheck{requests: conn.requests}, onMerged: p.countUnsolicited,
+	}
 	resp.Body = x.body
 	x.Response, x.Head = resp, head
 	select {
@@ -139,15 +141,27 @@
 	}
 }
 
-// responseBody records whether a body was read to its end.
+// responseBody records whether a body was read to its end, and fails where a second
+// response begins in it.
 type responseBody struct {
 	io.ReadCloser
-	ended bool
+	ended    bool
+	check    bodyCheck
+	merged   bool
+	onMerged func()
 }
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
+	if b.merged {
+		return 0, ErrResponseMerged
+	}
 	n, err := b.ReadCloser.Read(p)
+	if b.check.merged(p[:n], err != nil) {
+		b.merged = true
+		b.onMerged()
+		return n, ErrResponseMerged
+	}
 	b.ended = b.ended || errors.Is(err, io.EOF)
 	return n, err
 }
--- a/internal/upstream/merged_test.go
+++ b/internal/upstream/merged_test.go
@@ -56,3 +56,55 @@
 		Entry("in a comment", ": HTTP/1.1 200 OK\n\nid: 1\ndata: x\n\n"),
 	)
 })
+
+var _ = Describe("a second response inside a body", func() {
+	head := "HTTP/1.1 200 OK\r\nTamarackreach-Attempt-Id: a\r\n"
+
+	// Guards against a body that is longer than the target's, or the rest of which is
+	// another response: nothing but the id that the head repeats tells the two apart.
+	DescribeTable("breaks the body off when it echoes an id of the connection", func(first string) {
+		for _, segment := range []int{0, 7} {
+			address := script(first).listener.Addr().String()
+			p := upstream.NewPool()
+			_, err := exchange(p, callTo(link{segment: segment}.to(address), "a"))
+			Expect(err).To(MatchError(upstream.ErrResponseMerged))
+			Expect(p.Unsolicited()).To(Equal(1))
+		}
+	},
+		Entry("behind a body without a length", head+"\r\nbody"+response(200, "a", "", "late")),
+		Entry("behind a long body without a length", head+"\r\n"+strings.Repeat("body", 1<<16)+response(200, "a", "", "late")),
+		Entry("behind a body without a length, cut inside its head", head+"\r\nbody"+"HTTP/1.1 503 X\r\nTamarackreach-Attempt-Id: a"),
+		Entry("in the rest of a body with a length", head+"Content-Length: 100\r\n\r\nbody"+response(200, "a", "", strings.Repeat("x", 200))),
+		Entry("in the rest of a chunk", head+"Transfer-Encoding: chunked\r\n\r\n60\r\nbody"+response(200, "a", "", strings.Repeat("x", 200))),
+		Entry("behind text that looks like one", head+"\r\nHTTP/1.1 200 OK\r\n\r\nHTTP/1.1 200 OK HTTP/1.1 200 OK\r\nx\r\n"+response(200, "a", "", "late")),
+		Entry("in a stream", head+"\r\nid: 1\ndata: x\n\n"+response(200, "a", "", "late")),
+	)
+
+	// Guards against the late response to an earlier request of the connection that fills
+	// the rest of a body.
+	It("breaks off a body that continues with the response to an earlier request", func() {
+		t := script(response(200, "earlier", "", "first"), head+"Content-Length: 90\r\n\r\nbody"+response(200, "earlier", "", strings.Repeat("x", 200)))
+		p := upstream.NewPool()
+		_, err := exchange(p, t.callWithID("earlier"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = exchange(p, t.call())
+		Expect(err).To(MatchError(upstream.ErrResponseMerged))
+	})
+
+	// Guards against bodies that hold text about HTTP being broken off.
+	DescribeTable("delivers a body that holds", func(body string) {
+		for _, segment := range []int{0, 7} {
+			address := script(response(200, "a", "", body)).listener.Addr().String()
+			received, err := exchange(upstream.NewPool(), callTo(link{segment: segment}.to(address), "a"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(received).To(Equal(body))
+		}
+	},
+		Entry("a request with its id", "GET / HTTP/1.1\r\nTamarackreach-Attempt-Id: a\r\n\r\n"),
+		Entry("a response without an id", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+		Entry("a response to a request that the connection has not carried", response(200, "other", "", "")),
+		Entry("the id behind the head of a response", "HTTP/1.1 200 OK\r\n\r\nTamarackreach-Attempt-Id: a\r\n"),
+		Entry("the id behind a line that is none of a head", "HTTP/1.1 200 OK\r\nno field\r\nTamarackreach-Attempt-Id: a\r\n"),
+		Entry("a head that is longer than any", "HTTP/1.1 200 OK\r\n"+strings.Repeat("X: "+strings.Repeat("x", 97)+"\r\n", 2000)),
+	)
+})
