Upstream: a response with several signatures is rejected

A caller received both signatures of a response that carried two different ones, and could not tell which target's run its status and body belonged to. No such response is the whole of one target's. The two new specs failed before.

--- a/internal/upstream/attribution.go
+++ b/internal/upstream/attribution.go
@@ -72,7 +72,7 @@
 
 // attribute returns an error unless the response read from c answers request id.
 func (c *connection) attribute(resp *http.Response, head *platform.ResponseHead, id model.RequestID) error {
-	if merged(resp) {
+	if merged(resp) || head.SignedTwice {
 		return ErrResponseMerged
 	}
 	switch head.RequestID {
--- a/internal/upstream/attribution_test.go
+++ b/internal/upstream/attribution_test.go
@@ -140,6 +140,16 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// Guards against a caller that reads the signature of another response than its body's.
+	DescribeTable("rejects several signatures", func(status int) {
+		seals := "Tamarackreach-Server-Seal: one\r\nTamarackreach-Server-Seal: two\r\n"
+		_, err := exchange(upstream.NewPool(), script(response(status, "a", seals, "x")).call())
+		Expect(err).To(MatchError(upstream.ErrResponseMerged))
+	},
+		Entry("of a success", 200),
+		Entry("of a failure", 500),
+	)
+
 	// Guards against the delivery of a success from a process that does not echo ids:
 	// another service may have been given the target's address.
 	It("rejects a success without an id on a new connection", func() {
