Upstream: specs of responses without a body, of HTTP/1.0 and of trailers

They pass on the code as it is: bytes behind a HEAD, 204 or 304 response, a response of HTTP/1.0 that is cut, and a trailer with another id change nothing that is delivered.

--- a/internal/upstream/network_test.go
+++ b/internal/upstream/network_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -133,6 +134,8 @@
 		Entry("chunked, FIN", chunked("body"), false),
 		Entry("chunked, reset", chunked("body"), true),
 		Entry("without a length, reset", withoutLength, true),
+		Entry("HTTP/1.0 with a length, FIN", strings.Replace(response(200, "a", "", "body"), "1.1", "1.0", 1), false),
+		Entry("HTTP/1.0 without a length, reset", strings.Replace(withoutLength, "1.1", "1.0", 1), true),
 	)
 
 	// Guards against a response that is misread because of how the network splits it.
@@ -145,8 +148,49 @@
 		Entry("with a length", response(200, "a", "", "part")),
 		Entry("chunked", chunked("part")),
 		Entry("without a length", withoutLength),
+		Entry("HTTP/1.0 with a length", strings.Replace(response(200, "a", "", "part"), "1.1", "1.0", 1)),
+		Entry("HTTP/1.0 without a length", strings.Replace(withoutLength, "1.1", "1.0", 1)),
 	)
 
+	// Guards against bytes behind a response that has no body, whatever its length field
+	// says, being read as the next response.
+	DescribeTable("takes no byte for a body that is none", func(method string, status int) {
+		t := serve(func(n int64, conn net.Conn, r *http.Request) bool {
+			if n > 1 {
+				echo(conn, r, "own")
+				return true
+			}
+			_, _ = io.WriteString(conn, response(status, "a", "", response(200, "b", "", "stray")))
+			return true
+		})
+		p := upstream.NewPool()
+		call := t.call()
+		call.Method = method
+		body, err := exchange(p, call)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(BeEmpty())
+		body, err = exchange(p, t.callWithID("b"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("own"))
+	},
+		Entry("HEAD", "HEAD", 200),
+		Entry("204", "GET", 204),
+		Entry("304", "GET", 304),
+	)
+
+	// Guards against a field behind the body that changes whose response it is.
+	It("takes nothing from the trailer of a response", func() {
+		text := strings.Replace(chunked("body"), "0\r\n\r\n", "0\r\nTamarackreach-Attempt-Id: b\r\n"+notExecuted+"\r\n", 1)
+		x, err := upstream.NewPool().Do(context.Background(), script(text).call())
+		Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(x.Response.Body)
+		x.Done(true)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(Equal("body"))
+		Expect(x.Head.NotExecuted).To(BeFalse())
+		Expect(x.Response.Header).NotTo(HaveKey("Tamarackreach-Not-Executed"))
+	})
+
 	// Guards against framing that two parties read differently: a part of a response
 	// would be taken for the whole, or for the next response.
 	DescribeTable("rejects the framing", func(header, body string) {
