Soak: runs of a request that differ, more behind a response, refusals after a run, and connections that split, merge and half-close

A target's 429, 503, 408 or 421 to a request that ran counts as a violation also where the request may be repeated. The spec of a foreign content type used a 503 to a request that ran, which the check now finds as well; it uses a 502, as the one before it.

--- a/cmd/tamarack-soak/main.go
+++ b/cmd/tamarack-soak/main.go
@@ -26,6 +26,8 @@
 	callers := flag.Int("callers", 12, "callers per seed")
 	faults := flag.Duration("faults", 6*time.Second, "duration of fault injection")
 	responseFaults := flag.Bool("response-faults", true, "also spoil targets' responses, send content that crashes targets and restart VMs in series")
+	attemptFaults := flag.Bool("attempt-faults", false, "also let targets answer the runs of a request differently, send more behind a response and refuse what they ran, and split, merge and half-close connections to targets")
+	attemptFaultsOnly := flag.Bool("attempt-faults-only", false, "only inject the faults of -attempt-faults")
 	restores := flag.Bool("restores", false, "also let the store come back from older copies, and drain targets")
 	restoresOnly := flag.Bool("restores-only", false, "only let the store come back from older copies")
 	buildinfo.ParseFlags()
@@ -40,15 +42,15 @@
 			seed := *firstSeed + uint64(i)
 			report, err := soak.Run(soak.Options{
 				Seed: seed, Binary: *binary, Dir: filepath.Join(*dir, fmt.Sprint(seed)), VMs: *vms, Callers: *callers, Faults: *faults,
-				ResponseFaults: *responseFaults, Restores: *restores, RestoresOnly: *restoresOnly,
+				ResponseFaults: *responseFaults, AttemptFaults: *attemptFaults, AttemptFaultsOnly: *attemptFaultsOnly, Restores: *restores, RestoresOnly: *restoresOnly,
 			})
 			if err != nil {
 				failures.Add(1)
 				fmt.Printf("seed %d: %v\n", seed, err)
 				return
 			}
-			fmt.Printf("seed %d: %d calls, %d served, %d refused, %d arrivals at targets, %.0f%% of the retry budget, %d faults, %d restores, %d store writes in the peak second, %d broken\n",
-				seed, report.Calls, report.Served, report.Refused, report.Arrivals, 100*report.PeakRetries, len(report.Faults), report.Restores, report.PeakWrites, len(report.Violations))
+			fmt.Printf("seed %d: %d calls, %d served, %d refused, %d arrivals at targets, %.0f%% of the retry budget, %d faults, %d restores, %d store writes in the peak second, %d kept failures after a later run, %d streams without a length cut, %d broken\n",
+				seed, report.Calls, report.Served, report.Refused, report.Arrivals, 100*report.PeakRetries, len(report.Faults), report.Restores, report.PeakWrites, report.KeptFailures, report.Unframed, len(report.Violations))
 			if len(report.Violations) > 0 {
 				fmt.Printf("seed %d: faults %s\n", seed, strings.Join(report.Faults, "; "))
 			}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -36,8 +36,11 @@
 	byRun     map[int]*platformtest.Arrival
 	// peakRetries is the largest share of the retry budget that a window used.
 	peakRetries float64
-	histories   map[string]int
-	violations  []string
+	// keptFailures counts failures that were delivered although a later run had begun,
+	// unframed streams without a length that their target ended early.
+	keptFailures, unframed int
+	histories              map[string]int
+	violations             []string
 }
 
 // check returns the violated guarantees, each with the history of a request.
@@ -119,6 +122,9 @@
 // checkSigned checks a response with a signature.
 func (r *records) checkSigned(c *call, signature string) {
 	run := r.signer(c.id, signature)
+	if run != nil && c.status >= http.StatusBadRequest && r.ranBetween(c.id, run.At, c.ended) {
+		r.keptFailures++
+	}
 	switch {
 	case run == nil:
 		r.violation(c.id, "mixed: the signature of the answer to %s is of none of its runs: %s", c.id, signature)
@@ -131,6 +137,13 @@
 	}
 }
 
+// ranBetween reports whether a run of a request began between two times.
+func (r *records) ranBetween(id string, from, to time.Time) bool {
+	return slices.ContainsFunc(r.byRequest[id], func(a *platformtest.Arrival) bool {
+		return a.Run != 0 && a.At.After(from) && a.At.Before(to)
+	})
+}
+
 // signer returns the run of a request that made a signature, nil if there is none.
 func (r *records) signer(id, signature string) *platformtest.Arrival {
 	for _, a := range r.byRequest[id] {
@@ -167,16 +180,26 @@
 		previous, current, last = number, run, total
 	}
 	if c.complete && (rest != "" || last == 0 || previous != last) {
-		r.violation(c.id, "order: the answer to %s ended after event %d and looked complete", c.id, previous)
+		r.checkEarlyEnd(c, r.byRun[current], previous, rest)
+	}
+}
+
+// checkEarlyEnd checks a stream that ended in source's run after an event, with the
+// rest of another, and looks complete.
+func (r *records) checkEarlyEnd(c *call, source *platformtest.Arrival, event int, rest string) {
+	if source.Fault == platformtest.UnframedEnded && event == source.Events && rest == "" {
+		r.unframed++ // the protocol has nothing to tell it by
+		return
 	}
+	r.violation(c.id, "order: the answer to %s ended after event %d and looked complete", c.id, event)
 }
 
 // notExecuted lists the statuses that promise that a request has not run.
 var notExecuted = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusUnauthorized}
 
 // checkRuns checks how often the targets ran a request: a non-idempotent request
-// runs at most once, one that was refused never, and none runs that was sent more
-// than RevokeBound after its key was removed.
+// runs at most once, a request that was refused never, and none runs that was sent
+// more than RevokeBound after its key was removed.
 func (r *records) checkRuns(c *call) {
 	runs := 0
 	for _, a := range r.byRequest[c.id] {
@@ -187,7 +210,7 @@
 	if c.kind == "p" && runs > 1 {
 		r.violation(c.id, "twice: %s ran %d times", c.id, runs)
 	}
-	if c.kind == "p" && runs > 0 && slices.Contains(notExecuted, c.status) {
+	if runs > 0 && slices.Contains(notExecuted, c.status) {
 		r.violation(c.id, "refused: %s was answered %d and ran", c.id, c.status)
 	}
 	if removed, ok := r.removed[c.key]; ok && runs > 0 && c.sent.Sub(removed) > platformtest.RevokeBound && !r.forgotten(removed, c.sent) {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -93,7 +93,7 @@
 			plain.status, plain.header = 502, http.Header{"Cache-Control": {"no-store"}}
 		}),
 		Entry("a target's content type on the router's failure", "Content-Type", func() {
-			plain.status, plain.header = 503, http.Header{"Content-Type": {"text/event-stream"}}
+			plain.status, plain.header = 502, http.Header{"Content-Type": {"text/event-stream"}}
 		}),
 		Entry("bytes on an idle connection", "bytes before", func() { plain.stray = "HTTP/1.1 200 OK" }),
 		Entry("bytes that are no response", "not a response", func() { plain.status, plain.malformed = 0, true }),
@@ -107,6 +107,8 @@
 		Entry("an event of another request", "event of none of its runs", func() { stream.body = events(1, 1, lastEvent) }),
 		Entry("a stream that ends early and looks complete", "looked complete", func() { stream.body = events(2, 1, 3) }),
 		Entry("an empty stream that looks complete", "looked complete", func() { stream.body = "" }),
+		Entry("a second response behind a body", "not the whole body", func() { plain.body += "HTTP/1.1 200 OK\r\n" }),
+		Entry("a second response behind a stream", "looked complete", func() { stream.body += "HTTP/1.1 200 OK\r\n" }),
 		Entry("a request that no caller sent", "unasked", func() { runs = append(runs, newRun("r-2", "r", 9, 200)) }),
 		Entry("a request whose path changed", "unasked", func() { runs[0].Path = "/r/other" }),
 		Entry("a request of another workspace", "unasked", func() { runs[0].Workspace = "other" }),
@@ -119,6 +121,44 @@
 		Expect(check([]call{refused}, first)).To(HaveExactElements(ContainSubstring("refused")))
 	})
 
+	DescribeTable("find a request that may be repeated, was refused and ran",
+		func(status int) {
+			run := newRun("r-1", "r", 1, status)
+			refused := newCall("r", "r-1", &run, "whole body")
+			Expect(check([]call{refused}, run)).To(HaveExactElements(ContainSubstring("refused")))
+			run.Run = 0
+			Expect(check([]call{refused}, run)).To(BeEmpty())
+		},
+		Entry("429", 429), Entry("503", 503), Entry("408", 408), Entry("421", 421),
+	)
+
+	It("count a target's failure that is delivered although a later run has begun", func() {
+		kept := func(change func(failed, later *platformtest.Arrival)) int {
+			failed, later := newRun("r-1", "r", 1, 500), newRun("r-1", "r", 2, 200)
+			later.Deadline -= time.Second
+			change(&failed, &later)
+			r := &records{started: start, calls: []call{newCall("r", "r-1", &failed, "whole body")}, arrivals: []platformtest.Arrival{failed, later}}
+			Expect(r.check()).To(BeEmpty())
+			return r.keptFailures
+		}
+		Expect(kept(func(_, _ *platformtest.Arrival) {})).To(Equal(1))
+		Expect(kept(func(_, later *platformtest.Arrival) { later.Run = 0 })).To(BeZero(), "the later send was rejected")
+		Expect(kept(func(_, later *platformtest.Arrival) { later.At = at(901) })).To(BeZero(), "the response had ended")
+		Expect(kept(func(failed, later *platformtest.Arrival) { failed.At, later.At = later.At, failed.At })).To(BeZero(), "the failure is the last")
+	})
+
+	It("count a stream without a length that its target ended between two events", func() {
+		runs[2].Fault, runs[2].Events = platformtest.UnframedEnded, 3
+		stream.body = events(2, 1, 2) + events(3, 3, 3)
+		r := &records{started: start, calls: []call{plain, stream}, arrivals: runs}
+		Expect(r.check()).To(BeEmpty())
+		Expect(r.unframed).To(Equal(1))
+		runs[2].Events = lastEvent
+		Expect(violations()).To(HaveExactElements(ContainSubstring("looked complete")), "the router cut the stream")
+		runs[2].Events, stream.body = 3, stream.body+"id: 4"
+		Expect(violations()).To(HaveExactElements(ContainSubstring("looked complete")), "the stream ends inside an event")
+	})
+
 	It("find a request whose key was removed before it was sent", func() {
 		run := newRun("r-1", "r", 1, 200)
 		c := newCall("r", "r-1", &run, "whole body")
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -145,6 +145,9 @@
 	if r.ResponseFaults {
 		all = append(all, responseFaults()...)
 	}
+	if r.attemptFaults() {
+		all = append(all, attemptFaults()...)
+	}
 	gap := meanFaultGap
 	if r.Restores {
 		all = append(all, append(restoreFaults(), mixedFaults()...)...)
@@ -152,6 +155,9 @@
 	if r.RestoresOnly {
 		all, gap = restoreFaults(), meanRestoreGap
 	}
+	if r.AttemptFaultsOnly {
+		all = attemptFaults()
+	}
 	var wait sync.WaitGroup
 	started := time.Now()
 	for time.Since(started) < r.Faults {
--- a/internal/soak/responsefaults.go
+++ b/internal/soak/responsefaults.go
@@ -20,16 +20,18 @@
 	// one window of the retry budget.
 	restarts        = 4
 	restartInterval = 500 * time.Millisecond
+	// attemptFaultShare is the share of responses with Options.AttemptFaults at all times.
+	attemptFaultShare = 0.15
 )
 
 // responseFaults returns the kinds of faults that Options.ResponseFaults adds.
 func responseFaults() []fault {
 	return []fault{
-		{"target spoils responses", func(r *run) func() { return r.spoil(r.anyTarget()) }},
-		{"target spoils responses", func(r *run) func() { return r.spoil(r.anyTarget()) }},
-		{"target spoils responses", func(r *run) func() { return r.spoil(r.anyTarget()) }},
-		{"desk spoils responses", func(r *run) func() { return r.spoil(r.fleet.Targets("desk")...) }},
-		{"llm spoils responses", func(r *run) func() { return r.spoil(r.fleet.Targets("llm")...) }},
+		{"target spoils responses", spoil("", platformtest.ResponseFaults)},
+		{"target spoils responses", spoil("", platformtest.ResponseFaults)},
+		{"target spoils responses", spoil("", platformtest.ResponseFaults)},
+		{"desk spoils responses", spoil("desk", platformtest.ResponseFaults)},
+		{"llm spoils responses", spoil("llm", platformtest.ResponseFaults)},
 		{"desk sheds", overload("desk", platformtest.Reject)}, {"llm sheds", overload("llm", platformtest.Reject)},
 		{"desk fails", overload("desk", platformtest.ServerError)}, {"llm fails", overload("llm", platformtest.ServerError)},
 		{"crashing content", sendCrashingContent},
@@ -60,14 +62,37 @@
 	}
 }
 
-// spoil injects one to three faults into a share of the responses of targets.
-func (r *run) spoil(targets ...*platformtest.Target) func() {
-	all := platformtest.ResponseFaults()
-	var chosen []platformtest.Fault
-	for range 1 + r.random.IntN(3) {
-		chosen = append(chosen, all[r.random.IntN(len(all))])
+// attemptFaults returns the kinds of faults that Options.AttemptFaults adds.
+func attemptFaults() []fault {
+	segments := func(way int32) func(*run) func() {
+		return targetLink(func(p *proxy) { p.segments.Store(way) })
+	}
+	return []fault{
+		{"runs differ at a target", spoil("", platformtest.AttemptFaults)}, {"runs differ at a target", spoil("", platformtest.AttemptFaults)},
+		{"runs differ at desk", spoil("desk", platformtest.AttemptFaults)}, {"runs differ at desk", spoil("desk", platformtest.AttemptFaults)},
+		{"runs differ at llm", spoil("llm", platformtest.AttemptFaults)}, {"runs differ at llm", spoil("llm", platformtest.AttemptFaults)},
+		{"target's responses in single bytes", segments(singleBytes)}, {"target's responses merged", segments(merged)},
+		{"target's connections half-closed", segments(halfClosing)}, {"target's resets as ends", segments(resetsAsEnds)},
+	}
+}
+
+// spoil returns a fault that injects one to three of some faults into a share of the
+// responses of a service's targets, or of one target if service is empty.
+func spoil(service string, faults func() []platformtest.Fault) func(*run) func() {
+	return func(r *run) func() {
+		targets := []*platformtest.Target{nil}
+		if service == "" {
+			targets[0] = r.anyTarget()
+		} else {
+			targets = r.fleet.Targets(service)
+		}
+		all := faults()
+		var chosen []platformtest.Fault
+		for range 1 + r.random.IntN(3) {
+			chosen = append(chosen, all[r.random.IntN(len(all))])
+		}
+		return r.fail(0.2+0.8*r.random.Float64(), chosen, targets...)
 	}
-	return r.fail(0.2+0.8*r.random.Float64(), chosen, targets...)
 }
 
 // fail injects faults into a share of the responses of targets.
@@ -81,12 +106,21 @@
 	return func() {
 		for _, t := range targets {
 			if t != nil {
-				t.Often(0, 0)
+				r.failSteadily(t)
 			}
 		}
 	}
 }
 
+// failSteadily injects the faults that a target has at all times.
+func (r *run) failSteadily(t *platformtest.Target) {
+	if !r.attemptFaults() {
+		t.Often(0, 0)
+		return
+	}
+	t.Often(r.random.Uint64(), attemptFaultShare, platformtest.AttemptFaults()...)
+}
+
 // sendCrashingContent sends content that crashes targets to random VMs, each time as
 // a new request.
 func sendCrashingContent(r *run) func() {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -32,6 +32,11 @@
 	// ResponseFaults adds faults of targets' responses, content that crashes targets
 	// and series of restarts.
 	ResponseFaults bool
+	// AttemptFaults adds targets that answer the runs of a request differently, bytes
+	// behind responses, and connections to targets that split and merge responses or
+	// lose their end. AttemptFaultsOnly injects no other faults: VMs that restart retry
+	// little.
+	AttemptFaults, AttemptFaultsOnly bool
 	// Restores adds returns of the store from an older copy, and drains of targets.
 	// RestoresOnly injects no other faults.
 	Restores, RestoresOnly bool
@@ -44,6 +49,10 @@
 	Arrivals int
 	// PeakRetries is the largest share of the retry budget that a window used.
 	PeakRetries float64
+	// KeptFailures is the number of requests that received a target's failure although a
+	// later run had begun, Unframed that of streams without a length that their target
+	// ended early, so that they look complete.
+	KeptFailures, Unframed int
 	// Restores is the number of times that the store came back from an older copy,
 	// PeakWrites the most write calls to it in a second soon after that.
 	PeakWrites, Restores int
@@ -144,23 +153,14 @@
 	}
 	r.fleet = platformtest.NewFleet(r.store)
 	r.fleet.NumberBodies = true
-	if r.ResponseFaults {
+	if r.ResponseFaults || r.attemptFaults() {
 		r.fleet.MaxServiceTime = maxServiceTime
 	}
 	if err := r.rotateKey(); err != nil {
 		return err
 	}
-	for _, zone := range []string{"a", "b"} {
-		for range 2 {
-			if err := r.addTarget("desk", zone, ""); err != nil {
-				return err
-			}
-		}
-		for range 3 {
-			if err := r.addTarget("llm", zone, "k"); err != nil {
-				return err
-			}
-		}
+	if err := r.startTargets(); err != nil {
+		return err
 	}
 	if r.Restores || r.RestoresOnly {
 		go r.keepCopies(r.stopped)
@@ -173,7 +173,23 @@
 		}
 		r.vms = append(r.vms, v)
 	}
-	r.callers = &callers{vms: r.vms, keys: r.keys, distinct: r.ResponseFaults}
+	r.callers = &callers{vms: r.vms, keys: r.keys, distinct: r.ResponseFaults || r.attemptFaults()}
+	return nil
+}
+
+func (r *run) startTargets() error {
+	for _, zone := range []string{"a", "b"} {
+		for range 2 {
+			if err := r.addTarget("desk", zone, ""); err != nil {
+				return err
+			}
+		}
+		for range 3 {
+			if err := r.addTarget("llm", zone, "k"); err != nil {
+				return err
+			}
+		}
+	}
 	return nil
 }
 
@@ -206,6 +222,7 @@
 		return err
 	}
 	r.proxies[t] = p
+	r.failSteadily(t)
 	return nil
 }
 
@@ -272,8 +289,10 @@
 	r.checkWrites()
 	r.report.Arrivals = len(evidence.arrivals)
 	r.report.Violations = append(r.report.Violations, evidence.check()...)
-	r.report.PeakRetries = evidence.peakRetries
+	r.report.PeakRetries, r.report.KeptFailures, r.report.Unframed = evidence.peakRetries, evidence.keptFailures, evidence.unframed
 }
 
+func (o Options) attemptFaults() bool { return o.AttemptFaults || o.AttemptFaultsOnly }
+
 // LogPath returns the path of a VM's log.
 func (o Options) LogPath(vm int) string { return filepath.Join(o.Dir, fmt.Sprintf("vm-%d.log", vm)) }
