--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -108,7 +109,9 @@
 	// unresumable is true when data was forwarded to the caller after lastEventID: no
 	// target can go on behind an event without an id.
 	unresumable bool
-	events      int
+	// behind is true while the current send repeats events from before lastEventID.
+	behind bool
+	events int
 	// longestGap is the longest time between two consecutive events.
 	longestGap time.Duration
 	sends      int
@@ -117,12 +120,12 @@
 	lastReceived    time.Time
 	timeToFirstByte time.Duration
 	diverted        bool
-	// answeredBy is the first target of the send whose head the caller's response has;
-	// empty for a response of the router.
-	answeredBy model.TargetID
-	// failedResponse is a target's 5xx response, delivered if no other send succeeds.
-	failedResponse *bufferedResponse
-	log            *logrus.Entry
+	// answeredBy is the send whose head the caller's response has; zero for a response
+	// of the router.
+	answeredBy source
+	// laterSend is how the last send after one with a kept failure ended, 0 for none.
+	laterSend director.Outcome
+	log       *logrus.Entry
 }
 
 // ServeHTTP implements http.Handler.
@@ -218,8 +221,8 @@
 	a.handler.metrics.requestEnded(outcome, took, a.timeToFirstByte)
 	a.log.WithFields(logrus.Fields{
 		"outcome": outcome, "took_ms": took.Milliseconds(), "first_ms": a.timeToFirstByte.Milliseconds(), "events": a.events,
-		"longest_pause_ms": a.longestGap.Milliseconds(), "sends": a.sends, "answered_by": a.answeredBy,
-	}).Info("request ended")
+		"longest_pause_ms": a.longestGap.Milliseconds(), "sends": a.sends,
+	}).WithFields(a.answeredBy.fields()).Info("request ended")
 }
 
 func (a *activeRequest) refuse(e *director.Refuse) {
@@ -227,19 +230,21 @@
 	outcome := "refused"
 	if a.response.started {
 		outcome = "broken off"
-	} else if a.failedResponse != nil {
-		outcome, a.answeredBy = "answered with the target's failure", a.failedResponse.target
+	} else if a.response.kept != nil {
+		outcome = "answered with the target's failure"
+		a.answeredBy = a.response.kept.source
+		a.handler.metrics.keptFailures.WithLabelValues(a.laterSend.String()).Inc()
 	}
 	a.handler.metrics.requestEnded(outcome, took, a.timeToFirstByte)
 	a.log.WithFields(logrus.Fields{
-		"outcome": outcome, "answered_by": a.answeredBy, "sends": a.sends, "status": e.Status, "reason": e.Reason, "detail": e.Detail, "retry_after_ms": e.RetryAfter.Milliseconds(),
-		"took_ms": took.Milliseconds(), "events": a.events,
-	}).Info("request ended")
+		"outcome": outcome, "sends": a.sends, "status": e.Status, "reason": e.Reason, "detail": e.Detail, "retry_after_ms": e.RetryAfter.Milliseconds(),
+		"took_ms": took.Milliseconds(), "events": a.events, "later_send": a.laterSend.String(),
+	}).WithFields(a.answeredBy.fields()).Info("request ended")
 	switch {
 	case a.response.started:
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
-	case a.failedResponse != nil:
-		a.writeWhole(a.failedResponse)
+	case a.response.kept != nil:
+		a.writeWhole(a.response.kept)
 	default:
 		a.response.writeLocal(a.request.ID, e.Status, e.RetryAfter, e.Reason)
 	}
@@ -258,7 +263,7 @@
 	defer cancel()
 	sentAt := time.Now()
 	a.setWriteDeadline(sentAt.Add(e.TimeLeft + writeGrace))
-	a.lastReceived, a.diverted, a.streaming = sentAt, false, false
+	a.lastReceived, a.diverted, a.streaming, a.behind = sentAt, false, false, false
 	a.sends = e.Number
 	call := a.call(e)
 	call.ExpiresAt = e.ExpiresAt
@@ -282,10 +287,15 @@
 		ID: a.request.ID, Outcome: outcome, FaultAt: x.Head.FaultAt, Took: time.Since(sentAt),
 		Unresumable: a.unresumable, Random: rand.Float64(),
 	}
+	a.withdrawKept(e, x, outcome)
 	a.handler.metrics.sends.WithLabelValues(outcome.String()).Inc()
 	line := a.log.WithFields(logrus.Fields{
 		"send": e.Number, "outcome": outcome.String(), "fault_at": ended.FaultAt, "took_ms": ended.Took.Milliseconds(),
+		"target": e.Hops[0].Target, "sent": x.Sent, "reused_connection": x.Reused, "framing": x.Framing(),
 	})
+	if x.Response != nil {
+		line = line.WithFields(logrus.Fields{"response_status": x.Response.StatusCode, "signed": x.Head.Signed})
+	}
 	if err != nil {
 		line = line.WithError(err)
 	}
@@ -293,6 +303,19 @@
 	return ended
 }
 
+// withdrawKept withdraws the failure of an earlier send if this one may have run the
+// request.
+func (a *activeRequest) withdrawKept(e *director.Send, x *upstream.Exchange, outcome director.Outcome) {
+	if a.response.kept != nil && a.response.kept.send != e.Number {
+		a.laterSend = outcome
+	}
+	if kept := a.response.sendEnded(e.Number, outcome, x.Sent); kept != nil {
+		a.log.WithFields(logrus.Fields{
+			"send": kept.send, "target": kept.target, "status": kept.status, "later_send": outcome.String(),
+		}).Info("failure of an earlier send withdrawn; a later send may have run the request")
+	}
+}
+
 // pathText formats the hops of a path for the log.
 func pathText(hops []fleet.Hop) string {
 	var b strings.Builder
@@ -382,20 +405,26 @@
 		a.log.WithError(err).WithField("status", x.Response.StatusCode).Info("response incomplete; discarded")
 		return a.lossOutcome(), false
 	}
-	if a.response.started {
-		return director.Failed, true // an error status cannot follow a response that has started
-	}
-	resp := &bufferedResponse{target: e.Hops[0].Target, status: x.Response.StatusCode, header: x.Response.Header, body: body}
-	if resp.status >= http.StatusInternalServerError && e.Route.Repeatable() {
-		a.failedResponse = resp
-		return director.Failed, true
-	}
-	a.writeWhole(resp)
-	return 0, true
+	resp := &bufferedResponse{
+		source: sourceOf(e, x),
+		status: x.Response.StatusCode, header: x.Response.Header, body: body,
+	}
+	switch a.response.offer(resp, e.Route.Repeatable()) {
+	case deliver:
+		a.writeWhole(resp)
+		return 0, true
+	case keep:
+		a.laterSend = 0
+	case discardPromise:
+		a.handler.metrics.promisesDiscarded.WithLabelValues(strconv.Itoa(resp.status)).Inc()
+		a.log.WithFields(logrus.Fields{"send": e.Number, "target": resp.target, "status": resp.status}).
+			Info("response discarded; its status would promise that the request has not run")
+	}
+	return director.Failed, true
 }
 
 func (a *activeRequest) writeWhole(resp *bufferedResponse) {
-	a.timeToFirstByte, a.answeredBy = time.Since(a.started), resp.target
+	a.timeToFirstByte, a.answeredBy = time.Since(a.started), resp.source
 	if err := a.response.writeWhole(resp); err != nil {
 		a.log.WithError(err).Info("cannot write the response to the caller")
 	}
@@ -415,10 +444,10 @@
 			return director.Broken, false
 		}
 		a.recordReceived()
+		if a.alreadyDelivered(&event) {
+			continue
+		}
 		if event.HasID {
-			if event.ID <= a.lastEventID && a.response.started {
-				continue // already delivered to the caller
-			}
 			a.lastEventID = event.ID
 		}
 		a.unresumable = !event.HasID && (a.unresumable || event.HasData)
@@ -439,6 +468,17 @@
 	}
 }
 
+// alreadyDelivered reports whether the caller has received an event: a target may begin
+// before the event after which it was asked to resume a stream. An event without an id is
+// known by the one before it.
+func (a *activeRequest) alreadyDelivered(event *upstream.Event) bool {
+	if event.HasID && a.response.started {
+		a.behind = event.ID < a.lastEventID
+		return event.ID <= a.lastEventID
+	}
+	return a.behind && !event.HasID
+}
+
 func (a *activeRequest) setWriteDeadline(t time.Time) {
 	if err := a.response.setWriteDeadline(t); err != nil {
 		a.log.WithError(err).Warn("cannot set the deadline for writing to the caller")
@@ -451,7 +491,7 @@
 	if a.response.started {
 		return
 	}
-	a.timeToFirstByte, a.answeredBy = time.Since(a.started), e.Hops[0].Target
+	a.timeToFirstByte, a.answeredBy = time.Since(a.started), sourceOf(e, x)
 	a.response.startStream(x.Response)
 }
 
