Count lost answers of a VM that ended at the other VMs

Cause: answers that may mean a crash were known to the VM that lost them only. The others learned of them once they were confirmed, and began to count from zero when that VM had ended.

Now the messages between VMs carry them (at most 16). Another VM uses them once their owner has ended: its next process sends messages, or it has been silent for a second. As long as the owner runs it confirms or drops them itself, so popular content is counted no sooner than by one VM; content that was answered here meanwhile is not counted. A VM that has learned of such content sends its state to all VMs without delay.

--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -9,8 +9,10 @@
 
 // peerMessage is a datagram between VMs.
 type peerMessage struct {
-	VM    model.NodeID            `json:"vm"`
-	Loads map[model.TargetID]load `json:"loads,omitempty"`
+	VM model.NodeID `json:"vm"`
+	// Process differs between the processes of the VM.
+	Process uint32                  `json:"process,omitempty"`
+	Loads   map[model.TargetID]load `json:"loads,omitempty"`
 	// Suspects are the targets under suspicion.
 	Suspects map[model.TargetID]suspicion `json:"suspects,omitempty"`
 	// Paces are the slowdowns of the slow targets of the sender's zone.
@@ -22,6 +24,8 @@
 	Config model.Revision `json:"config,omitempty"`
 	// Quarantines are the quarantines of content that crashed targets.
 	Quarantines []contentQuarantine `json:"quarantines,omitempty"`
+	// LostAnswers are the answers lost at the sender whose targets may have crashed.
+	LostAnswers []lostAnswer `json:"lost,omitempty"`
 	// Query is the number of a query for the recipient's state of the store; State is
 	// the reply to it. Such a message has no other fields but VM.
 	Query uint64 `json:"ask,omitempty"`
@@ -70,10 +74,28 @@
 	}
 }
 
+// lostAnswer encodes a director.LostAnswer.
+type lostAnswer struct {
+	Content uint64         `json:"c"`
+	Target  model.TargetID `json:"t"`
+	BornMs  int64          `json:"b"`
+	AgeMs   int64          `json:"a"`
+}
+
+func encodeLostAnswer(l director.LostAnswer) lostAnswer {
+	return lostAnswer{Content: uint64(l.Content), Target: l.Target, BornMs: l.Born, AgeMs: l.Age.Milliseconds()}
+}
+
+func (l lostAnswer) decode() director.LostAnswer {
+	return director.LostAnswer{
+		Content: model.Fingerprint(l.Content), Target: l.Target, Born: l.BornMs, Age: time.Duration(l.AgeMs) * time.Millisecond,
+	}
+}
+
 // encodePeerState returns the message for a VM's state.
 func encodePeerState(peerState director.PeerState) peerMessage {
 	message := peerMessage{
-		VM: peerState.VM, Loads: make(map[model.TargetID]load, len(peerState.Loads)), Paces: peerState.Paces, Crashes: peerState.Crashes, Config: peerState.Config,
+		VM: peerState.VM, Process: peerState.Process, Loads: make(map[model.TargetID]load, len(peerState.Loads)), Paces: peerState.Paces, Crashes: peerState.Crashes, Config: peerState.Config,
 		Suspects: make(map[model.TargetID]suspicion, len(peerState.Suspects)),
 	}
 	for id, l := range peerState.Loads {
@@ -85,13 +107,16 @@
 	for _, q := range peerState.Quarantines {
 		message.Quarantines = append(message.Quarantines, encodeQuarantine(q))
 	}
+	for _, l := range peerState.LostAnswers {
+		message.LostAnswers = append(message.LostAnswers, encodeLostAnswer(l))
+	}
 	return message
 }
 
 // received returns the sender's state in the message.
 func (m *peerMessage) received() director.PeerState {
 	out := director.PeerState{
-		VM: m.VM, Loads: make(map[model.TargetID]director.Load, len(m.Loads)), Paces: m.Paces, Crashes: m.Crashes, Config: m.Config,
+		VM: m.VM, Process: m.Process, Loads: make(map[model.TargetID]director.Load, len(m.Loads)), Paces: m.Paces, Crashes: m.Crashes, Config: m.Config,
 		Suspects: make(map[model.TargetID]director.Suspicion, len(m.Suspects)),
 	}
 	for id, l := range m.Loads {
@@ -105,5 +130,8 @@
 	for _, q := range m.Quarantines {
 		out.Quarantines = append(out.Quarantines, q.decode())
 	}
+	for _, l := range m.LostAnswers {
+		out.LostAnswers = append(out.LostAnswers, l.decode())
+	}
 	return out
 }
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -21,6 +22,9 @@
 const (
 	// peerStateInterval is the interval of messages within a zone.
 	peerStateInterval = 200 * time.Millisecond
+	// minLearnedInterval is the minimum time between two messages that are sent to all VMs
+	// without delay.
+	minLearnedInterval = 100 * time.Millisecond
 	// crossZoneEvery is the number of intervals between messages to other zones:
 	// traffic between zones is expensive.
 	crossZoneEvery = 3
@@ -177,19 +181,42 @@
 
 func (p *peers) run(ctx context.Context) {
 	go p.receive(ctx)
+	go p.sendLearned(ctx)
 	round := 0
 	every(ctx, constant(peerStateInterval), func() {
 		round++
-		p.mu.Lock()
-		addresses := p.sameZone
-		if round%crossZoneEvery == 0 {
-			addresses = append(append([]*net.UDPAddr{}, p.sameZone...), p.otherZones...)
-		}
-		p.mu.Unlock()
-		p.sendPeerState(addresses)
+		p.sendPeerState(p.recipients(round%crossZoneEvery == 0))
 	})
 }
 
+// recipients returns the addresses of the VMs of this zone, or of all zones.
+func (p *peers) recipients(allZones bool) []*net.UDPAddr {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !allZones {
+		return p.sameZone
+	}
+	return slices.Concat(p.sameZone, p.otherZones)
+}
+
+// sendLearned sends the state to all VMs when this VM has learned of content that
+// crashes targets: the process may end before the next regular message.
+func (p *peers) sendLearned(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.reducer.Learned():
+		}
+		p.sendPeerState(p.recipients(true))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(minLearnedInterval):
+		}
+	}
+}
+
 func (p *peers) sendPeerState(addresses []*net.UDPAddr) {
 	if len(addresses) == 0 {
 		return
--- a/internal/director/crash_simulation_test.go
+++ b/internal/director/crash_simulation_test.go
@@ -25,6 +25,8 @@
 	startWindow = time.Second
 	// restartInterval is the interval of the VMs' restarts.
 	restartInterval = 7 * time.Second
+	// pushInterval is the minimum time between two messages that are sent without delay.
+	pushInterval = 100 * time.Millisecond
 	// maxLateSends bounds the sends that reach a target after that.
 	maxLateSends = 3
 )
@@ -52,12 +54,19 @@
 	id        model.NodeID
 	state     *director.State
 	startedAt model.Instant
+	// pushed is the last value of Learned, and pushedAt when a message was sent for it.
+	pushed   uint64
+	pushedAt model.Instant
+	// down is true between the end of a process and the start of the next.
+	down bool
 }
 
 // crashSimulation runs several VMs with a simulated clock, network and targets.
 type crashSimulation struct {
 	request crashingRequest
 	now     model.Instant
+	// elapsed is the time for which the simulation has run.
+	elapsed time.Duration
 	config  *fleet.Config
 	vms     []*simulatedVM
 	targets map[model.TargetID]*simulatedTarget
@@ -66,10 +75,14 @@
 	rows       map[model.TargetID]fleet.StoreVersion
 	scheduled  []scheduledAction
 	// restart is the time from a target's crash to its next registration.
-	restart  time.Duration
+	restart time.Duration
+	// window is how long after its third crash a request may still reach targets freely.
+	window   time.Duration
 	requests int
 	crashes  int
-	thirdAt  model.Instant
+	// processes counts the starts of VMs.
+	processes uint32
+	thirdAt   model.Instant
 	// answered counts the requests that were answered, and refusedForCrashes those that
 	// were refused because targets crashed.
 	answered, refusedForCrashes int
@@ -84,7 +97,7 @@
 
 func newCrashSimulation(request crashingRequest, vms int, restart time.Duration) *crashSimulation {
 	c := &crashSimulation{
-		request: request, now: model.Instant(time.Hour), config: config(7), restart: restart,
+		request: request, now: model.Instant(time.Hour), config: config(7), restart: restart, window: stabilityWindow,
 		targets: map[model.TargetID]*simulatedTarget{}, registered: map[model.TargetID]*fleet.Target{}, rows: map[model.TargetID]fleet.StoreVersion{},
 	}
 	c.config.Services[llm].Engine.LayerMB = 500 // a target holds the whole model
@@ -113,9 +126,10 @@
 
 // start replaces a VM's state by that of a process that has just started.
 func (c *crashSimulation) start(vm *simulatedVM) {
-	vm.startedAt = c.now
+	vm.startedAt, vm.pushed = c.now, 0
+	c.processes++
 	vm.state = director.New(director.Settings{
-		VM: vm.id, Zone: "a", ConfigApply: 2 * time.Second, Revoke: 5 * time.Second, Stall: 2500 * time.Millisecond,
+		VM: vm.id, Zone: "a", Process: c.processes, ConfigApply: 2 * time.Second, Revoke: 5 * time.Second, Stall: 2500 * time.Millisecond,
 		Retries: retrybudget.Settings{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
 	})
 	c.step(vm, director.VMsCounted{Count: len(c.vms)})
@@ -136,7 +150,7 @@
 func (c *crashSimulation) after(d time.Duration, vm *simulatedVM, do func()) {
 	state := vm.state
 	c.scheduled = append(c.scheduled, scheduledAction{at: c.now.Add(d), do: func() {
-		if vm.state == state {
+		if vm.state == state && !vm.down {
 			do()
 		}
 	}})
@@ -193,7 +207,7 @@
 		c.after(simulationStep, vm, func() { end(director.NotSent) })
 		return
 	}
-	if late := c.now.Sub(c.thirdAt); c.thirdAt != 0 && late > stabilityWindow && c.now.Sub(vm.startedAt) > startWindow {
+	if late := c.now.Sub(c.thirdAt); c.thirdAt != 0 && late > c.window && c.now.Sub(vm.startedAt) > startWindow {
 		c.lateSends = append(c.lateSends, late)
 	}
 	if c.request.answerTime > 0 {
@@ -249,49 +263,70 @@
 type arrivals struct {
 	interval, toAll time.Duration
 	restarts        bool
+	// none is true while no request arrives.
+	none bool
+}
+
+// every reports whether an action is due that happens at an interval, first at an
+// offset.
+func (c *crashSimulation) every(interval, offset time.Duration) bool {
+	return c.elapsed%interval == offset%interval
 }
 
 // run runs the simulation for a duration.
 func (c *crashSimulation) run(a arrivals, d time.Duration) {
-	every := func(elapsed, interval, offset time.Duration) bool { return elapsed%interval == offset%interval }
-	vms := time.Duration(len(c.vms))
-	for elapsed := time.Duration(0); elapsed < d; elapsed += simulationStep {
+	for end := c.elapsed + d; c.elapsed < end; c.elapsed += simulationStep {
 		c.now = c.now.Add(simulationStep)
-		due := slices.Clone(c.scheduled)
-		c.scheduled = nil
-		for _, action := range due {
-			if action.at > c.now {
-				c.scheduled = append(c.scheduled, action)
-				continue
-			}
-			action.do()
-		}
-		if c.request.answerTime > 0 && every(elapsed, 4*time.Second, 0) {
+		c.runScheduled()
+		if c.request.answerTime > 0 && c.every(4*time.Second, 0) {
 			for n := range 3 {
-				n = (n + int(elapsed/(4*time.Second))) % 6
+				n = (n + int(c.elapsed/(4*time.Second))) % 6
 				c.crash(c.targets[model.TargetID(fmt.Sprint("o", n))])
 				c.crash(c.targets[model.TargetID(fmt.Sprint("l", n))])
 			}
 		}
 		for n, vm := range c.vms {
-			offset := time.Duration(n) * 3 * simulationStep
-			if a.restarts && every(elapsed, restartInterval*vms, restartInterval*time.Duration(n+1)) {
-				c.start(vm)
-			}
-			if every(elapsed, 250*time.Millisecond, offset) {
-				c.readStore(vm)
-				c.step(vm, director.ProbeDue{All: n == 0, Lead: n == 0})
-			}
-			if every(elapsed, 600*time.Millisecond, offset) {
-				c.exchange(vm)
-			}
-			if elapsed > 0 && every(elapsed, a.toAll, 0) || every(elapsed, a.interval*vms, a.interval*time.Duration(n)) {
-				c.arrive(vm)
+			if !vm.down {
+				c.runVM(n, vm, a)
 			}
 		}
 	}
 }
 
+func (c *crashSimulation) runScheduled() {
+	due := slices.Clone(c.scheduled)
+	c.scheduled = nil
+	for _, action := range due {
+		if action.at > c.now {
+			c.scheduled = append(c.scheduled, action)
+			continue
+		}
+		action.do()
+	}
+}
+
+// runVM does what is due at the n-th VM.
+func (c *crashSimulation) runVM(n int, vm *simulatedVM, a arrivals) {
+	vms, offset := time.Duration(len(c.vms)), time.Duration(n)*3*simulationStep
+	if a.restarts && c.every(restartInterval*vms, restartInterval*time.Duration(n+1)) {
+		c.start(vm)
+	}
+	if c.every(250*time.Millisecond, offset) {
+		c.readStore(vm)
+		c.step(vm, director.ProbeDue{All: n == 0, Lead: n == 0})
+	}
+	if c.every(600*time.Millisecond, offset) {
+		c.exchange(vm)
+	}
+	if learned := vm.state.Learned(); learned != vm.pushed && c.now.Sub(vm.pushedAt) >= pushInterval {
+		vm.pushed, vm.pushedAt = learned, c.now
+		c.exchange(vm)
+	}
+	if !a.none && (c.elapsed > 0 && c.every(a.toAll, 0) || c.every(a.interval*vms, a.interval*time.Duration(n))) {
+		c.arrive(vm)
+	}
+}
+
 // A request that crashes its targets comes again and again at every VM, beside
 // restarts of the VMs. Guards against crashes that are not attributed to it, VMs that
 // do not know of the quarantine, and VMs that all try it again once it has expired.
@@ -333,3 +368,47 @@
 		Entry("stream", crashingRequest{path: "/s/popular", outcome: director.Broken, answerTime: 300 * time.Millisecond}),
 	)
 })
+
+// The VMs that observed the crashes of a request end before they have confirmed them.
+// Guards against knowledge that ends with a process.
+var _ = Describe("a request whose crashes were observed by VMs that end", func() {
+	const (
+		window   = time.Second
+		downTime = 250 * time.Millisecond
+		interval = 50 * time.Millisecond
+	)
+	// crashThree sends the request to one VM until it has crashed three targets, and runs
+	// the simulation for a time after the third crash.
+	crashThree := func(request crashingRequest, after time.Duration) *crashSimulation {
+		c := newCrashSimulation(request, 3, time.Second)
+		c.window = window
+		c.run(arrivals{none: true}, 2*time.Second)
+		for c.crashes < 3 {
+			c.arrive(c.vms[0])
+			c.run(arrivals{none: true}, interval)
+		}
+		c.run(arrivals{none: true}, c.thirdAt.Add(after).Sub(c.now))
+		return c
+	}
+
+	DescribeTable("reaches at most three targets after the stability window when the VM is killed",
+		func(request crashingRequest) {
+			for after := 100 * time.Millisecond; after <= 1200*time.Millisecond; after += 50 * time.Millisecond {
+				for _, down := range []time.Duration{downTime, time.Minute} {
+					c := crashThree(request, after)
+					c.vms[0].down = true
+					c.run(arrivals{interval: interval, toAll: time.Hour}, min(down, 10*time.Second))
+					if down == downTime {
+						c.vms[0].down = false
+						c.start(c.vms[0])
+					}
+					c.run(arrivals{interval: interval, toAll: time.Hour}, 10*time.Second)
+					Expect(len(c.lateSends)).To(BeNumerically("<=", maxLateSends), "killed after %v for %v: sent after %v", after, down, c.lateSends)
+				}
+			}
+		},
+		Entry("plain, without a head", crashingRequest{path: "/r/bad", outcome: director.Lost}),
+		Entry("stream, without a head", crashingRequest{path: "/s/bad", outcome: director.Lost}),
+		Entry("stream, after one event", crashingRequest{path: "/s/bad", outcome: director.Broken, events: 1}),
+	)
+})
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -149,6 +149,8 @@
 // PeerState carries the load of another VM and the targets that it found faulty.
 type PeerState struct {
 	VM model.NodeID
+	// Process differs between the processes of the VM.
+	Process uint32
 	// Loads is the load that the VM itself puts on each target.
 	Loads map[model.TargetID]Load
 	// Suspects are the targets that the VM suspects.
@@ -161,6 +163,8 @@
 	Config model.Revision
 	// Quarantines are the quarantines of content that crashed targets.
 	Quarantines []Quarantine
+	// LostAnswers are the answers lost there whose targets may have crashed.
+	LostAnswers []LostAnswer
 }
 
 // Suspicion is a VM's suspicion that a target is faulty.
--- /dev/null
+++ b/internal/director/lostanswer.go
@@ -0,0 +1,247 @@
+package director
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"tamarackreach/internal/model"
+)
+
+const (
+	// maxLostAnswers bounds the lost answers that await confirmation of a crash, and
+	// maxSentLostAnswers those in a message.
+	maxLostAnswers, maxSentLostAnswers = 1024, 16
+	// peerSilence is how long after its last message a VM counts as ended, so that its
+	// lost answers are confirmed by others: longer than the interval of messages between
+	// zones.
+	peerSilence = time.Second
+)
+
+// lostAnswer is an answer lost on a target that may have crashed.
+type lostAnswer struct {
+	content model.Fingerprint
+	ran     incarnation
+	at      model.Instant
+	// probed is true once a connection to the target was probed.
+	probed bool
+	// inherited is true when a VM that has ended observed it.
+	inherited bool
+	// answered is true once this VM has received an answer to content whose answer
+	// another VM lost.
+	answered bool
+}
+
+// LostAnswer is an answer lost on a target that may have crashed, for other VMs. They
+// use it only once the VM that lost it has ended: until then that VM confirms the crash
+// itself, or drops it when the content is answered.
+type LostAnswer struct {
+	Content model.Fingerprint
+	Target  model.TargetID
+	// Born is the start time of the target's process, Unix milliseconds.
+	Born int64
+	// Age is the time since the answer was lost.
+	Age time.Duration
+}
+
+func (l LostAnswer) decode(now model.Instant) lostAnswer {
+	return lostAnswer{content: l.Content, ran: incarnation{target: l.Target, startedMs: l.Born}, at: now.Add(-l.Age)}
+}
+
+func (l *lostAnswer) same(other *lostAnswer) bool {
+	return l.content == other.content && l.ran == other.ran
+}
+
+// recordLostAnswer keeps a lost answer until it is known whether its target crashed.
+// A request starts to run with its first token, so the first event may be delivered
+// before the crash. Content that ran for longer on this target, or before on another
+// one, is unlikely to be the cause and not recorded.
+func (s *State) recordLostAnswer(now model.Instant, r *request, outcome Outcome) Effect {
+	r.progressed = r.hasProgressed(now)
+	if r.progressed || outcome != Lost && outcome != Broken || len(r.hops) == 0 {
+		return nil
+	}
+	if s.onTrial(r) {
+		return s.failTrial(now, r)
+	}
+	s.addLostAnswer(lostAnswer{content: r.fingerprint(), ran: r.sentTo, at: now})
+	if s.targetsLost(r.fingerprint()) > 1 {
+		s.learned++
+	}
+	return nil
+}
+
+func (s *State) addLostAnswer(l lostAnswer) {
+	if len(s.lostAnswers) >= maxLostAnswers {
+		s.lostAnswers = s.lostAnswers[1:]
+	}
+	s.lostAnswers = append(s.lostAnswers, l)
+}
+
+// targetsLost returns the number of targets that crashed, or may have crashed, while
+// running some content that was not answered since.
+func (s *State) targetsLost(content model.Fingerprint) int {
+	targets := map[incarnation]bool{}
+	if c := s.crashRecords[content]; c != nil {
+		for _, ran := range c.crashed[c.cleared:] {
+			targets[ran] = true
+		}
+	}
+	for _, l := range s.lostAnswers {
+		if l.content == content {
+			targets[l.ran] = true
+		}
+	}
+	for _, list := range s.peerLostAnswers {
+		for _, l := range list {
+			if l.content == content && !l.answered {
+				targets[l.ran] = true
+			}
+		}
+	}
+	return len(targets)
+}
+
+// dropLostAnswers drops the lost answers to content that was answered. Those of other
+// VMs are kept, since the next message repeats them, and not inherited.
+func (s *State) dropLostAnswers(content model.Fingerprint) {
+	s.lostAnswers = slices.DeleteFunc(s.lostAnswers, func(l lostAnswer) bool { return l.content == content })
+	for _, list := range s.peerLostAnswers {
+		for i := range list {
+			list[i].answered = list[i].answered || list[i].content == content
+		}
+	}
+}
+
+// sentLostAnswers returns the lost answers to send to other VMs, each target once: those
+// to content with most targets first, then the latest.
+func (s *State) sentLostAnswers(now model.Instant) []LostAnswer {
+	var distinct []lostAnswer
+	seen, targets := map[lostAnswer]bool{}, map[model.Fingerprint]int{}
+	for i := len(s.lostAnswers) - 1; i >= 0; i-- {
+		l := s.lostAnswers[i]
+		key := lostAnswer{content: l.content, ran: l.ran}
+		if seen[key] {
+			continue
+		}
+		seen[key] = true
+		targets[l.content]++
+		distinct = append(distinct, l)
+	}
+	slices.SortStableFunc(distinct, func(a, b lostAnswer) int {
+		return cmp.Or(cmp.Compare(targets[b.content], targets[a.content]), cmp.Compare(b.at, a.at))
+	})
+	var out []LostAnswer
+	for _, l := range distinct[:min(len(distinct), maxSentLostAnswers)] {
+		out = append(out, LostAnswer{Content: l.content, Target: l.ran.target, Born: l.ran.startedMs, Age: now.Sub(l.at)})
+	}
+	return out
+}
+
+// keepLostAnswers replaces the lost answers of another VM by those of its last message.
+func (s *State) keepLostAnswers(now model.Instant, e PeerState) {
+	known := s.peerLostAnswers[e.VM]
+	delete(s.peerLostAnswers, e.VM)
+	for _, sent := range e.LostAnswers[:min(len(e.LostAnswers), maxSentLostAnswers)] {
+		l := sent.decode(now)
+		l.answered = slices.ContainsFunc(known, func(k lostAnswer) bool { return k.same(&l) && k.answered })
+		s.peerLostAnswers[e.VM] = append(s.peerLostAnswers[e.VM], l)
+	}
+}
+
+// inheritSilent takes over the lost answers of VMs that send no messages any more.
+func (s *State) inheritSilent(now model.Instant) []Effect {
+	var effects []Effect
+	for _, vm := range slices.Sorted(maps.Keys(s.peerLostAnswers)) {
+		if silent := now.Sub(s.peers[vm].receivedAt); silent >= peerSilence {
+			effects = append(effects, s.inherit(now, vm, "silent for "+silent.String())...)
+		}
+	}
+	return effects
+}
+
+// inherit takes over the lost answers of a VM whose process has ended: nobody else
+// confirms the crashes.
+func (s *State) inherit(now model.Instant, vm model.NodeID, reason string) []Effect {
+	count, oldest := 0, time.Duration(0)
+	for _, l := range s.peerLostAnswers[vm] {
+		age := now.Sub(l.at)
+		if l.answered || slices.ContainsFunc(s.lostAnswers, func(k lostAnswer) bool { return k.same(&l) }) {
+			continue
+		}
+		l.inherited = true
+		s.addLostAnswer(l)
+		count, oldest = count+1, max(oldest, age)
+	}
+	delete(s.peerLostAnswers, vm)
+	if count == 0 {
+		return nil
+	}
+	taken := &StateChanged{
+		What: "lost answers taken over", Subject: string(vm),
+		Detail: strconv.Itoa(count) + ", the oldest lost " + oldest.String() + " ago; the VM is " + reason,
+	}
+	return append([]Effect{taken}, s.confirmCrashes(now)...)
+}
+
+// confirmCrashes records a crash for each lost answer whose target has crashed since,
+// and removes expired records.
+func (s *State) confirmCrashes(now model.Instant) []Effect {
+	var effects []Effect
+	kept := s.lostAnswers[:0]
+	for _, l := range s.lostAnswers {
+		switch {
+		case now.Sub(l.at) > crashConfirmWindow:
+		case s.hasCrashed(&l):
+			if change := s.recordCrash(now, l.content, l.ran); change != nil {
+				effects = append(effects, change)
+				s.learned++
+			}
+		default:
+			kept = append(kept, l)
+		}
+	}
+	s.lostAnswers = kept
+	maps.DeleteFunc(s.crashRecords, func(_ model.Fingerprint, c *crashRecord) bool {
+		return now >= c.quarantinedUntil && now.Sub(c.at) > crashExpiry
+	})
+	return effects
+}
+
+// hasCrashed reports whether the target of a lost answer has crashed since. A VM that
+// has inherited the answer may know an earlier incarnation of the target than the VM
+// that lost it, or no targets yet.
+func (s *State) hasCrashed(l *lostAnswer) bool {
+	t := s.targets[l.ran.target]
+	switch {
+	case !s.targetsRead:
+		return false
+	case t == nil || t.dead() || t.refusedConnections >= crashedAfterRefusals:
+		return true
+	case l.inherited:
+		return t.StartedMs > l.ran.startedMs
+	}
+	return t.StartedMs != l.ran.startedMs
+}
+
+// probeConnections probes targets that have no report and lost an answer. Their crash
+// would otherwise be known only from the registration, seconds later or not at all
+// while the store is unreachable. For inherited answers one VM of each zone probes.
+func (s *State) probeConnections(now model.Instant, e ProbeDue) []Effect {
+	var effects []Effect
+	for i := range s.lostAnswers {
+		l := &s.lostAnswers[i]
+		t := s.targets[l.ran.target]
+		if t == nil || t.Kind != "" || t.StartedMs != l.ran.startedMs || l.inherited && !e.Lead {
+			continue
+		}
+		if l.probed && t.refusedConnections == 0 || t.connectionProbedAt != 0 && now.Sub(t.connectionProbedAt) < reportInterval {
+			continue
+		}
+		l.probed, t.connectionProbedAt = true, now
+		effects = append(effects, &ProbeConnection{Target: t.ID, Address: t.Address})
+	}
+	return effects
+}
--- a/internal/director/poison.go
+++ b/internal/director/poison.go
@@ -35,20 +35,10 @@
 	crashExpiry = 10 * time.Minute
 	// crashSendWindow is how long a crash is sent to other VMs: several messages.
 	crashSendWindow = 2 * time.Second
-	// maxLostAnswers bounds the lost answers that await confirmation of a crash, and
-	// maxSentCrashes the crashes, and the quarantines, in one message.
-	maxLostAnswers, maxSentCrashes = 1024, 64
+	// maxSentCrashes bounds the crashes, and the quarantines, in one message.
+	maxSentCrashes = 64
 )
 
-// lostAnswer is an answer lost on a target that may have crashed.
-type lostAnswer struct {
-	content model.Fingerprint
-	ran     incarnation
-	at      model.Instant
-	// probed is true once a connection to the target was probed.
-	probed bool
-}
-
 // crashRecord lists the crashes of targets that were running some content.
 type crashRecord struct {
 	// crashed are the crashed incarnations, each once. The first cleared of them were
@@ -131,66 +121,6 @@
 	return r.progressed || len(r.hops) > 0 && !r.awaitingFirst && now.Sub(r.firstEventAt) >= earlyCrashWindow
 }
 
-// recordLostAnswer keeps a lost answer until it is known whether its target crashed.
-// A request starts to run with its first token, so the first event may be delivered
-// before the crash. Content that ran for longer on this target, or before on another
-// one, is unlikely to be the cause and not recorded.
-func (s *State) recordLostAnswer(now model.Instant, r *request, outcome Outcome) Effect {
-	r.progressed = r.hasProgressed(now)
-	if r.progressed || outcome != Lost && outcome != Broken || len(r.hops) == 0 {
-		return nil
-	}
-	if s.onTrial(r) {
-		return s.failTrial(now, r)
-	}
-	if len(s.lostAnswers) >= maxLostAnswers {
-		s.lostAnswers = s.lostAnswers[1:]
-	}
-	s.lostAnswers = append(s.lostAnswers, lostAnswer{content: r.fingerprint(), ran: r.sentTo, at: now})
-	return nil
-}
-
-// confirmCrashes records a crash for each lost answer whose target has crashed since,
-// and removes expired records.
-func (s *State) confirmCrashes(now model.Instant) []Effect {
-	var effects []Effect
-	kept := s.lostAnswers[:0]
-	for _, l := range s.lostAnswers {
-		switch t := s.targets[l.ran.target]; {
-		case now.Sub(l.at) > crashConfirmWindow:
-		case t == nil || t.dead() || t.refusedConnections >= crashedAfterRefusals || t.StartedMs != l.ran.startedMs:
-			effects = append(effects, effectList(s.recordCrash(now, l.content, l.ran))...)
-		default:
-			kept = append(kept, l)
-		}
-	}
-	s.lostAnswers = kept
-	maps.DeleteFunc(s.crashRecords, func(_ model.Fingerprint, c *crashRecord) bool {
-		return now >= c.quarantinedUntil && now.Sub(c.at) > crashExpiry
-	})
-	return effects
-}
-
-// probeConnections probes targets that have no report and lost an answer. Their crash
-// would otherwise be known only from the registration, seconds later or not at all
-// while the store is unreachable.
-func (s *State) probeConnections(now model.Instant) []Effect {
-	var effects []Effect
-	for i := range s.lostAnswers {
-		l := &s.lostAnswers[i]
-		t := s.targets[l.ran.target]
-		if t == nil || t.Kind != "" || t.StartedMs != l.ran.startedMs {
-			continue
-		}
-		if l.probed && t.refusedConnections == 0 || t.connectionProbedAt != 0 && now.Sub(t.connectionProbedAt) < reportInterval {
-			continue
-		}
-		l.probed, t.connectionProbedAt = true, now
-		effects = append(effects, &ProbeConnection{Target: t.ID, Address: t.Address})
-	}
-	return effects
-}
-
 func (s *State) connectionProbed(now model.Instant, e ConnectionProbed) []Effect {
 	t := s.targets[e.Target]
 	if t == nil {
@@ -273,7 +203,7 @@
 // clearContent clears the crashes and lost answers of a request's content once it has
 // been answered completely.
 func (s *State) clearContent(r *request) Effect {
-	if len(s.crashRecords) == 0 && len(s.lostAnswers) == 0 {
+	if len(s.crashRecords) == 0 && len(s.lostAnswers) == 0 && len(s.peerLostAnswers) == 0 {
 		return nil
 	}
 	content := r.fingerprint()
@@ -287,13 +217,10 @@
 	if !released {
 		return nil
 	}
+	s.learned++
 	return contentReleased(content, "it was answered")
 }
 
-func (s *State) dropLostAnswers(content model.Fingerprint) {
-	s.lostAnswers = slices.DeleteFunc(s.lostAnswers, func(l lostAnswer) bool { return l.content == content })
-}
-
 // recordOf returns the crash record of a request's content, nil if there is none.
 func (s *State) recordOf(r *request) *crashRecord {
 	if len(s.crashRecords) == 0 {
--- a/internal/director/probation.go
+++ b/internal/director/probation.go
@@ -74,6 +74,7 @@
 		return nil
 	}
 	c.trial = r.ID
+	s.learned++
 	return &StateChanged{What: "request content on probation", Subject: subject(r.fingerprint()), Detail: "request " + string(r.ID) + " is sent"}
 }
 
@@ -85,6 +86,7 @@
 		c.crashed = append(c.crashed, r.sentTo)
 	}
 	c.quarantine(now)
+	s.learned++
 	return contentRefused(r.fingerprint(), c, "its trial was lost on "+string(r.sentTo.target))
 }
 
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -28,6 +28,8 @@
 	FirstStart bool
 	// Retries bounds retries over all VMs.
 	Retries retrybudget.Settings
+	// Process differs between the processes of a VM.
+	Process uint32
 }
 
 // State is the whole state of the reducer.
@@ -67,6 +69,10 @@
 	budgetChanges []Effect
 	// lostAnswers are kept until a crash of their target is confirmed or ruled out.
 	lostAnswers []lostAnswer
+	// peerLostAnswers are those in the last message of each other VM that has some.
+	peerLostAnswers map[model.NodeID][]lostAnswer
+	// learned counts the observations of this VM that others need soon.
+	learned uint64
 	// crashRecords holds the content that was running on targets that crashed.
 	crashRecords map[model.Fingerprint]*crashRecord
 	// terminating is when termination was requested; 0 before.
@@ -130,6 +136,7 @@
 		byService: map[model.ServiceID][]*target{}, requests: map[model.RequestID]*request{},
 		peers: map[model.NodeID]*peer{}, budget: retrybudget.New(s.Retries),
 		crashRecords: map[model.Fingerprint]*crashRecord{}, retries: map[model.ServiceID]*serviceRetries{},
+		peerLostAnswers: map[model.NodeID][]lostAnswer{},
 	}
 }
 
@@ -174,7 +181,7 @@
 	case ReportRead:
 		return s.reportRead(now, e)
 	case ProbeDue:
-		return append(s.probe(now, e), s.probeConnections(now)...)
+		return slices.Concat(s.inheritSilent(now), s.probe(now, e), s.probeConnections(now, e))
 	case ConnectionProbed:
 		return s.connectionProbed(now, e)
 	case PeerState:
@@ -197,7 +204,7 @@
 }
 
 func (s *State) settingsChanged(next Settings) []Effect {
-	next.VM, next.Zone = s.settings.VM, s.settings.Zone
+	next.VM, next.Zone, next.Process = s.settings.VM, s.settings.Zone, s.settings.Process
 	s.settings = next
 	s.budget.SetSettings(next.Retries)
 	return []Effect{&StateChanged{What: "settings in force", Detail: fmt.Sprintf("%+v", next)}}
@@ -289,5 +296,9 @@
 // Config returns the configuration in force, nil before the first one.
 func (s *State) Config() *fleet.Config { return s.config }
 
+// Learned counts what this VM has observed of content that may crash targets. When it
+// changes, OwnPeerState is due to be sent without delay.
+func (s *State) Learned() uint64 { return s.learned }
+
 // InFlight returns the number of requests in flight.
 func (s *State) InFlight() int { return len(s.requests) }
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -76,6 +76,7 @@
 // peer is the last state received from another VM.
 type peer struct {
 	receivedAt model.Instant
+	process    uint32
 	loads      map[model.TargetID]Load
 }
 
@@ -298,8 +299,8 @@
 
 // applyPeer applies the state received from another VM.
 func (s *State) applyPeer(now model.Instant, e PeerState) []Effect {
-	known := len(s.peers)
-	s.peers[e.VM] = &peer{receivedAt: now, loads: e.Loads}
+	known, previous := len(s.peers), s.peers[e.VM]
+	s.peers[e.VM] = &peer{receivedAt: now, process: e.Process, loads: e.Loads}
 	s.peerHasConfig(now, e.Config)
 	if len(s.peers) > known {
 		s.updateVMs(now)
@@ -310,6 +311,10 @@
 		}
 	}
 	var effects []Effect
+	if previous != nil && previous.process != e.Process {
+		effects = s.inherit(now, e.VM, "restarted")
+	}
+	s.keepLostAnswers(now, e)
 	for _, c := range e.Crashes {
 		effects = append(effects, effectList(s.recordCrash(now, c.Content, incarnation{target: c.Target, startedMs: c.Born}))...)
 	}
@@ -341,11 +346,12 @@
 }
 
 // OwnPeerState returns the state for other VMs: own loads, suspicions, slowdowns,
-// crashes and quarantines.
+// crashes, quarantines and lost answers.
 func (s *State) OwnPeerState(now model.Instant) PeerState {
 	out := PeerState{
-		VM: s.settings.VM, Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
+		VM: s.settings.VM, Process: s.settings.Process, Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
 		Paces: map[model.TargetID]float64{}, Crashes: s.recentCrashes(now), Quarantines: s.quarantines(now),
+		LostAnswers: s.sentLostAnswers(now),
 	}
 	if s.config != nil {
 		out.Config = s.config.Version
--- a/internal/frontdaemon/daemon.go
+++ b/internal/frontdaemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -84,7 +85,9 @@
 
 // New returns a daemon with its reducer, connection pool, controller and handler.
 func New(s *platform.Settings, options Options) *Daemon {
-	state := director.New(directorSettings(s))
+	settings := directorSettings(s)
+	settings.Process = rand.Uint32()
+	state := director.New(settings)
 	d := &Daemon{
 		settings: s, options: options, reducer: ingress.NewReducer(state), pool: upstream.NewPool(),
 		metrics: ingress.NewMetrics(),
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -29,10 +29,20 @@
 type Reducer struct {
 	mu    sync.Mutex
 	state *director.State
+	// counted is the last value of state.Learned, and learned has an element since it
+	// changed.
+	counted uint64
+	learned chan struct{}
 }
 
 // NewReducer returns a reducer that guards s with a lock.
-func NewReducer(s *director.State) *Reducer { return &Reducer{state: s} }
+func NewReducer(s *director.State) *Reducer {
+	return &Reducer{state: s, learned: make(chan struct{}, 1)}
+}
+
+// Learned returns a channel that has an element after the VM has learned of content that
+// crashes targets.
+func (r *Reducer) Learned() <-chan struct{} { return r.learned }
 
 // Step applies an event, logs the director.StateChanged effects and returns the others.
 func (r *Reducer) Step(e director.Event) []director.Effect {
@@ -53,7 +63,15 @@
 func (r *Reducer) step(e director.Event) []director.Effect {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.state.Step(bootclock.Now(), e)
+	effects := r.state.Step(bootclock.Now(), e)
+	if n := r.state.Learned(); n != r.counted {
+		r.counted = n
+		select {
+		case r.learned <- struct{}{}:
+		default: // the receiver reads the newest state
+		}
+	}
+	return effects
 }
 
 // Read calls f with the state while the lock is held.
