Ingress: a stream without a length and without an event counts as cut off

A caller received an empty 200 that looked complete, with a target's signature, when a target crashed behind the head of a stream without a length: the system ends the connections of a process that has ended in order, as the target itself ends such a stream.

A stream is a series of events, and nothing else shows that one of which no event arrived is whole. Such a send counts as interrupted. A stream with a length or chunks may still have no event, also one that resumes behind the last. The new spec failed before.

--- a/internal/ingress/caller_test.go
+++ b/internal/ingress/caller_test.go
@@ -156,4 +156,40 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(body).To(Equal("id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n"))
 	})
+
+	// Guards against a stream that ends before its first event and looks complete: the
+	// connections of a target that crashes behind the head of its response end in order.
+	It("carries no complete stream without events from a target whose connection ended behind the head", func() {
+		url := startIngress(func(n int, w http.ResponseWriter, r *http.Request) {
+			if n > 1 {
+				writeEvents(w, 1, 2)
+				return
+			}
+			conn, _, err := http.NewResponseController(w).Hijack()
+			Expect(err).NotTo(HaveOccurred())
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTamarackreach-Attempt-Id: "+r.Header.Get("Tamarackreach-Attempt-Id")+"\r\n"+signature+": raw\r\n\r\n")
+			_ = conn.Close()
+		})
+		resp, body, err := fetch(url + "/s/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Header.Get(signature)).To(Equal("run-2"))
+		Expect(body).To(Equal("id: 1\ndata: x\n\nid: 2\ndata: x\n\n"))
+	})
+
+	// Guards against the end of a stream being taken for an interruption when a resumption
+	// has nothing left to deliver.
+	It("carries a stream whose last events a target delivered before it broke off", func() {
+		url := startIngress(func(n int, w http.ResponseWriter, r *http.Request) {
+			if n == 1 {
+				writeEvents(w, 1, 2)
+				time.Sleep(20 * time.Millisecond)
+				breakOff()
+			}
+			Expect(r.Header.Get("Last-Event-Id")).To(Equal("2"))
+			writeEvents(w, 1, 0)
+		})
+		_, body, err := fetch(url + "/s/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("id: 1\ndata: x\n\nid: 2\ndata: x\n\n"))
+	})
 })
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -431,11 +431,17 @@
 	}
 }
 
+// errNoEvent means that nothing tells a stream from one that was cut off behind its head.
+var errNoEvent = errors.New("stream without a length ended before its first event; it counts as cut off")
+
 // forwardStream forwards whole events to the caller as they arrive.
 func (a *activeRequest) forwardStream(e *director.Send, x *upstream.Exchange) (director.Outcome, bool) {
 	events := upstream.NewEventReader(x.Response.Body)
-	for {
+	for received := false; ; received = true {
 		event, err := events.Next()
+		if errors.Is(err, io.EOF) && !received && x.Framing() == upstream.FramedByClosing {
+			err = errNoEvent
+		}
 		if errors.Is(err, io.EOF) {
 			a.startStream(e, x) // a complete stream may have no event
 			return 0, true
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -154,7 +154,7 @@
 	switch {
 	case x.Response == nil:
 		return NoResponse
-	case x.Response.ContentLength >= 0:
+	case x.Response.ContentLength >= 0, x.body.ReadCloser == http.NoBody:
 		return FramedByLength
 	case len(x.Response.TransferEncoding) > 0:
 		return FramedByChunks
