--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -32,3 +32,21 @@
 		}
 	})
 }
+
+// Whether a body continues with a second response does not depend on how the network
+// splits it.
+func FuzzSecondResponse(f *testing.F) {
+	f.Add([]byte("bodyHTTP/1.1 200 OK\r\nTamarackreach-Attempt-Id: a\r\n\r\n"), uint16(9))
+	f.Add([]byte("HTTP/1.1 200 HTTP/1.0 503 X\nDate: x\ntamarackreach-attempt-id:a"), uint16(1))
+	f.Add([]byte("HTTP/1.1 200\r\nx\r\n\r\nTamarackreach-Attempt-Id: a\r\nHTTP/1.1 200 OK"), uint16(20))
+	f.Fuzz(func(t *testing.T, body []byte, split uint16) {
+		whole := upstream.ContinuesWithResponse("a", body)
+		at := min(int(split), len(body))
+		if upstream.ContinuesWithResponse("a", body[:at], body[at:]) != whole {
+			t.Fatalf("%q split at %d gives another result than %v", body, at, whole)
+		}
+		if upstream.ContinuesWithResponse("a", bytes.SplitAfter(body, nil)...) != whole {
+			t.Fatalf("%q in single bytes gives another result than %v", body, whole)
+		}
+	})
+}
