Upstream: a response whose field name ends with a space is rejected

A caller received a truncated body that looked complete when the target, or what stands before it, wrote 'Content-Length : 100': net/http keeps such a field under a name of its own, so the response counted as one without a length, which ends with its connection.

A response with a space in a field's name is rejected, as its framing can't be relied on. The spec with a space failed before; the one with a tab passed already.

--- a/internal/upstream/attribution.go
+++ b/internal/upstream/attribution.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"regexp"
 	"slices"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -29,6 +30,10 @@
 // response, or inside one without a length.
 var ErrResponseMerged = errors.New("response contains the head of another one; connection closed")
 
+// ErrResponseMalformed means that the name of a field in the response's head contains a
+// space, so that the field, which may be its length, counts as unknown.
+var ErrResponseMalformed = errors.New("response has a field name with a space; connection closed")
+
 // statusLine matches the status line of a response that follows a partial one.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
 
@@ -75,6 +80,11 @@
 	if merged(resp) || head.SignedTwice {
 		return ErrResponseMerged
 	}
+	for name := range resp.Header {
+		if strings.ContainsAny(name, " \t") {
+			return ErrResponseMalformed
+		}
+	}
 	switch head.RequestID {
 	case id:
 		return nil
--- a/internal/upstream/network_test.go
+++ b/internal/upstream/network_test.go
@@ -199,6 +199,8 @@
 	},
 		Entry("different lengths", "Content-Length: 2\r\nContent-Length: 4\r\n", "body"),
 		Entry("different lengths in a list", "Content-Length: 2, 4\r\n", "body"),
+		Entry("a length whose name ends with a space", "Content-Length : 100\r\n", "body"),
+		Entry("chunks whose name ends with a tab", "Transfer-Encoding\t: chunked\r\n", "4\r\nbody\r\n"),
 		Entry("a length that is not a number", "Content-Length: +4\r\n", "body"),
 		Entry("a length and chunks that end early", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", "4\r\nbody\r\n"),
 		Entry("an unknown coding", "Transfer-Encoding: gzip, chunked\r\n", "4\r\nbody\r\n0\r\n\r\n"),
