Ingress: a refusal to a caller of HTTP/1.0 keeps its length

Since streams to such callers are reset when they break off, every response to them was flushed before its end, and one of the router's own went out without a length: a caller could take a part of it for the whole. Only a response that is set to be reset is flushed now. The new spec failed before.

--- a/internal/ingress/caller_test.go
+++ b/internal/ingress/caller_test.go
@@ -75,6 +75,17 @@
 		Entry("HTTP/1.0, no length", "HTTP/1.0", false),
 	)
 
+	// Guards against a refusal without a length, a part of which looks complete.
+	It("carries the length of a refusal to a caller of HTTP/1.0", func() {
+		url := startIngress(func(int, http.ResponseWriter, *http.Request) {})
+		conn := dialIngress(url)
+		writeRequest10(conn, "/none/x", 2000)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(404))
+		Expect(resp.ContentLength).To(BeNumerically(">", 0))
+	})
+
 	// Guards against a response to a second request on a connection where the first one's
 	// is not complete.
 	DescribeTable("carries no further response after one that is broken off", func(first string, deadlineMs int) {
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -30,6 +30,8 @@
 	// endsWith is the caller's connection if a response without a length ends with it, as
 	// in HTTP/1.0; else nil.
 	endsWith lingerer
+	// resets is true while endsWith is set to be reset when it closes.
+	resets bool
 }
 
 // lingerer is a TCP connection; see net.TCPConn.
@@ -110,13 +112,14 @@
 	if r.endsWith != nil {
 		// Until the response is complete, also the end of this process must reset it.
 		_ = r.endsWith.SetLinger(resetOnClose) // an error is harmless: the connection is closed
+		r.resets = true
 	}
 	r.w.WriteHeader(head.StatusCode)
 }
 
 // complete ends a response that was written to its end.
 func (r *response) complete() {
-	if r.endsWith != nil && r.flush() == nil {
+	if r.resets && r.flush() == nil {
 		_ = r.endsWith.SetLinger(finOnClose) // an error is harmless: the connection is closed
 	}
 }
