--- a/internal/ingress/caller_test.go
+++ b/internal/ingress/caller_test.go
@@ -75,6 +75,17 @@
 		Entry("HTTP/1.0, no length", "HTTP/1.0", false),
 	)
 
+	// Guards against a refusal without a length, a part of which looks complete.
+	It("carries the length of a refusal to a caller of HTTP/1.0", func() {
+		url := startIngress(func(int, http.ResponseWriter, *http.Request) {})
+		conn := dialIngress(url)
+		writeRequest10(conn, "/none/x", 2000)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(404))
+		Expect(resp.ContentLength).To(BeNumerically(">", 0))
+	})
+
 	// Guards against a response to a second request on a connection where the first one's
 	// is not complete.
 	DescribeTable("carries no further response after one that is broken off", func(first string, deadlineMs int) {
@@ -156,4 +167,40 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(body).To(Equal("id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n"))
 	})
+
+	// Guards against a stream that ends before its first event and looks complete: the
+	// connections of a target that crashes behind the head of its response end in order.
+	It("carries no complete stream without events from a target whose connection ended behind the head", func() {
+		url := startIngress(func(n int, w http.ResponseWriter, r *http.Request) {
+			if n > 1 {
+				writeEvents(w, 1, 2)
+				return
+			}
+			conn, _, err := http.NewResponseController(w).Hijack()
+			Expect(err).NotTo(HaveOccurred())
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTamarackreach-Attempt-Id: "+r.Header.Get("Tamarackreach-Attempt-Id")+"\r\n"+signature+": raw\r\n\r\n")
+			_ = conn.Close()
+		})
+		resp, body, err := fetch(url + "/s/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Header.Get(signature)).To(Equal("run-2"))
+		Expect(body).To(Equal("id: 1\ndata: x\n\nid: 2\ndata: x\n\n"))
+	})
+
+	// Guards against the end of a stream being taken for an interruption when a resumption
+	// has nothing left to deliver.
+	It("carries a stream whose last events a target delivered before it broke off", func() {
+		url := startIngress(func(n int, w http.ResponseWriter, r *http.Request) {
+			if n == 1 {
+				writeEvents(w, 1, 2)
+				time.Sleep(20 * time.Millisecond)
+				breakOff()
+			}
+			Expect(r.Header.Get("Last-Event-Id")).To(Equal("2"))
+			writeEvents(w, 1, 0)
+		})
+		_, body, err := fetch(url + "/s/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("id: 1\ndata: x\n\nid: 2\ndata: x\n\n"))
+	})
 })
