Store what a VM learned of content that crashes targets

Cause: quarantines, and lost answers whose crashes are not confirmed yet, were in the memory of the VMs only.

A VM now has a row in the table tamarackreach-content: the quarantines that it began or ended, and the lost answers to content that will be refused if all of their targets have crashed. It writes the row when these change, at most once a second, and again after a restore of the store; never otherwise. A VM that starts reads the table once, in the background, and serves meanwhile as before. It applies a row only if no running VM knows it, so harmless content is not held back longer than before where one VM restarts. It then confirms the crashes by the targets' registrations. A row of an earlier era only adds quarantines, for the time that they had left: a release in it is ignored, it changes nothing on content of which a quarantine is known, and clocks of two eras are not compared. A crash that another VM observed no longer prolongs a quarantine that counts it already.

The soak's check that VMs write lost rows again now knows that the process of a VM that has restarted since does not know what its predecessor stored; it holds unchanged for all other rows.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -79,6 +79,7 @@
 	vms map[model.NodeID]vmRecord
 	// lastTargets are the registrations of the last read.
 	lastTargets director.TargetsRead
+	content     contentState
 }
 
 // New returns a controller.
@@ -92,6 +93,7 @@
 	}
 	c := &Controller{
 		settings: s, reducer: r, targets: newTargetClient(), view: &view{}, startedAt: bootclock.Now(),
+		content: contentState{lost: make(chan struct{}, 1)},
 	}
 	c.store = platform.NewStore(s.StoreAddress, transport, c.acceptEra)
 	c.setInterval(s.Bounds)
@@ -106,6 +108,8 @@
 	if err := c.peers.listen(ctx); err != nil {
 		return err
 	}
+	go c.loadContent(ctx)
+	go c.storeContent(ctx)
 	go every(ctx, c.pollInterval, func() { c.refreshConfig(ctx) })
 	go every(ctx, c.pollInterval, func() { c.refreshTargets(ctx) })
 	go every(ctx, constant(coordinationInterval), func() { c.coordinate(ctx) })
@@ -301,20 +305,20 @@
 		return
 	}
 	row.Value = value
-	if err := c.put(ctx, row); err != nil {
+	if err := c.put(ctx, coordinationTable, row); err != nil {
 		logrus.WithError(err).Info("VM registration failed; retrying")
 		return
 	}
 	c.registered.Store(storeera.Hold(true, row.Version.Era))
 }
 
-// put writes a row of the coordination table. A new era may have begun since the row was
-// read; its version is not sent then.
-func (c *Controller) put(ctx context.Context, row fleet.StoreRow) error {
+// put writes a row of a table. A new era may have begun since the row was read; its
+// version is not sent then.
+func (c *Controller) put(ctx context.Context, table string, row fleet.StoreRow) error {
 	if err := c.era.check(row.Version); err != nil {
 		return err
 	}
-	_, err := c.store.Put(ctx, coordinationTable, row)
+	_, err := c.store.Put(ctx, table, row)
 	return err
 }
 
@@ -335,7 +339,7 @@
 	}
 	heldBefore := c.holdsLease(bootclock.Now())
 	row.Value = value
-	err = c.put(ctx, row)
+	err = c.put(ctx, coordinationTable, row)
 	switch {
 	case errors.Is(err, platform.ErrVersionConflict):
 		logrus.Info("another VM wrote the placement lease")
--- a/internal/controller/era.go
+++ b/internal/controller/era.go
@@ -83,6 +83,7 @@
 	c.view.reset(era)
 	if restored {
 		c.reducer.Step(director.StoreRestored{Era: era})
+		c.contentLost()
 	}
 	return nil
 }
@@ -96,6 +97,7 @@
 	c.registered.Store(nil)
 	c.view.reset(0)
 	c.reducer.Step(director.StoreReplaced{})
+	c.contentLost()
 }
 
 // mayAcquireLease reports whether a lease of an earlier era has expired.
@@ -126,6 +128,10 @@
 	if !c.era.tracker.Restored() {
 		return true
 	}
-	delay := time.Duration(xxhash.Sum64String(string(c.settings.VM)) % uint64(registrationSpread))
-	return now.Sub(c.era.since) >= delay
+	return now.Sub(c.era.since) >= c.restoreDelay()
+}
+
+// restoreDelay returns how long after a restore this VM writes its lost rows again.
+func (c *Controller) restoreDelay() time.Duration {
+	return time.Duration(xxhash.Sum64String(string(c.settings.VM)) % uint64(registrationSpread))
 }
--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -11,8 +11,10 @@
 type peerMessage struct {
 	VM model.NodeID `json:"vm"`
 	// Process differs between the processes of the VM.
-	Process uint32                  `json:"process,omitempty"`
-	Loads   map[model.TargetID]load `json:"loads,omitempty"`
+	Process uint32 `json:"process,omitempty"`
+	// UptimeMs is the time for which the process has run.
+	UptimeMs int64                   `json:"uptime_ms,omitempty"`
+	Loads    map[model.TargetID]load `json:"loads,omitempty"`
 	// Suspects are the targets under suspicion.
 	Suspects map[model.TargetID]suspicion `json:"suspects,omitempty"`
 	// Paces are the slowdowns of the slow targets of the sender's zone.
@@ -95,7 +97,7 @@
 // encodePeerState returns the message for a VM's state.
 func encodePeerState(peerState director.PeerState) peerMessage {
 	message := peerMessage{
-		VM: peerState.VM, Process: peerState.Process, Loads: make(map[model.TargetID]load, len(peerState.Loads)), Paces: peerState.Paces, Crashes: peerState.Crashes, Config: peerState.Config,
+		VM: peerState.VM, Process: peerState.Process, UptimeMs: peerState.Uptime.Milliseconds(), Loads: make(map[model.TargetID]load, len(peerState.Loads)), Paces: peerState.Paces, Crashes: peerState.Crashes, Config: peerState.Config,
 		Suspects: make(map[model.TargetID]suspicion, len(peerState.Suspects)),
 	}
 	for id, l := range peerState.Loads {
@@ -116,7 +118,7 @@
 // received returns the sender's state in the message.
 func (m *peerMessage) received() director.PeerState {
 	out := director.PeerState{
-		VM: m.VM, Process: m.Process, Loads: make(map[model.TargetID]director.Load, len(m.Loads)), Paces: m.Paces, Crashes: m.Crashes, Config: m.Config,
+		VM: m.VM, Process: m.Process, Uptime: time.Duration(m.UptimeMs) * time.Millisecond, Loads: make(map[model.TargetID]director.Load, len(m.Loads)), Paces: m.Paces, Crashes: m.Crashes, Config: m.Config,
 		Suspects: make(map[model.TargetID]director.Suspicion, len(m.Suspects)),
 	}
 	for id, l := range m.Loads {
--- a/internal/controller/message_test.go
+++ b/internal/controller/message_test.go
@@ -17,6 +17,7 @@
 		peerState := director.PeerState{
 			VM:          "vm-1",
 			Process:     1<<32 - 1,
+			Uptime:      time.Hour,
 			Loads:       map[model.TargetID]director.Load{"t1": {Requests: 3, TokenLayers: 12345, Waiting: 2, First: 1}},
 			Suspects:    map[model.TargetID]director.Suspicion{"t2": {Remaining: time.Second, Age: 20 * time.Millisecond, RejectsRequests: true}},
 			Paces:       map[model.TargetID]float64{"t3": 12},
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -151,6 +151,8 @@
 	VM model.NodeID
 	// Process differs between the processes of the VM.
 	Process uint32
+	// Uptime is the time for which the process has run.
+	Uptime time.Duration
 	// Loads is the load that the VM itself puts on each target.
 	Loads map[model.TargetID]Load
 	// Suspects are the targets that the VM suspects.
--- a/internal/director/lostanswer.go
+++ b/internal/director/lostanswer.go
@@ -29,6 +29,8 @@
 	probed bool
 	// inherited is true when a VM that has ended observed it.
 	inherited bool
+	// stored is true when it was read from the store.
+	stored bool
 	// answered is true once this VM has received an answer to content whose answer
 	// another VM lost.
 	answered bool
@@ -46,10 +48,26 @@
 	Age time.Duration
 }
 
+// peerAnswers are the lost answers in the last message of another VM.
+type peerAnswers struct {
+	process    uint32
+	receivedAt model.Instant
+	lost       []lostAnswer
+}
+
 func (l LostAnswer) decode(now model.Instant) lostAnswer {
 	return lostAnswer{content: l.Content, ran: incarnation{target: l.Target, startedMs: l.Born}, at: now.Add(-l.Age)}
 }
 
+// window returns how long after it was lost a crash of the target is attributed to the
+// content.
+func (l *lostAnswer) window() time.Duration {
+	if l.stored {
+		return storedConfirmWindow
+	}
+	return crashConfirmWindow
+}
+
 func (l *lostAnswer) same(other *lostAnswer) bool {
 	return l.content == other.content && l.ran == other.ran
 }
@@ -67,9 +85,13 @@
 		return s.failTrial(now, r)
 	}
 	s.addLostAnswer(lostAnswer{content: r.fingerprint(), ran: r.sentTo, at: now})
-	if s.targetsLost(r.fingerprint()) > 1 {
+	lost := len(s.lostOn(r.fingerprint()))
+	if lost > 1 {
 		s.learned++
 	}
+	if lost >= crashThreshold {
+		s.contentChanged++
+	}
 	return nil
 }
 
@@ -80,37 +102,13 @@
 	s.lostAnswers = append(s.lostAnswers, l)
 }
 
-// targetsLost returns the number of targets that crashed, or may have crashed, while
-// running some content that was not answered since.
-func (s *State) targetsLost(content model.Fingerprint) int {
-	targets := map[incarnation]bool{}
-	if c := s.crashRecords[content]; c != nil {
-		for _, ran := range c.crashed[c.cleared:] {
-			targets[ran] = true
-		}
-	}
-	for _, l := range s.lostAnswers {
-		if l.content == content {
-			targets[l.ran] = true
-		}
-	}
-	for _, list := range s.peerLostAnswers {
-		for _, l := range list {
-			if l.content == content && !l.answered {
-				targets[l.ran] = true
-			}
-		}
-	}
-	return len(targets)
-}
-
 // dropLostAnswers drops the lost answers to content that was answered. Those of other
 // VMs are kept, since the next message repeats them, and not inherited.
 func (s *State) dropLostAnswers(content model.Fingerprint) {
 	s.lostAnswers = slices.DeleteFunc(s.lostAnswers, func(l lostAnswer) bool { return l.content == content })
-	for _, list := range s.peerLostAnswers {
-		for i := range list {
-			list[i].answered = list[i].answered || list[i].content == content
+	for _, p := range s.peerLostAnswers {
+		for i := range p.lost {
+			p.lost[i].answered = p.lost[i].answered || p.lost[i].content == content
 		}
 	}
 }
@@ -141,22 +139,37 @@
 }
 
 // keepLostAnswers replaces the lost answers of another VM by those of its last message.
-func (s *State) keepLostAnswers(now model.Instant, e PeerState) {
-	known := s.peerLostAnswers[e.VM]
+// Those of its previous process are inherited.
+func (s *State) keepLostAnswers(now model.Instant, e PeerState) []Effect {
+	var effects []Effect
+	var known []lostAnswer
+	if p := s.peerLostAnswers[e.VM]; p != nil && p.process != e.Process {
+		effects = s.inherit(now, e.VM, p.lost, "restarted")
+	} else if p != nil {
+		known = p.lost
+	}
 	delete(s.peerLostAnswers, e.VM)
+	if len(e.LostAnswers) == 0 {
+		return effects
+	}
+	p := &peerAnswers{process: e.Process, receivedAt: now}
+	s.peerLostAnswers[e.VM] = p
 	for _, sent := range e.LostAnswers[:min(len(e.LostAnswers), maxSentLostAnswers)] {
 		l := sent.decode(now)
 		l.answered = slices.ContainsFunc(known, func(k lostAnswer) bool { return k.same(&l) && k.answered })
-		s.peerLostAnswers[e.VM] = append(s.peerLostAnswers[e.VM], l)
+		p.lost = append(p.lost, l)
 	}
+	return effects
 }
 
 // inheritSilent takes over the lost answers of VMs that send no messages any more.
 func (s *State) inheritSilent(now model.Instant) []Effect {
 	var effects []Effect
 	for _, vm := range slices.Sorted(maps.Keys(s.peerLostAnswers)) {
-		if silent := now.Sub(s.peers[vm].receivedAt); silent >= peerSilence {
-			effects = append(effects, s.inherit(now, vm, "silent for "+silent.String())...)
+		p := s.peerLostAnswers[vm]
+		if silent := now.Sub(p.receivedAt); silent >= peerSilence {
+			delete(s.peerLostAnswers, vm)
+			effects = append(effects, s.inherit(now, vm, p.lost, "silent for "+silent.String())...)
 		}
 	}
 	return effects
@@ -164,9 +177,9 @@
 
 // inherit takes over the lost answers of a VM whose process has ended: nobody else
 // confirms the crashes.
-func (s *State) inherit(now model.Instant, vm model.NodeID, reason string) []Effect {
+func (s *State) inherit(now model.Instant, vm model.NodeID, lost []lostAnswer, reason string) []Effect {
 	count, oldest := 0, time.Duration(0)
-	for _, l := range s.peerLostAnswers[vm] {
+	for _, l := range lost {
 		age := now.Sub(l.at)
 		if l.answered || slices.ContainsFunc(s.lostAnswers, func(k lostAnswer) bool { return k.same(&l) }) {
 			continue
@@ -175,7 +188,6 @@
 		s.addLostAnswer(l)
 		count, oldest = count+1, max(oldest, age)
 	}
-	delete(s.peerLostAnswers, vm)
 	if count == 0 {
 		return nil
 	}
@@ -193,11 +205,15 @@
 	kept := s.lostAnswers[:0]
 	for _, l := range s.lostAnswers {
 		switch {
-		case now.Sub(l.at) > crashConfirmWindow:
+		case now.Sub(l.at) > l.window():
 		case s.hasCrashed(&l):
-			if change := s.recordCrash(now, l.content, l.ran); change != nil {
+			if change := s.recordCrash(now, l.content, l.ran, !l.inherited); change != nil {
 				effects = append(effects, change)
 				s.learned++
+				// Of the VMs that inherit an answer, one in each zone stores the result.
+				if !l.inherited || s.lead {
+					s.markOwn(l.content)
+				}
 			}
 		default:
 			kept = append(kept, l)
--- a/internal/director/poison.go
+++ b/internal/director/poison.go
@@ -56,6 +56,9 @@
 	// quarantinedUntil is when probation begins: one request with the content at a time
 	// is sent, once, until its content is answered or quarantined again.
 	quarantinedUntil model.Instant
+	// own is true once this VM has begun or ended a quarantine of the content; it stores
+	// such quarantines.
+	own bool
 	// trial is the request of this VM that was sent since the last quarantine.
 	trial model.RequestID
 	// peerTrialUntil is when another VM's trial counts as over without a message.
@@ -144,20 +147,28 @@
 	return c
 }
 
-// recordCrash records the crash of a target that was running some content.
-func (s *State) recordCrash(now model.Instant, content model.Fingerprint, ran incarnation) Effect {
+// recordCrash records the crash of a target that was running some content. A crash that
+// another VM observed adds no level to a quarantine: that VM may have counted it before
+// the quarantine was received, from it or from the store.
+func (s *State) recordCrash(now model.Instant, content model.Fingerprint, ran incarnation, own bool) Effect {
 	c := s.record(now, content)
 	if slices.Contains(c.crashed, ran) {
 		return nil
 	}
 	c.crashed, c.at = append(c.crashed, ran), now
-	if !c.quarantined() && len(c.crashed)-c.cleared < crashThreshold {
+	if c.quarantined() && !own || !c.quarantined() && len(c.crashed)-c.cleared < crashThreshold {
 		return nil
 	}
 	c.quarantine(now)
 	return contentRefused(content, c, strconv.Itoa(len(c.crashed)-c.cleared)+" targets crashed while running it, most recently "+string(ran.target))
 }
 
+// markOwn has the quarantine of some content stored by this VM.
+func (s *State) markOwn(content model.Fingerprint) {
+	s.crashRecords[content].own = true
+	s.contentChanged++
+}
+
 func contentRefused(content model.Fingerprint, c *crashRecord, detail string) Effect {
 	return &StateChanged{What: "request content refused", Subject: subject(content), Detail: detail + "; for " + c.period().String()}
 }
@@ -207,6 +218,9 @@
 		return nil
 	}
 	content := r.fingerprint()
+	if len(s.lostOn(content)) >= crashThreshold {
+		s.contentChanged++
+	}
 	s.dropLostAnswers(content)
 	c := s.crashRecords[content]
 	if c == nil {
@@ -218,6 +232,7 @@
 		return nil
 	}
 	s.learned++
+	s.markOwn(content)
 	return contentReleased(content, "it was answered")
 }
 
--- a/internal/director/probation.go
+++ b/internal/director/probation.go
@@ -87,6 +87,7 @@
 	}
 	c.quarantine(now)
 	s.learned++
+	s.markOwn(r.fingerprint())
 	return contentRefused(r.fingerprint(), c, "its trial was lost on "+string(r.sentTo.target))
 }
 
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -69,10 +69,19 @@
 	budgetChanges []Effect
 	// lostAnswers are kept until a crash of their target is confirmed or ruled out.
 	lostAnswers []lostAnswer
-	// peerLostAnswers are those in the last message of each other VM that has some.
-	peerLostAnswers map[model.NodeID][]lostAnswer
+	// peerLostAnswers are those of each other VM that has some.
+	peerLostAnswers map[model.NodeID]*peerAnswers
 	// learned counts the observations of this VM that others need soon.
 	learned uint64
+	// stored are the rows read at the start that are not applied yet.
+	stored       []StoredContent
+	storedReadAt model.Instant
+	// startedAt is when the first event was applied.
+	startedAt model.Instant
+	// contentChanged counts the changes of ContentToStore.
+	contentChanged uint64
+	// lead is true while this VM monitors its zone's targets.
+	lead bool
 	// crashRecords holds the content that was running on targets that crashed.
 	crashRecords map[model.Fingerprint]*crashRecord
 	// terminating is when termination was requested; 0 before.
@@ -136,13 +145,16 @@
 		byService: map[model.ServiceID][]*target{}, requests: map[model.RequestID]*request{},
 		peers: map[model.NodeID]*peer{}, budget: retrybudget.New(s.Retries),
 		crashRecords: map[model.Fingerprint]*crashRecord{}, retries: map[model.ServiceID]*serviceRetries{},
-		peerLostAnswers: map[model.NodeID][]lostAnswer{},
+		peerLostAnswers: map[model.NodeID]*peerAnswers{},
 	}
 }
 
 // Step applies an event and returns its effects; an effect for the request of the
 // event comes last.
 func (s *State) Step(now model.Instant, e Event) []Effect {
+	if s.startedAt == 0 {
+		s.startedAt = now
+	}
 	effects := s.apply(now, e)
 	if len(s.budgetChanges) > 0 {
 		effects = append(s.budgetChanges, effects...)
@@ -181,11 +193,14 @@
 	case ReportRead:
 		return s.reportRead(now, e)
 	case ProbeDue:
-		return slices.Concat(s.inheritSilent(now), s.probe(now, e), s.probeConnections(now, e))
+		s.lead = e.Lead
+		return slices.Concat(s.contentRead(now), s.inheritSilent(now), s.probe(now, e), s.probeConnections(now, e))
 	case ConnectionProbed:
 		return s.connectionProbed(now, e)
 	case PeerState:
 		return s.applyPeer(now, e)
+	case ContentRead:
+		s.keepStored(now, e)
 	case StoreFailed:
 		return s.storeFailed(now)
 	case StoreRestored:
--- /dev/null
+++ b/internal/director/storedcontent.go
@@ -0,0 +1,182 @@
+package director
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"tamarackreach/internal/model"
+)
+
+const (
+	// maxStoredQuarantines and maxStoredLostAnswers bound what a VM stores.
+	maxStoredQuarantines, maxStoredLostAnswers = 16, 32
+	// storedConfirmWindow replaces crashConfirmWindow for lost answers that were read from
+	// the store: it includes the restart of the VMs.
+	storedConfirmWindow = 10 * time.Second
+	// storedDelay is how long a VM that starts waits for the messages of the others before
+	// it applies what they have stored: a little longer than their interval between zones.
+	storedDelay = 700 * time.Millisecond
+)
+
+// StoredContent is what a VM stores of content that crashes targets, for VMs that start.
+type StoredContent struct {
+	VM model.NodeID
+	// Process is that of the VM when it was written.
+	Process     uint32
+	Quarantines []Quarantine
+	// LostAnswers are those to content of which enough targets may have crashed to
+	// refuse it.
+	LostAnswers []LostAnswer
+	// Elapsed is the time since it was written, 0 while it is unknown.
+	Elapsed time.Duration
+	// EarlierEra is true when it was written in an earlier era of the store. What was
+	// written later may be lost.
+	EarlierEra bool
+}
+
+// ContentRead carries what the VMs have stored.
+type ContentRead struct{ Stored []StoredContent }
+
+func (ContentRead) event() {}
+
+// ContentChanged counts the changes of what ContentToStore returns that are to be
+// stored.
+func (s *State) ContentChanged() uint64 { return s.contentChanged }
+
+// ContentToStore returns what this VM stores: the quarantines that it has begun or
+// ended, the latest first, and the lost answers to content that will be refused if all
+// of their targets have crashed.
+func (s *State) ContentToStore(now model.Instant) StoredContent {
+	out := StoredContent{VM: s.settings.VM, Process: s.settings.Process}
+	for _, q := range s.quarantines(now) {
+		if s.crashRecords[q.Content].own && len(out.Quarantines) < maxStoredQuarantines {
+			q.Trial = false
+			out.Quarantines = append(out.Quarantines, q)
+		}
+	}
+	contents := map[model.Fingerprint]bool{}
+	for _, l := range s.lostAnswers {
+		if c := s.crashRecords[l.content]; c == nil || !c.quarantined() {
+			contents[l.content] = true
+		}
+	}
+	for _, content := range slices.Sorted(maps.Keys(contents)) {
+		lost := s.lostOn(content)
+		if len(lost) < crashThreshold || len(out.LostAnswers)+len(lost) > maxStoredLostAnswers {
+			continue
+		}
+		for _, l := range lost {
+			out.LostAnswers = append(out.LostAnswers, LostAnswer{Content: content, Target: l.ran.target, Born: l.ran.startedMs, Age: max(now.Sub(l.at), 0)})
+		}
+	}
+	return out
+}
+
+// lostOn returns a lost answer for each target that crashed, or may have crashed, while
+// running some content that was not answered since, in a fixed order.
+func (s *State) lostOn(content model.Fingerprint) []lostAnswer {
+	latest := map[incarnation]lostAnswer{}
+	add := func(l lostAnswer) {
+		if known, found := latest[l.ran]; l.content == content && !l.answered && (!found || l.at > known.at) {
+			latest[l.ran] = l
+		}
+	}
+	if c := s.crashRecords[content]; c != nil {
+		for _, ran := range c.crashed[c.cleared:] {
+			add(lostAnswer{content: content, ran: ran, at: c.at})
+		}
+	}
+	for _, l := range s.lostAnswers {
+		add(l)
+	}
+	for _, list := range s.peerLostAnswers {
+		for _, l := range list.lost {
+			add(l)
+		}
+	}
+	return slices.SortedFunc(maps.Values(latest), func(a, b lostAnswer) int {
+		return cmp.Or(cmp.Compare(a.ran.target, b.ran.target), cmp.Compare(a.ran.startedMs, b.ran.startedMs))
+	})
+}
+
+// keepStored keeps what the VMs have stored until it is known whether one of them runs
+// that knows it. The messages of such a VM are newer.
+func (s *State) keepStored(now model.Instant, e ContentRead) {
+	s.stored, s.storedReadAt = e.Stored, now
+}
+
+// dropStored drops the rows that another VM knows: its own, and those written while it
+// was running.
+func (s *State) dropStored(now model.Instant, e PeerState) {
+	s.stored = slices.DeleteFunc(s.stored, func(row StoredContent) bool {
+		return row.VM == e.VM && row.Process == e.Process || !row.EarlierEra && row.Elapsed+now.Sub(s.storedReadAt) < e.Uptime
+	})
+}
+
+// contentRead applies the rows that no other VM knows, once all VMs have sent a message
+// or had the time to.
+//
+// Invariant: what was written in an earlier era of the store only adds quarantines, for
+// the time that they had left. A release in it may be of an earlier quarantine than one
+// whose row was lost.
+func (s *State) contentRead(now model.Instant) []Effect {
+	if len(s.stored) == 0 || !s.allSentSince(s.storedReadAt) && now.Sub(s.storedReadAt) < storedDelay {
+		return nil
+	}
+	var effects []Effect
+	for _, earlierEra := range []bool{false, true} {
+		for _, row := range s.stored {
+			if row.EarlierEra == earlierEra {
+				row.Elapsed += now.Sub(s.storedReadAt)
+				effects = append(effects, s.applyStored(now, row)...)
+			}
+		}
+	}
+	s.stored = nil
+	return effects
+}
+
+// allSentSince reports whether all other VMs have sent a message since some time.
+func (s *State) allSentSince(at model.Instant) bool {
+	vms := 1
+	for _, p := range s.peers {
+		if p.receivedAt >= at {
+			vms++
+		}
+	}
+	return s.listedVMs > 0 && vms >= s.listedVMs
+}
+
+func (s *State) applyStored(now model.Instant, row StoredContent) []Effect {
+	var effects []Effect
+	for _, q := range row.Quarantines[:min(len(row.Quarantines), maxStoredQuarantines)] {
+		q.Remaining, q.Age = max(q.Remaining-row.Elapsed, 0), q.Age+row.Elapsed
+		c := s.crashRecords[q.Content]
+		if q.Age > crashExpiry || row.EarlierEra && (q.Cleared >= q.Level || c != nil && c.level > 0) {
+			continue
+		}
+		effects = append(effects, effectList(s.applyQuarantine(now, q, row.VM))...)
+		if row.VM == s.settings.VM {
+			s.crashRecords[q.Content].own = true
+		}
+	}
+	return append(effects, s.applyStoredLostAnswers(now, row)...)
+}
+
+// applyStoredLostAnswers inherits the lost answers that a VM stored whose process has
+// ended.
+func (s *State) applyStoredLostAnswers(now model.Instant, row StoredContent) []Effect {
+	if len(row.LostAnswers) == 0 {
+		return nil
+	}
+	var lost []lostAnswer
+	for _, sent := range row.LostAnswers[:min(len(row.LostAnswers), maxStoredLostAnswers)] {
+		sent.Age += row.Elapsed
+		l := sent.decode(now)
+		l.stored = true
+		lost = append(lost, l)
+	}
+	return s.inherit(now, row.VM, lost, "not running")
+}
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -76,7 +76,6 @@
 // peer is the last state received from another VM.
 type peer struct {
 	receivedAt model.Instant
-	process    uint32
 	loads      map[model.TargetID]Load
 }
 
@@ -299,8 +298,9 @@
 
 // applyPeer applies the state received from another VM.
 func (s *State) applyPeer(now model.Instant, e PeerState) []Effect {
-	known, previous := len(s.peers), s.peers[e.VM]
-	s.peers[e.VM] = &peer{receivedAt: now, process: e.Process, loads: e.Loads}
+	known := len(s.peers)
+	s.peers[e.VM] = &peer{receivedAt: now, loads: e.Loads}
+	s.dropStored(now, e)
 	s.peerHasConfig(now, e.Config)
 	if len(s.peers) > known {
 		s.updateVMs(now)
@@ -310,13 +310,9 @@
 			t.slowdown, t.slowdownAt = slowdown, now
 		}
 	}
-	var effects []Effect
-	if previous != nil && previous.process != e.Process {
-		effects = s.inherit(now, e.VM, "restarted")
-	}
-	s.keepLostAnswers(now, e)
+	effects := append(s.keepLostAnswers(now, e), s.contentRead(now)...)
 	for _, c := range e.Crashes {
-		effects = append(effects, effectList(s.recordCrash(now, c.Content, incarnation{target: c.Target, startedMs: c.Born}))...)
+		effects = append(effects, effectList(s.recordCrash(now, c.Content, incarnation{target: c.Target, startedMs: c.Born}, false))...)
 	}
 	for _, q := range e.Quarantines {
 		effects = append(effects, effectList(s.applyQuarantine(now, q, e.VM))...)
@@ -349,7 +345,7 @@
 // crashes, quarantines and lost answers.
 func (s *State) OwnPeerState(now model.Instant) PeerState {
 	out := PeerState{
-		VM: s.settings.VM, Process: s.settings.Process, Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
+		VM: s.settings.VM, Process: s.settings.Process, Uptime: now.Sub(s.startedAt), Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
 		Paces: map[model.TargetID]float64{}, Crashes: s.recentCrashes(now), Quarantines: s.quarantines(now),
 		LostAnswers: s.sentLostAnswers(now),
 	}
--- a/internal/frontdaemon/status.go
+++ b/internal/frontdaemon/status.go
@@ -58,6 +58,10 @@
 		func() float64 { return float64(d.controller.EraCounts().Stale) })
 	m.Counter("tamarack_store_responses_invalid_total", "Responses of the store discarded because their era is not a number.",
 		func() float64 { return float64(d.controller.EraCounts().Invalid) })
+	m.Counter("tamarack_content_records_written_total", "Writes of this VM's record of content that crashes targets.",
+		func() float64 { succeeded, _ := d.controller.ContentWrites(); return float64(succeeded) })
+	m.Counter("tamarack_content_record_writes_failed_total", "Writes of that record which the store did not acknowledge; they are retried.",
+		func() float64 { _, failed := d.controller.ContentWrites(); return float64(failed) })
 	m.Counter("tamarack_unsolicited_responses_total", "Connections to targets closed because bytes arrived that belong to no request in flight.",
 		func() float64 { return float64(d.pool.Unsolicited()) })
 	m.Counter("tamarack_target_connections_opened_total", "Connections opened to targets.",
--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -33,6 +33,10 @@
 	minTargets = 3
 )
 
+// contentTable is the table of what the VMs know of content that crashes targets. Its keys
+// are the names of the VMs.
+const contentTable = "tamarackreach-content"
+
 // configSubject is the subject of spans in which the store is away or has lost the
 // configuration that it has acknowledged.
 const configSubject = "configuration"
@@ -137,6 +141,7 @@
 	end := time.Now().Add(rowsTimeout)
 	for {
 		_, lost := r.lostRows()
+		lost = slices.DeleteFunc(lost, r.forgottenContent)
 		if len(lost) == 0 || time.Now().After(end) {
 			return lost
 		}
@@ -144,6 +149,21 @@
 	}
 }
 
+// forgottenContent reports whether a lost row is one that its VM does not know of: its
+// process has restarted since the first restore. The registration of a VM is written
+// again by each process.
+func (r *run) forgottenContent(row platformtest.Row) bool {
+	return row.Table == contentTable && restartedSince(r.spans.all(), row.Key, r.restoredAt)
+}
+
+// restartedSince reports whether a VM's process has restarted after the first of some
+// times.
+func restartedSince(spans []span, vm string, times []time.Time) bool {
+	return slices.ContainsFunc(spans, func(s span) bool {
+		return s.subject == restartOf(vm) && slices.ContainsFunc(times, func(at time.Time) bool { return s.to.IsZero() || s.to.After(at) })
+	})
+}
+
 // checkWrites checks that a restore causes no storm of writes to the store.
 func (r *run) checkWrites() {
 	for _, at := range r.restoredAt {
--- a/internal/soak/restore_test.go
+++ b/internal/soak/restore_test.go
@@ -25,6 +25,18 @@
 		Expect(r.check()).To(BeEmpty(), "the store lost the removal before a VM had to know it")
 	})
 
+	It("expect a VM to write its lost rows again, except of content that its process does not know of", func() {
+		r := &run{Options: Options{VMs: 1}, restoredAt: []time.Time{at(0), at(500)}}
+		r.spans.spans = []span{{restartOf("vm-1"), at(-300), at(-200)}, {restartOf("vm-2"), at(100), at(200)}, {"vm-1", at(100), at(200)}}
+		row := func(table, key string) platformtest.Row { return platformtest.Row{Table: table, Key: key} }
+		Expect(r.forgottenContent(row(contentTable, "vm-1"))).To(BeFalse())
+		Expect(r.forgottenContent(row(contentTable, "vm-2"))).To(BeTrue())
+		Expect(r.forgottenContent(row("tamarackreach", "vm-2"))).To(BeFalse())
+		Expect(r.forgottenContent(row("tamarackreach", "vm/vm-2"))).To(BeFalse())
+		r.restoredAt = nil
+		Expect(r.forgottenContent(row(contentTable, "vm-2"))).To(BeFalse())
+	})
+
 	DescribeTable("find a request at a target whose drain its VM has read",
 		func(drained time.Time, fault span, found bool) {
 			run := newRun("r-1", "r", 1, 200)
