--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -57,9 +57,13 @@
 	logrus.WithFields(fields).Info(message)
 }
 
+// timeFormat is RFC 3339 with milliseconds: lines of several VMs are ordered by their
+// times.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // SetUpLogs switches logs to JSON and adds the process name and id to each line.
 func SetUpLogs(process, id string) {
-	logrus.SetFormatter(&logrus.JSONFormatter{})
+	logrus.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	logrus.AddHook(processHook{process: process, id: id})
 }
 
