Ingress: a success with an encoding is not the target's response

Callers received a success whose body had been encoded between the target and the router, with the target's signature. Callers request no encoding, so such a body is not the one that the target signed. The send counts as lost, as a success without a signature does; an idempotent request and a stream are sent again. Both specs failed before.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -328,7 +328,7 @@
 		"target": e.Hops[0].Target, "sent": x.Sent, "reused_connection": x.Reused, "framing": x.Framing(),
 	})
 	if x.Response != nil {
-		line = line.WithFields(logrus.Fields{"response_status": x.Response.StatusCode, "signed": x.Head.Signed})
+		line = line.WithFields(logrus.Fields{"response_status": x.Response.StatusCode, "signed": x.Head.Signed, "encoded": x.Head.Encoded})
 	}
 	if err != nil {
 		line = line.WithError(err)
@@ -413,7 +413,7 @@
 		return director.Rejected, err == nil
 	}
 	success := x.Response.StatusCode/100 == 2
-	if success && !x.Head.Signed {
+	if success && (!x.Head.Signed || x.Head.Encoded) {
 		return a.lossOutcome(), false
 	}
 	if success && e.Route.Kind == fleet.Stream {
--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -257,6 +257,20 @@
 		Expect(resp.Header.Get(signature)).To(Equal("run-2"))
 	})
 
+	// Guards against a success whose body is not the target's: it was encoded on the way.
+	DescribeTable("has no body with an encoding", func(path string) {
+		url := startIngress(func(n int, w http.ResponseWriter, _ *http.Request) {
+			if n == 1 {
+				w.Header().Set("Content-Encoding", "gzip")
+			}
+			_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+		})
+		resp, _, err := fetch(url + path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Header).NotTo(HaveKey("Content-Encoding"))
+		Expect(resp.Header.Get(signature)).To(Equal("run-2"))
+	}, Entry("of a plain response", "/r/x"), Entry("of a stream", "/s/x"))
+
 	// Guards against a truncated body that is delivered as complete.
 	It("is not built from a body over the size limit", func() {
 		url := startIngress(func(_ int, w http.ResponseWriter, _ *http.Request) {
