--- a/internal/director/poison.go
+++ b/internal/director/poison.go
@@ -35,20 +35,10 @@
 	crashExpiry = 10 * time.Minute
 	// crashSendWindow is how long a crash is sent to other VMs: several messages.
 	crashSendWindow = 2 * time.Second
-	// maxLostAnswers bounds the lost answers that await confirmation of a crash, and
-	// maxSentCrashes the crashes, and the quarantines, in one message.
-	maxLostAnswers, maxSentCrashes = 1024, 64
+	// maxSentCrashes bounds the crashes, and the quarantines, in one message.
+	maxSentCrashes = 64
 )
 
-// lostAnswer is an answer lost on a target that may have crashed.
-type lostAnswer struct {
-	content model.Fingerprint
-	ran     incarnation
-	at      model.Instant
-	// probed is true once a connection to the target was probed.
-	probed bool
-}
-
 // crashRecord lists the crashes of targets that were running some content.
 type crashRecord struct {
 	// crashed are the crashed incarnations, each once. The first cleared of them were
@@ -66,6 +56,9 @@
 	// quarantinedUntil is when probation begins: one request with the content at a time
 	// is sent, once, until its content is answered or quarantined again.
 	quarantinedUntil model.Instant
+	// own is true once this VM has begun or ended a quarantine of the content; it stores
+	// such quarantines.
+	own bool
 	// trial is the request of this VM that was sent since the last quarantine.
 	trial model.RequestID
 	// peerTrialUntil is when another VM's trial counts as over without a message.
@@ -131,66 +124,6 @@
 	return r.progressed || len(r.hops) > 0 && !r.awaitingFirst && now.Sub(r.firstEventAt) >= earlyCrashWindow
 }
 
-// recordLostAnswer keeps a lost answer until it is known whether its target crashed.
-// A request starts to run with its first token, so the first event may be delivered
-// before the crash. Content that ran for longer on this target, or before on another
-// one, is unlikely to be the cause and not recorded.
-func (s *State) recordLostAnswer(now model.Instant, r *request, outcome Outcome) Effect {
-	r.progressed = r.hasProgressed(now)
-	if r.progressed || outcome != Lost && outcome != Broken || len(r.hops) == 0 {
-		return nil
-	}
-	if s.onTrial(r) {
-		return s.failTrial(now, r)
-	}
-	if len(s.lostAnswers) >= maxLostAnswers {
-		s.lostAnswers = s.lostAnswers[1:]
-	}
-	s.lostAnswers = append(s.lostAnswers, lostAnswer{content: r.fingerprint(), ran: r.sentTo, at: now})
-	return nil
-}
-
-// confirmCrashes records a crash for each lost answer whose target has crashed since,
-// and removes expired records.
-func (s *State) confirmCrashes(now model.Instant) []Effect {
-	var effects []Effect
-	kept := s.lostAnswers[:0]
-	for _, l := range s.lostAnswers {
-		switch t := s.targets[l.ran.target]; {
-		case now.Sub(l.at) > crashConfirmWindow:
-		case t == nil || t.dead() || t.refusedConnections >= crashedAfterRefusals || t.StartedMs != l.ran.startedMs:
-			effects = append(effects, effectList(s.recordCrash(now, l.content, l.ran))...)
-		default:
-			kept = append(kept, l)
-		}
-	}
-	s.lostAnswers = kept
-	maps.DeleteFunc(s.crashRecords, func(_ model.Fingerprint, c *crashRecord) bool {
-		return now >= c.quarantinedUntil && now.Sub(c.at) > crashExpiry
-	})
-	return effects
-}
-
-// probeConnections probes targets that have no report and lost an answer. Their crash
-// would otherwise be known only from the registration, seconds later or not at all
-// while the store is unreachable.
-func (s *State) probeConnections(now model.Instant) []Effect {
-	var effects []Effect
-	for i := range s.lostAnswers {
-		l := &s.lostAnswers[i]
-		t := s.targets[l.ran.target]
-		if t == nil || t.Kind != "" || t.StartedMs != l.ran.startedMs {
-			continue
-		}
-		if l.probed && t.refusedConnections == 0 || t.connectionProbedAt != 0 && now.Sub(t.connectionProbedAt) < reportInterval {
-			continue
-		}
-		l.probed, t.connectionProbedAt = true, now
-		effects = append(effects, &ProbeConnection{Target: t.ID, Address: t.Address})
-	}
-	return effects
-}
-
 func (s *State) connectionProbed(now model.Instant, e ConnectionProbed) []Effect {
 	t := s.targets[e.Target]
 	if t == nil {
@@ -214,20 +147,28 @@
 	return c
 }
 
-// recordCrash records the crash of a target that was running some content.
-func (s *State) recordCrash(now model.Instant, content model.Fingerprint, ran incarnation) Effect {
+// recordCrash records the crash of a target that was running some content. A crash that
+// another VM observed adds no level to a quarantine: that VM may have counted it before
+// the quarantine was received, from it or from the store.
+func (s *State) recordCrash(now model.Instant, content model.Fingerprint, ran incarnation, own bool) Effect {
 	c := s.record(now, content)
 	if slices.Contains(c.crashed, ran) {
 		return nil
 	}
 	c.crashed, c.at = append(c.crashed, ran), now
-	if !c.quarantined() && len(c.crashed)-c.cleared < crashThreshold {
+	if c.quarantined() && !own || !c.quarantined() && len(c.crashed)-c.cleared < crashThreshold {
 		return nil
 	}
 	c.quarantine(now)
 	return contentRefused(content, c, strconv.Itoa(len(c.crashed)-c.cleared)+" targets crashed while running it, most recently "+string(ran.target))
 }
 
+// markOwn has the quarantine of some content stored by this VM.
+func (s *State) markOwn(content model.Fingerprint) {
+	s.crashRecords[content].own = true
+	s.contentChanged++
+}
+
 func contentRefused(content model.Fingerprint, c *crashRecord, detail string) Effect {
 	return &StateChanged{What: "request content refused", Subject: subject(content), Detail: detail + "; for " + c.period().String()}
 }
@@ -273,10 +214,13 @@
 // clearContent clears the crashes and lost answers of a request's content once it has
 // been answered completely.
 func (s *State) clearContent(r *request) Effect {
-	if len(s.crashRecords) == 0 && len(s.lostAnswers) == 0 {
+	if len(s.crashRecords) == 0 && len(s.lostAnswers) == 0 && len(s.peerLostAnswers) == 0 {
 		return nil
 	}
 	content := r.fingerprint()
+	if len(s.lostOn(content)) >= crashThreshold {
+		s.contentChanged++
+	}
 	s.dropLostAnswers(content)
 	c := s.crashRecords[content]
 	if c == nil {
@@ -287,13 +231,11 @@
 	if !released {
 		return nil
 	}
+	s.learned++
+	s.markOwn(content)
 	return contentReleased(content, "it was answered")
 }
 
-func (s *State) dropLostAnswers(content model.Fingerprint) {
-	s.lostAnswers = slices.DeleteFunc(s.lostAnswers, func(l lostAnswer) bool { return l.content == content })
-}
-
 // recordOf returns the crash record of a request's content, nil if there is none.
 func (s *State) recordOf(r *request) *crashRecord {
 	if len(s.crashRecords) == 0 {
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -300,6 +300,7 @@
 func (s *State) applyPeer(now model.Instant, e PeerState) []Effect {
 	known := len(s.peers)
 	s.peers[e.VM] = &peer{receivedAt: now, loads: e.Loads}
+	s.dropStored(now, e)
 	s.peerHasConfig(now, e.Config)
 	if len(s.peers) > known {
 		s.updateVMs(now)
@@ -309,9 +310,9 @@
 			t.slowdown, t.slowdownAt = slowdown, now
 		}
 	}
-	var effects []Effect
+	effects := append(s.keepLostAnswers(now, e), s.contentRead(now)...)
 	for _, c := range e.Crashes {
-		effects = append(effects, effectList(s.recordCrash(now, c.Content, incarnation{target: c.Target, startedMs: c.Born}))...)
+		effects = append(effects, effectList(s.recordCrash(now, c.Content, incarnation{target: c.Target, startedMs: c.Born}, false))...)
 	}
 	for _, q := range e.Quarantines {
 		effects = append(effects, effectList(s.applyQuarantine(now, q, e.VM))...)
@@ -341,11 +342,12 @@
 }
 
 // OwnPeerState returns the state for other VMs: own loads, suspicions, slowdowns,
-// crashes and quarantines.
+// crashes, quarantines and lost answers.
 func (s *State) OwnPeerState(now model.Instant) PeerState {
 	out := PeerState{
-		VM: s.settings.VM, Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
+		VM: s.settings.VM, Process: s.settings.Process, Uptime: now.Sub(s.startedAt), Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
 		Paces: map[model.TargetID]float64{}, Crashes: s.recentCrashes(now), Quarantines: s.quarantines(now),
+		LostAnswers: s.sentLostAnswers(now),
 	}
 	if s.config != nil {
 		out.Config = s.config.Version
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -28,12 +28,42 @@
 
 // Reducer serialises the application of events to the state.
 type Reducer struct {
-	mu    sync.Mutex
-	state *director.State
+	mu                      sync.Mutex
+	state                   *director.State
+	learned, contentChanged changes
+}
+
+// changes signals that a counter of the state has changed.
+type changes struct {
+	last   uint64
+	signal chan struct{}
+}
+
+func newChanges() changes { return changes{signal: make(chan struct{}, 1)} }
+
+func (c *changes) update(count uint64) {
+	if count == c.last {
+		return
+	}
+	c.last = count
+	select {
+	case c.signal <- struct{}{}:
+	default: // the receiver reads the newest state
+	}
 }
 
 // NewReducer returns a reducer that guards s with a lock.
-func NewReducer(s *director.State) *Reducer { return &Reducer{state: s} }
+func NewReducer(s *director.State) *Reducer {
+	return &Reducer{state: s, learned: newChanges(), contentChanged: newChanges()}
+}
+
+// Learned returns a channel that has an element after the VM has learned of content that
+// crashes targets.
+func (r *Reducer) Learned() <-chan struct{} { return r.learned.signal }
+
+// ContentChanged returns a channel that has an element after the content to store has
+// changed.
+func (r *Reducer) ContentChanged() <-chan struct{} { return r.contentChanged.signal }
 
 // Step applies an event, logs the director.StateChanged effects and returns the others.
 func (r *Reducer) Step(e director.Event) []director.Effect {
@@ -54,7 +84,10 @@
 func (r *Reducer) step(e director.Event) []director.Effect {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.state.Step(bootclock.Now(), e)
+	effects := r.state.Step(bootclock.Now(), e)
+	r.learned.update(r.state.Learned())
+	r.contentChanged.update(r.state.ContentChanged())
+	return effects
 }
 
 // Read calls f with the state while the lock is held.
@@ -136,7 +169,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	a := &activeRequest{handler: h, response: response{w: w}, r: r, request: request, started: time.Now()}
+	a := &activeRequest{handler: h, response: newResponse(w, r), r: r, request: request, started: time.Now()}
 	a.log = logrus.WithField("request", request.ID)
 	var limit int64 = defaultMaxBodyBytes
 	h.reducer.Read(func(s *director.State) {
@@ -155,6 +188,7 @@
 		return
 	}
 	a.run(arrivedAt)
+	a.response.complete()
 }
 
 // run serves the request, whose head was read at arrivedAt, until it is answered or
@@ -430,11 +464,17 @@
 	}
 }
 
+// errNoEvent means that nothing tells a stream from one that was cut off behind its head.
+var errNoEvent = errors.New("stream without a length ended before its first event; it counts as cut off")
+
 // forwardStream forwards whole events to the caller as they arrive.
 func (a *activeRequest) forwardStream(e *director.Send, x *upstream.Exchange) (director.Outcome, bool) {
 	events := upstream.NewEventReader(x.Response.Body)
-	for {
+	for received := false; ; received = true {
 		event, err := events.Next()
+		if errors.Is(err, io.EOF) && !received && x.Framing() == upstream.FramedByClosing {
+			err = errNoEvent
+		}
 		if errors.Is(err, io.EOF) {
 			a.startStream(e, x) // a complete stream may have no event
 			return 0, true
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -1,7 +1,10 @@
 package ingress
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -24,6 +27,39 @@
 	// kept is a target's failure that is delivered if no later send may have run the
 	// request; nil if there is none.
 	kept *bufferedResponse
+	// endsWith is the caller's connection if a response without a length ends with it, as
+	// in HTTP/1.0; else nil.
+	endsWith lingerer
+	// resets is true while endsWith is set to be reset when it closes.
+	resets bool
+}
+
+// lingerer is a TCP connection; see net.TCPConn.
+type lingerer interface{ SetLinger(seconds int) error }
+
+const (
+	// resetOnClose and finOnClose are arguments of SetLinger.
+	resetOnClose = 0
+	finOnClose   = -1
+)
+
+type connKey struct{}
+
+// ConnContext stores a caller's connection in the context of its requests. The
+// http.Server of a RequestHandler needs it, to break off responses to callers of
+// HTTP/1.0.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// newResponse returns the response to r, which is written to w.
+func newResponse(w http.ResponseWriter, r *http.Request) response {
+	out := response{w: w}
+	if !r.ProtoAtLeast(1, 1) {
+		out.endsWith, _ = r.Context().Value(connKey{}).(lingerer)
+	}
+	return out
+
 }
 
 // source identifies the send that a response comes from.
@@ -57,6 +93,10 @@
 func (r *response) writeWhole(b *bufferedResponse) error {
 	r.started = true
 	platform.CopyResponseHeader(r.w.Header(), b.header)
+	if len(b.body) > 0 {
+		// A caller of HTTP/1.0 can tell a part of the body from the whole only by its length.
+		r.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
+	}
 	r.w.WriteHeader(b.status)
 	_, err := r.w.Write(b.body)
 	return err
@@ -69,9 +109,21 @@
 	platform.CopyResponseHeader(r.w.Header(), head.Header)
 	// The length of a stream that is resumed elsewhere is not that of its first part.
 	r.w.Header().Del("Content-Length")
+	if r.endsWith != nil {
+		// Until the response is complete, also the end of this process must reset it.
+		_ = r.endsWith.SetLinger(resetOnClose) // an error is harmless: the connection is closed
+		r.resets = true
+	}
 	r.w.WriteHeader(head.StatusCode)
 }
 
+// complete ends a response that was written to its end.
+func (r *response) complete() {
+	if r.resets && r.flush() == nil {
+		_ = r.endsWith.SetLinger(finOnClose) // an error is harmless: the connection is closed
+	}
+}
+
 // writeEvent writes a whole event of a started stream.
 func (r *response) writeEvent(event []byte) error {
 	_, err := r.w.Write(event)
