Histories: second responses inside bodies that end with their connection

The second response echoes the id. One without an id in a plain body is delivered with that body: nothing tells it from text there.

--- a/internal/ingress/histories_test.go
+++ b/internal/ingress/histories_test.go
@@ -218,12 +218,16 @@
 	default:
 		s.ending = pick(random, closeOrderly, closeOrderly, resetConnection, resetConnection, hang, hangDeregistered, hangDeregistered)
 	}
-	if s.ending != keepOpen || !chance(random, 0.15) {
+	inside := s.framing == byClosing && s.ending == closeOrderly
+	if s.ending != keepOpen && !inside || !chance(random, 0.2) {
 		return
 	}
-	echo := pick(random, "Tamarackreach-Attempt-Id: "+r.request+"\r\n", "")
+	echo := "Tamarackreach-Attempt-Id: " + r.request + "\r\n"
+	if !inside && chance(random, 0.5) {
+		echo = "" // inside a body, nothing but the id tells a response from text
+	}
 	s.extra = fmt.Sprintf("HTTP/1.1 200 OK\r\n%sX-Run: extra\r\n%s: extra\r\nContent-Length: 5\r\n\r\nextra", echo, signature)
-	if chance(random, 0.5) {
+	if s.ending == keepOpen && chance(random, 0.5) {
 		s.lateBy = time.Duration(1+random.IntN(12)) * time.Millisecond
 	}
 }
