Ingress: place the events of a resumed stream by the ids around them

All are cases in which it was not known where in its stream a send was:

- A response looked complete although its last run, which has no length, ended among repeated events or behind a comment, before anything that the caller lacked.
- The first event of a stream came twice when it has no id and a target resumes too early; it is held now until the first id shows whether the caller has it.
- An event without an id was dropped behind an id lower than the one before, and the response looked complete; such a stream is interrupted now.
- A delivered event stayed in the buffer when the stream was interrupted, or the next one was skipped, until a later send brought an event.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -142,9 +142,9 @@
 	// unresumable is true when data was forwarded to the caller after lastEventID: no
 	// target can go on behind an event without an id.
 	unresumable bool
-	// behind is true while the current send repeats events from before lastEventID.
-	behind bool
-	events int
+	// position is where in the stream the current send is.
+	position streamPosition
+	events   int
 	// longestGap is the longest time between two consecutive events.
 	longestGap time.Duration
 	sends      int
@@ -297,7 +297,8 @@
 	defer cancel()
 	sentAt := time.Now()
 	a.setWriteDeadline(sentAt.Add(e.TimeLeft + writeGrace))
-	a.lastReceived, a.diverted, a.streaming, a.behind = sentAt, false, false, false
+	a.lastReceived, a.diverted, a.streaming = sentAt, false, false
+	a.position = streamPosition{known: !a.response.started || a.lastEventID == 0}
 	a.sends = e.Number
 	call := a.call(e)
 	call.ExpiresAt = e.ExpiresAt
@@ -464,59 +465,64 @@
 	}
 }
 
-// errNoEvent means that nothing tells a stream from one that was cut off behind its head.
-var errNoEvent = errors.New("stream without a length ended before its first event; it counts as cut off")
-
 // forwardStream forwards whole events to the caller as they arrive.
 func (a *activeRequest) forwardStream(e *director.Send, x *upstream.Exchange) (director.Outcome, bool) {
 	events := upstream.NewEventReader(x.Response.Body)
-	for received := false; ; received = true {
+	for {
 		event, err := events.Next()
-		if errors.Is(err, io.EOF) && !received && x.Framing() == upstream.FramedByClosing {
+		if errors.Is(err, io.EOF) && !a.position.advanced && x.Framing() == upstream.FramedByClosing {
 			err = errNoEvent
 		}
 		if errors.Is(err, io.EOF) {
-			a.startStream(e, x) // a complete stream may have no event
-			return 0, true
+			return a.endStream(e, x)
+		}
+		decision := skipEvent
+		if err == nil {
+			a.recordReceived()
+			decision, err = a.position.decide(&event, a.lastEventID)
 		}
 		if err != nil {
 			a.log.WithError(err).WithField("last_event", a.lastEventID).Info("stream interrupted")
+			_ = a.response.flushEvents() // the caller's connection reports an error again
 			return director.Broken, false
 		}
-		a.recordReceived()
-		if a.alreadyDelivered(&event) {
-			continue
-		}
-		if event.HasID {
-			a.lastEventID = event.ID
-		}
-		a.unresumable = !event.HasID && (a.unresumable || event.HasData)
-		a.startStream(e, x)
-		if !a.streaming {
-			a.streaming = true
-			a.handler.reducer.Step(director.AnswerStarted{ID: a.request.ID})
-		}
-		a.events++
-		if err := a.response.writeEvent(event.Bytes); err != nil {
-			return director.Broken, false
+		if decision == deliverEvent {
+			a.startStream(e, x)
+			if err := a.deliverEvent(&event); err != nil {
+				return director.Broken, false
+			}
 		}
 		if !event.MoreBuffered {
-			if err := a.response.flush(); err != nil {
+			if err := a.response.flushEvents(); err != nil {
 				return director.Broken, false
 			}
 		}
 	}
 }
 
-// alreadyDelivered reports whether the caller has received an event: a target may begin
-// before the event after which it was asked to resume a stream. An event without an id is
-// known by the one before it.
-func (a *activeRequest) alreadyDelivered(event *upstream.Event) bool {
-	if event.HasID && a.response.started {
-		a.behind = event.ID < a.lastEventID
-		return event.ID <= a.lastEventID
+// deliverEvent writes an event that the caller lacks.
+func (a *activeRequest) deliverEvent(event *upstream.Event) error {
+	if event.HasID {
+		a.lastEventID = event.ID
+	}
+	a.unresumable = !event.HasID && (a.unresumable || event.HasData)
+	if !a.streaming {
+		a.streaming = true
+		a.handler.reducer.Step(director.AnswerStarted{ID: a.request.ID})
+	}
+	a.events++
+	return a.response.writeEvent(append(a.position.takeHeld(), event.Bytes...))
+}
+
+// endStream ends the response after a complete stream, which may have no event.
+func (a *activeRequest) endStream(e *director.Send, x *upstream.Exchange) (director.Outcome, bool) {
+	a.startStream(e, x)
+	if held := a.position.takeHeld(); len(held) > 0 {
+		if err := a.response.writeEvent(held); err != nil {
+			return director.Broken, false
+		}
 	}
-	return a.behind && !event.HasID
+	return 0, true
 }
 
 func (a *activeRequest) setWriteDeadline(t time.Time) {
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -30,6 +30,8 @@
 	// endsWith is the caller's connection if a response without a length ends with it, as
 	// in HTTP/1.0; else nil.
 	endsWith lingerer
+	// unflushed is true while events are buffered.
+	unflushed bool
 	// resets is true while endsWith is set to be reset when it closes.
 	resets bool
 }
@@ -126,6 +128,7 @@
 
 // writeEvent writes a whole event of a started stream.
 func (r *response) writeEvent(event []byte) error {
+	r.unflushed = true
 	_, err := r.w.Write(event)
 	return err
 }
@@ -136,6 +139,15 @@
 	return http.NewResponseController(r.w).SetWriteDeadline(t)
 }
 
+// flushEvents sends the events that are buffered, if any, to the caller.
+func (r *response) flushEvents() error {
+	if !r.unflushed {
+		return nil
+	}
+	r.unflushed = false
+	return r.flush()
+}
+
 // flush sends what has been written to the caller.
 func (r *response) flush() error { return http.NewResponseController(r.w).Flush() }
 
--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -332,6 +332,57 @@
 		Expect(body).To(Equal("id: 1\ndata: x\n\ndata: a\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"))
 	})
 
+	// Guards against an event without an id that the caller receives twice, because it is
+	// the first of a stream that a target resumes too early.
+	It("has the first event once when it has no id and a target resumes too early", func() {
+		url := startIngress(func(n int, w http.ResponseWriter, _ *http.Request) {
+			writeEvents(w, 1, 0)
+			_, _ = io.WriteString(w, "data: a\n\n")
+			writeEvents(w, 1, 1+n)
+			if n == 1 {
+				time.Sleep(50 * time.Millisecond)
+				breakOff()
+			}
+		})
+		_, body, err := fetch(url + "/s/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("data: a\n\nid: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"))
+	})
+
+	// Guards against an event that is lost because the ids of a run do not increase, in a
+	// response that looks complete.
+	It("is broken off when the ids of its events do not increase", func() {
+		url := startIngress(func(_ int, w http.ResponseWriter, _ *http.Request) {
+			writeEvents(w, 5, 5)
+			writeEvents(w, 3, 3)
+			_, _ = io.WriteString(w, "data: a\n\n")
+		})
+		_, _, err := fetch(url + "/s/x")
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	})
+
+	// Guards against a response that looks complete although its last run ended before an
+	// event that the caller lacks, and nothing marks the end of that run.
+	DescribeTable("is not complete without a new event from a stream without a length", func(first func(http.ResponseWriter), rest string) {
+		url := startIngress(func(n int, w http.ResponseWriter, r *http.Request) {
+			if n == 1 && first != nil {
+				first(w)
+				time.Sleep(50 * time.Millisecond)
+				breakOff()
+			}
+			conn, _, err := http.NewResponseController(w).Hijack()
+			Expect(err).NotTo(HaveOccurred())
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTamarackreach-Attempt-Id: %s\r\n%s: run-%d\r\n\r\n%s",
+				r.Header.Get("Tamarackreach-Attempt-Id"), signature, n, rest)
+			_ = conn.Close() // the end of the response
+		})
+		_, _, err := fetch(url + "/s/x")
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	},
+		Entry("that repeats events", func(w http.ResponseWriter) { writeEvents(w, 1, 3) }, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"),
+		Entry("that has a comment only", nil, ": hello\n\n"),
+	)
+
 	// Guards against a stream that is broken off although each of its parts has an id.
 	It("resumes a stream after an event without data that has no id", func() {
 		url := startIngress(func(n int, w http.ResponseWriter, _ *http.Request) {
