Upstream: look for a second response in a body line by line

Whether a second response was found depended on where reads ended in its head, when more than 8 KB of header-like text preceded it (68 split positions of one body of 8,367 bytes): the limit was that of the window, not of the head.

One pass over the lines needs no limit of a head: it holds the current line and whether all lines since a status line are fields.

--- a/internal/upstream/attribution.go
+++ b/internal/upstream/attribution.go
@@ -59,8 +59,9 @@
 }
 
 // merged reports whether line, the next of the event, shows that a second response has
-// begun. Data and comments may mention a status line; no other line does, and none but
-// the fields of events follow.
+// begun. Data and comments may mention a status line; no other line does. Behind them, a
+// name with a capital letter is that of a response's field: the names in events are lower
+// case.
 func (h *headCheck) merged(line []byte) bool {
 	status := statusLine.Match(line)
 	found := false
@@ -98,8 +99,8 @@
 	}
 }
 
-// maxHeadBytes limits the head of a second response that is looked for in a body.
-const maxHeadBytes = 8 << 10
+// maxFieldBytes limits the lines of a body that are looked at as fields of a head.
+const maxFieldBytes = 8 << 10
 
 // statusLineBytes is the length of what statusLine matches.
 const statusLineBytes = len("HTTP/1.1 200")
@@ -109,67 +110,50 @@
 // the connection has carried.
 type bodyCheck struct {
 	requests []model.RequestID
-	// window holds the last bytes of the body, from where a head may have begun.
-	window []byte
+	// line holds the current line; of one over maxFieldBytes, its last bytes.
+	line []byte
+	// long is true when the current line exceeds maxFieldBytes; statusSeen when a status
+	// line was found in the part of it that is not held any more.
+	long, statusSeen bool
+	// inHead is true while all lines since a status line are fields.
+	inHead bool
 }
 
 // merged reports whether part, the next of the body, shows that a second response has
 // begun; last is true at the end of the body.
 func (b *bodyCheck) merged(part []byte, last bool) bool {
-	for len(part) > readBufferBytes {
-		if b.scan(part[:readBufferBytes], false) {
-			return true
-		}
-		part = part[readBufferBytes:]
-	}
-	return b.scan(part, last)
-}
-
-// scan is merged for a part that is not longer than readBufferBytes, which bounds the
-// window.
-func (b *bodyCheck) scan(part []byte, last bool) bool {
-	b.window = append(b.window, part...)
-	rest := b.window
 	for {
-		at := statusLine.FindIndex(rest)
-		if at == nil {
-			rest = rest[max(0, len(rest)-statusLineBytes+1):]
-			break
+		text, rest, ended := bytes.Cut(part, []byte("\n"))
+		b.extend(text)
+		if !ended {
+			return last && b.endLine()
 		}
-		echoes, ended := b.checkHead(rest[at[0]:], last)
-		if echoes {
+		if b.endLine() {
 			return true
 		}
-		if !ended {
-			rest = rest[at[0]:]
-			break
-		}
-		rest = rest[at[1]:]
+		part = rest
 	}
-	b.window = append(b.window[:0], rest...)
-	return false
 }
 
-// checkHead reports whether text, which begins with a status line, is a head that echoes
-// a request of the connection, and whether the head ends in text.
-func (b *bodyCheck) checkHead(text []byte, last bool) (echoes, ended bool) {
-	for first := true; ; first = false {
-		line, rest, whole := bytes.Cut(text, []byte("\n"))
-		if !whole && !last {
-			return false, len(b.window) > maxHeadBytes
-		}
-		line = bytes.TrimRight(line, "\r")
-		name, _, field := bytes.Cut(line, []byte(":"))
-		switch {
-		case first:
-		case !field || len(name) == 0 || bytes.ContainsAny(name, " \t"):
-			return false, true
-		case slices.Contains(b.requests, platform.EchoedID(line)):
-			return true, true
+func (b *bodyCheck) extend(text []byte) {
+	for len(text) > 0 {
+		n := min(len(text), maxFieldBytes)
+		b.line = append(b.line, text[:n]...)
+		text = text[n:]
+		if len(b.line) > maxFieldBytes {
+			b.long, b.statusSeen = true, b.statusSeen || statusLine.Match(b.line)
+			b.line = append(b.line[:0], b.line[len(b.line)-statusLineBytes+1:]...)
 		}
-		if !whole {
-			return false, true
-		}
-		text = rest
 	}
 }
+
+// endLine reports whether the current line, which is whole, echoes a request in the head
+// of a second response. A status line may follow the rest of another line.
+func (b *bodyCheck) endLine() bool {
+	name, _, isField := bytes.Cut(b.line, []byte(":"))
+	isField = isField && !b.long && len(name) > 0 && !bytes.ContainsAny(name, " \t")
+	echoes := b.inHead && isField && slices.Contains(b.requests, platform.EchoedID(bytes.TrimRight(b.line, "\r")))
+	b.inHead = b.inHead && isField || b.statusSeen || statusLine.Match(b.line)
+	b.line, b.long, b.statusSeen = b.line[:0], false, false
+	return echoes
+}
--- a/internal/upstream/merged_test.go
+++ b/internal/upstream/merged_test.go
@@ -108,3 +108,19 @@
 		Entry("a head that is longer than any", "HTTP/1.1 200 OK\r\n"+strings.Repeat("X: "+strings.Repeat("x", 97)+"\r\n", 2000)),
 	)
 })
+
+// Guards against a second response that is found or not depending on where reads end in
+// its head, when a long head of other text precedes it.
+var _ = Describe("a second response behind a long head in a body", func() {
+	It("is found wherever a read ends inside its head", func() {
+		other := "HTTP/1.1 200 OK\r\n" + strings.Repeat("X: "+strings.Repeat("x", 95)+"\r\n", 80) + "\r\n"
+		body := other + strings.Repeat("b", 300) + "HTTP/1.1 200 OK\r\nTamarackreach-Attempt-Id: a\r\n\r\n"
+		var missed []int
+		for at := 4096; at < len(body); at++ {
+			if !upstream.ContinuesWithResponse("a", []byte(body[:at-4096]), []byte(body[at-4096:at]), []byte(body[at:])) {
+				missed = append(missed, at)
+			}
+		}
+		Expect(missed).To(BeEmpty())
+	})
+})
