Upstream: data that mentions a status line does not end its stream

A good stream was broken off, and sent again until the retry budget refused it, when the data of an event mentioned a status line and a field followed that callers ignore. Behind such data only a name with a capital letter shows the head of a response now; a head that echoes a request's id is found in any spelling by the check of the body.

--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -383,6 +383,17 @@
 		Entry("that has a comment only", nil, ": hello\n\n"),
 	)
 
+	// Guards against a good stream that is broken off because the data of an event
+	// mentions a status line, and a field follows that callers ignore.
+	It("has events whose data mentions a status line", func() {
+		url := startIngress(func(_ int, w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "id: 1\ndata: HTTP/1.1 200 OK\ntamarackreach-weight-versions: 3\n\n")
+		})
+		_, body, err := fetch(url + "/s/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(HavePrefix("id: 1\ndata: HTTP/1.1 200 OK\n"))
+	})
+
 	// Guards against a stream that is broken off although each of its parts has an id.
 	It("resumes a stream after an event without data that has no id", func() {
 		url := startIngress(func(n int, w http.ResponseWriter, _ *http.Request) {
--- a/internal/upstream/attribution.go
+++ b/internal/upstream/attribution.go
@@ -70,7 +70,7 @@
 	case "id", "event", "retry":
 		found = status
 	default: // a field that clients ignore, or a line of a head
-		found = status || h.statusSeen
+		found = status || h.statusSeen && 'A' <= name[0] && name[0] <= 'Z'
 	}
 	h.statusSeen = h.statusSeen || status
 	return found
