Controller: the record of content of an earlier era has an age

A row whose VM is gone counted as just written at each start of a VM in a later era of the store, so harmless content was refused for 9 to 11 s at every start, without a limit in time, and lost answers named targets that had left long ago.

The record has the VM's time of day, which gives the age of a record of another era; the store's clocks of two eras are still not compared. A record without it counts as old. If the time of day jumps, the record counts as older, or as just written at most.

--- a/internal/controller/content.go
+++ b/internal/controller/content.go
@@ -30,14 +30,17 @@
 	Process uint32 `json:"process"`
 	// Era is the era of the store in which the record was to be written, and WrittenMs the
 	// store's clock then, in milliseconds.
-	Era         fleet.StoreEra      `json:"era,omitempty"`
-	WrittenMs   int64               `json:"written_ms"`
-	Quarantines []contentQuarantine `json:"quarantines,omitempty"`
-	LostAnswers []lostAnswer        `json:"lost,omitempty"`
+	Era       fleet.StoreEra `json:"era,omitempty"`
+	WrittenMs int64          `json:"written_ms"`
+	// WrittenUnixMs is the VM's time of day then. It bounds the age of a record of an
+	// earlier era, which the store's clock does not tell.
+	WrittenUnixMs int64               `json:"written_unix_ms"`
+	Quarantines   []contentQuarantine `json:"quarantines,omitempty"`
+	LostAnswers   []lostAnswer        `json:"lost,omitempty"`
 }
 
-func encodeContent(stored director.StoredContent, era fleet.StoreEra, clock time.Duration) contentRecord {
-	record := contentRecord{Process: stored.Process, Era: era, WrittenMs: clock.Milliseconds()}
+func encodeContent(stored director.StoredContent, era fleet.StoreEra, clock time.Duration, now time.Time) contentRecord {
+	record := contentRecord{Process: stored.Process, Era: era, WrittenMs: clock.Milliseconds(), WrittenUnixMs: now.UnixMilli()}
 	for _, q := range stored.Quarantines {
 		record.Quarantines = append(record.Quarantines, encodeQuarantine(q))
 	}
@@ -48,11 +51,13 @@
 }
 
 // decode returns what a VM had stored, as of a read of its row. The clocks of two eras
-// are not compared: what was written in another era counts as just written.
-func (r *contentRecord) decode(vm model.NodeID, era fleet.StoreEra, clock time.Duration) director.StoredContent {
+// are not compared; the age of a record of another era is that by the time of day, so
+// that the row of a VM that is gone does not hold content back at each later start.
+func (r *contentRecord) decode(vm model.NodeID, era fleet.StoreEra, clock time.Duration, now time.Time) director.StoredContent {
 	out := director.StoredContent{VM: vm, Process: r.Process, EarlierEra: r.Era != era}
-	if !out.EarlierEra {
-		out.Elapsed = max(clock-time.Duration(r.WrittenMs)*time.Millisecond, 0)
+	out.Elapsed = max(clock-time.Duration(r.WrittenMs)*time.Millisecond, 0)
+	if out.EarlierEra {
+		out.Elapsed = max(now.Sub(time.UnixMilli(r.WrittenUnixMs)), 0)
 	}
 	for _, q := range r.Quarantines {
 		out.Quarantines = append(out.Quarantines, q.decode())
@@ -123,7 +128,7 @@
 			logrus.WithError(err).WithField("row", row.Key).Warn("invalid record of content ignored")
 			continue
 		}
-		stored := record.decode(model.NodeID(row.Key), snapshot.Newest.Era, snapshot.Clock)
+		stored := record.decode(model.NodeID(row.Key), snapshot.Newest.Era, snapshot.Clock, time.Now())
 		logrus.WithFields(logrus.Fields{
 			"vm": stored.VM, "quarantines": len(stored.Quarantines), "lost_answers": len(stored.LostAnswers),
 			"age_ms": stored.Elapsed.Milliseconds(), "earlier_era": stored.EarlierEra,
@@ -177,7 +182,7 @@
 	}
 	// The time of writing is an upper bound, so that no quarantine ends earlier at a VM that
 	// reads it than here.
-	row.Value, err = json.Marshal(encodeContent(stored, row.Version.Era, clock+now.Sub(started)))
+	row.Value, err = json.Marshal(encodeContent(stored, row.Version.Era, clock+now.Sub(started), time.Now()))
 	if err != nil {
 		logrus.WithError(err).Error("cannot encode the record of content")
 		return true
