--- a/internal/director/crash_simulation_test.go
+++ b/internal/director/crash_simulation_test.go
@@ -462,7 +462,7 @@
 		Entry("stream, after one event", crashingRequest{path: "/s/bad", outcome: director.Broken, events: 1}),
 	)
 
-	// Pattern: soak seed 18024. The callers come back a second after the restart.
+	// Pattern: the callers come back a second after the restart.
 	DescribeTable("reaches at most three targets after the stability window when all VMs are killed",
 		func(request crashingRequest) {
 			for after := 100 * time.Millisecond; after <= 1200*time.Millisecond; after += 50 * time.Millisecond {
--- a/internal/director/poison_test.go
+++ b/internal/director/poison_test.go
@@ -465,7 +465,7 @@
 	})
 
 	// Pattern: many callers send the same content, and several targets crash at once
-	// while running it (soak seeds 106, 125, 128, 142).
+	// while running it.
 	It("is not assumed when its content is answered meanwhile for any caller", func() {
 		for range 4 {
 			lost, e := h.arrive("/r/popular")
--- a/internal/director/storedcontent_test.go
+++ b/internal/director/storedcontent_test.go
@@ -185,7 +185,7 @@
 		Expect(again.state.ContentToStore(again.now).Quarantines).To(HaveLen(1))
 	})
 
-	// Pattern: soak seed 18024. All VMs are killed before the crashes are confirmed.
+	// Pattern: all VMs are killed before the crashes are confirmed.
 	It("counts at VMs that start when all have ended", func() {
 		for range 3 {
 			lose(path)
