--- a/internal/ingress/delivery.go
+++ b/internal/ingress/delivery.go
@@ -35,10 +35,10 @@
 	discardPromise
 )
 
-// offer decides what becomes of the whole response to a send that may have run the
-// request. repeatable is true when
+// accept decides what becomes of the whole response to a send that may have run the
+// request, and stores one to keep. repeatable is true when
 // the request may be sent again.
-func (r *response) offer(b *bufferedResponse, repeatable bool) decision {
+func (r *response) accept(b *bufferedResponse, repeatable bool) decision {
 	switch {
 	case r.started:
 		return discard // no other response can follow one that has started
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -444,7 +444,7 @@
 		source: sourceOf(e, x),
 		status: x.Response.StatusCode, header: x.Response.Header, body: body,
 	}
-	switch a.response.offer(resp, e.Route.Repeatable()) {
+	switch a.response.accept(resp, e.Route.Repeatable()) {
 	case deliver:
 		a.writeWhole(resp)
 		return 0, true
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -61,7 +61,6 @@
 		out.endsWith, _ = r.Context().Value(connKey{}).(lingerer)
 	}
 	return out
-
 }
 
 // source identifies the send that a response comes from.
--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -26,9 +26,9 @@
 
 const signature = "Tamarackreach-Server-Seal"
 
-// startIngress returns the URL of an ingress in front of one target, which handles
-// the n-th send, counted from 1, with respond, and of its metrics. Routes: /r/ is idempotent, /p/ is
-// not, /s/ is a stream that may be resumed.
+// startIngress returns the URL of an ingress in front of one target, which handles the
+// n-th send, counted from 1, with respond; /metrics is that of its metrics. Routes: /r/ is
+// idempotent, /p/ is not, /s/ is a stream that may be resumed.
 func startIngress(respond func(n int, w http.ResponseWriter, r *http.Request)) string {
 	sends := 0
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -68,7 +68,7 @@
 			out.Bytes, out.MoreBuffered = e.event, e.eventBuffered()
 			return out, nil
 		}
-		if check.merged(line) {
+		if check.secondResponse(line) {
 			return out, ErrResponseMerged
 		}
 		if text, found := bytes.CutPrefix(line, []byte("id:")); found {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -184,7 +184,7 @@
 		return 0, ErrResponseMerged
 	}
 	n, err := b.ReadCloser.Read(p)
-	if b.check.merged(p[:n], err != nil) {
+	if b.check.secondResponse(p[:n], err != nil) {
 		b.merged = true
 		b.onMerged()
 		return n, ErrResponseMerged
--- a/internal/upstream/export_test.go
+++ b/internal/upstream/export_test.go
@@ -7,9 +7,9 @@
 func ContinuesWithResponse(id model.RequestID, parts ...[]byte) bool {
 	check := bodyCheck{requests: []model.RequestID{id}}
 	for _, part := range parts {
-		if check.merged(part, false) {
+		if check.secondResponse(part, false) {
 			return true
 		}
 	}
-	return check.merged(nil, true)
+	return check.secondResponse(nil, true)
 }
