--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -12,7 +12,6 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,77 +25,6 @@
 	"tamarackreach/platform"
 )
 
-// Reducer serialises the application of events to the state.
-type Reducer struct {
-	mu                      sync.Mutex
-	state                   *director.State
-	learned, contentChanged changes
-}
-
-// changes signals that a counter of the state has changed.
-type changes struct {
-	last   uint64
-	signal chan struct{}
-}
-
-func newChanges() changes { return changes{signal: make(chan struct{}, 1)} }
-
-func (c *changes) update(count uint64) {
-	if count == c.last {
-		return
-	}
-	c.last = count
-	select {
-	case c.signal <- struct{}{}:
-	default: // the receiver reads the newest state
-	}
-}
-
-// NewReducer returns a reducer that guards s with a lock.
-func NewReducer(s *director.State) *Reducer {
-	return &Reducer{state: s, learned: newChanges(), contentChanged: newChanges()}
-}
-
-// Learned returns a channel that has an element after the VM has learned of content that
-// crashes targets.
-func (r *Reducer) Learned() <-chan struct{} { return r.learned.signal }
-
-// ContentChanged returns a channel that has an element after the content to store has
-// changed.
-func (r *Reducer) ContentChanged() <-chan struct{} { return r.contentChanged.signal }
-
-// Step applies an event, logs the director.StateChanged effects and returns the others.
-func (r *Reducer) Step(e director.Event) []director.Effect {
-	effects := r.step(e)
-	var out []director.Effect
-	for _, effect := range effects {
-		if c, ok := effect.(*director.StateChanged); ok {
-			logrus.WithFields(logrus.Fields{"subject": c.Subject, "detail": c.Detail}).Info(c.What)
-			continue
-		}
-		out = append(out, effect)
-	}
-	return out
-}
-
-// step releases the lock by defer, so that a panic in the reducer fails only the
-// request that triggered it and leaves the lock free for the others.
-func (r *Reducer) step(e director.Event) []director.Effect {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	effects := r.state.Step(bootclock.Now(), e)
-	r.learned.update(r.state.Learned())
-	r.contentChanged.update(r.state.ContentChanged())
-	return effects
-}
-
-// Read calls f with the state while the lock is held.
-func (r *Reducer) Read(f func(*director.State)) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	f(r.state)
-}
-
 // ReportReader fetches a target's load report and passes it to the reducer.
 type ReportReader func(request *director.RequestReport)
 
@@ -465,91 +393,12 @@
 	}
 }
 
-// forwardStream forwards whole events to the caller as they arrive.
-func (a *activeRequest) forwardStream(e *director.Send, x *upstream.Exchange) (director.Outcome, bool) {
-	events := upstream.NewEventReader(x.Response.Body)
-	for {
-		event, err := events.Next()
-		if errors.Is(err, io.EOF) && !a.position.advanced && x.Framing() == upstream.FramedByClosing {
-			err = errNoEvent
-		}
-		if errors.Is(err, io.EOF) {
-			return a.endStream(e, x)
-		}
-		decision := skipEvent
-		if err == nil {
-			a.recordReceived()
-			decision, err = a.position.decide(&event, a.lastEventID)
-		}
-		if err != nil {
-			a.log.WithError(err).WithField("last_event", a.lastEventID).Info("stream interrupted")
-			_ = a.response.flushEvents() // the caller's connection reports an error again
-			return director.Broken, false
-		}
-		if decision == deliverEvent {
-			a.startStream(e, x)
-			if err := a.deliverEvent(&event); err != nil {
-				return director.Broken, false
-			}
-		}
-		if !event.MoreBuffered {
-			if err := a.response.flushEvents(); err != nil {
-				return director.Broken, false
-			}
-		}
-	}
-}
-
-// deliverEvent writes an event that the caller lacks.
-func (a *activeRequest) deliverEvent(event *upstream.Event) error {
-	if event.HasID {
-		a.lastEventID = event.ID
-	}
-	a.unresumable = !event.HasID && (a.unresumable || event.HasData)
-	if !a.streaming {
-		a.streaming = true
-		a.handler.reducer.Step(director.AnswerStarted{ID: a.request.ID})
-	}
-	a.events++
-	return a.response.writeEvent(append(a.position.takeHeld(), event.Bytes...))
-}
-
-// endStream ends the response after a complete stream, which may have no event.
-func (a *activeRequest) endStream(e *director.Send, x *upstream.Exchange) (director.Outcome, bool) {
-	a.startStream(e, x)
-	if held := a.position.takeHeld(); len(held) > 0 {
-		if err := a.response.writeEvent(held); err != nil {
-			return director.Broken, false
-		}
-	}
-	return 0, true
-}
-
 func (a *activeRequest) setWriteDeadline(t time.Time) {
 	if err := a.response.setWriteDeadline(t); err != nil {
 		a.log.WithError(err).Warn("cannot set the deadline for writing to the caller")
 	}
 }
 
-// startStream starts the response with the head of a send's stream, unless an earlier
-// send has started it.
-func (a *activeRequest) startStream(e *director.Send, x *upstream.Exchange) {
-	if a.response.started {
-		return
-	}
-	a.timeToFirstByte, a.answeredBy = time.Since(a.started), sourceOf(e, x)
-	a.response.startStream(x.Response)
-}
-
-// recordReceived records the arrival of an event and the gap before it.
-func (a *activeRequest) recordReceived() {
-	now := time.Now()
-	if a.events > 0 {
-		a.longestGap = max(a.longestGap, now.Sub(a.lastEventAt))
-	}
-	a.lastReceived, a.lastEventAt = now, now
-}
-
 // Ready returns a handler that answers 200 while the VM accepts new connections and
 // 503 otherwise.
 func (h *RequestHandler) Ready() http.Handler {
