Log the shared parts of each request sent, and whether a lost answer had begun

The logs of the incident can't tell requests that share a part, nor whether a lost answer had begun; both hypotheses on its cause rest on that.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -219,6 +219,9 @@
 	Deadline time.Duration
 	// PromptTokens and AnswerTokens are the token counts that the client declared.
 	PromptTokens, AnswerTokens int
+	// SharedParts are the parts of the prompt that other requests may share, in order:
+	// all that the client declared but the last, which is the request's or session's own.
+	SharedParts []model.PartID
 	// ResumeAfter is the id of the last event that the client received; empty for a
 	// new stream.
 	ResumeAfter string
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -234,6 +234,7 @@
 	a.log.WithFields(logrus.Fields{
 		"send": e.Number, "target": e.Hops[0].Target, "path": pathText(e.Hops), "route": e.Route.Name,
 		"left_ms": e.TimeLeft.Milliseconds(), "read_ms": e.Predicted.Prefill.Milliseconds(), "queue_ms": e.Predicted.Queue.Milliseconds(),
+		"shared_parts": a.request.SharedParts,
 	}).Info("request sent")
 	outcome, complete := a.forward(e, x, err)
 	x.Done(complete)
@@ -254,7 +255,7 @@
 	a.handler.metrics.sends.WithLabelValues(outcome.String()).Inc()
 	line := a.log.WithFields(logrus.Fields{
 		"send": e.Number, "outcome": outcome.String(), "fault_at": ended.FaultAt, "took_ms": ended.Took.Milliseconds(),
-		"target": e.Hops[0].Target, "sent": x.Sent, "reused_connection": x.Reused, "framing": x.Framing(),
+		"target": e.Hops[0].Target, "sent": x.Sent, "begun": a.streaming, "reused_connection": x.Reused, "framing": x.Framing(),
 	})
 	if x.Response != nil {
 		line = line.WithFields(logrus.Fields{"response_status": x.Response.StatusCode, "signed": x.Head.Signed, "encoded": x.Head.Encoded})
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -56,6 +56,8 @@
 	AvailabilityZone string
 	// AcceleratorKind names a kind of accelerator.
 	AcceleratorKind string
+	// PartID names a part of a prompt.
+	PartID string
 	// Fingerprint identifies the content of a request (workspace, model and prompt)
 	// independently of its request id.
 	Fingerprint uint64
