Attribute crashes of targets to parts of prompts too, and refuse those

Cause: a crash was attributed to the whole content only, so requests that share a part were different contents and none reached the threshold.

Change: what may crash targets is a Cause, the whole content or a part that other requests share. A lost answer accuses all causes of its request. A part on which an answer was received, by any VM (VMs send each other the answers on accused parts), needs more crashes, spread over time, while other requests are answered. Whole contents whose crashes a refused part explains are not refused. The third and fourth quarantines last 5 min and 1 h, so that a cause that keeps coming is tried twice in five minutes, not four times.

The names in messages change with the types; a VM of an earlier build ignores the crashes of a newer one and reads its quarantines.

--- a/internal/controller/content.go
+++ b/internal/controller/content.go
@@ -34,9 +34,9 @@
 	WrittenMs int64          `json:"written_ms"`
 	// WrittenUnixMs is the VM's time of day then. It bounds the age of a record of an
 	// earlier era, which the store's clock does not tell.
-	WrittenUnixMs int64               `json:"written_unix_ms"`
-	Quarantines   []contentQuarantine `json:"quarantines,omitempty"`
-	LostAnswers   []lostAnswer        `json:"lost,omitempty"`
+	WrittenUnixMs int64             `json:"written_unix_ms"`
+	Quarantines   []causeQuarantine `json:"quarantines,omitempty"`
+	LostAnswers   []lostAnswer      `json:"lost,omitempty"`
 }
 
 func encodeContent(stored director.StoredContent, era fleet.StoreEra, clock time.Duration, now time.Time) contentRecord {
--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -19,15 +19,16 @@
 	Suspects map[model.TargetID]suspicion `json:"suspects,omitempty"`
 	// Paces are the slowdowns of the slow targets of the sender's zone.
 	Paces map[model.TargetID]float64 `json:"paces,omitempty"`
-	// Crashes are recent crashes of targets, with the content that they were
-	// processing.
+	// Crashes are recent crashes of targets, with the causes that they were running.
 	Crashes []director.Crash `json:"crashes,omitempty"`
 	// Config is the version of the configuration in force at the sender.
 	Config model.Revision `json:"config,omitempty"`
-	// Quarantines are the quarantines of content that crashed targets.
-	Quarantines []contentQuarantine `json:"quarantines,omitempty"`
+	// Quarantines are the quarantines of causes that crashed targets.
+	Quarantines []causeQuarantine `json:"quarantines,omitempty"`
 	// LostAnswers are the answers lost at the sender whose targets may have crashed.
 	LostAnswers []lostAnswer `json:"lost,omitempty"`
+	// Answers are parts of prompts with an answer at the sender.
+	Answers []answeredPart `json:"answers,omitempty"`
 	// Query is the number of a query for the recipient's state of the store; State is
 	// the reply to it. Such a message has no other fields but VM.
 	Query uint64 `json:"ask,omitempty"`
@@ -54,14 +55,14 @@
 	RejectsRequests bool  `json:"refuses,omitempty"`
 }
 
-// contentQuarantine encodes a director.Quarantine as integers without field names:
-// content, level, level at the last answer, remaining milliseconds, milliseconds since
+// causeQuarantine encodes a director.Quarantine as integers without field names:
+// cause, level, level at the last answer, remaining milliseconds, milliseconds since
 // the last change, and 1 while a request runs on probation.
-type contentQuarantine [6]uint64
+type causeQuarantine [6]uint64
 
-func encodeQuarantine(q director.Quarantine) contentQuarantine {
-	out := contentQuarantine{
-		uint64(q.Content), uint64(q.Level), uint64(q.Cleared), uint64(q.Remaining.Milliseconds()), uint64(q.Age.Milliseconds()),
+func encodeQuarantine(q director.Quarantine) causeQuarantine {
+	out := causeQuarantine{
+		uint64(q.Cause), uint64(q.Level), uint64(q.Cleared), uint64(q.Remaining.Milliseconds()), uint64(q.Age.Milliseconds()),
 	}
 	if q.Trial {
 		out[5] = 1
@@ -69,31 +70,43 @@
 	return out
 }
 
-func (q contentQuarantine) decode() director.Quarantine {
+func (q causeQuarantine) decode() director.Quarantine {
 	return director.Quarantine{
-		Content: model.Fingerprint(q[0]), Level: int(q[1]), Cleared: int(q[2]), Remaining: time.Duration(q[3]) * time.Millisecond,
+		Cause: director.Cause(q[0]), Level: int(q[1]), Cleared: int(q[2]), Remaining: time.Duration(q[3]) * time.Millisecond,
 		Age: time.Duration(q[4]) * time.Millisecond, Trial: q[5] != 0,
 	}
 }
 
 // lostAnswer encodes a director.LostAnswer.
 type lostAnswer struct {
-	Content uint64         `json:"c"`
-	Target  model.TargetID `json:"t"`
-	BornMs  int64          `json:"b"`
-	AgeMs   int64          `json:"a"`
+	Cause  uint64         `json:"c"`
+	Target model.TargetID `json:"t"`
+	BornMs int64          `json:"b"`
+	AgeMs  int64          `json:"a"`
 }
 
 func encodeLostAnswer(l director.LostAnswer) lostAnswer {
-	return lostAnswer{Content: uint64(l.Content), Target: l.Target, BornMs: l.Born, AgeMs: l.Age.Milliseconds()}
+	return lostAnswer{Cause: uint64(l.Cause), Target: l.Target, BornMs: l.Born, AgeMs: l.Age.Milliseconds()}
 }
 
 func (l lostAnswer) decode() director.LostAnswer {
 	return director.LostAnswer{
-		Content: model.Fingerprint(l.Content), Target: l.Target, Born: l.BornMs, Age: time.Duration(l.AgeMs) * time.Millisecond,
+		Cause: director.Cause(l.Cause), Target: l.Target, Born: l.BornMs, Age: time.Duration(l.AgeMs) * time.Millisecond,
 	}
 }
 
+// answeredPart encodes a director.AnsweredPart as integers without field names: the part
+// and the milliseconds since its answer.
+type answeredPart [2]uint64
+
+func encodeAnswer(a director.AnsweredPart) answeredPart {
+	return answeredPart{uint64(a.Part), uint64(a.Age.Milliseconds())}
+}
+
+func (a answeredPart) decode() director.AnsweredPart {
+	return director.AnsweredPart{Part: director.Cause(a[0]), Age: time.Duration(a[1]) * time.Millisecond}
+}
+
 // encodePeerState returns the message for a VM's state.
 func encodePeerState(peerState director.PeerState) peerMessage {
 	message := peerMessage{
@@ -112,6 +125,9 @@
 	for _, l := range peerState.LostAnswers {
 		message.LostAnswers = append(message.LostAnswers, encodeLostAnswer(l))
 	}
+	for _, a := range peerState.Answers {
+		message.Answers = append(message.Answers, encodeAnswer(a))
+	}
 	return message
 }
 
@@ -135,5 +151,8 @@
 	for _, l := range m.LostAnswers {
 		out.LostAnswers = append(out.LostAnswers, l.decode())
 	}
+	for _, a := range m.Answers {
+		out.Answers = append(out.Answers, a.decode())
+	}
 	return out
 }
--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -97,7 +97,7 @@
 	}
 	s.budget.CountFirstAttempt(now, r.service.ID)
 	s.checkBudgetRestored(now, r.service.ID)
-	return append(effectList(s.startTrial(r)), send)
+	return append(s.startTrial(r), send)
 }
 
 // mayOutliveProcess reports whether a request that arrives now may still be
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -33,7 +33,7 @@
 	}
 	var effects []Effect
 	if e.Delivered {
-		effects = effectList(s.clearContent(r))
+		effects = s.clearAnswered(now, r)
 		for _, hop := range r.hops {
 			if t := s.targets[hop.Target]; t != nil {
 				t.completed(now, r.sentAt)
@@ -53,7 +53,7 @@
 	effects := s.suspectFaultyHop(now, r, e)
 	if e.Outcome != NotSent && e.Outcome != Rejected {
 		r.recordPossibleRun()
-		effects = append(effects, effectList(s.recordLostAnswer(now, r, e.Outcome))...)
+		effects = append(effects, s.recordLostAnswer(now, r, e.Outcome)...)
 	}
 	s.adjustLoad(r, -1)
 	r.random = e.Random
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -167,6 +167,9 @@
 	Quarantines []Quarantine
 	// LostAnswers are the answers lost there whose targets may have crashed.
 	LostAnswers []LostAnswer
+	// Answers are the parts of prompts on which the VM has received an answer, of those
+	// that may have crashed targets.
+	Answers []AnsweredPart
 }
 
 // Suspicion is a VM's suspicion that a target is faulty.
--- a/internal/director/lostanswer.go
+++ b/internal/director/lostanswer.go
@@ -13,7 +13,7 @@
 const (
 	// maxLostAnswers bounds the lost answers that await confirmation of a crash, and
 	// maxSentLostAnswers those in a message.
-	maxLostAnswers, maxSentLostAnswers = 1024, 16
+	maxLostAnswers, maxSentLostAnswers = 4096, 16
 	// peerSilence is how long after its last message a VM counts as ended, so that its
 	// lost answers are confirmed by others: longer than the interval of messages between
 	// zones.
@@ -22,9 +22,9 @@
 
 // lostAnswer is an answer lost on a target that may have crashed.
 type lostAnswer struct {
-	content model.Fingerprint
-	ran     incarnation
-	at      model.Instant
+	cause Cause
+	ran   incarnation
+	at    model.Instant
 	// probed is true once a connection to the target was probed.
 	probed bool
 	// inherited is true when a VM that counts as ended observed it; observer is its
@@ -42,8 +42,8 @@
 // use it only once the VM that lost it has ended: until then that VM confirms the crash
 // itself, or drops it when the content is answered.
 type LostAnswer struct {
-	Content model.Fingerprint
-	Target  model.TargetID
+	Cause  Cause
+	Target model.TargetID
 	// Born is the start time of the target's process, Unix milliseconds.
 	Born int64
 	// Age is the time since the answer was lost.
@@ -64,7 +64,7 @@
 }
 
 func (l LostAnswer) decode(now model.Instant) lostAnswer {
-	return lostAnswer{content: l.Content, ran: incarnation{target: l.Target, startedMs: l.Born}, at: now.Add(-l.Age)}
+	return lostAnswer{cause: l.Cause, ran: incarnation{target: l.Target, startedMs: l.Born}, at: now.Add(-l.Age)}
 }
 
 // window returns how long after it was lost a crash of the target is attributed to the
@@ -77,14 +77,14 @@
 }
 
 func (l *lostAnswer) same(other *lostAnswer) bool {
-	return l.content == other.content && l.ran == other.ran
+	return l.cause == other.cause && l.ran == other.ran
 }
 
-// recordLostAnswer keeps a lost answer until it is known whether its target crashed.
-// A request starts to run with its first token, so the first event may be delivered
-// before the crash. Content that ran for longer on this target, or before on another
-// one, is unlikely to be the cause and not recorded.
-func (s *State) recordLostAnswer(now model.Instant, r *request, outcome Outcome) Effect {
+// recordLostAnswer keeps a lost answer, once for each cause, until it is known whether its
+// target crashed. A request starts to run with its first token, so the first event may be
+// delivered before the crash. A request that ran for longer on this target, or before on
+// another one, is unlikely to be the cause and not recorded.
+func (s *State) recordLostAnswer(now model.Instant, r *request, outcome Outcome) []Effect {
 	r.progressed = r.hasProgressed(now)
 	if r.progressed || outcome != Lost && outcome != Broken || len(r.hops) == 0 {
 		return nil
@@ -92,19 +92,31 @@
 	if s.onTrial(r) {
 		return s.failTrial(now, r)
 	}
-	s.addLostAnswer(lostAnswer{content: r.fingerprint(), ran: r.sentTo, at: now})
-	lost := len(s.lostOn(r.fingerprint()))
-	if lost > 1 {
+	learned, stored := false, false
+	for _, cause := range r.causes() {
+		s.addLostAnswer(lostAnswer{cause: cause, ran: r.sentTo, at: now})
+		if s.answered(now, cause) {
+			continue
+		}
+		lost := len(s.lostOn(cause))
+		learned, stored = learned || lost > 1, stored || lost >= crashThreshold
+	}
+	if learned {
 		s.learned++
 	}
-	if lost >= crashThreshold {
+	if stored {
 		s.contentChanged++
 	}
 	return nil
 }
 
 func (s *State) addLostAnswer(l lostAnswer) {
-	if len(s.lostAnswers) >= maxLostAnswers {
+	known := slices.IndexFunc(s.lostAnswers, func(k lostAnswer) bool { return k.same(&l) && k.inherited == l.inherited && k.observer == l.observer })
+	switch {
+	case known >= 0:
+		s.lostAnswers[known].at = max(s.lostAnswers[known].at, l.at)
+		return
+	case len(s.lostAnswers) >= maxLostAnswers:
 		s.lostAnswers = s.lostAnswers[1:]
 	}
 	s.lostAnswers = append(s.lostAnswers, l)
@@ -112,36 +124,37 @@
 
 // dropLostAnswers drops the lost answers to content that was answered. Those of other
 // VMs are kept, since the next message repeats them, and not inherited.
-func (s *State) dropLostAnswers(content model.Fingerprint) {
-	s.lostAnswers = slices.DeleteFunc(s.lostAnswers, func(l lostAnswer) bool { return l.content == content })
+func (s *State) dropLostAnswers(cause Cause) {
+	s.lostAnswers = slices.DeleteFunc(s.lostAnswers, func(l lostAnswer) bool { return l.cause == cause })
 	for _, p := range s.peerLostAnswers {
 		for i := range p.lost {
-			p.lost[i].answered = p.lost[i].answered || p.lost[i].content == content
+			p.lost[i].answered = p.lost[i].answered || p.lost[i].cause == cause
 		}
 	}
 }
 
-// sentLostAnswers returns the lost answers to send to other VMs, each target once: those
-// to content with most targets first, then the latest.
+// sentLostAnswers returns the lost answers to send to other VMs, each target once: parts
+// with an answer last, causes with most targets first, then the latest.
 func (s *State) sentLostAnswers(now model.Instant) []LostAnswer {
 	var distinct []lostAnswer
-	seen, targets := map[lostAnswer]bool{}, map[model.Fingerprint]int{}
+	seen, targets := map[lostAnswer]bool{}, map[Cause]int{}
 	for i := len(s.lostAnswers) - 1; i >= 0; i-- {
 		l := s.lostAnswers[i]
-		key := lostAnswer{content: l.content, ran: l.ran}
+		key := lostAnswer{cause: l.cause, ran: l.ran}
 		if seen[key] {
 			continue
 		}
 		seen[key] = true
-		targets[l.content]++
+		targets[l.cause]++
 		distinct = append(distinct, l)
 	}
 	slices.SortStableFunc(distinct, func(a, b lostAnswer) int {
-		return cmp.Or(cmp.Compare(targets[b.content], targets[a.content]), cmp.Compare(b.at, a.at))
+		answered := cmp.Compare(s.rank(now, a.cause)/2, s.rank(now, b.cause)/2)
+		return cmp.Or(answered, cmp.Compare(targets[b.cause], targets[a.cause]), cmp.Compare(b.at, a.at))
 	})
 	var out []LostAnswer
 	for _, l := range distinct[:min(len(distinct), maxSentLostAnswers)] {
-		out = append(out, LostAnswer{Content: l.content, Target: l.ran.target, Born: l.ran.startedMs, Age: now.Sub(l.at)})
+		out = append(out, LostAnswer{Cause: l.cause, Target: l.ran.target, Born: l.ran.startedMs, Age: now.Sub(l.at)})
 	}
 	return out
 }
@@ -217,12 +230,12 @@
 		switch {
 		case now.Sub(l.at) > l.window():
 		case s.hasCrashed(&l):
-			if change := s.recordCrash(now, l.content, l.ran, !l.inherited); change != nil {
+			if change := s.recordCrash(now, l.cause, l.ran, l.at, !l.inherited); change != nil {
 				effects = append(effects, change)
 				s.learned++
 				// Of the VMs that inherit an answer, one in each zone stores the result.
 				if !l.inherited || s.lead {
-					s.markOwn(l.content)
+					s.markOwn(l.cause)
 				}
 			}
 		default:
@@ -230,7 +243,7 @@
 		}
 	}
 	s.lostAnswers = kept
-	maps.DeleteFunc(s.crashRecords, func(_ model.Fingerprint, c *crashRecord) bool {
+	maps.DeleteFunc(s.crashRecords, func(_ Cause, c *crashRecord) bool {
 		return now >= c.quarantinedUntil && now.Sub(c.at) > crashExpiry
 	})
 	return effects
--- a/internal/director/poison.go
+++ b/internal/director/poison.go
@@ -2,25 +2,17 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strconv"
 	"time"
 
 	"tamarackreach/internal/model"
-	"tamarackreach/internal/quarantine"
 )
 
 const (
 	// crashThreshold is the number of targets that must have crashed while running
-	// some content before it is refused: two crash together in an ordinary fault.
+	// requests with a cause before it is refused: two crash together in an ordinary fault.
 	crashThreshold = 3
-	// initialQuarantine is how long content is refused at first, and maxQuarantine at
-	// most; each further level doubles the period. Afterwards the content is on
-	// probation, since harmless content that many callers send can be running on several
-	// targets that crash.
-	initialQuarantine = 10 * time.Second
-	maxQuarantine     = 10 * time.Minute
 	// crashConfirmWindow is how long after a lost answer a crash of the target is
 	// attributed to the content: the time to detect that a target is dead, or to read
 	// the registration of its next incarnation.
@@ -33,13 +25,21 @@
 	earlyCrashWindow = 300 * time.Millisecond
 	// crashExpiry is how long a crash counts.
 	crashExpiry = 10 * time.Minute
+	// maxCrashRecords bounds the causes with crashes, and maxCrashes the crashes of each.
+	maxCrashRecords, maxCrashes = 4096, 64
 	// crashSendWindow is how long a crash is sent to other VMs: several messages.
 	crashSendWindow = 2 * time.Second
 	// maxSentCrashes bounds the crashes, and the quarantines, in one message.
 	maxSentCrashes = 64
 )
 
-// crashRecord lists the crashes of targets that were running some content.
+// quarantinePeriods are the times for which a cause is refused, by the number of its
+// quarantines since it was last answered; the last one applies to all further ones.
+// After each the cause is on probation, since a harmless one that many requests share can
+// be running on several targets that crash.
+var quarantinePeriods = []time.Duration{10 * time.Second, 20 * time.Second, 5 * time.Minute, time.Hour}
+
+// crashRecord lists the crashes of targets that were running requests with a cause.
 type crashRecord struct {
 	// crashed are the crashed incarnations, each once. The first cleared of them were
 	// followed by an answer to the content and do not count; they are kept since other
@@ -48,6 +48,11 @@
 	cleared int
 	// at is when the last crash, quarantine or answer was detected, by any VM.
 	at model.Instant
+	// firstLostAt and lostAt are when the answers of the first and the last crash that
+	// counts were lost.
+	firstLostAt, lostAt model.Instant
+	// decided is true while the cause is quarantined because of the crashes known here.
+	decided bool
 	// level counts the quarantines of the content, by the crashThreshold-th crash and
 	// each further one, and clearedLevel is the level at the last answer: the content is
 	// quarantined while level is higher. Both only grow, so that VMs agree on the highest
@@ -76,26 +81,26 @@
 
 // period returns the duration of the quarantine.
 func (c *crashRecord) period() time.Duration {
-	return min(initialQuarantine<<min(c.level-c.clearedLevel-1, 8), maxQuarantine)
+	return quarantinePeriods[min(max(c.level-c.clearedLevel, 1), len(quarantinePeriods))-1]
 }
 
 // clear ends the quarantine; the crashes so far do not count any more.
 func (c *crashRecord) clear() {
-	c.cleared, c.clearedLevel, c.quarantinedUntil = len(c.crashed), c.level, 0
+	c.cleared, c.clearedLevel, c.quarantinedUntil, c.decided = len(c.crashed), c.level, 0, false
 }
 
 // Crash is a crash of a target that was running some content, for other VMs. Born is
 // the start time of the target's process, Unix milliseconds. The field names are the
 // JSON keys of messages between VMs.
 type Crash struct {
-	Content model.Fingerprint
-	Target  model.TargetID
-	Born    int64
+	Cause  Cause
+	Target model.TargetID
+	Born   int64
 }
 
 // Quarantine is the state of content that was quarantined, for other VMs.
 type Quarantine struct {
-	Content model.Fingerprint
+	Cause Cause
 	// Level is the number of quarantines, and Cleared that number at the last answer.
 	Level, Cleared int
 	// Remaining is the time until the content is on probation.
@@ -106,18 +111,6 @@
 	Trial bool
 }
 
-// fingerprint identifies the content of a request independently of its id.
-func (r *request) fingerprint() model.Fingerprint {
-	if r.content == 0 {
-		var workspace model.WorkspaceID
-		if r.workspace != nil {
-			workspace = r.workspace.ID
-		}
-		r.content = quarantine.FingerprintOf(workspace, model.ModelName(r.Path), string(r.Body))
-	}
-	return r.content
-}
-
 // hasProgressed reports whether a send delivered events for longer than
 // earlyCrashWindow.
 func (r *request) hasProgressed(now model.Instant) bool {
@@ -137,61 +130,92 @@
 	return s.confirmCrashes(now)
 }
 
-// record returns the crash record of some content, a new one if there is none.
-func (s *State) record(now model.Instant, content model.Fingerprint) *crashRecord {
-	c := s.crashRecords[content]
+// record returns the crash record of a cause, a new one if there is none.
+func (s *State) record(now model.Instant, cause Cause) *crashRecord {
+	c := s.crashRecords[cause]
 	if c == nil {
+		if len(s.crashRecords) >= maxCrashRecords {
+			s.forgetCrashRecord()
+		}
 		c = &crashRecord{at: now}
-		s.crashRecords[content] = c
+		s.crashRecords[cause] = c
 	}
 	return c
 }
 
-// recordCrash records the crash of a target that was running some content. A crash that
-// another VM observed adds no level to a quarantine: that VM may have counted it before
-// the quarantine was received, from it or from the store.
-func (s *State) recordCrash(now model.Instant, content model.Fingerprint, ran incarnation, own bool) Effect {
-	c := s.record(now, content)
+// forgetCrashRecord removes the least important crash record: one that is not
+// quarantined before one that is, the one with the oldest change first.
+func (s *State) forgetCrashRecord() {
+	worst, found := Cause(0), (*crashRecord)(nil)
+	for cause, c := range s.crashRecords {
+		before := found == nil || !c.quarantined() && found.quarantined()
+		same := found != nil && c.quarantined() == found.quarantined()
+		if before || same && (c.at < found.at || c.at == found.at && cause < worst) {
+			worst, found = cause, c
+		}
+	}
+	delete(s.crashRecords, worst)
+}
+
+// recordCrash records the crash of a target that was running requests with a cause, whose
+// last answer was lost at lostAt. A crash that another VM observed adds no level to a
+// quarantine: that VM may have counted it before the quarantine was received, from it or
+// from the store. Neither does one of a part: requests with it that were in flight when
+// the quarantine began may still crash targets.
+func (s *State) recordCrash(now model.Instant, cause Cause, ran incarnation, lostAt model.Instant, own bool) Effect {
+	c := s.record(now, cause)
 	if slices.Contains(c.crashed, ran) {
 		return nil
 	}
-	c.crashed, c.at = append(c.crashed, ran), now
-	if c.quarantined() && !own || !c.quarantined() && len(c.crashed)-c.cleared < crashThreshold {
+	if len(c.crashed) == c.cleared {
+		c.firstLostAt = lostAt
+	}
+	c.firstLostAt = min(c.firstLostAt, lostAt)
+	c.crashed, c.at, c.lostAt = append(c.crashed, ran), now, max(c.lostAt, lostAt)
+	if len(c.crashed) > maxCrashes {
+		c.crashed, c.cleared = c.crashed[1:], max(c.cleared-1, 0)
+	}
+	if c.quarantined() && (!own || cause.IsPart()) || !c.quarantined() && (!s.crashesSuffice(now, cause, c) || s.explained(cause, c)) {
 		return nil
 	}
 	c.quarantine(now)
-	return contentRefused(content, c, strconv.Itoa(len(c.crashed)-c.cleared)+" targets crashed while running it, most recently "+string(ran.target))
+	c.decided = true
+	return causeRefused(cause, c, strconv.Itoa(len(c.crashed)-c.cleared)+" targets crashed while running it, most recently "+string(ran.target))
 }
 
 // markOwn has the quarantine of some content stored by this VM.
-func (s *State) markOwn(content model.Fingerprint) {
-	s.crashRecords[content].own = true
+func (s *State) markOwn(cause Cause) {
+	s.crashRecords[cause].own = true
 	s.contentChanged++
 }
 
-func contentRefused(content model.Fingerprint, c *crashRecord, detail string) Effect {
-	return &StateChanged{What: "request content refused", Subject: subject(content), Detail: detail + "; for " + c.period().String()}
+func causeRefused(cause Cause, c *crashRecord, detail string) Effect {
+	return &StateChanged{What: cause.describe() + " refused", Subject: subject(cause), Detail: detail + "; for " + c.period().String()}
 }
 
-func contentReleased(content model.Fingerprint, detail string) Effect {
-	return &StateChanged{What: "request content released", Subject: subject(content), Detail: detail}
+func causeReleased(cause Cause, detail string) Effect {
+	return &StateChanged{What: cause.describe() + " released", Subject: subject(cause), Detail: detail}
 }
 
-// subject formats content for the log, which never holds the content itself.
-func subject(content model.Fingerprint) string { return strconv.FormatUint(uint64(content), 16) }
+// subject formats a cause for the log, which never holds the content itself.
+func subject(cause Cause) string { return strconv.FormatUint(uint64(cause), 16) }
 
 // applyQuarantine applies a quarantine received from another VM. The end of the same
 // quarantine is only moved forward: a VM that passes on what it received, later, would
 // otherwise prolong it.
 func (s *State) applyQuarantine(now model.Instant, q Quarantine, peer model.NodeID) Effect {
-	c := s.record(now, q.Content)
+	c := s.record(now, q.Cause)
 	changed := now.Add(-q.Age)
 	if q.Cleared > c.clearedLevel {
+		if q.Cause.IsPart() {
+			s.answeredParts.record(q.Cause, changed)
+		}
 		released := c.quarantined() && q.Cleared >= c.level
 		c.level, c.cleared, c.clearedLevel, c.at = max(c.level, q.Cleared), len(c.crashed), q.Cleared, changed
-		s.dropLostAnswers(q.Content)
+		c.decided = false
+		s.dropLostAnswers(q.Cause)
 		if released {
-			return contentReleased(q.Content, string(peer)+" received an answer to it")
+			return causeReleased(q.Cause, string(peer)+" received an answer to it")
 		}
 	}
 	if q.Trial {
@@ -205,24 +229,28 @@
 	default:
 		c.level, c.at, c.trial, c.quarantinedUntil = q.Level, changed, "", ends
 		if c.quarantined() {
-			return contentRefused(q.Content, c, "quarantined by "+string(peer))
+			return causeRefused(q.Cause, c, "quarantined by "+string(peer))
 		}
 	}
 	return nil
 }
 
-// clearContent clears the crashes and lost answers of a request's content once it has
-// been answered completely.
-func (s *State) clearContent(r *request) Effect {
+// clearAnswered clears the causes of a request once it has been answered completely.
+func (s *State) clearAnswered(now model.Instant, r *request) []Effect {
+	effects := s.recordPartsAnswered(now, r)
 	if len(s.crashRecords) == 0 && len(s.lostAnswers) == 0 && len(s.peerLostAnswers) == 0 {
-		return nil
+		return effects
 	}
-	content := r.fingerprint()
-	if len(s.lostOn(content)) >= crashThreshold {
+	return append(effects, effectList(s.clearCause(now, r.contentCause()))...)
+}
+
+// clearCause clears the crashes and lost answers of a cause that was answered.
+func (s *State) clearCause(now model.Instant, cause Cause) Effect {
+	if !s.answered(now, cause) && len(s.lostOn(cause)) >= crashThreshold {
 		s.contentChanged++
 	}
-	s.dropLostAnswers(content)
-	c := s.crashRecords[content]
+	s.dropLostAnswers(cause)
+	c := s.crashRecords[cause]
 	if c == nil {
 		return nil
 	}
@@ -232,63 +260,101 @@
 		return nil
 	}
 	s.learned++
-	s.markOwn(content)
-	return contentReleased(content, "it was answered")
+	s.markOwn(cause)
+	return causeReleased(cause, "it was answered")
 }
 
-// recordOf returns the crash record of a request's content, nil if there is none.
-func (s *State) recordOf(r *request) *crashRecord {
+// quarantinedCauses returns the crash records of the causes of a request that are
+// quarantined.
+func (s *State) quarantinedCauses(r *request) map[Cause]*crashRecord {
 	if len(s.crashRecords) == 0 {
 		return nil
 	}
-	return s.crashRecords[r.fingerprint()]
+	var out map[Cause]*crashRecord
+	for _, cause := range r.causes() {
+		if c := s.crashRecords[cause]; c != nil && c.quarantined() {
+			if out == nil {
+				out = map[Cause]*crashRecord{}
+			}
+			out[cause] = c
+		}
+	}
+	return out
 }
 
-// quarantineLeft returns how long the content of a request that arrives is still
-// refused because targets crashed while running it; 0 when it is not refused.
+// quarantineLeft returns how long a request that arrives is still refused because targets
+// crashed while running one of its causes; 0 when it is not refused.
 func (s *State) quarantineLeft(now model.Instant, r *request) time.Duration {
-	c := s.recordOf(r)
+	left := time.Duration(0)
+	for _, c := range s.quarantinedCauses(r) {
+		if s.trialInFlight(c) {
+			left = max(left, trialRetryAfter)
+			continue
+		}
+		left = max(left, s.trialWait(now, c), c.peerTrialUntil.Sub(now))
+	}
+	return left
+}
+
+// rank orders causes by how likely they are to crash targets: parts without an answer,
+// whole contents, parts with one.
+func (s *State) rank(now model.Instant, cause Cause) int {
 	switch {
-	case c == nil || !c.quarantined():
-		return 0
-	case s.trialInFlight(c):
-		return trialRetryAfter
+	case !cause.IsPart():
+		return 1
+	case s.answered(now, cause):
+		return 2
 	}
-	return max(s.trialWait(now, c), c.peerTrialUntil.Sub(now), 0)
+	return 0
 }
 
-// recentCrashes returns the crashes to send to other VMs, in a fixed order.
+// recentCrashes returns the crashes to send to other VMs, the likeliest causes first.
 func (s *State) recentCrashes(now model.Instant) []Crash {
-	var out []Crash
-	for _, content := range slices.Sorted(maps.Keys(s.crashRecords)) {
-		c := s.crashRecords[content]
-		if now.Sub(c.at) > crashSendWindow {
-			continue
+	var causes []Cause
+	for cause, c := range s.crashRecords {
+		if now.Sub(c.at) <= crashSendWindow && len(c.crashed) > c.cleared {
+			causes = append(causes, cause)
 		}
+	}
+	crashes := func(cause Cause) int { return len(s.crashRecords[cause].crashed) - s.crashRecords[cause].cleared }
+	slices.SortFunc(causes, func(a, b Cause) int {
+		return cmp.Or(cmp.Compare(s.rank(now, a), s.rank(now, b)), cmp.Compare(crashes(b), crashes(a)), cmp.Compare(a, b))
+	})
+	var out []Crash
+	for _, cause := range causes {
+		c := s.crashRecords[cause]
 		for _, ran := range c.crashed[c.cleared:] {
-			out = append(out, Crash{Content: content, Target: ran.target, Born: ran.startedMs})
+			out = append(out, Crash{Cause: cause, Target: ran.target, Born: ran.startedMs})
 		}
 	}
 	return out[:min(len(out), maxSentCrashes)]
 }
 
-// quarantines returns the quarantines to send to other VMs, the latest change first.
+// quarantines returns the quarantines to send to other VMs: parts that are refused first,
+// then the latest change.
 // They are sent for as long as they are known, for VMs that start or were cut off.
 func (s *State) quarantines(now model.Instant) []Quarantine {
-	var contents []model.Fingerprint
-	for content, c := range s.crashRecords {
+	var causes []Cause
+	for cause, c := range s.crashRecords {
 		if c.level > 0 {
-			contents = append(contents, content)
+			causes = append(causes, cause)
 		}
 	}
-	slices.SortFunc(contents, func(a, b model.Fingerprint) int {
-		return cmp.Or(cmp.Compare(s.crashRecords[b].at, s.crashRecords[a].at), cmp.Compare(a, b))
+	slices.SortFunc(causes, func(a, b Cause) int {
+		first, second := s.crashRecords[a], s.crashRecords[b]
+		if refused := a.IsPart() && first.quarantined(); refused != (b.IsPart() && second.quarantined()) {
+			if refused {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(second.at, first.at), cmp.Compare(a, b))
 	})
 	var out []Quarantine
-	for _, content := range contents[:min(len(contents), maxSentCrashes)] {
-		c := s.crashRecords[content]
+	for _, cause := range causes[:min(len(causes), maxSentCrashes)] {
+		c := s.crashRecords[cause]
 		out = append(out, Quarantine{
-			Content: content, Level: c.level, Cleared: c.clearedLevel, Remaining: max(c.quarantinedUntil.Sub(now), 0),
+			Cause: cause, Level: c.level, Cleared: c.clearedLevel, Remaining: max(c.quarantinedUntil.Sub(now), 0),
 			Age: now.Sub(c.at), Trial: c.quarantined() && s.trialInFlight(c),
 		})
 	}
--- a/internal/director/probation.go
+++ b/internal/director/probation.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -26,15 +27,13 @@
 // Under quarantine or on probation it may not, unless it has progressed, or is the
 // trial and has not run.
 func (s *State) mayResend(now model.Instant, r *request) bool {
-	c := s.recordOf(r)
-	return c == nil || !c.quarantined() || r.hasProgressed(now) || s.onTrial(r) && len(r.possibleRuns) == 0
+	return len(s.quarantinedCauses(r)) == 0 || r.hasProgressed(now) || s.onTrial(r) && len(r.possibleRuns) == 0
 }
 
 // mayDivert reports whether a send may be cancelled for another one as far as the
 // request's content goes.
 func (s *State) mayDivert(now model.Instant, r *request) bool {
-	c := s.recordOf(r)
-	return c == nil || !c.quarantined() || r.hasProgressed(now)
+	return len(s.quarantinedCauses(r)) == 0 || r.hasProgressed(now)
 }
 
 // trialWait returns the time until this VM's next turn to send content that is
@@ -67,36 +66,48 @@
 	}
 }
 
-// startTrial records that a request whose content is on probation is sent.
-func (s *State) startTrial(r *request) Effect {
-	c := s.recordOf(r)
-	if c == nil || !c.quarantined() {
-		return nil
+// startTrial records that a request is sent whose quarantined causes are on probation.
+func (s *State) startTrial(r *request) []Effect {
+	quarantined := s.quarantinedCauses(r)
+	var effects []Effect
+	for _, cause := range slices.Sorted(maps.Keys(quarantined)) {
+		quarantined[cause].trial = r.ID
+		s.learned++
+		effects = append(effects, &StateChanged{What: cause.describe() + " on probation", Subject: subject(cause), Detail: "request " + string(r.ID) + " is sent"})
 	}
-	c.trial = r.ID
-	s.learned++
-	return &StateChanged{What: "request content on probation", Subject: subject(r.fingerprint()), Detail: "request " + string(r.ID) + " is sent"}
+	return effects
 }
 
-// failTrial quarantines content again whose trial was lost, without waiting for the
-// crash to be confirmed: the next trial may come before.
-func (s *State) failTrial(now model.Instant, r *request) Effect {
-	c := s.recordOf(r)
-	if !slices.Contains(c.crashed, r.sentTo) {
-		c.crashed = append(c.crashed, r.sentTo)
+// failTrial quarantines causes again whose trial was lost, without waiting for the crash
+// to be confirmed: the next trial may come before.
+func (s *State) failTrial(now model.Instant, r *request) []Effect {
+	quarantined := s.quarantinedCauses(r)
+	var effects []Effect
+	for _, cause := range slices.Sorted(maps.Keys(quarantined)) {
+		c := quarantined[cause]
+		if !slices.Contains(c.crashed, r.sentTo) {
+			c.crashed = append(c.crashed, r.sentTo)
+		}
+		c.quarantine(now)
+		s.learned++
+		s.markOwn(cause)
+		effects = append(effects, causeRefused(cause, c, "its trial was lost on "+string(r.sentTo.target)))
 	}
-	c.quarantine(now)
-	s.learned++
-	s.markOwn(r.fingerprint())
-	return contentRefused(r.fingerprint(), c, "its trial was lost on "+string(r.sentTo.target))
+	return effects
 }
 
 func (s *State) trialInFlight(c *crashRecord) bool {
 	return c.trial != "" && s.requests[c.trial] != nil
 }
 
-// onTrial reports whether a request is the one that its content's probation allows.
+// onTrial reports whether a request is the one that the probation of all its quarantined
+// causes allows.
 func (s *State) onTrial(r *request) bool {
-	c := s.recordOf(r)
-	return c != nil && c.quarantined() && c.trial == r.ID
+	quarantined := s.quarantinedCauses(r)
+	for _, c := range quarantined {
+		if c.trial != r.ID {
+			return false
+		}
+	}
+	return len(quarantined) > 0
 }
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -82,8 +82,12 @@
 	contentChanged uint64
 	// lead is true while this VM monitors its zone's targets.
 	lead bool
-	// crashRecords holds the content that was running on targets that crashed.
-	crashRecords map[model.Fingerprint]*crashRecord
+	// answeredParts are the parts of prompts on which answers were received, the last of
+	// them by this VM at lastAnswerAt.
+	answeredParts answeredParts
+	lastAnswerAt  model.Instant
+	// crashRecords holds the causes of requests that were running on targets that crashed.
+	crashRecords map[Cause]*crashRecord
 	// terminating is when termination was requested; 0 before.
 	terminating model.Instant
 }
@@ -94,8 +98,11 @@
 	route     *fleet.Route
 	workspace *fleet.Workspace
 	service   *fleet.Service
-	// content is the fingerprint of the content, 0 until it is needed.
-	content model.Fingerprint
+	// content and parts are the causes of the request, 0 and empty until they are needed.
+	content Cause
+	parts   []Cause
+	// partsAnswered is true once the request has counted as an answer on its parts.
+	partsAnswered bool
 	// expiresAt is the earlier of the caller's deadline and the route's timeout.
 	expiresAt model.Instant
 	sends     int
@@ -144,8 +151,8 @@
 		settings: s, targets: map[model.TargetID]*target{}, byAddress: map[string]*target{},
 		byService: map[model.ServiceID][]*target{}, requests: map[model.RequestID]*request{},
 		peers: map[model.NodeID]*peer{}, budget: retrybudget.New(s.Retries),
-		crashRecords: map[model.Fingerprint]*crashRecord{}, retries: map[model.ServiceID]*serviceRetries{},
-		peerLostAnswers: map[model.NodeID]*peerAnswers{},
+		crashRecords: map[Cause]*crashRecord{}, retries: map[model.ServiceID]*serviceRetries{},
+		peerLostAnswers: map[model.NodeID]*peerAnswers{}, answeredParts: newAnsweredParts(),
 	}
 }
 
@@ -194,7 +201,7 @@
 		return s.reportRead(now, e)
 	case ProbeDue:
 		s.lead = e.Lead
-		return slices.Concat(s.contentRead(now), s.inheritSilent(now), s.probe(now, e), s.probeConnections(now, e))
+		return slices.Concat(s.contentRead(now), s.recordProgress(now), s.inheritSilent(now), s.probe(now, e), s.probeConnections(now, e))
 	case ConnectionProbed:
 		return s.connectionProbed(now, e)
 	case PeerState:
--- a/internal/director/storedcontent.go
+++ b/internal/director/storedcontent.go
@@ -51,24 +51,24 @@
 func (s *State) ContentToStore(now model.Instant) StoredContent {
 	out := StoredContent{VM: s.settings.VM, Process: s.settings.Process}
 	for _, q := range s.quarantines(now) {
-		if s.crashRecords[q.Content].own && len(out.Quarantines) < maxStoredQuarantines {
+		if s.crashRecords[q.Cause].own && len(out.Quarantines) < maxStoredQuarantines {
 			q.Trial = false
 			out.Quarantines = append(out.Quarantines, q)
 		}
 	}
-	contents := map[model.Fingerprint]bool{}
+	causes := map[Cause]bool{}
 	for _, l := range s.lostAnswers {
-		if c := s.crashRecords[l.content]; c == nil || !c.quarantined() {
-			contents[l.content] = true
+		if c := s.crashRecords[l.cause]; c == nil || !c.quarantined() {
+			causes[l.cause] = true
 		}
 	}
-	for _, content := range slices.Sorted(maps.Keys(contents)) {
-		lost := s.lostOn(content)
-		if len(lost) < crashThreshold || len(out.LostAnswers)+len(lost) > maxStoredLostAnswers {
+	for _, cause := range slices.Sorted(maps.Keys(causes)) {
+		lost := s.lostOn(cause)
+		if len(lost) < crashThreshold || s.answered(now, cause) || len(out.LostAnswers)+len(lost) > maxStoredLostAnswers {
 			continue
 		}
 		for _, l := range lost {
-			out.LostAnswers = append(out.LostAnswers, LostAnswer{Content: content, Target: l.ran.target, Born: l.ran.startedMs, Age: max(now.Sub(l.at), 0)})
+			out.LostAnswers = append(out.LostAnswers, LostAnswer{Cause: cause, Target: l.ran.target, Born: l.ran.startedMs, Age: max(now.Sub(l.at), 0)})
 		}
 	}
 	return out
@@ -76,16 +76,16 @@
 
 // lostOn returns a lost answer for each target that crashed, or may have crashed, while
 // running some content that was not answered since, in a fixed order.
-func (s *State) lostOn(content model.Fingerprint) []lostAnswer {
+func (s *State) lostOn(cause Cause) []lostAnswer {
 	latest := map[incarnation]lostAnswer{}
 	add := func(l lostAnswer) {
-		if known, found := latest[l.ran]; l.content == content && !l.answered && (!found || l.at > known.at) {
+		if known, found := latest[l.ran]; l.cause == cause && !l.answered && (!found || l.at > known.at) {
 			latest[l.ran] = l
 		}
 	}
-	if c := s.crashRecords[content]; c != nil {
+	if c := s.crashRecords[cause]; c != nil {
 		for _, ran := range c.crashed[c.cleared:] {
-			add(lostAnswer{content: content, ran: ran, at: c.at})
+			add(lostAnswer{cause: cause, ran: ran, at: c.at})
 		}
 	}
 	for _, l := range s.lostAnswers {
@@ -153,13 +153,13 @@
 	var effects []Effect
 	for _, q := range row.Quarantines[:min(len(row.Quarantines), maxStoredQuarantines)] {
 		q.Remaining, q.Age = max(q.Remaining-row.Elapsed, 0), q.Age+row.Elapsed
-		c := s.crashRecords[q.Content]
-		if q.Age > crashExpiry || row.EarlierEra && (q.Cleared >= q.Level || c != nil && c.level > 0) {
+		c := s.crashRecords[q.Cause]
+		if q.Age > crashExpiry && q.Remaining == 0 || row.EarlierEra && (q.Cleared >= q.Level || c != nil && c.level > 0) {
 			continue
 		}
 		effects = append(effects, effectList(s.applyQuarantine(now, q, row.VM))...)
 		if row.VM == s.settings.VM {
-			s.crashRecords[q.Content].own = true
+			s.crashRecords[q.Cause].own = true
 		}
 	}
 	return append(effects, s.applyStoredLostAnswers(now, row)...)
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -311,8 +311,11 @@
 		}
 	}
 	effects := append(s.keepLostAnswers(now, e), s.contentRead(now)...)
+	for _, answer := range e.Answers {
+		effects = append(effects, effectList(s.applyAnswered(now, answer, e.VM))...)
+	}
 	for _, c := range e.Crashes {
-		effects = append(effects, effectList(s.recordCrash(now, c.Content, incarnation{target: c.Target, startedMs: c.Born}, false))...)
+		effects = append(effects, effectList(s.recordCrash(now, c.Cause, incarnation{target: c.Target, startedMs: c.Born}, now, false))...)
 	}
 	for _, q := range e.Quarantines {
 		effects = append(effects, effectList(s.applyQuarantine(now, q, e.VM))...)
@@ -347,7 +350,7 @@
 	out := PeerState{
 		VM: s.settings.VM, Process: s.settings.Process, Uptime: now.Sub(s.startedAt), Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
 		Paces: map[model.TargetID]float64{}, Crashes: s.recentCrashes(now), Quarantines: s.quarantines(now),
-		LostAnswers: s.sentLostAnswers(now),
+		LostAnswers: s.sentLostAnswers(now), Answers: s.sentAnswers(now),
 	}
 	if s.config != nil {
 		out.Config = s.config.Version
