Soak: requests that share a part which crashes targets

Streams declare parts of their prompts; a fault sends requests that differ in everything but one part, which crashes the targets that answer it. The check allows three after the stability window since the fifth crash, as the rule says.

--- a/internal/director/part_histories_test.go
+++ b/internal/director/part_histories_test.go
@@ -151,28 +151,38 @@
 		}
 	}
 	for i := range h.kinds {
-		k := &h.kinds[i]
-		if late := h.lateReached(k.part); late > maxLateSends {
-			return fmt.Sprintf("%d requests with %s reached targets too late", late, k.part)
+		if broken := h.check(&h.kinds[i], counted, usual); broken != "" {
+			return broken
 		}
-		if len(h.crashTimes[k.part]) == 0 {
-			continue
-		}
-		for _, first := range []model.PartID{"", firstPart(0), k.first} {
-			all, began := 0, 0
-			for _, r := range counted {
-				if first != "" && r.parts[0] != first || r.at < h.lastFreeCrash(k.part).Add(2*stabilityWindow) || r.at.Sub(h.began) > k.until {
-					continue
-				}
-				all++
-				if r.began {
-					began++
-				}
+	}
+	return ""
+}
+
+// check returns which bound a kind of crashing requests breaks, empty for none. counted
+// are the harmless requests that came without another fault, and usual is the share of
+// them that began before.
+func (h *partHistory) check(k *crashingKind, counted []*partRequest, usual float64) string {
+	if late := h.lateReached(k.part); late > maxLateSends {
+		return fmt.Sprintf("%d requests with %s reached targets too late", late, k.part)
+	}
+	if len(h.crashTimes[k.part]) == 0 {
+		return ""
+	}
+	from := h.lastFreeCrash(k.part).Add(2 * stabilityWindow)
+	for _, first := range []model.PartID{"", firstPart(0), k.first} {
+		all, began := 0, 0
+		for _, r := range counted {
+			if first != "" && r.parts[0] != first || r.at < from || r.at.Sub(h.began) > k.until {
+				continue
 			}
-			if all >= 20 && float64(began)/float64(all) < usual/2 {
-				return fmt.Sprintf("%d of %d harmless requests with first part %q began after the crashes of %s", began, all, first, k.part)
+			all++
+			if r.began {
+				began++
 			}
 		}
+		if all >= 20 && float64(began)/float64(all) < usual/2 {
+			return fmt.Sprintf("%d of %d harmless requests with first part %q began after the crashes of %s", began, all, first, k.part)
+		}
 	}
 	return ""
 }
--- a/internal/soak/budget.go
+++ b/internal/soak/budget.go
@@ -18,6 +18,8 @@
 	// crashLimit is the number of crashes after which content may reach targets only
 	// maxCrashSends times more.
 	crashLimit, maxCrashSends = 3, 3
+	// partCrashLimit is that number for a part of prompts.
+	partCrashLimit = 5
 )
 
 // checkRetryBudget checks that in every window the arrivals beyond the first of each
@@ -122,32 +124,46 @@
 	}
 }
 
-// checkCrashingContent checks that content that has crashed targets is refused.
-func (r *records) checkCrashingContent() {
+// checkCrashes checks that content, and a part of prompts, that have crashed targets are
+// refused.
+func (r *records) checkCrashes() {
+	r.checkCrashesOf("content", crashLimit, func(a *platformtest.Arrival) string {
+		if !isCrashing(a.Path) {
+			return ""
+		}
+		return a.Path
+	})
+	r.checkCrashesOf("part", partCrashLimit, func(a *platformtest.Arrival) string { return a.CrashingPart })
+}
+
+// checkCrashesOf checks that after a number of crashes by requests with one cause, few
+// requests with it reach targets. causeOf returns the cause of an arrival, empty for none.
+func (r *records) checkCrashesOf(kind string, limit int, causeOf func(*platformtest.Arrival) string) {
 	crashes, last := map[string][]time.Time{}, map[string]string{}
 	sends := map[string]int{}
 	for i := range r.arrivals {
 		if a := &r.arrivals[i]; !a.CrashedAt.IsZero() {
-			crashes[a.Path] = append(crashes[a.Path], a.CrashedAt)
+			crashes[causeOf(a)] = append(crashes[causeOf(a)], a.CrashedAt)
 		}
 	}
 	for i := range r.arrivals {
 		a := &r.arrivals[i]
-		times := crashes[a.Path]
-		if len(times) < crashLimit || !isCrashing(a.Path) {
+		cause := causeOf(a)
+		times := crashes[cause]
+		if cause == "" || len(times) < limit {
 			continue
 		}
 		slices.SortFunc(times, time.Time.Compare)
 		c := r.byID[a.Request]
-		if a.At.After(times[crashLimit-1].Add(platformtest.StabilityWindow)) && c != nil && r.inTouch(c.vm, a.At) {
-			sends[a.Path]++
-			last[a.Path] = a.Request
+		if a.At.After(times[limit-1].Add(platformtest.StabilityWindow)) && c != nil && r.inTouch(c.vm, a.At) {
+			sends[cause]++
+			last[cause] = a.Request
 		}
 	}
-	for path, n := range sends {
+	for cause, n := range sends {
 		if n > maxCrashSends {
-			r.violation(last[path], "budget: %s reached targets %d times after it had crashed %d, %.3f s after the start", path, n, crashLimit,
-				crashes[path][crashLimit-1].Sub(r.started).Seconds())
+			r.violation(last[cause], "budget: %s %s reached targets %d times after it had crashed %d, %.3f s after the start", kind, cause, n, limit,
+				crashes[cause][limit-1].Sub(r.started).Seconds())
 		}
 	}
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
+
+	"tamarackreach/platform/platformtest"
 )
 
 // call is a request of a caller and its result. Its kind is the name of a route of
@@ -89,6 +92,15 @@
 
 // send makes one request, reads the response to its end and records both.
 func (c *callers) send(from *client, to *vm, kind, path, id, key string) call {
+	return c.sendParts(from, to, kind, path, id, key, "")
+}
+
+// sharedParts is the number of first parts that the prompts of streams share.
+const sharedParts = 4
+
+// sendParts makes a request whose prompt holds a part that crashes targets, unless it is
+// empty.
+func (c *callers) sendParts(from *client, to *vm, kind, path, id, key, crashingPart string) call {
 	result := call{id: id, kind: kind, path: path, key: key, vm: to.name, sent: time.Now(), deadline: callTimeout}
 	req, err := http.NewRequest(result.method(), "http://"+to.client+path, nil)
 	if err != nil {
@@ -99,6 +111,9 @@
 	req.Header.Set("Authorization", "Token "+key)
 	req.Header.Set("Tamarackreach-Attempt-Id", id)
 	req.Header.Set("Tamarackreach-Deadline-Ms", strconv.FormatInt(callTimeout.Milliseconds(), 10))
+	if kind == "s" {
+		req.Header.Set(platformtest.Parts(len(id)%sharedParts, crashingPart, hex.EncodeToString([]byte(id))))
+	}
 	from.do(to.client, req, &result)
 	result.ended = time.Now()
 	c.mu.Lock()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -54,7 +54,7 @@
 	r.checkRetryBudget()
 	r.checkTargetsPerCall()
 	r.checkDeadlines()
-	r.checkCrashingContent()
+	r.checkCrashes()
 	r.checkDrains()
 	if r.restoresOnly {
 		r.checkUnaffected()
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -294,6 +294,22 @@
 		Expect(crashing(11, 2).check()).To(BeEmpty())
 	})
 
+	It("find a part that reaches targets after it has crashed five", func() {
+		withPart := func(n, crashes int) *records {
+			r := crashing(n, crashes)
+			for i := range r.arrivals {
+				r.arrivals[i].Path, r.arrivals[i].CrashingPart = "/s/x", "dead1"
+				r.calls[i].path = "/s/x"
+			}
+			return r
+		}
+		// The sends from the tenth on are later than the stability window after the fifth
+		// crash.
+		Expect(withPart(12, 12).check()).To(BeEmpty())
+		Expect(withPart(13, 5).check()).To(HaveExactElements(ContainSubstring("after it had crashed 5")))
+		Expect(withPart(13, 4).check()).To(BeEmpty())
+	})
+
 	It("do not count content sent by a VM that had a fault", func() {
 		r := crashing(11, 11)
 		r.spans = []span{{"vm-1", at(1200), at(1300)}}
--- a/internal/soak/responsefaults.go
+++ b/internal/soak/responsefaults.go
@@ -36,6 +36,8 @@
 		{"desk fails", overload("desk", platformtest.ServerError)}, {"llm fails", overload("llm", platformtest.ServerError)},
 		{"crashing content", sendCrashingContent},
 		{"crashing content", sendCrashingContent},
+		{"crashing part", sendCrashingPart},
+		{"crashing part", sendCrashingPart},
 		{"restarts of a VM", func(r *run) func() {
 			v := r.vm()
 			r.restartOften(func() { v.signal(syscall.SIGKILL) }, func() {})
@@ -132,6 +134,26 @@
 	}
 	name := fmt.Sprintf("%s-crash-%d-%d", kind, r.Seed, random.Uint64())
 	path := "/" + kind + "/" + point + "/" + name
+	r.sendCrashing(random, func(from *client, to *vm, number int) {
+		r.callers.send(from, to, kind, path, fmt.Sprintf("%s-%d", name, number), permanentKey)
+	})
+	return nil
+}
+
+// sendCrashingPart sends requests to random VMs that differ in everything but one part of
+// their prompts, which crashes targets.
+func sendCrashingPart(r *run) func() {
+	random := rand.New(rand.NewPCG(r.random.Uint64(), 4))
+	part := fmt.Sprintf("%x", random.Uint64())
+	r.sendCrashing(random, func(from *client, to *vm, number int) {
+		id := fmt.Sprintf("s-part-%s-%d", part, number)
+		r.callers.sendParts(from, to, "s", "/s/"+id, id, permanentKey, part)
+	})
+	return nil
+}
+
+// sendCrashing makes requests at an interval, each on a connection of its own.
+func (r *run) sendCrashing(random *rand.Rand, send func(from *client, to *vm, number int)) {
 	r.background.Add(1)
 	go func() {
 		defer r.background.Done()
@@ -143,11 +165,10 @@
 				defer r.background.Done()
 				from := &client{}
 				defer from.close()
-				r.callers.send(from, to, kind, path, fmt.Sprintf("%s-%d", name, number), permanentKey)
+				send(from, to, number)
 			}()
 		}
 	}()
-	return nil
 }
 
 // restartOften calls stop several times, at an interval, and then done.
