Keep to the rates that targets name, divided among the VMs

Cause: no code read the limit.

Change: a target's answer names its rate, or ends it; VMs tell each other at once. Each VM takes a share of the rate, a quarter evenly and the rest by the VMs' recent sends; a VM that does not know all others takes an even share; below the number of VMs only as many send as the rate bears. Every send counts. A target whose share is used up starts no request; if none is left the caller is refused at once, with a return within a second. A limit that is no positive number counts as the lowest one and is logged.

--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -1,10 +1,12 @@
 package controller
 
 import (
+	"math"
 	"time"
 
 	"tamarackreach/internal/director"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/targetlimit"
 )
 
 // peerMessage is a datagram between VMs.
@@ -29,6 +31,8 @@
 	LostAnswers []lostAnswer `json:"lost,omitempty"`
 	// Answers are parts of prompts with an answer at the sender.
 	Answers []answeredPart `json:"answers,omitempty"`
+	// Limits are the rates that targets have named.
+	Limits map[model.TargetID]targetLimit `json:"limits,omitempty"`
 	// Query is the number of a query for the recipient's state of the store; State is
 	// the reply to it. Such a message has no other fields but VM.
 	Query uint64 `json:"ask,omitempty"`
@@ -107,6 +111,21 @@
 	return director.AnsweredPart{Part: director.Cause(a[0]), Age: time.Duration(a[1]) * time.Millisecond}
 }
 
+// targetLimit encodes a director.TargetLimit as integers without field names: thousandths
+// of requests a second, milliseconds since the answer, thousandths of sends, and the start
+// of the target's process.
+type targetLimit [4]int64
+
+func encodeLimit(l director.TargetLimit) targetLimit {
+	return targetLimit{int64(math.Ceil(l.PerSecond * 1000)), l.Age.Milliseconds(), int64(l.Sends * 1000), l.Born}
+}
+
+func (l targetLimit) decode() director.TargetLimit {
+	return director.TargetLimit{
+		Shared: targetlimit.Shared{PerSecond: float64(l[0]) / 1000, Age: time.Duration(l[1]) * time.Millisecond, Sends: float64(l[2]) / 1000}, Born: l[3],
+	}
+}
+
 // encodePeerState returns the message for a VM's state.
 func encodePeerState(peerState director.PeerState) peerMessage {
 	message := peerMessage{
@@ -125,6 +144,12 @@
 	for _, l := range peerState.LostAnswers {
 		message.LostAnswers = append(message.LostAnswers, encodeLostAnswer(l))
 	}
+	for id, l := range peerState.Limits {
+		if message.Limits == nil {
+			message.Limits = make(map[model.TargetID]targetLimit, len(peerState.Limits))
+		}
+		message.Limits[id] = encodeLimit(l)
+	}
 	for _, a := range peerState.Answers {
 		message.Answers = append(message.Answers, encodeAnswer(a))
 	}
@@ -151,6 +176,12 @@
 	for _, l := range m.LostAnswers {
 		out.LostAnswers = append(out.LostAnswers, l.decode())
 	}
+	for id, l := range m.Limits {
+		if out.Limits == nil {
+			out.Limits = make(map[model.TargetID]director.TargetLimit, len(m.Limits))
+		}
+		out.Limits[id] = l.decode()
+	}
 	for _, a := range m.Answers {
 		out.Answers = append(out.Answers, a.decode())
 	}
--- a/internal/controller/message_test.go
+++ b/internal/controller/message_test.go
@@ -10,6 +10,7 @@
 
 	"tamarackreach/internal/director"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/targetlimit"
 )
 
 var _ = Describe("peerMessage", func() {
@@ -24,6 +25,7 @@
 			Crashes:     []director.Crash{{Cause: 7, Target: "t4", Born: 3}},
 			Quarantines: []director.Quarantine{{Cause: 1<<64 - 1, Level: 3, Cleared: 1, Remaining: 40 * time.Second, Age: time.Second, Trial: true}},
 			LostAnswers: []director.LostAnswer{{Cause: 1<<64 - 1, Target: "t5", Born: 1796374390000, Age: 300 * time.Millisecond}},
+			Limits:      map[model.TargetID]director.TargetLimit{"t6": {Shared: targetlimit.Shared{PerSecond: 20.2, Age: time.Second, Sends: 1.5}, Born: 1796374390000}},
 			Answers:     []director.AnsweredPart{{Part: 1<<64 - 1, Age: 9 * time.Minute}},
 		}
 		text, err := json.Marshal(encodePeerState(peerState))
--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -25,6 +25,9 @@
 	// overloadRetryAfter is the Retry-After while targets are full: the time in which
 	// a tenth of the usual answers completes.
 	overloadRetryAfter = 700 * time.Millisecond
+	// limitRetryAfter is the shortest Retry-After while targets take no more requests at the
+	// rates that they named: each second brings as many places as their rates.
+	limitRetryAfter = 250 * time.Millisecond
 	// drainStreamWindow is how long after the request to terminate a VM accepts new
 	// streams: a usual one ends well before the process is killed, eight seconds after
 	// the request.
@@ -89,7 +92,7 @@
 	send, reason := s.send(now, r)
 	if send == nil {
 		delete(s.requests, req.ID)
-		refusal := &Refuse{Status: http.StatusServiceUnavailable, RetryAfter: jitter(s.retryAfter(reason), e.Random), Reason: reason}
+		refusal := &Refuse{Status: http.StatusServiceUnavailable, RetryAfter: jitter(s.retryAfter(now, r, reason), e.Random), Reason: reason}
 		if reason == reasonPromptBacklog {
 			refusal.Detail = "first event predicted after " + r.predicted.Prefill.String() + ", plus " + r.predicted.Queue.String() + " of queued prompts"
 		}
@@ -179,16 +182,28 @@
 	reasonPromptBacklog = "the targets of the service have too many prompts to read"
 	reasonCrashes       = "targets that ran this content crashed"
 
-	reasonFull = "the targets of the service are full"
+	reasonFull    = "the targets of the service are full"
+	reasonLimited = "the targets of the service have named limits, which are reached"
 )
 
-func (s *State) retryAfter(reason string) time.Duration {
-	if reason == reasonFull || reason == reasonPromptBacklog {
+func (s *State) retryAfter(now model.Instant, r *request, reason string) time.Duration {
+	switch reason {
+	case reasonFull, reasonPromptBacklog:
 		return overloadRetryAfter
+	case reasonLimited:
+		return max(limitRetryAfter, s.limitWait(now, r.service.ID))
 	}
 	return missingLayerRetryAfter
 }
 
+// noTargetReason returns why no target of a plain service takes a request.
+func (s *State) noTargetReason(r *request) string {
+	if slices.ContainsFunc(s.byService[r.service.ID], func(t *target) bool { return t.serving() && s.limits.Limited(t.ID) }) {
+		return reasonLimited
+	}
+	return reasonNoTarget
+}
+
 // send chooses the path of the next send of a request, or returns the reason
 // why there is none.
 func (s *State) send(now model.Instant, r *request) (*Send, string) {
@@ -200,6 +215,7 @@
 	r.sends++
 	r.sentTo = s.targets[hops[0].Target].incarnation()
 	s.adjustLoad(r, 1)
+	s.limits.Sent(now, r.sentTo.target)
 	out := &Send{Route: r.route, Service: r.service, Hops: hops, ExpiresAt: r.expiresAt, TimeLeft: r.expiresAt.Sub(now), Number: r.sends, Predicted: r.predicted, Priority: r.priority()}
 	if r.workspace != nil {
 		out.Workspace = r.workspace.ID
@@ -223,7 +239,7 @@
 	}
 	t := s.leastLoadedTarget(now, r)
 	if t == nil {
-		return nil, reasonNoTarget
+		return nil, s.noTargetReason(r)
 	}
 	return []fleet.Hop{{Target: t.ID, Address: t.Address}}, ""
 }
@@ -307,7 +323,7 @@
 	var best *target
 	bestScore := 0.0
 	for _, t := range s.byService[r.service.ID] {
-		if !t.serving() {
+		if !t.serving() || !s.mayStartOn(now, t.ID) {
 			continue
 		}
 		load := s.load(now, t)
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -57,6 +57,9 @@
 		r.recordPossibleRun()
 		effects = append(effects, s.recordLostAnswer(now, r, e.Outcome)...)
 	}
+	if e.Outcome == NotSent && r.sentTo.target != "" {
+		s.limits.NotSent(now, r.sentTo.target)
+	}
 	s.adjustLoad(r, -1)
 	r.random = e.Random
 	next := s.nextEffect(now, r, e)
@@ -99,15 +102,15 @@
 	left := r.expiresAt.Sub(now)
 	switch {
 	case e.Outcome == TimedOut || left < minTimeLeft:
-		return s.failRequest(r, e, http.StatusGatewayTimeout, "the time of the request is over")
+		return s.failRequest(now, r, e, http.StatusGatewayTimeout, "the time of the request is over")
 	case mayHaveRun && !r.route.Repeatable():
-		return s.failRequest(r, e, http.StatusBadGateway, "the request may have run and may not be repeated")
+		return s.failRequest(now, r, e, http.StatusBadGateway, "the request may have run and may not be repeated")
 	case e.Unresumable:
-		return s.failRequest(r, e, http.StatusBadGateway, "the stream cannot be resumed after an event without an id")
+		return s.failRequest(now, r, e, http.StatusBadGateway, "the stream cannot be resumed after an event without an id")
 	case !s.mayResend(now, r):
-		return s.failRequest(r, e, http.StatusBadGateway, reasonCrashes)
+		return s.failRequest(now, r, e, http.StatusBadGateway, reasonCrashes)
 	case r.sends >= maxSends && !r.mayWaitForPath(now) || s.targetLimitReached(r) && r.service.Engine == nil:
-		return s.failRequest(r, e, http.StatusBadGateway, "the request was sent as often as its route allows")
+		return s.failRequest(now, r, e, http.StatusBadGateway, "the request was sent as often as its route allows")
 	case r.sends >= maxSends:
 		return r.wait("the targets rejected it")
 	}
@@ -131,7 +134,7 @@
 // other targets within seconds.
 func (s *State) resend(now model.Instant, r *request, e SendEnded) Effect {
 	if !s.mayResend(now, r) {
-		return s.failRequest(r, e, http.StatusBadGateway, reasonCrashes) // quarantined while it waited
+		return s.failRequest(now, r, e, http.StatusBadGateway, reasonCrashes) // quarantined while it waited
 	}
 	reason := "the retry budget is spent"
 	if r.retryReserved || s.reserveRetry(now, r, e.Outcome) {
@@ -144,7 +147,7 @@
 	if r.mayWaitForPath(now) {
 		return r.wait(reason)
 	}
-	return s.failRequest(r, e, http.StatusBadGateway, reason)
+	return s.failRequest(now, r, e, http.StatusBadGateway, reason)
 }
 
 // waitElapsed retries a request that waited for a path.
@@ -196,11 +199,11 @@
 
 // failRequest answers a request that is not sent again. Unless it may have run, the
 // answer has a Retry-After.
-func (s *State) failRequest(r *request, e SendEnded, status int, reason string) *Refuse {
+func (s *State) failRequest(now model.Instant, r *request, e SendEnded, status int, reason string) *Refuse {
 	if len(r.possibleRuns) > 0 {
 		return &Refuse{Status: status, Reason: reason}
 	}
-	return &Refuse{Status: http.StatusServiceUnavailable, RetryAfter: jitter(s.retryAfter(reason), e.Random), Reason: reason}
+	return &Refuse{Status: http.StatusServiceUnavailable, RetryAfter: jitter(s.retryAfter(now, r, reason), e.Random), Reason: reason}
 }
 
 // streamIdle handles an idle stream: it requests the report of the first target, and
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -102,6 +102,14 @@
 // AnswerStarted reports that the caller received the first part of its answer.
 type AnswerStarted struct{ ID model.RequestID }
 
+// RateLimitRead reports the rate that the answer to a request's send in flight named.
+type RateLimitRead struct {
+	ID model.RequestID
+	// PerSecond is the number of requests a second that the target takes from all VMs; 0
+	// when it names none.
+	PerSecond float64
+}
+
 // StreamProgressed reports that the send in flight has delivered several events over
 // ProgressTime or longer: what crashes targets does so with its first events. A VM that was
 // suspended reads late events together, so that time alone shows no progress.
@@ -185,6 +193,8 @@
 	// Answers are the parts of prompts on which the VM has received an answer, of those
 	// that may have crashed targets.
 	Answers []AnsweredPart
+	// Limits are the rates that targets have named, and the VM's sends to them.
+	Limits map[model.TargetID]TargetLimit
 }
 
 // Suspicion is a VM's suspicion that a target is faulty.
@@ -216,6 +226,7 @@
 func (SendEnded) event()        {}
 func (AnswerStarted) event()    {}
 func (StreamProgressed) event() {}
+func (RateLimitRead) event()    {}
 func (StreamIdle) event()       {}
 func (RequestFinished) event()  {}
 func (WaitElapsed) event()      {}
--- a/internal/director/path.go
+++ b/internal/director/path.go
@@ -57,6 +57,9 @@
 	target *target
 	// usable is false under suspicion; full is true when the KV cache is full.
 	usable, full bool
+	// limited is true when the target's limit allows no further request to it as the
+	// first hop.
+	limited bool
 }
 
 // choosePath returns the cheapest path with capacity for the request, or the reason
@@ -96,13 +99,17 @@
 		}
 		load := s.load(now, t)
 		used := occupancy(engine, t, load)
+		limited, firstCost := !s.mayStartOn(now, t.ID), firstHopCost(load, t.Slots)
+		if limited {
+			firstCost = math.Inf(1)
+		}
 		out = append(out, candidate{
 			Holder: paths.Holder{
 				ID: t.ID, Address: t.Address, Zone: t.Zone, Layers: t.Held,
 				CostPerLayer: layerCost(engine, t, load, used) * t.slowness(now) * (1 - costNoise + 2*costNoise*noise.Float64()),
-				FirstHopCost: firstHopCost(load, t.Slots),
+				FirstHopCost: firstCost,
 			},
-			target: t, usable: t.usable(now), full: used > fullOccupancy,
+			target: t, usable: t.usable(now), full: used > fullOccupancy, limited: limited,
 		})
 	}
 	return out
@@ -124,13 +131,19 @@
 	return hops
 }
 
-// noPathReason returns whether the targets are full or a layer has no usable target.
+// noPathReason returns whether the targets are full, take no more requests at the rates
+// that they named, or a layer has no usable target.
 // In the latter case it marks the targets under suspicion to be probed next.
 func (s *State) noPathReason(now model.Instant, r *request, candidates []candidate) string {
+	limited := false
 	for i := range candidates {
 		candidates[i].FirstHopCost = 0 // as if slots were free
+		limited = limited || candidates[i].limited && candidates[i].usable && candidates[i].target.Held.First == 0
 	}
 	if s.findPath(r, candidates, func(c *candidate) bool { return c.usable }) != nil {
+		if limited {
+			return reasonLimited
+		}
 		return reasonFull
 	}
 	for i := range candidates {
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -9,6 +9,7 @@
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/retrybudget"
+	"tamarackreach/internal/targetlimit"
 )
 
 // Settings are the parts of a VM's settings that the reducer uses.
@@ -82,6 +83,8 @@
 	contentChanged uint64
 	// lead is true while this VM monitors its zone's targets.
 	lead bool
+	// limits are the request rates that targets have named.
+	limits *targetlimit.Limits
 	// answeredParts are the parts of prompts on which answers were received, the last of
 	// them by this VM at lastAnswerAt.
 	answeredParts answeredParts
@@ -150,7 +153,7 @@
 		byService: map[model.ServiceID][]*target{}, requests: map[model.RequestID]*request{},
 		peers: map[model.NodeID]*peer{}, budget: retrybudget.New(s.Retries),
 		crashRecords: map[Cause]*crashRecord{}, retries: map[model.ServiceID]*serviceRetries{},
-		peerLostAnswers: map[model.NodeID]*peerAnswers{}, answeredParts: newAnsweredParts(),
+		peerLostAnswers: map[model.NodeID]*peerAnswers{}, answeredParts: newAnsweredParts(), limits: targetlimit.New(),
 	}
 }
 
@@ -176,6 +179,8 @@
 		return s.sendEnded(now, e)
 	case AnswerStarted:
 		s.recordAnswerStart(now, e.ID)
+	case RateLimitRead:
+		return effectList(s.rateLimitRead(now, e))
 	case StreamProgressed:
 		return s.streamProgressed(now, e.ID)
 	case StreamIdle:
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -123,6 +123,7 @@
 			continue
 		}
 		delete(s.targets, id)
+		s.limits.Forget(id)
 		effects = append(effects, &StateChanged{What: "target gone", Subject: string(id), Detail: t.Address})
 	}
 	s.rebuildIndexes()
@@ -173,6 +174,7 @@
 	}
 	if known.StartedMs != t.StartedMs {
 		known.superseded, known.refusedConnections = false, 0
+		s.limits.Forget(t.ID)
 		known.consecutiveFaults, known.suspectedUntil, known.faultSeenAt, known.slowdown, known.missedReports = 0, 0, 0, 1, 0
 	}
 	before := describe(known.Target)
@@ -311,6 +313,7 @@
 		}
 	}
 	effects := append(s.keepLostAnswers(now, e), s.contentRead(now)...)
+	effects = append(effects, s.applyLimits(now, e)...)
 	for _, answer := range e.Answers {
 		effects = append(effects, effectList(s.applyAnswered(now, answer, e.VM))...)
 	}
@@ -354,7 +357,7 @@
 	out := PeerState{
 		VM: s.settings.VM, Process: s.settings.Process, Uptime: now.Sub(s.startedAt), Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
 		Paces: map[model.TargetID]float64{}, Crashes: s.recentCrashes(now), Quarantines: s.quarantines(now),
-		LostAnswers: s.sentLostAnswers(now), Answers: s.sentAnswers(now),
+		LostAnswers: s.sentLostAnswers(now), Answers: s.sentAnswers(now), Limits: s.sentLimits(now),
 	}
 	if s.config != nil {
 		out.Config = s.config.Version
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -244,6 +244,7 @@
 		"left_ms": e.TimeLeft.Milliseconds(), "read_ms": e.Predicted.Prefill.Milliseconds(), "queue_ms": e.Predicted.Queue.Milliseconds(),
 		"shared_parts": a.request.SharedParts,
 	}).Info("request sent")
+	a.recordRateLimit(e, x)
 	outcome, complete := a.forward(e, x, err)
 	x.Done(complete)
 	if outcome == 0 {
@@ -275,6 +276,18 @@
 	return ended
 }
 
+// recordRateLimit passes the rate that the target named, or did not, to the reducer.
+func (a *activeRequest) recordRateLimit(e *director.Send, x *upstream.Exchange) {
+	if x.Response == nil {
+		return
+	}
+	if invalid := x.Head.InvalidRateLimit; invalid != "" {
+		a.log.WithFields(logrus.Fields{"target": e.Hops[0].Target, "value": invalid}).
+			Warn("rate limit of the target is not a positive number; the lowest one is applied")
+	}
+	a.handler.reducer.Step(director.RateLimitRead{ID: a.request.ID, PerSecond: x.Head.RateLimit})
+}
+
 // withdrawKept withdraws the failure of an earlier send if this one may have run the
 // request.
 func (a *activeRequest) withdrawKept(e *director.Send, x *upstream.Exchange, outcome director.Outcome) {
