Bound the bytes of a response's head, and of all buffered responses

A target that accepts and then sends bytes without end took the memory of a VM (hundreds of megabytes within a deadline of 2 s); each retry took it again. Cause: the head of a response was bounded by time only. Reports, orders and the store accept heads up to 1 MiB instead of 10 MB. A read of an aborted exchange says so instead of "cannot set the read deadline".

Events, trailers, chunk extensions, bodies of reports and of the store, messages of VMs and heads of callers were bounded already.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -89,8 +89,9 @@
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return upstream.Dialer{}.Dial(ctx, address)
 		},
-		MaxIdleConnsPerHost: 4, // one for each loop that reads or writes
-		DisableCompression:  true,
+		MaxIdleConnsPerHost:    4, // one for each loop that reads or writes
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxReportBytes,
 	}
 	c := &Controller{
 		settings: s, reducer: r, targets: newTargetClient(), view: &view{}, startedAt: bootclock.Now(),
--- a/internal/controller/targetclient.go
+++ b/internal/controller/targetclient.go
@@ -22,7 +22,7 @@
 	// reportIdleTimeout is how long an idle connection for reports is kept: three
 	// times the interval at which a zone leader reads them.
 	reportIdleTimeout = 3 * time.Second
-	// maxReportBytes bounds the body of a response.
+	// maxReportBytes bounds the head and the body of a response.
 	maxReportBytes = 1 << 20
 )
 
@@ -42,7 +42,7 @@
 			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 				return upstream.Dialer{}.Dial(ctx, address)
 			},
-			DisableCompression: true, DisableKeepAlives: !keepAlive, MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdleTimeout,
+			DisableCompression: true, MaxResponseHeaderBytes: maxReportBytes, DisableKeepAlives: !keepAlive, MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdleTimeout,
 		}}
 	}
 	return &targetClient{reports: client(true), orders: client(false)}
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -34,6 +34,7 @@
 	pool       *upstream.Pool
 	readReport ReportReader
 	metrics    *Metrics
+	buffers    buffers
 }
 
 // New returns a handler that sends requests over pool.
@@ -70,6 +71,7 @@
 	received      int
 	firstReceived time.Time
 	progressed    bool
+	buffer        responseBuffer
 	// failure is true when the response delivered is a failure of the target.
 	failure bool
 	// lastEventID is the id of the last whole event forwarded to the caller.
@@ -105,6 +107,8 @@
 		return
 	}
 	a := &activeRequest{handler: h, response: newResponse(w, r), r: r, request: request, started: time.Now()}
+	a.buffer.buffers = &h.buffers
+	defer a.buffer.release()
 	a.log = logrus.WithField("request", request.ID)
 	var limit int64 = defaultMaxBodyBytes
 	h.reducer.Read(func(s *director.State) {
@@ -382,10 +386,7 @@
 }
 
 func (a *activeRequest) forwardWhole(e *director.Send, x *upstream.Exchange) (director.Outcome, bool) {
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errResponseTooLarge
-	}
+	body, err := a.buffer.readAll(x.Response.Body)
 	if err != nil {
 		a.log.WithError(err).WithField("status", x.Response.StatusCode).Info("response incomplete; discarded")
 		return a.lossOutcome(), false
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -84,8 +84,13 @@
 			written <- platform.WriteRequest(conn, call.Method, call.URI, call.Host, call.Header, call.Body)
 		}()
 	}
+	conn.headLeft = maxHeadBytes
 	//nolint:bodyclose // the caller reads the body and calls Done, which closes the connection
 	resp, err := readResponse(conn.reader, call.Method)
+	if err != nil && conn.headLeft == 0 {
+		err = errors.CombineErrors(ErrHeadTooLong, err)
+	}
+	conn.headLeft = -1
 	if err != nil {
 		return x, errors.Wrap(err, "cannot read a response")
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -36,8 +36,18 @@
 	maxRequests = 256
 	// readBufferBytes holds several stream events.
 	readBufferBytes = 4096
+	// maxHeadBytes limits the head of a response, informational ones included: a target may
+	// send bytes that are no response without end.
+	maxHeadBytes = 256 << 10
 )
 
+// ErrHeadTooLong means that a target sent more than maxHeadBytes without the end of a
+// response's head.
+var ErrHeadTooLong = errors.New("head of the response exceeds 256 KiB; connection closed")
+
+// errAborted means that the exchange was aborted while its response was read.
+var errAborted = errors.New("exchange aborted: its deadline passed or its caller left")
+
 // Dialer opens TCP connections that fail soon when the remote host is unreachable.
 type Dialer struct{}
 
@@ -65,6 +75,9 @@
 	// expiresAt is when the idle connection is no longer reused, because the target
 	// may close it.
 	expiresAt time.Time
+	// headLeft is the number of bytes that may still be read of a response's head; negative
+	// while a body is read.
+	headLeft int
 	// reused is true from the second request on.
 	reused bool
 	// requests holds the ids of the requests that the connection has carried.
@@ -73,11 +86,21 @@
 
 // Read implements io.Reader for the buffered reader.
 func (c *connection) Read(p []byte) (int, error) {
+	if c.headLeft == 0 {
+		return 0, ErrHeadTooLong
+	}
 	for {
-		if err := c.SetReadDeadline(time.Now().Add(c.silenceInterval)); err != nil {
+		err := c.SetReadDeadline(time.Now().Add(c.silenceInterval))
+		if errors.Is(err, net.ErrClosed) {
+			return 0, errAborted
+		}
+		if err != nil {
 			return 0, errors.Wrap(err, "cannot set the read deadline")
 		}
 		n, err := c.Conn.Read(p)
+		if c.headLeft > 0 {
+			c.headLeft = max(c.headLeft-n, 0)
+		}
 		var timeout net.Error
 		if errors.Is(err, io.EOF) && c.wasReset() {
 			return n, errReset
@@ -168,7 +191,7 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	c := &connection{Conn: conn, requests: []model.RequestID{id}}
+	c := &connection{Conn: conn, headLeft: -1, requests: []model.RequestID{id}}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
