--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -54,4 +54,28 @@
 		Entry("fields", "HTTP/1.1 200 OK\r\n", "X: abcdefgh\r\n"),
 		Entry("informational responses with long fields", "", "HTTP/1.1 103 Early Hints\r\nX: "+strings.Repeat("a", 100<<10)+"\r\n\r\n"),
 	)
+
+	DescribeTable("in the framing of a body end it",
+		func(first string) {
+			const head = "HTTP/1.1 200 OK\r\nTamarackreach-Attempt-Id: endless\r\nTransfer-Encoding: chunked\r\n\r\n"
+			address := listen(func(conn *net.TCPConn) {
+				block := strings.Repeat("a", 16<<10)
+				_, err := io.WriteString(conn, head+first)
+				for err == nil {
+					_, err = io.WriteString(conn, block)
+				}
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), deadline)
+			defer cancel()
+			x, err := upstream.NewPool().Do(ctx, callTo(address, "endless"))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.ReadAll(x.Response.Body)
+			x.Done(false)
+			Expect(err).To(HaveOccurred())
+			Expect(ctx.Err()).NotTo(HaveOccurred(), "it ended before the deadline")
+		},
+		Entry("extension of a chunk", "1;x="),
+		Entry("length of a chunk", ""),
+		Entry("trailer", "0\r\nX: "),
+	)
 })
