--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -86,7 +86,7 @@
 		return refuse(http.StatusServiceUnavailable, jitter(unconfirmedRetryAfter, e.Random), "the route's service is not in the configuration")
 	}
 	if left := s.quarantineLeft(now, r); left > 0 {
-		return refuse(http.StatusServiceUnavailable, left, reasonCrashes)
+		return []Effect{&Refuse{Status: http.StatusServiceUnavailable, RetryAfter: left, Reason: reasonCrashes, Detail: s.quarantineDetail(r)}}
 	}
 	s.requests[req.ID] = r
 	send, reason := s.send(now, r)
--- a/internal/director/poison.go
+++ b/internal/director/poison.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"tamarackreach/internal/model"
@@ -291,6 +292,22 @@
 	return left
 }
 
+// quarantineDetail names the causes for which a request is refused, as the log lines on
+// their quarantines do, and the ids of those that are parts.
+func (s *State) quarantineDetail(r *request) string {
+	quarantined := s.quarantinedCauses(r)
+	var out []string
+	for _, part := range r.SharedParts {
+		if cause := PartCause(part); quarantined[cause] != nil {
+			out = append(out, cause.describe()+" "+subject(cause)+" (id "+string(part)+")")
+		}
+	}
+	if content := r.contentCause(); quarantined[content] != nil {
+		out = append(out, content.describe()+" "+subject(content))
+	}
+	return strings.Join(out, ", ")
+}
+
 // rank orders causes by how likely they are to crash targets: parts without an answer,
 // whole contents, parts with one.
 func (s *State) rank(now model.Instant, cause Cause) int {
--- a/internal/director/status.go
+++ b/internal/director/status.go
@@ -51,6 +51,31 @@
 	Layers  model.LayerRange       `json:"layers"`
 }
 
+// Quarantined returns how many parts of prompts and contents of requests are quarantined.
+func (s *State) Quarantined() (parts, contents int) {
+	for cause, c := range s.crashRecords {
+		switch {
+		case !c.quarantined():
+		case cause.IsPart():
+			parts++
+		default:
+			contents++
+		}
+	}
+	return parts, contents
+}
+
+// LimitedTargets returns how many targets have named a rate limit that is in force.
+func (s *State) LimitedTargets() int {
+	limited := 0
+	for id := range s.targets {
+		if s.limits.Limited(id) {
+			limited++
+		}
+	}
+	return limited
+}
+
 // Status returns the VM's view at a time, in a fixed order.
 func (s *State) Status(now model.Instant) Status {
 	out := Status{
--- a/internal/frontdaemon/status.go
+++ b/internal/frontdaemon/status.go
@@ -44,6 +44,12 @@
 			}
 			return float64(missing)
 		}))
+	m.Gauge("tamarack_parts_quarantined", "Parts of prompts that are refused because they crash targets.",
+		state(func(s *director.State) float64 { parts, _ := s.Quarantined(); return float64(parts) }))
+	m.Gauge("tamarack_contents_quarantined", "Contents of requests that are refused because they crash targets.",
+		state(func(s *director.State) float64 { _, contents := s.Quarantined(); return float64(contents) }))
+	m.Gauge("tamarack_targets_limited", "Targets that have named a rate limit that is in force.",
+		state(func(s *director.State) float64 { return float64(s.LimitedTargets()) }))
 	m.Gauge("tamarack_placement_duty", "1 while this VM places layers.", func() float64 {
 		if d.controller.HoldsLease() {
 			return 1
--- a/internal/ingress/limit_test.go
+++ b/internal/ingress/limit_test.go
@@ -77,6 +77,7 @@
 		}
 		Expect(refused).To(BeNumerically(">", 0))
 		Expect(slowest).To(BeNumerically("<", 500*time.Millisecond))
+		Expect(s.read("/metrics")).To(MatchRegexp(`(?m)^tamarack_targets_limited 4$`))
 		Expect(float64(served)).To(BeNumerically(">", limit*window.Seconds()*float64(len(targets))/2), "the limit is used")
 		for _, t := range targets {
 			t.NameLimit("")
