Store answered parts; parts progress after half a second; refusals of waiting requests say when to come back

The rows of crashing content hold the answered parts that lost answers. A request that is refused for crashes after a wait was told to return after two seconds, however long the quarantine; it names its cause too.

--- a/internal/controller/content.go
+++ b/internal/controller/content.go
@@ -37,6 +37,7 @@
 	WrittenUnixMs int64             `json:"written_unix_ms"`
 	Quarantines   []causeQuarantine `json:"quarantines,omitempty"`
 	LostAnswers   []lostAnswer      `json:"lost,omitempty"`
+	Answers       []answeredPart    `json:"answers,omitempty"`
 }
 
 func encodeContent(stored director.StoredContent, era fleet.StoreEra, clock time.Duration, now time.Time) contentRecord {
@@ -47,6 +48,9 @@
 	for _, l := range stored.LostAnswers {
 		record.LostAnswers = append(record.LostAnswers, encodeLostAnswer(l))
 	}
+	for _, a := range stored.Answers {
+		record.Answers = append(record.Answers, encodeAnswer(a))
+	}
 	return record
 }
 
@@ -65,6 +69,9 @@
 	for _, l := range r.LostAnswers {
 		out.LostAnswers = append(out.LostAnswers, l.decode())
 	}
+	for _, a := range r.Answers {
+		out.Answers = append(out.Answers, a.decode())
+	}
 	return out
 }
 
--- a/internal/controller/content_test.go
+++ b/internal/controller/content_test.go
@@ -55,7 +55,7 @@
 	writes := func() int { return store.Calls(time.Time{}, time.Now()).Writes }
 
 	It("round-trip, with the time since they were written", func() {
-		stored := director.StoredContent{VM: "vm-1", Process: 1<<32 - 1, Quarantines: []director.Quarantine{quarantine}, LostAnswers: []director.LostAnswer{lost}}
+		stored := director.StoredContent{VM: "vm-1", Process: 1<<32 - 1, Quarantines: []director.Quarantine{quarantine}, LostAnswers: []director.LostAnswer{lost}, Answers: []director.AnsweredPart{{Part: 3, Age: time.Second}}}
 		written := time.Now()
 		record := encodeContent(stored, 4, 10*time.Second, written)
 		Expect(record.decode("vm-1", 4, 10*time.Second, written)).To(Equal(stored))
@@ -88,6 +88,9 @@
 			l.Cause, l.Target, l.Age = 1<<64-1, model.TargetID(fmt.Sprintf("i-%030d", n)), 9999*time.Millisecond
 			stored.LostAnswers = append(stored.LostAnswers, l)
 		}
+		for range 32 {
+			stored.Answers = append(stored.Answers, director.AnsweredPart{Part: 1<<64 - 1, Age: 10 * time.Minute})
+		}
 		text, err := json.Marshal(encodeContent(stored, 99, time.Hour, time.Now()))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(len(text)).To(BeNumerically("<", maxRecordBytes))
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -200,10 +200,15 @@
 // failRequest answers a request that is not sent again. Unless it may have run, the
 // answer has a Retry-After.
 func (s *State) failRequest(now model.Instant, r *request, e SendEnded, status int, reason string) *Refuse {
-	if len(r.possibleRuns) > 0 {
-		return &Refuse{Status: status, Reason: reason}
+	refusal := &Refuse{Status: status, Reason: reason}
+	left := time.Duration(0)
+	if reason == reasonCrashes {
+		refusal.Detail, left = s.quarantineDetail(r), s.quarantineLeft(now, r)
 	}
-	return &Refuse{Status: http.StatusServiceUnavailable, RetryAfter: jitter(s.retryAfter(now, r, reason), e.Random), Reason: reason}
+	if len(r.possibleRuns) == 0 {
+		refusal.Status, refusal.RetryAfter = http.StatusServiceUnavailable, max(left, jitter(s.retryAfter(now, r, reason), e.Random))
+	}
+	return refusal
 }
 
 // streamIdle handles an idle stream: it requests the report of the first target, and
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -118,7 +118,7 @@
 // ProgressTime is the time from the first event of a send, and ProgressEvents the number
 // of its events, from which a stream has progressed.
 const (
-	ProgressTime   = time.Second
+	ProgressTime   = 500 * time.Millisecond
 	ProgressEvents = 5
 )
 
--- a/internal/director/part_simulation_test.go
+++ b/internal/director/part_simulation_test.go
@@ -140,7 +140,7 @@
 	switch e := lastEffect(effects).(type) {
 	case *director.Refuse:
 		if strings.Contains(e.Reason, "crashed") {
-			Expect(e.Status != 503 || e.Detail != "").To(BeTrue(), "a refusal names its cause")
+			Expect(e.Detail).NotTo(BeEmpty(), "a refusal names its cause")
 			p.refused[r.crashing != ""]++
 		}
 	case *director.Wait:
--- a/internal/director/storedcontent.go
+++ b/internal/director/storedcontent.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// maxStoredQuarantines and maxStoredLostAnswers bound what a VM stores.
-	maxStoredQuarantines, maxStoredLostAnswers = 16, 32
+	// maxStoredQuarantines, maxStoredLostAnswers and maxStoredAnswers bound what a VM stores.
+	maxStoredQuarantines, maxStoredLostAnswers, maxStoredAnswers = 16, 32, 32
 	// storedConfirmWindow replaces crashConfirmWindow for lost answers that were read from
 	// the store: it includes the restart of the VMs.
 	storedConfirmWindow = 10 * time.Second
@@ -29,6 +29,9 @@
 	// LostAnswers are those to content of which enough targets may have crashed to
 	// refuse it.
 	LostAnswers []LostAnswer
+	// Answers are the parts with lost answers on which answers were received before: VMs
+	// that all start at once would take them for the cause of the crashes.
+	Answers []AnsweredPart
 	// Elapsed is the time since it was written, 0 while it is unknown.
 	Elapsed time.Duration
 	// EarlierEra is true when it was written in an earlier era of the store. What was
@@ -66,6 +69,8 @@
 			out.Quarantines = append(out.Quarantines, q)
 		}
 	}
+	answers := s.sentAnswers(now)
+	out.Answers = answers[:min(len(answers), maxStoredAnswers)]
 	for _, cause := range s.causesToStore(now) {
 		lost := s.lostOn(cause)
 		if len(lost) < cause.storeThreshold() || s.answered(now, cause) || len(out.LostAnswers)+len(lost) > maxStoredLostAnswers {
@@ -183,6 +188,11 @@
 			s.crashRecords[q.Cause].own = true
 		}
 	}
+	for _, answer := range row.Answers[:min(len(row.Answers), maxStoredAnswers)] {
+		if age := answer.Age + row.Elapsed; answer.Part.IsPart() && age < answerExpiry {
+			s.answeredParts.record(answer.Part, now.Add(-age))
+		}
+	}
 	return append(effects, s.applyStoredLostAnswers(now, row)...)
 }
 
--- a/internal/director/storedcontent_test.go
+++ b/internal/director/storedcontent_test.go
@@ -1,6 +1,7 @@
 package director_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -154,6 +155,49 @@
 		Expect(stored().Quarantines).To(HaveLen(16))
 	})
 
+	// Pattern: a harmless part that others share is in all requests with a crashing one, and
+	// all VMs restart.
+	It("holds the answered parts that lost answers, so that they are not taken for the cause", func() {
+		harmless, crashing := model.PartID("harmless"), model.PartID("crashing")
+		arrive := func(h *harness, parts ...model.PartID) (model.RequestID, director.Effect) {
+			h.requests++
+			id := model.RequestID(fmt.Sprint("part", h.requests))
+			return id, lastEffect(h.state.Step(h.now, director.RequestArrived{Request: &fleet.Request{
+				ID: id, Method: "GET", Host: "h", Path: "/r/" + string(id), Key: "key", HasKey: true, SharedParts: parts,
+			}}))
+		}
+		id, e := arrive(h, harmless)
+		expectSend(e)
+		h.state.Step(h.now, director.RequestFinished{ID: id, Delivered: true})
+		for range 3 {
+			h.advance(10 * time.Millisecond)
+			id, e := arrive(h, harmless, crashing)
+			lostOn = append(lostOn, expectSend(e).Hops[0].Target)
+			h.endSend(id, director.Lost)
+			h.state.Step(h.now, director.RequestFinished{ID: id})
+		}
+		Expect(stored().Answers).To(HaveExactElements(director.AnsweredPart{Part: director.PartCause(harmless), Age: 30 * time.Millisecond}))
+		for _, answers := range [][]director.AnsweredPart{stored().Answers, nil} {
+			row := stored()
+			row.Answers = answers
+			// The crashes are known to the VM that starts for both parts.
+			for _, l := range row.LostAnswers {
+				l.Cause = director.PartCause(harmless)
+				row.LostAnswers = append(row.LostAnswers, l)
+			}
+			vm := startAlone("vm-2", row)
+			crash(vm)
+			_, e = arrive(vm, crashing)
+			expectRefusal(e)
+			_, e = arrive(vm, harmless)
+			if answers != nil {
+				expectSend(e)
+				continue
+			}
+			expectRefusal(e)
+		}
+	})
+
 	It("is refused by a VM that starts for the rest of the quarantine", func() {
 		quarantine()
 		row := stored()
--- a/internal/frontdaemon/status.go
+++ b/internal/frontdaemon/status.go
@@ -14,6 +14,17 @@
 // JSON.
 const StatusPath = "/status"
 
+// registerRefusalMetrics registers what the VM withholds from targets.
+func (d *Daemon) registerRefusalMetrics(state func(func(*director.State) float64) func() float64) {
+	m := d.metrics
+	m.Gauge("tamarack_parts_quarantined", "Parts of prompts that are refused because they crash targets.",
+		state(func(s *director.State) float64 { parts, _ := s.Quarantined(); return float64(parts) }))
+	m.Gauge("tamarack_contents_quarantined", "Contents of requests that are refused because they crash targets.",
+		state(func(s *director.State) float64 { _, contents := s.Quarantined(); return float64(contents) }))
+	m.Gauge("tamarack_targets_limited", "Targets that have named a rate limit that is in force.",
+		state(func(s *director.State) float64 { return float64(s.LimitedTargets()) }))
+}
+
 // registerMetrics registers the metrics whose values are read at scrape time.
 func (d *Daemon) registerMetrics() {
 	state := func(read func(*director.State) float64) func() float64 {
@@ -44,12 +55,7 @@
 			}
 			return float64(missing)
 		}))
-	m.Gauge("tamarack_parts_quarantined", "Parts of prompts that are refused because they crash targets.",
-		state(func(s *director.State) float64 { parts, _ := s.Quarantined(); return float64(parts) }))
-	m.Gauge("tamarack_contents_quarantined", "Contents of requests that are refused because they crash targets.",
-		state(func(s *director.State) float64 { _, contents := s.Quarantined(); return float64(contents) }))
-	m.Gauge("tamarack_targets_limited", "Targets that have named a rate limit that is in force.",
-		state(func(s *director.State) float64 { return float64(s.LimitedTargets()) }))
+	d.registerRefusalMetrics(state)
 	m.Gauge("tamarack_placement_duty", "1 while this VM places layers.", func() float64 {
 		if d.controller.HoldsLease() {
 			return 1
