--- a/internal/frontdaemon/status.go
+++ b/internal/frontdaemon/status.go
@@ -25,6 +25,15 @@
 		state(func(s *director.State) float64 { return float64(s.LimitedTargets()) }))
 }
 
+// missingLayers returns the number of layers without a usable holder, summed over zones.
+func missingLayers(s *director.State) float64 {
+	missing := uint32(0)
+	for _, hole := range s.Status(bootclock.Now()).Holes {
+		missing += hole.Layers.Len()
+	}
+	return float64(missing)
+}
+
 // registerMetrics registers the metrics whose values are read at scrape time.
 func (d *Daemon) registerMetrics() {
 	state := func(read func(*director.State) float64) func() float64 {
@@ -48,13 +57,7 @@
 	m.Gauge("tamarack_targets_draining", "Targets that are leaving.", targets("draining"))
 	m.Gauge("tamarack_targets_dead", "Targets that do not answer for themselves.", targets("dead"))
 	m.Gauge("tamarack_layers_missing", "Layers without a usable holder, summed over zones.",
-		state(func(s *director.State) float64 {
-			missing := uint32(0)
-			for _, hole := range s.Status(bootclock.Now()).Holes {
-				missing += hole.Layers.Len()
-			}
-			return float64(missing)
-		}))
+		state(missingLayers))
 	d.registerRefusalMetrics(state)
 	m.Gauge("tamarack_placement_duty", "1 while this VM places layers.", func() float64 {
 		if d.controller.HoldsLease() {
