--- a/internal/director/cause_test.go
+++ b/internal/director/cause_test.go
@@ -111,6 +111,24 @@
 		expectServed("popular")
 	})
 
+	// Guards against a harmless part that is refused for minutes because a trial also held a
+	// likelier cause.
+	It("is not refused for longer after a trial that held a likelier one", func() {
+		answer(false, "first")
+		for range 5 {
+			crash(300*time.Millisecond, "first")
+			answer(false, "other")
+		}
+		for range 3 {
+			crash(10*time.Millisecond, "bad")
+		}
+		h.advance(10 * time.Second) // the VM has its turn now
+		h.read()
+		crash(0, "first", "bad")
+		expectRefused("bad")
+		expectServed("first")
+	})
+
 	It("is cleared by a stream that has progressed", func() {
 		for range 6 {
 			crash(300*time.Millisecond, "popular")
