--- a/internal/director/storedcontent_test.go
+++ b/internal/director/storedcontent_test.go
@@ -97,6 +97,26 @@
 		Expect(changed(func() { answer(h); h.advance(time.Minute); h.read() })).To(BeFalse())
 	})
 
+	// Pattern: each VM observes one crash, and the last message completes their number.
+	// Guards against a quarantine that no VM stores.
+	It("is written by the VMs that observed one of the crashes, whichever VM completes them", func() {
+		lose(path)
+		crash(h)
+		others := director.PeerState{VM: "vm-2"}
+		crashes := h.state.OwnPeerState(h.now).Crashes
+		Expect(crashes).To(HaveLen(1))
+		for _, target := range []model.TargetID{"x", "y"} {
+			others.Crashes = append(others.Crashes, director.Crash{Cause: crashes[0].Cause, Target: target, Born: 1})
+		}
+		Expect(changed(func() { h.state.Step(h.now, others) })).To(BeTrue())
+		Expect(stored().Quarantines).To(HaveLen(1))
+		none := h.peer("vm-3")
+		others.Crashes = append(others.Crashes, crashes...)
+		none.state.Step(none.now, others)
+		Expect(refusedFor(none)).NotTo(BeZero())
+		Expect(none.state.ContentToStore(none.now).Quarantines).To(BeEmpty())
+	})
+
 	// Guards against rows and writes that grow with the number of VMs.
 	It("is written by the VM that learned it only", func() {
 		quarantine()
