--- a/internal/director/storedcontent_test.go
+++ b/internal/director/storedcontent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -189,13 +190,16 @@
 		id, e := arrive(h, harmless)
 		expectSend(e)
 		h.state.Step(h.now, director.RequestFinished{ID: id, Delivered: true})
-		for range 3 {
+		for n := range 3 {
 			h.advance(10 * time.Millisecond)
+			Expect(len(stored().LostAnswers) > 0).To(Equal(n >= 2), "from the second target on")
 			id, e := arrive(h, harmless, crashing)
 			lostOn = append(lostOn, expectSend(e).Hops[0].Target)
 			h.endSend(id, director.Lost)
 			h.state.Step(h.now, director.RequestFinished{ID: id})
 		}
+		ofCrashing := slices.DeleteFunc(stored().LostAnswers, func(l director.LostAnswer) bool { return l.Cause != director.PartCause(crashing) })
+		Expect(ofCrashing).To(HaveLen(3))
 		Expect(stored().Answers).To(HaveExactElements(director.AnsweredPart{Part: director.PartCause(harmless), Age: 30 * time.Millisecond}))
 		for _, answers := range [][]director.AnsweredPart{stored().Answers, nil} {
 			row := stored()
--- a/internal/targetlimit/targetlimit_test.go
+++ b/internal/targetlimit/targetlimit_test.go
@@ -143,6 +143,24 @@
 		Entry("27 VMs, a low rate", 27, 1.0), Entry("27 VMs, a rate below their number", 27, 9.0), Entry("100 VMs", 100, 40.0),
 	)
 
+	// Pattern: the callers pause, and come back at once.
+	It("is kept after a pause", func() {
+		s := newSimulation(4, 20, 200, 1)
+		s.run(told+time.Second, true)
+		demand := map[*sender]float64{}
+		for range 3 {
+			for _, v := range s.vms {
+				demand[v], v.demand = v.demand, 0
+			}
+			s.run(6*time.Second, true)
+			for _, v := range s.vms {
+				v.demand = demand[v]
+			}
+			s.run(6*time.Second, true)
+		}
+		Expect(s.mostInWindow()).To(BeNumerically("<=", 125))
+	})
+
 	It("is kept by VMs that receive no messages", func() {
 		s := newSimulation(4, 20, 200, 1)
 		s.run(15*time.Second, false)
