--- a/internal/director/ratelimit.go
+++ b/internal/director/ratelimit.go
@@ -77,15 +77,24 @@
 	return !s.limits.Limited(id) || s.limits.Allow(now, id, s.limitVMs(now))
 }
 
-// limitVMs returns the VMs among which the limits are divided. A VM that was silent for a
-// while still counts, since it may only be cut off from this one.
+// limitVMsInterval is how long the VMs among which limits are divided are used: each
+// request asks for them for many targets.
+const limitVMsInterval = 100 * time.Millisecond
+
+// limitVMs returns the VMs among which the limits are divided, at most limitVMsInterval
+// old. A VM that was silent for a while still counts, since it may only be cut off from
+// this one.
 func (s *State) limitVMs(now model.Instant) targetlimit.VMs {
+	if s.limitVMsAt != 0 && now.Sub(s.limitVMsAt) < limitVMsInterval {
+		return s.lastLimitVMs
+	}
 	vms := targetlimit.VMs{Self: s.settings.VM, Count: max(s.listedVMs, len(s.peers)+1)}
 	for _, vm := range slices.Sorted(maps.Keys(s.peers)) {
 		if now.Sub(s.peers[vm].receivedAt) < trialOrderWindow {
 			vms.Heard = append(vms.Heard, vm)
 		}
 	}
+	s.lastLimitVMs, s.limitVMsAt = vms, now
 	return vms
 }
 
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -85,6 +85,9 @@
 	lead bool
 	// limits are the request rates that targets have named.
 	limits *targetlimit.Limits
+	// lastLimitVMs are the VMs among which limits are divided, as of limitVMsAt.
+	lastLimitVMs targetlimit.VMs
+	limitVMsAt   model.Instant
 	// answeredParts are the parts of prompts on which answers were received, the last of
 	// them by this VM at lastAnswerAt.
 	answeredParts answeredParts
