Controller: a process writes its VM's row again after a restore also if an earlier process wrote it

Soak: a VM was killed after it had written its row of content that crashes targets, its next process read the row, and the store then came back from a copy without it. The row was never written again, so that all VMs would have lost the quarantine with the next restart. Cause: only a process that had written the row itself did so. The spec fails before.

--- a/internal/controller/content.go
+++ b/internal/controller/content.go
@@ -95,7 +95,8 @@
 
 // contentState is what a VM knows of contentTable.
 type contentState struct {
-	// written is true once this process may have written its row.
+	// written is true once a row of this VM may be in the store: this process may have
+	// written it, or has read that of an earlier one.
 	written atomic.Bool
 	// lost has an element when the row may have been lost in a restore of the store.
 	lost chan struct{}
@@ -140,6 +141,9 @@
 			"vm": stored.VM, "quarantines": len(stored.Quarantines), "lost_answers": len(stored.LostAnswers),
 			"age_ms": stored.Elapsed.Milliseconds(), "earlier_era": stored.EarlierEra,
 		}).Info("record of content that crashes targets read")
+		if stored.VM == c.settings.VM {
+			c.content.written.Store(true)
+		}
 		read.Stored = append(read.Stored, stored)
 	}
 	c.reducer.Step(read)
--- a/internal/controller/content_test.go
+++ b/internal/controller/content_test.go
@@ -174,6 +174,22 @@
 		Expect(known(start("vm-3"))).To(HaveLen(1))
 	})
 
+	// Pattern: a VM restarts, and the store then comes back from a copy without its row.
+	// Guards against a row that a restore has lost and that the next process, which has
+	// read it, does not write again.
+	It("are written again by a process that has read its VM's row", func() {
+		copied := store.Copy()
+		c := start("vm-1")
+		own(c, quarantine)
+		Expect(c.writeContent(ctx)).To(BeTrue())
+		next := start("vm-1")
+		store.Restore(copied)
+		Expect(next.readContent(ctx)).To(Succeed())
+		Eventually(next.content.lost, registrationSpread+time.Second, 10*time.Millisecond).Should(Receive())
+		Expect(next.writeContent(ctx)).To(BeTrue())
+		Expect(known(start("vm-3"))).To(HaveLen(1))
+	})
+
 	// Pattern: the store comes back from a copy in which the content was released.
 	It("of an older copy release nothing", func() {
 		c := start("vm-1")
