--- a/internal/director/crashrecord.go
+++ b/internal/director/crashrecord.go
@@ -15,7 +15,7 @@
 	// requests with a cause before it is refused: two crash together in an ordinary fault.
 	crashThreshold = 3
 	// crashConfirmWindow is how long after a lost answer a crash of the target is
-	// attributed to the content: the time to detect that a target is dead, or to read
+	// attributed to a cause: the time to detect that a target is dead, or to read
 	// the registration of its next incarnation.
 	crashConfirmWindow = 5 * time.Second
 	// crashedAfterRefusals is the number of refused connections in a row after which a
@@ -40,7 +40,7 @@
 // crashRecord lists the crashes of targets that were running requests with a cause.
 type crashRecord struct {
 	// crashed are the crashed incarnations, each once. The first cleared of them were
-	// followed by an answer to the content and do not count; they are kept since other
+	// followed by an answer to the cause and do not count; they are kept since other
 	// VMs may still send them.
 	crashed []incarnation
 	cleared int
@@ -54,15 +54,15 @@
 	// observed is true once this VM has observed one of the crashes itself. It stores a
 	// quarantine that is due to them, whichever VM completes their number.
 	observed bool
-	// level counts the quarantines of the content, by the crashThreshold-th crash and
-	// each further one, and clearedLevel is the level at the last answer: the content is
+	// level counts the quarantines of the cause, by the crashThreshold-th crash and
+	// each further one, and clearedLevel is the level at the last answer: the cause is
 	// quarantined while level is higher. Both only grow, so that VMs agree on the highest
 	// that they received, in whatever order.
 	level, clearedLevel int
-	// quarantinedUntil is when probation begins: one request with the content at a time
-	// is sent, once, until its content is answered or quarantined again.
+	// quarantinedUntil is when probation begins: one request with the cause at a time
+	// is sent, once, until the cause is answered or quarantined again.
 	quarantinedUntil model.Instant
-	// own is true once this VM has begun or ended a quarantine of the content; it stores
+	// own is true once this VM has begun or ended a quarantine of the cause; it stores
 	// such quarantines.
 	own bool
 	// trial is the request of this VM that was sent since the last quarantine.
@@ -71,10 +71,10 @@
 	peerTrialUntil model.Instant
 }
 
-// quarantined reports whether the content was quarantined and not answered since.
+// quarantined reports whether the cause was quarantined and not answered since.
 func (c *crashRecord) quarantined() bool { return c.level > c.clearedLevel }
 
-// quarantine puts the content under the next quarantine.
+// quarantine puts the cause under the next quarantine.
 func (c *crashRecord) quarantine(now model.Instant) {
 	c.level, c.at, c.trial = c.level+1, now, ""
 	c.quarantinedUntil = now.Add(c.period())
@@ -90,7 +90,7 @@
 	c.cleared, c.clearedLevel, c.quarantinedUntil, c.decided = len(c.crashed), c.level, 0, false
 }
 
-// Crash is a crash of a target that was running some content, for other VMs. Born is
+// Crash is a crash of a target that was running requests with a cause, for other VMs. Born is
 // the start time of the target's process, Unix milliseconds. The field names are the
 // JSON keys of messages between VMs.
 type Crash struct {
@@ -99,12 +99,12 @@
 	Born   int64
 }
 
-// Quarantine is the state of content that was quarantined, for other VMs.
+// Quarantine is the state of a cause that was quarantined, for other VMs.
 type Quarantine struct {
 	Cause Cause
 	// Level is the number of quarantines, and Cleared that number at the last answer.
 	Level, Cleared int
-	// Remaining is the time until the content is on probation.
+	// Remaining is the time until the cause is on probation.
 	Remaining time.Duration
 	// Age is the time since the last change, from which the quarantine expires.
 	Age time.Duration
@@ -179,7 +179,7 @@
 	return causeRefused(cause, c, strconv.Itoa(len(c.crashed)-c.cleared)+" targets crashed while running it, most recently "+string(ran.target))
 }
 
-// markOwn has the quarantine of some content stored by this VM.
+// markOwn has the quarantine of a cause stored by this VM.
 func (s *State) markOwn(cause Cause) {
 	s.crashRecords[cause].own = true
 	s.contentChanged++
--- a/internal/director/lostanswer.go
+++ b/internal/director/lostanswer.go
@@ -33,14 +33,14 @@
 	observer  vmProcess
 	// stored is true when it was read from the store.
 	stored bool
-	// answered is true once this VM has received an answer to content whose answer
+	// answered is true once this VM has received an answer to a cause whose answer
 	// another VM lost.
 	answered bool
 }
 
 // LostAnswer is an answer lost on a target that may have crashed, for other VMs. They
 // use it only once the VM that lost it has ended: until then that VM confirms the crash
-// itself, or drops it when the content is answered.
+// itself, or drops it when the cause is answered.
 type LostAnswer struct {
 	Cause  Cause
 	Target model.TargetID
@@ -68,7 +68,7 @@
 }
 
 // window returns how long after it was lost a crash of the target is attributed to the
-// content.
+// cause.
 func (l *lostAnswer) window() time.Duration {
 	if l.stored {
 		return storedConfirmWindow
@@ -121,7 +121,7 @@
 	s.lostAnswers = append(s.lostAnswers, l)
 }
 
-// dropLostAnswers drops the lost answers to content that was answered. Those of other
+// dropLostAnswers drops the lost answers to a cause that was answered. Those of other
 // VMs are kept, since the next message repeats them, and not inherited.
 func (s *State) dropLostAnswers(cause Cause) {
 	s.lostAnswers = slices.DeleteFunc(s.lostAnswers, func(l lostAnswer) bool { return l.cause == cause })
--- a/internal/director/path.go
+++ b/internal/director/path.go
@@ -132,8 +132,8 @@
 }
 
 // noPathReason returns whether the targets are full, take no more requests at the rates
-// that they named, or a layer has no usable target.
-// In the latter case it marks the targets under suspicion to be probed next.
+// that they named, or a layer has no usable target. In the last case it marks the targets
+// under suspicion to be probed next.
 func (s *State) noPathReason(now model.Instant, r *request, candidates []candidate) string {
 	limited := false
 	for i := range candidates {
--- a/internal/director/probation.go
+++ b/internal/director/probation.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// trialSlot is the time in which one VM may send content that is on probation; the
+	// trialSlot is the time in which one VM may send a cause that is on probation; the
 	// VMs take turns. None does in the last trialGuard of a slot, so that the next VM has
 	// received the trial: messages to other zones are sent each 600 ms.
 	trialSlot  = 2 * time.Second
@@ -19,12 +19,12 @@
 	// and maxTrialSlots bounds their number; further VMs share slots.
 	trialOrderWindow = 10 * time.Second
 	maxTrialSlots    = 16
-	// trialRetryAfter is the Retry-After while another request with the content runs on
+	// trialRetryAfter is the Retry-After while another request with the cause runs on
 	// probation.
 	trialRetryAfter = 2 * time.Second
 )
 
-// mayResend reports whether a request may be sent again as far as its content goes.
+// mayResend reports whether a request may be sent again as far as its causes go.
 // Under quarantine or on probation it may not, unless it has progressed, or is the
 // trial and has not run.
 func (s *State) mayResend(now model.Instant, r *request) bool {
@@ -32,12 +32,12 @@
 }
 
 // mayDivert reports whether a send may be cancelled for another one as far as the
-// request's content goes.
+// request's causes go.
 func (s *State) mayDivert(r *request) bool {
 	return len(s.quarantinedCauses(r)) == 0 || r.progressed
 }
 
-// trialWait returns the time until this VM's next turn to send content that is
+// trialWait returns the time until this VM's next turn to send a cause that is
 // quarantined, 0 during its turn. The turns begin with the end of the quarantine, on
 // which the VMs agree, and follow the order of the VMs' names.
 func (s *State) trialWait(now model.Instant, c *crashRecord) time.Duration {
--- a/internal/director/ratelimit.go
+++ b/internal/director/ratelimit.go
@@ -31,7 +31,7 @@
 	if change != targetlimit.Unchanged {
 		s.learned++
 	}
-	return limitChanged(t.ID, change, e.PerSecond, "it named it")
+	return limitChanged(t.ID, change, e.PerSecond, "read from its answer")
 }
 
 // applyLimits applies what another VM knows of the limits of targets.
