--- a/internal/director/cause_test.go
+++ b/internal/director/cause_test.go
@@ -22,21 +22,14 @@
 		h.read()
 	})
 
-	arrive := func(parts ...model.PartID) (model.RequestID, director.Effect) {
-		h.requests++
-		id := model.RequestID(fmt.Sprint("part", h.requests))
-		return id, lastEffect(h.state.Step(h.now, director.RequestArrived{Request: &fleet.Request{
-			ID: id, Method: "GET", Host: "h", Path: "/r/" + string(id), Key: "key", HasKey: true, SharedParts: parts, Deadline: 20 * time.Second,
-		}}))
-	}
 	answer := func(failure bool, parts ...model.PartID) {
-		id, e := arrive(parts...)
+		id, e := h.arriveWithParts(parts...)
 		expectSend(e)
 		h.state.Step(h.now, director.RequestFinished{ID: id, Delivered: true, Failure: failure})
 	}
 	// crash sends a request with some parts, whose target crashes, and lets time pass.
 	crash := func(after time.Duration, parts ...model.PartID) {
-		id, e := arrive(parts...)
+		id, e := h.arriveWithParts(parts...)
 		target := expectSend(e).Hops[0].Target
 		h.endSend(id, director.Lost)
 		h.state.Step(h.now, director.RequestFinished{ID: id})
@@ -45,11 +38,11 @@
 		h.advance(after)
 	}
 	expectServed := func(parts ...model.PartID) {
-		_, e := arrive(parts...)
+		_, e := h.arriveWithParts(parts...)
 		expectSend(e)
 	}
 	expectRefused := func(parts ...model.PartID) {
-		_, e := arrive(parts...)
+		_, e := h.arriveWithParts(parts...)
 		Expect(expectRefusal(e).Reason).To(ContainSubstring("crashed"))
 	}
 
@@ -132,7 +125,7 @@
 	It("is cleared by a stream that has progressed", func() {
 		for range 6 {
 			crash(300*time.Millisecond, "popular")
-			id, e := arrive("popular")
+			id, e := h.arriveWithParts("popular")
 			expectSend(e)
 			h.state.Step(h.now, director.StreamProgressed{ID: id})
 		}
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -145,6 +145,16 @@
 	}, Random: float64(h.requests%97) / 97}))
 }
 
+// arriveWithParts sends a request whose content is its own and whose prompt has some shared
+// parts, and returns its id and the last effect.
+func (h *harness) arriveWithParts(parts ...model.PartID) (model.RequestID, director.Effect) {
+	h.requests++
+	id := model.RequestID(fmt.Sprint("part", h.requests))
+	return id, lastEffect(h.state.Step(h.now, director.RequestArrived{Request: &fleet.Request{
+		ID: id, Method: "GET", Host: "h", Path: "/r/" + string(id), Key: "key", HasKey: true, SharedParts: parts, Deadline: 20 * time.Second,
+	}}))
+}
+
 func (h *harness) endSend(id model.RequestID, outcome director.Outcome) director.Effect {
 	return lastEffect(h.state.Step(h.now, director.SendEnded{ID: id, Outcome: outcome, Random: 0.5}))
 }
--- a/internal/director/storedcontent_test.go
+++ b/internal/director/storedcontent_test.go
@@ -1,7 +1,6 @@
 package director_test
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -180,20 +179,13 @@
 	// all VMs restart.
 	It("holds the answered parts that lost answers, so that they are not taken for the cause", func() {
 		harmless, crashing := model.PartID("harmless"), model.PartID("crashing")
-		arrive := func(h *harness, parts ...model.PartID) (model.RequestID, director.Effect) {
-			h.requests++
-			id := model.RequestID(fmt.Sprint("part", h.requests))
-			return id, lastEffect(h.state.Step(h.now, director.RequestArrived{Request: &fleet.Request{
-				ID: id, Method: "GET", Host: "h", Path: "/r/" + string(id), Key: "key", HasKey: true, SharedParts: parts,
-			}}))
-		}
-		id, e := arrive(h, harmless)
+		id, e := h.arriveWithParts(harmless)
 		expectSend(e)
 		h.state.Step(h.now, director.RequestFinished{ID: id, Delivered: true})
 		for n := range 3 {
 			h.advance(10 * time.Millisecond)
 			Expect(len(stored().LostAnswers) > 0).To(Equal(n >= 2), "from the second target on")
-			id, e := arrive(h, harmless, crashing)
+			id, e := h.arriveWithParts(harmless, crashing)
 			lostOn = append(lostOn, expectSend(e).Hops[0].Target)
 			h.endSend(id, director.Lost)
 			h.state.Step(h.now, director.RequestFinished{ID: id})
@@ -211,9 +203,9 @@
 			}
 			vm := startAlone("vm-2", row)
 			crash(vm)
-			_, e = arrive(vm, crashing)
+			_, e = vm.arriveWithParts(crashing)
 			expectRefusal(e)
-			_, e = arrive(vm, harmless)
+			_, e = vm.arriveWithParts(harmless)
 			if answers != nil {
 				expectSend(e)
 				continue
