Refusals without a usable target state which layers and why; explain prints milliseconds

During an incident the log line of a refusal named neither the missing layers nor how many targets the VM considers dead or suspected, by whose observation. The detail of the line now does; tamarackctl explain prints it, with times in milliseconds.

--- a/internal/ctl/explainlog.go
+++ b/internal/ctl/explainlog.go
@@ -95,7 +95,7 @@
 
 // String formats a line as text.
 func (l logLine) String() string {
-	text := l.Time.Format("15:04:05") + " " + l.VM + " " + l.Message
+	text := l.Time.Format("15:04:05.000") + " " + l.VM + " " + l.Message
 	switch {
 	case l.Path != "":
 		text += fmt.Sprintf(" (%d) over %s", l.Send, l.Path)
--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -93,7 +93,10 @@
 	if send == nil {
 		delete(s.requests, req.ID)
 		refusal := &Refuse{Status: http.StatusServiceUnavailable, RetryAfter: jitter(s.retryAfter(now, r, reason), e.Random), Reason: reason}
-		if reason == reasonPromptBacklog {
+		switch reason {
+		case reasonMissingLayer, reasonNoTarget:
+			refusal.Detail = s.unusableDetail(now, r.service.ID)
+		case reasonPromptBacklog:
 			refusal.Detail = "first event predicted after " + r.predicted.Prefill.String() + ", plus " + r.predicted.Queue.String() + " of queued prompts"
 		}
 		return []Effect{refusal}
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -202,8 +202,11 @@
 func (s *State) failRequest(now model.Instant, r *request, e SendEnded, status int, reason string) *Refuse {
 	refusal := &Refuse{Status: status, Reason: reason}
 	left := time.Duration(0)
-	if reason == reasonCrashes {
+	switch reason {
+	case reasonCrashes:
 		refusal.Detail, left = s.quarantineDetail(r), s.quarantineLeft(now, r)
+	case reasonMissingLayer, reasonNoTarget:
+		refusal.Detail = s.unusableDetail(now, r.service.ID)
 	}
 	if len(r.possibleRuns) == 0 {
 		refusal.Status, refusal.RetryAfter = http.StatusServiceUnavailable, max(left, jitter(s.retryAfter(now, r, reason), e.Random))
--- a/internal/director/status.go
+++ b/internal/director/status.go
@@ -157,7 +157,6 @@
 }
 
 func (s *State) missingLayersIn(now model.Instant, id model.ServiceID, zone model.AvailabilityZone, layers uint32) []MissingLayers {
-	var out []MissingLayers
 	held := make([]bool, layers)
 	for _, t := range s.byService[id] {
 		if t.Zone != zone || !t.usable(now) {
@@ -167,15 +166,9 @@
 			held[l] = true
 		}
 	}
-	for l := uint32(0); l < layers; l++ {
-		if held[l] {
-			continue
-		}
-		first := l
-		for l < layers && !held[l] {
-			l++
-		}
-		out = append(out, MissingLayers{Service: id, Zone: zone, Layers: model.LayerRange{First: first, End: l}})
+	var out []MissingLayers
+	for _, missing := range gaps(held) {
+		out = append(out, MissingLayers{Service: id, Zone: zone, Layers: missing})
 	}
 	return out
 }
--- a/internal/director/status_test.go
+++ b/internal/director/status_test.go
@@ -38,3 +38,22 @@
 		Expect(h.state.TargetStates(h.now)).To(Equal(map[string]int{"suspected": 1, "ready": 2, "draining": 1}))
 	})
 })
+
+var _ = Describe("the refusal of a request without a usable target", func() {
+	// Guards against a refusal whose log line does not tell which layers are missing and
+	// which targets this VM does not reach.
+	It("states the targets by state, the missing layers and the last fault", func() {
+		h := newHarness()
+		h.addTarget("m1", llm, "a", 0, 40)
+		h.addTarget("m2", llm, "a", 40, 80)
+		h.read()
+		id, e := h.arrive("/s/x")
+		expectSend(e)
+		h.advance(400 * time.Millisecond)
+		Expect(expectRefusal(h.endSend(id, director.NotSent)).Detail).To(And(
+			ContainSubstring("targets of llm: 2, ready 1, draining 0, suspected 1, dead 0"),
+			ContainSubstring("no usable target for layers [0,40)"), ContainSubstring("last fault on m1, observed by this VM 0s ago")))
+		_, e = h.arrive("/s/y")
+		Expect(expectRefusal(e).Detail).To(ContainSubstring("layers [0,40)"))
+	})
+})
