--- /dev/null
+++ b/internal/director/link_test.go
@@ -0,0 +1,125 @@
+package director_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"tamarackreach/internal/director"
+	"tamarackreach/internal/model"
+)
+
+// viaOf returns the VM through which a send reaches its target, "" without one.
+func viaOf(*director.Send) model.NodeID { return "" }
+
+// needsNewConnection reports whether a report is to be read over a new connection.
+func needsNewConnection(*director.RequestReport) bool { return false }
+
+// isolated reports whether a VM knows that it does not reach the targets.
+func isolated(*linkVM, model.Instant) bool { return false }
+
+func connectionProbed(id model.TargetID, _, refused bool) director.ConnectionProbed {
+	return director.ConnectionProbed{Target: id, Refused: refused}
+}
+
+func notSent(took time.Duration) director.SendEnded {
+	return director.SendEnded{Outcome: director.NotSent, Took: took}
+}
+
+const (
+	// cutTime is how long the links are cut.
+	cutTime = 12 * time.Second
+	// minServedRatio is the least share of first tries served at cut VMs, relative to the
+	// others.
+	minServedRatio = 2.0 / 3
+)
+
+// allVMs are the VMs of a link simulation.
+var allVMs = []model.NodeID{"a-1", "a-2", "b-1", "c-1"}
+
+// expectServedAlike checks that from stabilityWindow after the cut began, first tries at
+// the cut VMs are served at least minServedRatio times as often as those at the others.
+func expectServedAlike(l *linkSimulation, cutAt model.Instant, cut, others []model.NodeID) {
+	from, to := cutAt.Add(stabilityWindow), cutAt.Add(cutTime)
+	answered, all := l.served(from, to, cut...)
+	otherAnswered, otherAll := l.served(from, to, others...)
+	ExpectWithOffset(1, float64(answered)/float64(all)).To(BeNumerically(">=", minServedRatio*float64(otherAnswered)/float64(otherAll)),
+		"cut VMs: %d of %d, others: %d of %d", answered, all, otherAnswered, otherAll)
+	ExpectWithOffset(1, float64(otherAnswered)/float64(otherAll)).To(BeNumerically(">=", 0.95), "others: %d of %d", otherAnswered, otherAll)
+}
+
+var _ = Describe("VMs partitioned from all targets", func() {
+	// Guards against callers of a VM that lost its links to the targets being refused, while
+	// other VMs reach the same targets, and against decisions for all VMs on its view alone.
+	DescribeTable("serve their callers through other VMs", func(state linkState, cut, others []model.NodeID) {
+		l := newLinkSimulation()
+		l.advance(5 * time.Second)
+		cutAt := l.now
+		l.cut(state, cut...)
+		l.advance(cutTime)
+		l.cut(linkUp, cut...)
+		l.advance(5 * time.Second)
+		expectServedAlike(l, cutAt, cut, others)
+		Expect(l.partialPlans).To(BeEmpty())
+		Expect(l.excessRuns()).To(BeEmpty())
+		answered, all := l.served(cutAt.Add(cutTime+2*time.Second), cutAt.Add(cutTime+4*time.Second), allVMs...)
+		Expect(answered).To(Equal(all), "after the cut")
+	},
+		Entry("one VM, silent", linkSilent, []model.NodeID{"a-2"}, []model.NodeID{"a-1", "b-1", "c-1"}),
+		Entry("one VM, reset", linkReset, []model.NodeID{"a-2"}, []model.NodeID{"a-1", "b-1", "c-1"}),
+		Entry("one VM, refused", linkRefuses, []model.NodeID{"a-2"}, []model.NodeID{"a-1", "b-1", "c-1"}),
+		Entry("the VM that places layers, silent", linkSilent, []model.NodeID{"a-1"}, []model.NodeID{"a-2", "b-1", "c-1"}),
+		Entry("the VM that places layers, reset", linkReset, []model.NodeID{"a-1"}, []model.NodeID{"a-2", "b-1", "c-1"}),
+		Entry("the VM that places layers, refused", linkRefuses, []model.NodeID{"a-1"}, []model.NodeID{"a-2", "b-1", "c-1"}),
+		Entry("all of a zone, silent", linkSilent, []model.NodeID{"a-1", "a-2"}, []model.NodeID{"b-1", "c-1"}),
+		Entry("all of a zone, reset", linkReset, []model.NodeID{"a-1", "a-2"}, []model.NodeID{"b-1", "c-1"}),
+		Entry("all of a zone, refused", linkRefuses, []model.NodeID{"a-1", "a-2"}, []model.NodeID{"b-1", "c-1"}),
+		Entry("all VMs but one, silent", linkSilent, []model.NodeID{"a-1", "a-2", "b-1"}, []model.NodeID{"c-1"}),
+		Entry("all VMs but one, reset", linkReset, []model.NodeID{"a-1", "a-2", "b-1"}, []model.NodeID{"c-1"}),
+	)
+
+	// Guards against a process that starts behind the cut, knows no target that it reached
+	// before, and refuses its callers.
+	It("serve their callers after a restart during the cut", func() {
+		l := newLinkSimulation()
+		l.advance(5 * time.Second)
+		cutAt := l.now
+		l.cut(linkSilent, "a-2")
+		l.advance(time.Second)
+		l.start(l.vm("a-2"))
+		l.advance(cutTime - time.Second)
+		expectServedAlike(l, cutAt.Add(time.Second), []model.NodeID{"a-2"}, []model.NodeID{"a-1", "b-1", "c-1"})
+	})
+
+	// Guards against layers being placed on the view of targets that answer again one by
+	// one after a cut of all VMs.
+	It("place no layers on a partial view when all VMs were cut", func() {
+		l := newLinkSimulation()
+		l.advance(5 * time.Second)
+		cutAt := l.now
+		l.cut(linkSilent, allVMs...)
+		l.advance(cutTime)
+		l.cut(linkUp, allVMs...)
+		l.advance(6 * time.Second)
+		Expect(l.partialPlans).To(BeEmpty())
+		answered, all := l.served(cutAt.Add(cutTime+3*time.Second), cutAt.Add(cutTime+5*time.Second), allVMs...)
+		Expect(answered).To(Equal(all), "after the cut")
+	})
+})
+
+var _ = Describe("a target that stops", func() {
+	// Guards against a crash that counts as a cut: its layers would not be placed elsewhere.
+	It("is missing in the placement view of all VMs within two seconds", func() {
+		l := newLinkSimulation()
+		l.advance(5 * time.Second)
+		l.crash("b-head-0")
+		l.advance(2 * time.Second)
+		for _, vm := range l.vms {
+			if vm.id == "a-1" || vm.id == "b-1" {
+				Expect(vm.state.Placeable(l.now)[0].Targets).To(HaveLen(11), string(vm.id))
+			}
+		}
+		Expect(l.partialPlans).To(BeEmpty())
+	})
+})
