Relay: connections to targets through another VM

For VMs that lose their own links to the targets. The relay copies bytes between the sender and a registered target; bytes of the target are framed with an explicit end, since the kernel ends the connections of a killed relay in order, and a response may end with its connection. Not used yet.

--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,195 @@
+package relay
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/subtle"
+	"encoding/binary"
+	"encoding/hex"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"tamarackreach/internal/model"
+	"tamarackreach/internal/tcpstate"
+)
+
+const (
+	// handshakeTimeout bounds the time until the first line of a connection.
+	handshakeTimeout = time.Second
+	// maxConnections bounds the connections that are relayed at once.
+	maxConnections = 512
+	secretBytes    = 16
+)
+
+// NewSecret returns a random secret for the relay of a process.
+func NewSecret() string {
+	b := make([]byte, secretBytes)
+	_, _ = rand.Read(b) // it never fails: the process ends if there is no randomness
+	return hex.EncodeToString(b)
+}
+
+// Server relays connections of other VMs to targets.
+type Server struct {
+	// Secret authorises connections.
+	Secret string
+	// Resolve returns the address of a registered target.
+	Resolve func(model.TargetID) (address string, ok bool)
+	// Dial connects to an address.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Opened is called with the result of each connection to a target, and Closed when one
+	// that was opened has ended.
+	Opened func(target model.TargetID, connected bool)
+	Closed func()
+
+	mu    sync.Mutex
+	count int
+}
+
+// Serve accepts connections until the context ends.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() }) // ends Accept
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			logrus.WithError(err).Warn("cannot accept a relay connection")
+			time.Sleep(handshakeTimeout) // such as too many open files
+			continue
+		}
+		go s.serve(ctx, conn)
+	}
+}
+
+func (s *Server) acquire() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.count >= maxConnections {
+		return false
+	}
+	s.count++
+	return true
+}
+
+func (s *Server) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count--
+}
+
+// serve relays one connection.
+func (s *Server) serve(ctx context.Context, sender net.Conn) {
+	defer func() { _ = sender.Close() }() // a no-op after reset or an orderly end
+	if !s.acquire() {
+		s.refuse(sender, "", statusFull)
+		return
+	}
+	defer s.release()
+	id, address, ok := s.authorize(sender)
+	if !ok {
+		s.refuse(sender, id, statusRefused)
+		return
+	}
+	target, err := s.Dial(ctx, address)
+	s.Opened(id, err == nil)
+	if err != nil {
+		s.refuse(sender, id, statusUnreachable)
+		return
+	}
+	defer s.Closed()
+	defer func() { _ = target.Close() }() // both directions have ended
+	if _, err := io.WriteString(sender, statusConnected+"\n"); err != nil {
+		return
+	}
+	logrus.WithFields(logrus.Fields{"target": id, "sender": sender.RemoteAddr().String()}).Debug("relay connection opened")
+	relay(sender, target)
+}
+
+// authorize reads the sender's line and returns the target that it names and its address.
+func (s *Server) authorize(sender net.Conn) (id model.TargetID, address string, ok bool) {
+	if err := sender.SetReadDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return "", "", false
+	}
+	line, err := readLine(sender)
+	if err != nil {
+		return "", "", false
+	}
+	if err := sender.SetReadDeadline(time.Time{}); err != nil {
+		return "", "", false
+	}
+	fields := strings.Fields(line)
+	if len(fields) != 3 || fields[0] != preamble || subtle.ConstantTimeCompare([]byte(fields[1]), []byte(s.Secret)) != 1 {
+		return "", "", false
+	}
+	id = model.TargetID(fields[2])
+	address, ok = s.Resolve(id)
+	return id, address, ok
+}
+
+func (s *Server) refuse(sender net.Conn, id model.TargetID, status string) {
+	logrus.WithFields(logrus.Fields{"target": id, "sender": sender.RemoteAddr().String(), "reason": status}).Info("relay connection refused")
+	if _, err := io.WriteString(sender, status+"\n"); err != nil {
+		logrus.WithError(err).Debug("cannot write the refusal of a relay connection")
+	}
+}
+
+// relay copies both directions until the target's bytes end or either side fails.
+func relay(sender, target net.Conn) {
+	go func() {
+		// The sender ends its direction only by closing the connection; that of the target
+		// is closed too, so that the target stops its work.
+		_, _ = io.Copy(onlyWriter{target}, onlyReader{sender})
+		_ = target.Close()
+	}()
+	if err := copyFramed(sender, target); err != nil {
+		reset(sender)
+	}
+}
+
+// onlyReader and onlyWriter hide other methods of a connection, so that io.Copy copies
+// through a buffer and not by splice.
+type (
+	onlyReader struct{ io.Reader }
+	onlyWriter struct{ io.Writer }
+)
+
+// copyFramed passes on what the target sends, as frames. It returns an error unless the
+// target's bytes have ended in order and the end was passed on.
+func copyFramed(sender io.Writer, target net.Conn) error {
+	buffer := make([]byte, 2+maxFrameBytes)
+	for {
+		n, err := target.Read(buffer[2:])
+		if n > 0 {
+			binary.BigEndian.PutUint16(buffer, uint16(n))
+			if _, err := sender.Write(buffer[:2+n]); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) && tcpstate.WasReset(target) {
+			return errTargetReset
+		}
+		if errors.Is(err, io.EOF) {
+			_, err = sender.Write([]byte{0, 0})
+			return err
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// reset closes a connection so that the sender reads an error.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // without it the missing end frame shows the same
+	}
+	_ = conn.Close()
+}
