--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -99,7 +99,7 @@
 	}
 	c.store = platform.NewStore(s.StoreAddress, transport, c.acceptEra)
 	c.setInterval(s.Bounds)
-	c.peers = newPeers(s, r, c.view)
+	c.peers = newPeers(s, r, c.view, c.Probe)
 	c.orders = newOrders(r, c.targets)
 	return c
 }
@@ -250,7 +250,7 @@
 // the placement lease.
 func (c *Controller) coordinate(ctx context.Context) {
 	now := bootclock.Now()
-	if !c.registrationDue(now) && !c.peers.isLeader(now) && !c.holdsLease(now) && now.Sub(c.coordinationReadAt) < followerInterval {
+	if !c.registrationDue(now) && !c.peers.monitors(now) && !c.peers.isLeader(now) && !c.holdsLease(now) && now.Sub(c.coordinationReadAt) < followerInterval {
 		return
 	}
 	c.coordinationReadAt = now
@@ -330,6 +330,11 @@
 // Invariant: the lease duration counts from before the store sampled its clock, so
 // that a holder stops acting before its record expires, however slow the store is.
 func (c *Controller) renewLease(ctx context.Context, row fleet.StoreRow, clock time.Duration, started model.Instant) {
+	isolated := false
+	c.reducer.Read(func(s *director.State) { isolated = s.Isolated() })
+	if isolated {
+		return // the lease is left to a VM that reaches the targets
+	}
 	action, record := placementlease.Decide(c.settings.VM, row, clock)
 	if action == placementlease.Wait || action == placementlease.Acquire && !c.mayAcquireLease(started) {
 		return
@@ -361,29 +366,35 @@
 // probe requests the reports that the reducer finds due.
 func (c *Controller) probe() {
 	now := bootclock.Now()
-	for _, effect := range c.reducer.Step(director.ProbeDue{All: c.holdsLease(now), Lead: c.peers.isLeader(now)}) {
+	c.Probe(c.reducer.Step(director.ProbeDue{All: c.holdsLease(now), Lead: c.peers.monitors(now)}))
+}
+
+// Probe carries out the probes of targets among effects, without waiting for their results.
+func (c *Controller) Probe(effects []director.Effect) {
+	for _, effect := range effects {
 		switch e := effect.(type) {
 		case *director.RequestReport:
-			go c.RequestReport(e)
+			go c.requestReport(e)
 		case *director.ProbeConnection:
 			go c.probeConnection(e)
 		}
 	}
 }
 
-// probeConnection reports to the reducer whether a target refuses connections.
+// probeConnection reports to the reducer whether a target accepts or refuses connections.
 func (c *Controller) probeConnection(e *director.ProbeConnection) {
-	c.reducer.Step(director.ConnectionProbed{Target: e.Target, Refused: refusesConnections(e.Address)})
+	accepted, refused := probeConnection(e.Address)
+	c.reducer.Step(director.ConnectionProbed{Target: e.Target, Accepted: accepted, Refused: refused})
 }
 
-// refusesConnections opens and closes a connection, and reports whether nothing listens
-// at the address.
-func refusesConnections(address string) bool {
+// probeConnection opens and closes a connection, and reports whether it was accepted, and
+// whether nothing listens at the address.
+func probeConnection(address string) (accepted, refused bool) {
 	conn, err := (&net.Dialer{Timeout: connectionProbeTimeout}).Dial("tcp", address)
 	if err == nil {
 		_ = conn.Close()
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return err == nil, errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // HoldsLease reports whether this VM holds the placement lease.
@@ -406,10 +417,14 @@
 	c.orders.run(ctx)
 }
 
-// RequestReport requests a target's report and passes it to the reducer; the report is
+// requestReport requests a target's report and passes it to the reducer; the report is
 // nil when the request failed.
-func (c *Controller) RequestReport(request *director.RequestReport) {
-	report, err := c.targets.report(context.Background(), request.Address)
+func (c *Controller) requestReport(request *director.RequestReport) {
+	client := c.targets.reports
+	if request.NewConnection {
+		client = c.targets.connecting
+	}
+	report, err := c.targets.reportBy(context.Background(), client, request.Address)
 	if err != nil {
 		logrus.WithError(err).WithField("target", request.Target).Info("cannot read the target's report")
 	}
--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -11,7 +11,8 @@
 
 // peerMessage is a datagram between VMs.
 type peerMessage struct {
-	VM model.NodeID `json:"vm"`
+	VM   model.NodeID           `json:"vm"`
+	Zone model.AvailabilityZone `json:"zone,omitempty"`
 	// Process differs between the processes of the VM.
 	Process uint32 `json:"process,omitempty"`
 	// UptimeMs is the time for which the process has run.
@@ -33,6 +34,15 @@
 	Answers []answeredPart `json:"answers,omitempty"`
 	// Limits are the rates that targets have named.
 	Limits map[model.TargetID]targetLimit `json:"limits,omitempty"`
+	// Isolated is true when the sender does not reach the targets.
+	Isolated bool `json:"isolated,omitempty"`
+	// Unreachable are the targets that the sender fails to reach, and Signs the signs of life
+	// of those that others do not.
+	Unreachable []model.TargetID        `json:"unreachable,omitempty"`
+	Signs       map[model.TargetID]sign `json:"signs,omitempty"`
+	// Relay is the address and the secret of the relay that the sender offers.
+	Relay    []string `json:"relay,omitempty"`
+	InFlight int      `json:"in_flight,omitempty"`
 	// Query is the number of a query for the recipient's state of the store; State is
 	// the reply to it. Such a message has no other fields but VM.
 	Query uint64 `json:"ask,omitempty"`
@@ -126,12 +136,38 @@
 	}
 }
 
+// sign encodes a director.Sign as integers without field names: the start of the target's
+// process, milliseconds since the sign, and 1 for a report.
+type sign [3]int64
+
+func encodeSign(s director.Sign) sign {
+	out := sign{s.Born, s.Age.Milliseconds()}
+	if s.Report {
+		out[2] = 1
+	}
+	return out
+}
+
+func (s sign) decode() director.Sign {
+	return director.Sign{Born: s[0], Age: time.Duration(s[1]) * time.Millisecond, Report: s[2] != 0}
+}
+
 // encodePeerState returns the message for a VM's state.
 func encodePeerState(peerState director.PeerState) peerMessage {
 	message := peerMessage{
 		VM: peerState.VM, Process: peerState.Process, UptimeMs: peerState.Uptime.Milliseconds(), Loads: make(map[model.TargetID]load, len(peerState.Loads)), Paces: peerState.Paces, Crashes: peerState.Crashes, Config: peerState.Config,
 		Suspects: make(map[model.TargetID]suspicion, len(peerState.Suspects)),
 	}
+	message.Zone, message.Isolated, message.Unreachable, message.InFlight = peerState.Zone, peerState.Isolated, peerState.Unreachable, peerState.InFlight
+	if peerState.Relay.Address != "" {
+		message.Relay = []string{peerState.Relay.Address, peerState.Relay.Secret}
+	}
+	for id, s := range peerState.Signs {
+		if message.Signs == nil {
+			message.Signs = make(map[model.TargetID]sign, len(peerState.Signs))
+		}
+		message.Signs[id] = encodeSign(s)
+	}
 	for id, l := range peerState.Loads {
 		message.Loads[id] = encodeLoad(l)
 	}
@@ -162,6 +198,16 @@
 		VM: m.VM, Process: m.Process, Uptime: time.Duration(m.UptimeMs) * time.Millisecond, Loads: make(map[model.TargetID]director.Load, len(m.Loads)), Paces: m.Paces, Crashes: m.Crashes, Config: m.Config,
 		Suspects: make(map[model.TargetID]director.Suspicion, len(m.Suspects)),
 	}
+	out.Zone, out.Isolated, out.Unreachable, out.InFlight = m.Zone, m.Isolated, m.Unreachable, m.InFlight
+	if len(m.Relay) == 2 {
+		out.Relay = director.Relay{VM: m.VM, Address: m.Relay[0], Secret: m.Relay[1]}
+	}
+	for id, s := range m.Signs {
+		if out.Signs == nil {
+			out.Signs = make(map[model.TargetID]director.Sign, len(m.Signs))
+		}
+		out.Signs[id] = s.decode()
+	}
 	for id, l := range m.Loads {
 		out.Loads[id] = l.decode()
 	}
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -54,15 +54,20 @@
 	// the last message of each VM arrived.
 	zonePeers map[model.NodeID]*net.UDPAddr
 	received  map[model.NodeID]model.Instant
-	view      *view
+	// isolated are the VMs that state that they do not reach the targets.
+	isolated map[model.NodeID]bool
+	view     *view
+	// probe carries out the probes that a message asks for.
+	probe ingress.Prober
 	// lastQuery is the number of the last query; pending are those without a reply.
 	lastQuery uint64
 	pending   map[uint64]chan *state
 }
 
-func newPeers(s *platform.Settings, r *ingress.Reducer, v *view) *peers {
+func newPeers(s *platform.Settings, r *ingress.Reducer, v *view, probe ingress.Prober) *peers {
 	return &peers{
-		settings: s, reducer: r, received: map[model.NodeID]model.Instant{}, view: v, pending: map[uint64]chan *state{},
+		settings: s, reducer: r, received: map[model.NodeID]model.Instant{}, isolated: map[model.NodeID]bool{}, view: v, probe: probe,
+		pending: map[uint64]chan *state{},
 	}
 }
 
@@ -109,6 +114,21 @@
 // both be leader for a time; both then do the leader's reads.
 func (p *peers) isLeader(now model.Instant) bool { return p.leader(now) == nil }
 
+// monitors reports whether this VM monitors the targets of its zone: no live VM of the zone
+// with a smaller name reaches them.
+func (p *peers) monitors(now model.Instant) bool {
+	isolated := false
+	p.reducer.Read(func(s *director.State) { isolated = s.Isolated() })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name := range p.zonePeers {
+		if received, found := p.received[name]; found && name < p.settings.VM && !p.isolated[name] && now.Sub(received) < peerTimeout {
+			return false
+		}
+	}
+	return !isolated
+}
+
 // leader returns the address of the zone leader, or nil when this VM is the leader.
 func (p *peers) leader(now model.Instant) *net.UDPAddr {
 	p.mu.Lock()
@@ -264,6 +284,9 @@
 			p.sendMessage(from, peerMessage{VM: p.settings.VM, Query: message.Query, State: p.view.snapshot(bootclock.Now())})
 			continue
 		}
-		p.reducer.Step(message.received())
+		p.mu.Lock()
+		p.isolated[message.VM] = message.Isolated
+		p.mu.Unlock()
+		p.probe(p.reducer.Step(message.received()))
 	}
 }
--- a/internal/controller/probe_test.go
+++ b/internal/controller/probe_test.go
@@ -7,15 +7,19 @@
 	. "github.com/onsi/gomega"
 )
 
-var _ = Describe("refusesConnections", func() {
+var _ = Describe("probeConnection", func() {
 	// Guards against counting a target as crashed that is slow or unreachable.
-	It("is true only where nothing listens", func() {
+	It("tells refused, accepted and unknown apart", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		address := listener.Addr().String()
-		Expect(refusesConnections(address)).To(BeFalse())
+		probe := func(address string) []bool {
+			accepted, refused := probeConnection(address)
+			return []bool{accepted, refused}
+		}
+		Expect(probe(address)).To(Equal([]bool{true, false}))
 		Expect(listener.Close()).To(Succeed())
-		Expect(refusesConnections(address)).To(BeTrue())
-		Expect(refusesConnections("not an address")).To(BeFalse())
+		Expect(probe(address)).To(Equal([]bool{false, true}))
+		Expect(probe("not an address")).To(Equal([]bool{false, false}))
 	})
 })
--- a/internal/controller/targetclient.go
+++ b/internal/controller/targetclient.go
@@ -31,9 +31,9 @@
 	// reports reuses connections: reading a report is idempotent, so that the read may
 	// be retried.
 	reports *http.Client
-	// orders opens a connection for each order, so that none is sent on a connection
-	// that the target is closing.
-	orders *http.Client
+	// connecting opens a connection for each request: for orders, so that none is sent on a
+	// connection that the target is closing, and to learn whether a target is reached.
+	connecting *http.Client
 }
 
 func newTargetClient() *targetClient {
@@ -45,17 +45,21 @@
 			DisableCompression: true, MaxResponseHeaderBytes: maxReportBytes, DisableKeepAlives: !keepAlive, MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdleTimeout,
 		}}
 	}
-	return &targetClient{reports: client(true), orders: client(false)}
+	return &targetClient{reports: client(true), connecting: client(false)}
 }
 
 func (c *targetClient) report(ctx context.Context, address string) (*fleet.Report, error) {
+	return c.reportBy(ctx, c.reports, address)
+}
+
+func (c *targetClient) reportBy(ctx context.Context, client *http.Client, address string) (*fleet.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+platform.ReportPath, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "cannot create the report request")
 	}
-	status, text, err := do(c.reports, req)
+	status, text, err := do(client, req)
 	if err != nil {
 		return nil, err
 	}
@@ -74,7 +78,7 @@
 		return 0, errors.Wrap(err, "cannot create the order request")
 	}
 	req.Header.Set("Content-Type", "application/json")
-	status, _, err := do(c.orders, req)
+	status, _, err := do(c.connecting, req)
 	return status, err
 }
 
--- a/internal/ctl/explainlog.go
+++ b/internal/ctl/explainlog.go
@@ -26,6 +26,7 @@
 	Detail  string    `json:"detail"`
 	Path    string    `json:"path"`
 	Target  string    `json:"target"`
+	Relay   string    `json:"relay"`
 	Outcome string    `json:"outcome"`
 	Reason  string    `json:"reason"`
 	FaultAt string    `json:"fault_at"`
@@ -58,7 +59,9 @@
 	}
 	from, to := requestLines[0].Time.Add(-time.Second), requestLines[len(requestLines)-1].Time
 	for _, l := range lines {
-		stateOfVM := l.Subject == "" && (strings.HasPrefix(l.Message, "store") || strings.HasPrefix(l.Message, "configuration"))
+		stateOfVM := l.Subject == "" && slices.ContainsFunc([]string{"store", "configuration", "targets "}, func(prefix string) bool {
+			return strings.HasPrefix(l.Message, prefix)
+		})
 		onPath := l.Subject != "" && strings.Contains(paths, l.Subject+"[")
 		related := l.VM == requestLines[0].VM && !l.Time.Before(from) && !l.Time.After(to) && (stateOfVM || onPath)
 		if l.Request == request || related {
@@ -99,6 +102,9 @@
 	switch {
 	case l.Path != "":
 		text += fmt.Sprintf(" (%d) over %s", l.Send, l.Path)
+		if l.Relay != "" {
+			text += " through " + l.Relay
+		}
 	case l.Subject != "" || l.Detail != "":
 		text += strings.TrimRight(": "+l.Subject+" "+l.Detail, " ")
 	}
--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -38,6 +38,9 @@
 	// stoppingRetryAfter is the Retry-After of a terminating VM: the caller's next
 	// connection goes to another VM.
 	stoppingRetryAfter = 100 * time.Millisecond
+	// unreachedRetryAfter is the Retry-After of a VM that does not reach the targets: other
+	// VMs may, and the caller's next connection may go to one of them.
+	unreachedRetryAfter = 500 * time.Millisecond
 	// unconfirmedRetryAfter is the Retry-After while the configuration is unknown or
 	// not confirmed: the time of a few reads of the store.
 	unconfirmedRetryAfter = 1500 * time.Millisecond
@@ -94,7 +97,7 @@
 		delete(s.requests, req.ID)
 		refusal := &Refuse{Status: http.StatusServiceUnavailable, RetryAfter: jitter(s.retryAfter(now, r, reason), e.Random), Reason: reason}
 		switch reason {
-		case reasonMissingLayer, reasonNoTarget:
+		case reasonMissingLayer, reasonNoTarget, reasonUnreached:
 			refusal.Detail = s.unusableDetail(now, r.service.ID)
 		case reasonPromptBacklog:
 			refusal.Detail = "first event predicted after " + r.predicted.Prefill.String() + ", plus " + r.predicted.Queue.String() + " of queued prompts"
@@ -185,6 +188,8 @@
 	reasonPromptBacklog = "the targets of the service have too many prompts to read"
 	reasonCrashes       = "targets that ran this content crashed"
 
+	reasonUnreached = "the VM does not reach the targets, and no other VM can relay the request"
+
 	reasonFull    = "the targets of the service are full"
 	reasonLimited = "the targets of the service have named limits, which are reached"
 )
@@ -193,6 +198,8 @@
 	switch reason {
 	case reasonFull, reasonPromptBacklog:
 		return overloadRetryAfter
+	case reasonUnreached:
+		return unreachedRetryAfter
 	case reasonLimited:
 		return max(limitRetryAfter, s.limitWait(now, r.service.ID))
 	}
@@ -200,8 +207,8 @@
 }
 
 // noTargetReason returns why no target of a plain service takes a request.
-func (s *State) noTargetReason(r *request) string {
-	if slices.ContainsFunc(s.byService[r.service.ID], func(t *target) bool { return t.serving() && s.limits.Limited(t.ID) }) {
+func (s *State) noTargetReason(now model.Instant, r *request) string {
+	if slices.ContainsFunc(s.byService[r.service.ID], func(t *target) bool { return t.serving(now) && s.limits.Limited(t.ID) }) {
 		return reasonLimited
 	}
 	return reasonNoTarget
@@ -215,11 +222,14 @@
 		return nil, reason
 	}
 	r.hops, r.diverted, r.awaitingFirst, r.sentAt = hops, false, true, now
+	first := s.targets[hops[0].Target]
+	relay := s.relayFor(now, r, first)
 	r.sends++
-	r.sentTo = s.targets[hops[0].Target].incarnation()
+	r.sentTo = first.incarnation()
 	s.adjustLoad(r, 1)
+	s.beginRelayed(r, relay)
 	s.limits.Sent(now, r.sentTo.target)
-	out := &Send{Route: r.route, Service: r.service, Hops: hops, ExpiresAt: r.expiresAt, TimeLeft: r.expiresAt.Sub(now), Number: r.sends, Predicted: r.predicted, Priority: r.priority()}
+	out := &Send{Route: r.route, Service: r.service, Hops: hops, ExpiresAt: r.expiresAt, TimeLeft: r.expiresAt.Sub(now), Number: r.sends, Predicted: r.predicted, Priority: r.priority(), Relay: relay}
 	if r.workspace != nil {
 		out.Workspace = r.workspace.ID
 	}
@@ -242,7 +252,7 @@
 	}
 	t := s.leastLoadedTarget(now, r)
 	if t == nil {
-		return nil, s.noTargetReason(r)
+		return nil, s.noTargetReason(now, r)
 	}
 	return []fleet.Hop{{Target: t.ID, Address: t.Address}}, ""
 }
@@ -257,6 +267,7 @@
 	}
 	if sign < 0 {
 		r.hops, r.awaitingFirst = nil, false
+		s.endRelayed(r)
 	}
 }
 
@@ -293,6 +304,7 @@
 		return
 	}
 	r.answerStarted = true
+	s.recordContact(now, r)
 	for _, hop := range r.hops {
 		if t := s.targets[hop.Target]; t != nil {
 			t.ownLoad.Waiting--
@@ -326,7 +338,11 @@
 	var best *target
 	bestScore := 0.0
 	for _, t := range s.byService[r.service.ID] {
-		if !t.serving() || !s.mayStartOn(now, t.ID) {
+		if !t.serving(now) || !s.mayStartOn(now, t.ID) {
+			continue
+		}
+		unreached := !s.reaches(t) && s.runsUnreached(now, t)
+		if unreached && s.relayTo(now, r, t) == nil {
 			continue
 		}
 		load := s.load(now, t)
@@ -334,6 +350,9 @@
 		if t.Zone != s.settings.Zone {
 			score += remoteZonePenalty
 		}
+		if unreached {
+			score += relayPenalty
+		}
 		if r.mayHaveRunOn(t.ID) {
 			score += triedPenalty
 		}
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -41,6 +41,7 @@
 				t.completed(now, r.sentAt)
 			}
 		}
+		s.recordContact(now, r)
 	}
 	s.adjustLoad(r, -1)
 	s.remove(now, r)
@@ -52,7 +53,10 @@
 	if r == nil {
 		return nil
 	}
-	effects := s.suspectFaultyHop(now, r, e)
+	effects := s.recordConnection(now, r, e)
+	if !e.RelayFailed {
+		effects = append(effects, s.suspectFaultyHop(now, r, e)...)
+	}
 	if e.Outcome != NotSent && e.Outcome != Rejected {
 		r.recordPossibleRun()
 		effects = append(effects, s.recordLostAnswer(now, r, e.Outcome)...)
@@ -90,6 +94,7 @@
 	}
 	return effectList(s.suspect(now, t, fault{
 		reason: e.Outcome.String() + " after " + e.Took.String(), minPeriod: minPeriod, rejectsRequests: e.Outcome == Rejected && minPeriod == 0,
+		connection: e.Unconnected && r.via == "",
 	}))
 }
 
@@ -109,7 +114,7 @@
 		return s.failRequest(now, r, e, http.StatusBadGateway, "the stream cannot be resumed after an event without an id")
 	case !s.mayResend(now, r):
 		return s.failRequest(now, r, e, http.StatusBadGateway, reasonCrashes)
-	case r.sends >= maxSends && !r.mayWaitForPath(now) || s.targetLimitReached(r) && r.service.Engine == nil:
+	case r.sends >= maxSends && !r.mayWaitForPath(now) || s.targetLimitReached(now, r) && r.service.Engine == nil:
 		return s.failRequest(now, r, e, http.StatusBadGateway, "the request was sent as often as its route allows")
 	case r.sends >= maxSends:
 		return r.wait("the targets rejected it")
@@ -175,10 +180,10 @@
 // targetLimitReached reports whether as many targets as the route allows may have
 // run the request. An incarnation that has ended does not count; one whose
 // registration was removed does, since it may continue to serve for a while.
-func (s *State) targetLimitReached(r *request) bool {
+func (s *State) targetLimitReached(now model.Instant, r *request) bool {
 	count := 0
 	for _, run := range r.possibleRuns {
-		if t := s.targets[run.target]; t == nil || !t.ended(run.startedMs) {
+		if t := s.targets[run.target]; t == nil || !s.ended(now, t, run.startedMs) {
 			count++
 		}
 	}
@@ -205,7 +210,7 @@
 	switch reason {
 	case reasonCrashes:
 		refusal.Detail, left = s.quarantineDetail(r), s.quarantineLeft(now, r)
-	case reasonMissingLayer, reasonNoTarget:
+	case reasonMissingLayer, reasonNoTarget, reasonUnreached:
 		refusal.Detail = s.unusableDetail(now, r.service.ID)
 	}
 	if len(r.possibleRuns) == 0 {
@@ -228,11 +233,27 @@
 		}
 	}
 	first := s.targets[r.hops[0].Target]
-	if r.service.Engine == nil || now.Sub(first.reportRequestedAt) < reportInterval && first.reportRequestedAt != 0 {
+	if r.via == "" && !s.reaches(first) || s.relaySilent(now, r) {
+		return s.divert(now, r, r.hops[0])
+	}
+	if r.via != "" {
+		return nil // the relay has its own connection to the target
+	}
+	return s.probeIdle(now, r, first)
+}
+
+// probeIdle probes the first target of an idle stream.
+func (s *State) probeIdle(now model.Instant, r *request, t *target) []Effect {
+	if r.service.Engine == nil {
+		if t.connectionProbedAt != 0 && now.Sub(t.connectionProbedAt) < reconnectInterval {
+			return nil
+		}
+		return []Effect{s.probeConnection(now, t)}
+	}
+	if t.reportRequestedAt != 0 && now.Sub(t.reportRequestedAt) < reportInterval {
 		return nil
 	}
-	first.reportRequestedAt = now
-	return []Effect{&RequestReport{Target: first.ID, Address: first.Address}}
+	return []Effect{s.requestReport(now, t)}
 }
 
 // divert cancels a send in flight when the request can be sent on another path and
@@ -251,7 +272,7 @@
 	before := r.possibleRuns
 	r.recordPossibleRun()
 	hops, _ := s.choose(now, r)
-	if hops == nil || slices.Equal(hops, r.hops) || !s.reserveRetry(now, r, Diverted) {
+	if hops == nil || slices.Equal(hops, r.hops) && s.sameWay(now, r, hops[0].Target) || !s.reserveRetry(now, r, Diverted) {
 		r.possibleRuns = before
 		return nil // no other path: the targets may recover
 	}
@@ -266,17 +287,21 @@
 	}
 	if e.Report == nil {
 		t.missedReports++
+		s.missed(now, t, t.reportRequestedAt)
 		if t.missedReports == deadAfterMissedReports {
 			dead := &StateChanged{What: "target dead", Subject: string(t.ID), Detail: "it does not answer report requests"}
 			return append(s.confirmCrashes(now), dead)
 		}
-		return effectList(s.suspect(now, t, fault{reason: "it did not answer a report request"}))
+		if t.runs(now) {
+			return nil // another VM has had a sign of life since
+		}
+		return effectList(s.suspect(now, t, fault{reason: "it did not answer a report request", connection: true}))
 	}
 	if e.Report.StartedMs != 0 && e.Report.StartedMs != t.StartedMs {
 		return append(s.markSuperseded(t, e.Report.StartedMs), s.confirmCrashes(now)...)
 	}
 	var effects []Effect
-	if t.dead() {
+	if t.dead(now) {
 		effects = append(effects, &StateChanged{What: "target answers again", Subject: string(t.ID)})
 	}
 	if (e.Report.Slowdown >= slowThreshold) != (t.slowness(now) > 1) {
@@ -285,6 +310,7 @@
 		})
 	}
 	t.superseded = false
+	s.contact(now, t)
 	t.missedReports, t.slowdown, t.slowdownAt, t.lastReportAt = 0, e.Report.Slowdown, now, now
 	for _, address := range e.Report.Stalled {
 		if at := s.byAddress[address]; at != nil && !at.layersJustChanged(now) {
--- a/internal/director/crash_simulation_test.go
+++ b/internal/director/crash_simulation_test.go
@@ -227,7 +227,9 @@
 			})
 		case *director.ProbeConnection:
 			c.after(simulationStep, vm, func() {
-				c.step(vm, director.ConnectionProbed{Target: probe.Target, Refused: c.targets[probe.Target].down})
+				c.step(vm, director.ConnectionProbed{
+					Target: probe.Target, Refused: c.targets[probe.Target].down, Accepted: !c.targets[probe.Target].down,
+				})
 			})
 		}
 	}
--- a/internal/director/crashrecord.go
+++ b/internal/director/crashrecord.go
@@ -117,11 +117,18 @@
 	if t == nil {
 		return nil
 	}
-	if !e.Refused {
+	switch {
+	case e.Accepted:
+		t.refusedConnections = 0
+		s.contact(now, t)
+		return nil
+	case !e.Refused:
 		t.refusedConnections = 0
+		s.exchangeFailed(now, t)
 		return nil
 	}
 	t.refusedConnections++
+	s.missed(now, t, t.connectionProbedAt)
 	return s.confirmCrashes(now)
 }
 
--- a/internal/director/crashrecord_test.go
+++ b/internal/director/crashrecord_test.go
@@ -278,7 +278,7 @@
 			for _, effect := range h.state.Step(h.now, director.ProbeDue{}) {
 				if e, ok := effect.(*director.ProbeConnection); ok {
 					probes++
-					h.state.Step(h.now, director.ConnectionProbed{Target: e.Target, Refused: refused})
+					h.state.Step(h.now, director.ConnectionProbed{Target: e.Target, Refused: refused, Accepted: !refused})
 				}
 			}
 		}
--- a/internal/director/eramodel_test.go
+++ b/internal/director/eramodel_test.go
@@ -346,7 +346,7 @@
 		if !w.scope.target || vm.seen == undetermined {
 			continue
 		}
-		serves := vm.state.Serves(modelTarget)
+		serves := vm.state.Serves(w.now, modelTarget)
 		if serves && vm.seen != ready {
 			w.fail("(d) %s: a drain or removal no longer binds", vm.name)
 		}
@@ -394,7 +394,7 @@
 		if w.scope.config && (vm.inForce != w.operator || vm.state.ConfirmedAt() != w.now) {
 			return errors.New("(f) the newest configuration is not in force and confirmed")
 		}
-		if w.scope.target && vm.state.Serves(modelTarget) != (w.truth == ready) {
+		if w.scope.target && vm.state.Serves(w.now, modelTarget) != (w.truth == ready) {
 			return errors.New("(f) the target's state is not known")
 		}
 	}
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -92,6 +92,12 @@
 	FaultAt string
 	// Took is the duration of the send.
 	Took time.Duration
+	// Unconnected is true when no connection could be opened to the target, or to the relay.
+	Unconnected bool
+	// RelayFailed is true when the relay could not be reached or refused the connection.
+	RelayFailed bool
+	// Responded is true when the head of a response was received.
+	Responded bool
 	// Unresumable is true when no target can continue the answer that the caller has
 	// begun to receive.
 	Unresumable bool
@@ -153,25 +159,37 @@
 	Report *fleet.Report
 }
 
-// ConnectionProbed reports whether a target refused a connection. A connection whose
-// result is unknown counts as accepted.
+// ConnectionProbed reports whether a target accepted or refused a connection; neither when
+// it did not answer.
 type ConnectionProbed struct {
-	Target  model.TargetID
-	Refused bool
+	Target            model.TargetID
+	Accepted, Refused bool
+}
+
+// RelayOpened reports whether this VM, as a relay, could connect to a target; RelayClosed
+// follows a connection.
+type RelayOpened struct {
+	Target    model.TargetID
+	Connected bool
 }
 
+// RelayClosed reports the end of a connection that this VM relayed.
+type RelayClosed struct{}
+
 // ProbeDue triggers probes of targets under suspicion.
 type ProbeDue struct {
 	// All also selects targets that only other VMs suspect; true on the VM that
 	// places layers.
 	All bool
-	// Lead is true on the VM that monitors the slowdown of its zone's targets.
+	// Lead is true on the VM that monitors its zone's targets: the first that is not
+	// isolated.
 	Lead bool
 }
 
 // PeerState carries the load of another VM and the targets that it found faulty.
 type PeerState struct {
-	VM model.NodeID
+	VM   model.NodeID
+	Zone model.AvailabilityZone
 	// Process differs between the processes of the VM.
 	Process uint32
 	// Uptime is the time for which the process has run.
@@ -195,6 +213,16 @@
 	Answers []AnsweredPart
 	// Limits are the rates that targets have named, and the VM's sends to them.
 	Limits map[model.TargetID]TargetLimit
+	// Isolated is true when the VM lost most targets while they run.
+	Isolated bool
+	// Unreachable are the targets that the VM fails to reach; it asks for signs of life.
+	Unreachable []model.TargetID
+	// Signs are the signs of life of targets that other VMs do not reach.
+	Signs map[model.TargetID]Sign
+	// Relay is the relay that the VM offers, and InFlight the number of requests and relayed
+	// connections there.
+	Relay    Relay
+	InFlight int
 }
 
 // Suspicion is a VM's suspicion that a target is faulty.
@@ -232,6 +260,8 @@
 func (WaitElapsed) event()      {}
 func (ReportRead) event()       {}
 func (ConnectionProbed) event() {}
+func (RelayOpened) event()      {}
+func (RelayClosed) event()      {}
 func (ProbeDue) event()         {}
 func (PeerState) event()        {}
 func (VMsCounted) event()       {}
@@ -258,6 +288,8 @@
 	Priority int
 	// Predicted is the expected time to the first event; zero on plain services.
 	Predicted Prediction
+	// Relay is the VM through which the first target is reached, nil for a direct send.
+	Relay *Relay
 }
 
 // Layered reports whether the send is to a service with a layered model.
@@ -289,6 +321,9 @@
 type RequestReport struct {
 	Target  model.TargetID
 	Address string
+	// NewConnection is true when an open connection would not show whether the target is
+	// reached.
+	NewConnection bool
 }
 
 // ProbeConnection opens and closes a connection to a target; a ConnectionProbed
--- a/internal/director/export_test.go
+++ b/internal/director/export_test.go
@@ -59,7 +59,7 @@
 }
 
 // Serves reports whether requests may be sent to a target.
-func (s *State) Serves(id model.TargetID) bool {
+func (s *State) Serves(now model.Instant, id model.TargetID) bool {
 	t := s.targets[id]
-	return t != nil && t.serving()
+	return t != nil && t.serving(now)
 }
--- a/internal/director/link_simulation_test.go
+++ b/internal/director/link_simulation_test.go
@@ -123,6 +123,7 @@
 	vm.state = director.New(director.Settings{
 		VM: vm.id, Zone: vm.zone, Process: l.processes, ConfigApply: 2 * time.Second, Revoke: 5 * time.Second, Stall: 2500 * time.Millisecond,
 		Retries: retrybudget.Settings{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
+		Relay:   director.Relay{VM: vm.id, Address: "relay-" + string(vm.id)},
 	})
 	l.step(vm, director.VMsCounted{Count: len(l.vms)})
 	l.readStore(vm)
@@ -273,6 +274,9 @@
 	if from == r.vm.id && l.now < r.vm.idleUntil[head] && l.reaches(from, head) != linkReset {
 		d, open = 0, true
 	}
+	if from != r.vm.id {
+		l.after(d, l.vm(from), func() { l.step(l.vm(from), director.RelayOpened{Target: head, Connected: open}) })
+	}
 	if !open {
 		l.after(d, r.vm, current(func() { l.end(r, notSent(l.now.Sub(sentAt))) }))
 		return
@@ -281,55 +285,89 @@
 	l.after(r.expiresAt.Sub(l.now), r.vm, current(func() { l.end(r, director.SendEnded{Outcome: director.TimedOut, Took: l.now.Sub(sentAt)}) }))
 }
 
-// run plays the exchange with the first target over an open connection.
+// linkExchange is a send of a request over an open connection.
+type linkExchange struct {
+	r      *linkRequest
+	send   *director.Send
+	from   model.NodeID
+	head   model.TargetID
+	number int
+	sentAt model.Instant
+	// receivedAt is when the target was last able to send, and started true after the first
+	// event of a stream.
+	receivedAt model.Instant
+	started    bool
+}
+
+// run begins the exchange with the first target over an open connection.
 func (l *linkSimulation) run(r *linkRequest, e *director.Send, from model.NodeID, number int) {
-	head, sentAt := e.Hops[0].Target, l.now
-	passes := func() bool { s := l.reaches(from, head); return s == linkUp || s == linkRefuses }
-	if passes() {
-		r.ran = append(r.ran, head)
-	}
-	var poll func(heardAt model.Instant, started bool)
-	poll = func(heardAt model.Instant, started bool) {
-		if r.ended || r.send != number {
-			return
+	x := &linkExchange{r: r, send: e, from: from, head: e.Hops[0].Target, number: number, sentAt: l.now, receivedAt: l.now}
+	if l.passes(x) {
+		r.ran = append(r.ran, x.head)
+	}
+	l.poll(x)
+}
+
+// passes reports whether bytes pass over the open connection of an exchange.
+func (l *linkSimulation) passes(x *linkExchange) bool {
+	state := l.reaches(x.from, x.head)
+	return state == linkUp || state == linkRefuses
+}
+
+// poll continues an exchange until it ends.
+func (l *linkSimulation) poll(x *linkExchange) {
+	if x.r.ended || x.r.send != x.number {
+		return
+	}
+	took := l.now.Sub(x.sentAt)
+	switch {
+	case l.reaches(x.from, x.head) == linkReset:
+		outcome := director.Lost
+		if x.started {
+			outcome = director.Broken
 		}
-		took := l.now.Sub(sentAt)
-		switch {
-		case l.reaches(from, head) == linkReset:
-			outcome := director.Lost
-			if started {
-				outcome = director.Broken
-			}
-			l.end(r, director.SendEnded{Outcome: outcome, Took: took})
+		l.end(x.r, director.SendEnded{Outcome: outcome, Took: took})
+		return
+	case !l.passes(x):
+		if l.idle(x) {
+			l.end(x.r, director.SendEnded{Outcome: director.Diverted, Took: took})
 			return
-		case !passes():
-			if l.now.Sub(heardAt) >= silenceInterval {
-				for _, effect := range l.step(r.vm, director.StreamIdle{ID: r.id, For: l.now.Sub(heardAt)}) {
-					if _, ok := effect.(*director.Divert); ok {
-						l.end(r, director.SendEnded{Outcome: director.Diverted, Took: took})
-						return
-					}
-				}
-			}
-		default:
-			heardAt = l.now
-			stream := e.Layered()
-			if stream && !started && took >= headTime {
-				started = true
-				l.step(r.vm, director.AnswerStarted{ID: r.id})
-			}
-			if stream && took >= wholeStreamTime || !stream && took >= wholePlainTime {
-				r.answered, r.ended = true, true
-				if from == r.vm.id {
-					r.vm.idleUntil[head] = l.now.Add(idleConnectionTime)
-				}
-				l.step(r.vm, director.RequestFinished{ID: r.id, Delivered: true})
-				return
-			}
 		}
-		l.after(3*simulationStep, r.vm, func() { poll(heardAt, started) })
+	case l.receive(x, took):
+		return
+	}
+	l.after(3*simulationStep, x.r.vm, func() { l.poll(x) })
+}
+
+// idle reports whether the VM cancels an exchange without bytes.
+func (l *linkSimulation) idle(x *linkExchange) bool {
+	if l.now.Sub(x.receivedAt) < silenceInterval {
+		return false
+	}
+	effects := l.step(x.r.vm, director.StreamIdle{ID: x.r.id, For: l.now.Sub(x.receivedAt)})
+	return slices.ContainsFunc(effects, func(e director.Effect) bool { _, ok := e.(*director.Divert); return ok })
+}
+
+// receive reports whether the answer is complete.
+func (l *linkSimulation) receive(x *linkExchange, took time.Duration) bool {
+	x.receivedAt = l.now
+	whole := wholePlainTime
+	if x.send.Layered() {
+		whole = wholeStreamTime
+		if !x.started && took >= headTime {
+			x.started = true
+			l.step(x.r.vm, director.AnswerStarted{ID: x.r.id})
+		}
+	}
+	if took < whole {
+		return false
+	}
+	x.r.answered, x.r.ended = true, true
+	if x.from == x.r.vm.id {
+		x.r.vm.idleUntil[x.head] = l.now.Add(idleConnectionTime)
 	}
-	poll(l.now, false)
+	l.step(x.r.vm, director.RequestFinished{ID: x.r.id, Delivered: true})
+	return true
 }
 
 // exchange sends a VM's state to those of its zone, or to all.
--- a/internal/director/link_test.go
+++ b/internal/director/link_test.go
@@ -11,20 +11,25 @@
 )
 
 // viaOf returns the VM through which a send reaches its target, "" without one.
-func viaOf(*director.Send) model.NodeID { return "" }
+func viaOf(e *director.Send) model.NodeID {
+	if e.Relay == nil {
+		return ""
+	}
+	return e.Relay.VM
+}
 
 // needsNewConnection reports whether a report is to be read over a new connection.
-func needsNewConnection(*director.RequestReport) bool { return false }
+func needsNewConnection(e *director.RequestReport) bool { return e.NewConnection }
 
 // isolated reports whether a VM knows that it does not reach the targets.
-func isolated(*linkVM, model.Instant) bool { return false }
+func isolated(vm *linkVM, _ model.Instant) bool { return vm.state.Isolated() }
 
-func connectionProbed(id model.TargetID, _, refused bool) director.ConnectionProbed {
-	return director.ConnectionProbed{Target: id, Refused: refused}
+func connectionProbed(id model.TargetID, accepted, refused bool) director.ConnectionProbed {
+	return director.ConnectionProbed{Target: id, Accepted: accepted, Refused: refused}
 }
 
 func notSent(took time.Duration) director.SendEnded {
-	return director.SendEnded{Outcome: director.NotSent, Took: took}
+	return director.SendEnded{Outcome: director.NotSent, Took: took, Unconnected: true}
 }
 
 const (
--- a/internal/director/lostanswer.go
+++ b/internal/director/lostanswer.go
@@ -228,7 +228,7 @@
 	for _, l := range s.lostAnswers {
 		switch {
 		case now.Sub(l.at) > l.window():
-		case s.hasCrashed(&l):
+		case s.hasCrashed(now, &l):
 			if change := s.recordCrash(now, l.cause, l.ran, l.at, !l.inherited); change != nil {
 				effects = append(effects, change)
 				s.learned++
@@ -251,17 +251,19 @@
 // hasCrashed reports whether the target of a lost answer has crashed since. A VM that
 // has inherited the answer may know an earlier incarnation of the target than the VM
 // that lost it, or no targets yet.
-func (s *State) hasCrashed(l *lostAnswer) bool {
+func (s *State) hasCrashed(now model.Instant, l *lostAnswer) bool {
 	t := s.targets[l.ran.target]
 	switch {
 	case !s.targetsRead:
 		return false
-	case t == nil || t.dead() || t.refusedConnections >= crashedAfterRefusals:
+	case t == nil || t.superseded:
+		return true
+	case l.inherited && t.StartedMs > l.ran.startedMs, !l.inherited && t.StartedMs != l.ran.startedMs:
 		return true
-	case l.inherited:
-		return t.StartedMs > l.ran.startedMs
 	}
-	return t.StartedMs != l.ran.startedMs
+	// A later report of the incarnation takes the crash back; see refuteCrash.
+	silent := t.dead(now) || t.refusedConnections >= crashedAfterRefusals && !t.runs(now)
+	return silent && !s.Isolated()
 }
 
 // probeConnections probes targets that have no report and lost an answer. Their crash
@@ -278,8 +280,31 @@
 		if l.probed && t.refusedConnections == 0 || t.connectionProbedAt != 0 && now.Sub(t.connectionProbedAt) < reportInterval {
 			continue
 		}
-		l.probed, t.connectionProbedAt = true, now
-		effects = append(effects, &ProbeConnection{Target: t.ID, Address: t.Address})
+		l.probed = true
+		effects = append(effects, s.probeConnection(now, t))
+	}
+	return append(effects, s.probeUnreached(now, e)...)
+}
+
+func (s *State) probeConnection(now model.Instant, t *target) Effect {
+	t.connectionProbedAt = now
+	return &ProbeConnection{Target: t.ID, Address: t.Address}
+}
+
+// probeUnreached probes targets without a report that run and that this VM fails to reach,
+// or that another VM does and this VM monitors.
+func (s *State) probeUnreached(now model.Instant, e ProbeDue) []Effect {
+	var effects []Effect
+	for _, id := range s.services() {
+		for _, t := range s.byService[id] {
+			if t.Kind != "" || now.Sub(t.connectionProbedAt) < reconnectInterval && t.connectionProbedAt != 0 {
+				continue
+			}
+			asked := s.monitors(now, t, e.Lead) && s.unreachedByPeer(now, t) && now.Sub(t.reach.contactAt) >= reconnectInterval
+			if !s.reaches(t) && s.runsUnreached(now, t) || asked {
+				effects = append(effects, s.probeConnection(now, t))
+			}
+		}
 	}
 	return effects
 }
--- a/internal/director/path.go
+++ b/internal/director/path.go
@@ -57,6 +57,9 @@
 	target *target
 	// usable is false under suspicion; full is true when the KV cache is full.
 	usable, full bool
+	// unreached is true when this VM does not reach the target, it runs, and no other VM
+	// relays requests to it.
+	unreached bool
 	// limited is true when the target's limit allows no further request to it as the
 	// first hop.
 	limited bool
@@ -68,11 +71,11 @@
 	candidates := s.candidates(now, r)
 	hops := s.findPath(r, candidates, func(c *candidate) bool { return c.usable && !c.full })
 	if hops == nil {
-		hops = s.findPath(r, candidates, func(c *candidate) bool { return (c.usable || c.target.reportedSinceFault()) && !c.full })
+		hops = s.findPath(r, candidates, func(c *candidate) bool { return (c.usable || c.target.reportedSinceFault(now)) && !c.full })
 	}
 	if hops == nil && r.sends > 0 {
 		// The request was admitted before; a full path is better than none.
-		hops = s.findPath(r, candidates, func(c *candidate) bool { return c.usable || c.target.reportedSinceFault() })
+		hops = s.findPath(r, candidates, func(c *candidate) bool { return c.usable || c.target.reportedSinceFault(now) })
 	}
 	if hops == nil {
 		return nil, s.noPathReason(now, r, candidates)
@@ -88,10 +91,10 @@
 func (s *State) candidates(now model.Instant, r *request) []candidate {
 	engine := r.service.Engine
 	noise := rand.New(rand.NewPCG(math.Float64bits(r.random), uint64(r.sends)))
-	limitReached := s.targetLimitReached(r)
+	limitReached := s.targetLimitReached(now, r)
 	var out []candidate
 	for _, t := range s.byService[r.service.ID] {
-		if t.Held.Len() == 0 || !t.serving() {
+		if t.Held.Len() == 0 || !t.serving(now) {
 			continue
 		}
 		if limitReached && t.Held.First == 0 && !slices.Contains(r.possibleRuns, t.incarnation()) {
@@ -100,7 +103,12 @@
 		load := s.load(now, t)
 		used := occupancy(engine, t, load)
 		limited, firstCost := !s.mayStartOn(now, t.ID), firstHopCost(load, t.Slots)
-		if limited {
+		unreached := false
+		if t.Held.First == 0 && !s.reaches(t) && s.runsUnreached(now, t) {
+			unreached = s.relayTo(now, r, t) == nil
+			firstCost += relayCost
+		}
+		if limited || unreached {
 			firstCost = math.Inf(1)
 		}
 		out = append(out, candidate{
@@ -109,7 +117,7 @@
 				CostPerLayer: layerCost(engine, t, load, used) * t.slowness(now) * (1 - costNoise + 2*costNoise*noise.Float64()),
 				FirstHopCost: firstCost,
 			},
-			target: t, usable: t.usable(now), full: used > fullOccupancy, limited: limited,
+			target: t, usable: t.usable(now), full: used > fullOccupancy, limited: limited, unreached: unreached,
 		})
 	}
 	return out
@@ -135,14 +143,18 @@
 // that they named, or a layer has no usable target. In the last case it marks the targets
 // under suspicion to be probed next.
 func (s *State) noPathReason(now model.Instant, r *request, candidates []candidate) string {
-	limited := false
+	limited, unreached := false, false
 	for i := range candidates {
 		candidates[i].FirstHopCost = 0 // as if slots were free
+		unreached = unreached || candidates[i].unreached && candidates[i].usable
 		limited = limited || candidates[i].limited && candidates[i].usable && candidates[i].target.Held.First == 0
 	}
 	if s.findPath(r, candidates, func(c *candidate) bool { return c.usable }) != nil {
-		if limited {
+		switch {
+		case limited:
 			return reasonLimited
+		case unreached:
+			return reasonUnreached
 		}
 		return reasonFull
 	}
--- a/internal/director/paths_test.go
+++ b/internal/director/paths_test.go
@@ -322,9 +322,18 @@
 
 	It("replaces only targets that do not answer report requests", func() {
 		placeable := func() int { return len(h.state.Placeable(h.now)[0].Targets) }
-		h.state.Step(h.now, director.ReportRead{Target: "a1"})
+		for range 3 {
+			h.state.Step(h.now, director.ReportRead{Target: "a1"})
+			Expect(placeable()).To(Equal(5), "the VM has reached no target")
+		}
+		missAfterContact := func() {
+			h.advance(time.Millisecond)
+			h.state.Step(h.now, director.ReportRead{Target: "a2", Report: &fleet.Report{Slowdown: 1}})
+			h.state.Step(h.now, director.ReportRead{Target: "a1"})
+		}
+		missAfterContact()
 		Expect(placeable()).To(Equal(5))
-		h.state.Step(h.now, director.ReportRead{Target: "a1"})
+		missAfterContact()
 		Expect(placeable()).To(Equal(4))
 		h.state.Step(h.now, director.ReportRead{Target: "a1", Report: &fleet.Report{Slowdown: 1}})
 		Expect(placeable()).To(Equal(5))
--- a/internal/director/placeable.go
+++ b/internal/director/placeable.go
@@ -21,9 +21,10 @@
 }
 
 // Placeable returns the services with a layered model, in a fixed order, with their
-// targets that are registered, ready and not dead.
+// targets that are registered, ready and not down. It returns none while this VM is
+// isolated.
 func (s *State) Placeable(now model.Instant) []Placeable {
-	if s.config == nil {
+	if s.config == nil || s.Isolated() {
 		return nil
 	}
 	var ids []model.ServiceID
@@ -39,7 +40,7 @@
 			Engine: s.config.Services[id].Engine, Interruptible: s.interruptible(id), Slowness: map[model.TargetID]float64{},
 		}
 		for _, t := range s.byService[id] {
-			if t.State == fleet.TargetReady && (t.missingSince == 0 || s.restore.pending(now)) && !t.dead() {
+			if t.State == fleet.TargetReady && (t.missingSince == 0 || s.restore.pending(now)) && !s.down(now, t) {
 				p.Targets = append(p.Targets, *t.Target)
 				p.Slowness[t.ID] = math.Round(t.slowness(now))
 			}
--- a/internal/director/ratelimit.go
+++ b/internal/director/ratelimit.go
@@ -104,7 +104,7 @@
 	wait := time.Duration(0)
 	vms := s.limitVMs(now)
 	for _, t := range s.byService[service] {
-		if t.serving() && s.limits.Limited(t.ID) {
+		if t.serving(now) && s.limits.Limited(t.ID) {
 			if w := s.limits.Wait(now, t.ID, vms); wait == 0 || w < wait {
 				wait = w
 			}
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -31,6 +31,8 @@
 	Retries retrybudget.Settings
 	// Process differs between the processes of a VM.
 	Process uint32
+	// Relay is the relay that this VM offers to others.
+	Relay Relay
 }
 
 // State is the whole state of the reducer.
@@ -96,6 +98,9 @@
 	crashRecords map[Cause]*crashRecord
 	// terminating is when termination was requested; 0 before.
 	terminating model.Instant
+	links       links
+	// relayed counts the connections that this VM relays for others.
+	relayed int
 }
 
 // request is a client attempt in flight.
@@ -119,7 +124,9 @@
 	// sentTo is the first target of the last send, as registered when it began.
 	sentTo incarnation
 	// hops is the path of the send in flight; nil between sends.
-	hops     []fleet.Hop
+	hops []fleet.Hop
+	// via is the VM through which the send in flight is relayed, "" for a direct one.
+	via      model.NodeID
 	diverted bool
 	// retryReserved is true when the next send is already taken from the retry
 	// budget.
@@ -205,13 +212,8 @@
 		return s.configRead(now, e)
 	case TargetsRead:
 		return s.updateTargets(now, e)
-	case ReportRead:
-		return s.reportRead(now, e)
 	case ProbeDue:
-		s.lead = e.Lead
-		return slices.Concat(s.contentRead(now), s.inheritSilent(now), s.probe(now, e), s.probeConnections(now, e))
-	case ConnectionProbed:
-		return s.connectionProbed(now, e)
+		return s.probeDue(now, e)
 	case PeerState:
 		return s.applyPeer(now, e)
 	case ContentRead:
@@ -223,21 +225,55 @@
 	case StoreReplaced:
 		s.restore = restore{}
 	case VMsCounted:
-		s.listedVMs = max(e.Count, 1)
-		s.updateVMs(now)
+		s.vmsCounted(now, e)
 	case SettingsChanged:
 		return s.settingsChanged(e.Settings)
 	case Terminating:
 		s.terminating = now
+	default:
+		return s.stepLinks(now, e)
+	}
+	return nil
+}
+
+// stepLinks applies an event that shows which targets are reached.
+func (s *State) stepLinks(now model.Instant, e Event) []Effect {
+	switch e := e.(type) {
+	case ReportRead:
+		return s.reportRead(now, e)
+	case ConnectionProbed:
+		return s.connectionProbed(now, e)
+	case RelayOpened:
+		s.relayOpened(now, e)
+	case RelayClosed:
+		s.relayed--
 	}
 	return nil
 }
 
+func (s *State) probeDue(now model.Instant, e ProbeDue) []Effect {
+	s.lead = e.Lead
+	return slices.Concat(
+		s.contentRead(now), s.inheritSilent(now), s.updateIsolation(now), s.confirmCrashes(now), s.probe(now, e), s.probeConnections(now, e),
+	)
+}
+
+func (s *State) vmsCounted(now model.Instant, e VMsCounted) {
+	s.listedVMs = max(e.Count, 1)
+	s.updateVMs(now)
+}
+
 func (s *State) settingsChanged(next Settings) []Effect {
-	next.VM, next.Zone, next.Process = s.settings.VM, s.settings.Zone, s.settings.Process
+	next.VM, next.Zone, next.Process, next.Relay = s.settings.VM, s.settings.Zone, s.settings.Process, s.settings.Relay
 	s.settings = next
 	s.budget.SetSettings(next.Retries)
-	return []Effect{&StateChanged{What: "settings in force", Detail: fmt.Sprintf("%+v", next)}}
+	return []Effect{&StateChanged{What: "settings in force", Detail: fmt.Sprintf("%+v", next.public())}}
+}
+
+// public returns the settings without the secret.
+func (s Settings) public() Settings {
+	s.Relay.Secret = ""
+	return s
 }
 
 // configRead puts a newer configuration in force.
--- a/internal/director/status.go
+++ b/internal/director/status.go
@@ -22,6 +22,8 @@
 	StoreUnreachable bool `json:"store_away"`
 	// StoreEra is the era of the last read of the store.
 	StoreEra fleet.StoreEra `json:"store_era"`
+	// Isolated is true when the VM lost most targets while they run.
+	Isolated bool `json:"isolated"`
 	// InFlight is the number of requests in flight.
 	InFlight int            `json:"in_flight"`
 	Targets  []TargetStatus `json:"targets"`
@@ -37,8 +39,10 @@
 	Kind    model.AcceleratorKind  `json:"kind,omitempty"`
 	Held    model.LayerRange       `json:"held"`
 	// State is "ready", "draining", "suspected" or "dead".
-	State string  `json:"state"`
-	Pace  float64 `json:"pace"`
+	State string `json:"state"`
+	// Reached is false when the VM fails to reach the target itself.
+	Reached bool    `json:"reached"`
+	Pace    float64 `json:"pace"`
 	// Requests and Waiting count the load of all VMs, as far as it is known.
 	Requests int `json:"requests"`
 	Waiting  int `json:"waiting"`
@@ -79,7 +83,7 @@
 // Status returns the VM's view at a time, in a fixed order.
 func (s *State) Status(now model.Instant) Status {
 	out := Status{
-		VM: s.settings.VM, Zone: s.settings.Zone, ConfirmedMs: -1, StoreUnreachable: s.storeFailedAt != 0, StoreEra: s.storeEra, InFlight: len(s.requests),
+		VM: s.settings.VM, Zone: s.settings.Zone, ConfirmedMs: -1, StoreUnreachable: s.storeFailedAt != 0, StoreEra: s.storeEra, InFlight: len(s.requests), Isolated: s.Isolated(),
 		Targets: []TargetStatus{}, Holes: s.missingLayers(now),
 	}
 	if s.config != nil {
@@ -90,7 +94,7 @@
 		for _, t := range s.byService[service] {
 			load := s.load(now, t)
 			out.Targets = append(out.Targets, TargetStatus{
-				ID: t.ID, Service: service, Zone: t.Zone, Kind: t.Kind, Held: t.Held, State: t.stateName(now),
+				ID: t.ID, Service: service, Zone: t.Zone, Kind: t.Kind, Held: t.Held, State: t.stateName(now), Reached: s.reaches(t),
 				Pace: t.slowness(now), Requests: load.Requests, Waiting: load.Waiting,
 			})
 		}
@@ -118,7 +122,7 @@
 
 func (t *target) stateName(now model.Instant) string {
 	switch {
-	case t.dead():
+	case t.dead(now):
 		return "dead"
 	case t.State == fleet.TargetDraining:
 		return "draining"
--- a/internal/director/suspicion.go
+++ b/internal/director/suspicion.go
@@ -32,6 +32,8 @@
 	indirect bool
 	// rejectsRequests is true when the target rejected a request.
 	rejectsRequests bool
+	// connection is true when this VM could not connect or read a report.
+	connection bool
 }
 
 // suspect puts a target under suspicion, or extends its suspicion.
@@ -39,6 +41,7 @@
 	fresh := now >= t.suspectedUntil
 	t.indirect = f.indirect && (fresh || t.indirect)
 	t.rejectsRequests = f.rejectsRequests
+	t.connectionFault = f.connection && (fresh || t.connectionFault)
 	t.faultSeenAt = now
 	period := min(initialSuspicion<<min(t.consecutiveFaults, 8), maxSuspicion)
 	t.suspectedUntil = max(t.suspectedUntil, now.Add(max(period, f.minPeriod)))
@@ -54,12 +57,13 @@
 // from before the last change of the target's layers is discarded as well.
 func (s *State) adoptSuspicion(now model.Instant, t *target, suspicion Suspicion, peer model.NodeID) Effect {
 	at := now.Add(-suspicion.Age)
-	if suspicion.Remaining <= 0 || t.lastAnswerAt > at || t.layersChangedAt > at {
+	if suspicion.Remaining <= 0 || max(t.lastAnswerAt, t.reach.peerSignAt) > at || t.layersChangedAt > at {
 		return nil
 	}
 	fresh := now >= t.suspectedUntil
 	t.indirect = fresh || t.indirect
 	t.rejectsRequests = suspicion.RejectsRequests || t.rejectsRequests && !fresh
+	t.connectionFault = t.connectionFault && !fresh
 	t.faultSeenAt = max(t.faultSeenAt, at)
 	t.suspectedUntil = max(t.suspectedUntil, now.Add(min(suspicion.Remaining, maxSuspicion)))
 	if !fresh {
@@ -72,8 +76,8 @@
 
 // reportedSinceFault reports whether a target under suspicion has answered a report
 // request since the fault. Such a target is used when no other holds its layers.
-func (t *target) reportedSinceFault() bool {
-	return t.serving() && !t.rejectsRequests && t.lastReportAt > t.faultSeenAt
+func (t *target) reportedSinceFault(now model.Instant) bool {
+	return t.serving(now) && !t.rejectsRequests && t.lastReportAt > t.faultSeenAt
 }
 
 // completed records that the target took part in a complete answer to a request sent
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -31,6 +31,10 @@
 	// rejectsRequests is true when the fault was a rejection: the target is reachable and
 	// accepts no request.
 	rejectsRequests bool
+	// connectionFault is true when the fault was that this VM could not connect, or read a
+	// report: another VM's sign of life refutes it.
+	connectionFault bool
+	reach           reachability
 	// lastAnswerAt is when this VM last received an answer through the target, and
 	// lastReportAt when it last received the target's report.
 	lastAnswerAt, lastReportAt model.Instant
@@ -75,8 +79,33 @@
 
 // peer is the last state received from another VM.
 type peer struct {
-	receivedAt model.Instant
-	loads      map[model.TargetID]Load
+	receivedAt  model.Instant
+	zone        model.AvailabilityZone
+	loads       map[model.TargetID]Load
+	isolated    bool
+	unreachable map[model.TargetID]bool
+	relay       Relay
+	inFlight    int
+	// relayFailedAt is when it last failed as a relay, and relayedFromHere counts the
+	// requests that this VM sends through it.
+	relayFailedAt   model.Instant
+	relayedFromHere int
+}
+
+// updatePeer replaces what is known of another VM by its last message.
+func (s *State) updatePeer(now model.Instant, e PeerState) *peer {
+	p := s.peers[e.VM]
+	if p == nil {
+		p = &peer{}
+		s.peers[e.VM] = p
+	}
+	p.receivedAt, p.zone, p.loads, p.isolated, p.relay, p.inFlight = now, e.Zone, e.Loads, e.Isolated, e.Relay, e.InFlight
+	p.relay.VM = e.VM
+	p.unreachable = make(map[model.TargetID]bool, len(e.Unreachable))
+	for _, id := range e.Unreachable {
+		p.unreachable[id] = true
+	}
+	return p
 }
 
 const (
@@ -176,6 +205,7 @@
 		known.superseded, known.refusedConnections = false, 0
 		s.limits.Forget(t.ID)
 		known.consecutiveFaults, known.suspectedUntil, known.faultSeenAt, known.slowdown, known.missedReports = 0, 0, 0, 1, 0
+		known.reach, known.connectionFault = reachability{}, false
 	}
 	before := describe(known.Target)
 	known.Target, known.rowVersion = t, rowVersion
@@ -225,12 +255,12 @@
 }
 
 // serving reports whether the target is ready and not dead.
-func (t *target) serving() bool {
-	return t.State == fleet.TargetReady && !t.dead()
+func (t *target) serving(now model.Instant) bool {
+	return t.State == fleet.TargetReady && !t.dead(now)
 }
 
 // usable reports whether the target is serving and not under suspicion.
-func (t *target) usable(now model.Instant) bool { return t.serving() && now >= t.suspectedUntil }
+func (t *target) usable(now model.Instant) bool { return t.serving(now) && now >= t.suspectedUntil }
 
 // holds reports whether the target holds the layers of a hop.
 func (t *target) holds(hop fleet.Hop) bool {
@@ -260,9 +290,12 @@
 	return t.slowdown
 }
 
-// dead reports whether the target does not answer report requests, or another
-// incarnation answers at its address.
-func (t *target) dead() bool { return t.missedReports >= deadAfterMissedReports || t.superseded }
+// dead reports whether the target does not answer report requests and has given no other
+// sign of life, or another incarnation answers at its address. For this VM's paths that is
+// enough; see State.down for what it means to all VMs.
+func (t *target) dead(now model.Instant) bool {
+	return t.superseded || t.missedReports >= deadAfterMissedReports && !t.runs(now)
+}
 
 // endedAfterMissedReports is the number of unanswered report requests in a row after
 // which a target is assumed to have ended or to be partitioned: fewer are also missed
@@ -274,34 +307,65 @@
 	return incarnation{target: t.ID, startedMs: t.StartedMs}
 }
 
-// ended reports whether an incarnation of the target runs no request any more.
-func (t *target) ended(startedMs int64) bool {
-	return t.superseded || t.missedReports >= endedAfterMissedReports || t.refusedConnections >= crashedAfterRefusals ||
-		t.StartedMs != startedMs && startedMs != 0
+// ended reports whether an incarnation of a target runs no request any more.
+func (s *State) ended(now model.Instant, t *target, startedMs int64) bool {
+	if t.superseded || t.StartedMs != startedMs && startedMs != 0 {
+		return true
+	}
+	return (t.missedReports >= endedAfterMissedReports || t.refusedConnections >= crashedAfterRefusals) && s.down(now, t)
 }
 
-// probe requests the reports of suspected, dead and monitored targets.
+// probe requests the reports of suspected, dead, unreached and monitored targets.
 func (s *State) probe(now model.Instant, e ProbeDue) []Effect {
 	var effects []Effect
 	for _, list := range s.byService {
 		for _, t := range list {
-			needed := t.neededAt != 0 && now.Sub(t.neededAt) < neededWindow
-			suspected := now < t.suspectedUntil && (t.consecutiveFaults > 0 || e.All || needed) || t.dead()
-			monitored := e.Lead && t.Zone == s.settings.Zone && now.Sub(t.reportRequestedAt) >= slowdownReadInterval
-			if t.Kind == "" || !suspected && !monitored || now.Sub(t.reportRequestedAt) < reportInterval {
+			if t.Kind == "" || now.Sub(t.reportRequestedAt) < reportInterval {
 				continue
 			}
-			t.reportRequestedAt = now
-			effects = append(effects, &RequestReport{Target: t.ID, Address: t.Address})
+			if s.reportDueForSuspicion(now, t, e.All) || s.reportDueForReach(now, t) || s.reportDueForOthers(now, t, e.Lead) {
+				effects = append(effects, s.requestReport(now, t))
+			}
 		}
 	}
 	return effects
 }
 
+// reportDueForSuspicion reports whether the report of a suspected or dead target is due: all
+// is true where it is also due for the suspicions of other VMs.
+func (s *State) reportDueForSuspicion(now model.Instant, t *target, all bool) bool {
+	if t.runs(now) {
+		return false // only its connection is to be probed
+	}
+	needed := t.neededAt != 0 && now.Sub(t.neededAt) < neededWindow
+	return now < t.suspectedUntil && (t.consecutiveFaults > 0 || all || needed) || t.dead(now)
+}
+
+// reportDueForReach reports whether it is due to try whether a target is reached again.
+func (s *State) reportDueForReach(now model.Instant, t *target) bool {
+	since := now.Sub(t.reportRequestedAt)
+	return t.reach.failedAt != 0 && since >= reconnectInterval || !s.reaches(t) && since >= isolatedProbeInterval
+}
+
+// reportDueForOthers reports whether the report of a target is due that this VM monitors.
+func (s *State) reportDueForOthers(now model.Instant, t *target, lead bool) bool {
+	if !s.monitors(now, t, lead) {
+		return false
+	}
+	since := now.Sub(t.reportRequestedAt)
+	return t.Zone == s.settings.Zone && since >= slowdownReadInterval || since >= reconnectInterval && s.unreachedByPeer(now, t)
+}
+
+// requestReport requests a target's report.
+func (s *State) requestReport(now model.Instant, t *target) Effect {
+	t.reportRequestedAt = now
+	return &RequestReport{Target: t.ID, Address: t.Address, NewConnection: t.reach.failedAt != 0}
+}
+
 // applyPeer applies the state received from another VM.
 func (s *State) applyPeer(now model.Instant, e PeerState) []Effect {
 	known := len(s.peers)
-	s.peers[e.VM] = &peer{receivedAt: now, loads: e.Loads}
+	s.updatePeer(now, e)
 	s.dropStored(now, e)
 	s.peerHasConfig(now, e.Config)
 	if len(s.peers) > known {
@@ -313,6 +377,7 @@
 		}
 	}
 	effects := append(s.keepLostAnswers(now, e), s.contentRead(now)...)
+	effects = append(effects, s.applySigns(now, e)...)
 	effects = append(effects, s.applyLimits(now, e)...)
 	for _, answer := range e.Answers {
 		effects = append(effects, effectList(s.applyAnswered(now, answer, e.VM))...)
@@ -328,10 +393,26 @@
 		effects = append(effects, effectList(s.applyQuarantine(now, q, e.VM))...)
 	}
 	for id, suspicion := range e.Suspects {
-		if t := s.targets[id]; t != nil {
+		if t := s.targets[id]; t != nil && !e.Isolated {
 			effects = append(effects, effectList(s.adoptSuspicion(now, t, suspicion, e.VM))...)
 		}
 	}
+	return append(effects, s.findSigns(now, e)...)
+}
+
+// findSigns requests the reports of targets that another VM fails to reach, if this VM
+// monitors them and has had no sign of life of them lately.
+func (s *State) findSigns(now model.Instant, e PeerState) []Effect {
+	var effects []Effect
+	for _, id := range e.Unreachable {
+		t := s.targets[id]
+		if t == nil || t.Kind == "" || now.Sub(t.reportRequestedAt) < reconnectInterval || now.Sub(t.reach.contactAt) < reportInterval {
+			continue
+		}
+		if s.monitors(now, t, s.lead) {
+			effects = append(effects, s.requestReport(now, t))
+		}
+	}
 	return effects
 }
 
@@ -355,9 +436,10 @@
 // crashes, quarantines and lost answers.
 func (s *State) OwnPeerState(now model.Instant) PeerState {
 	out := PeerState{
-		VM: s.settings.VM, Process: s.settings.Process, Uptime: now.Sub(s.startedAt), Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
+		VM: s.settings.VM, Zone: s.settings.Zone, Process: s.settings.Process, Uptime: now.Sub(s.startedAt), Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
 		Paces: map[model.TargetID]float64{}, Crashes: s.recentCrashes(now), Quarantines: s.quarantines(now),
 		LostAnswers: s.sentLostAnswers(now), Answers: s.sentAnswers(now), Limits: s.sentLimits(now),
+		Isolated: s.Isolated(), Unreachable: s.sentUnreachable(), Signs: s.sentSigns(now), Relay: s.offered(), InFlight: len(s.requests) + s.relayed,
 	}
 	if s.config != nil {
 		out.Config = s.config.Version
@@ -369,7 +451,7 @@
 		if slowdown := t.slowness(now); slowdown > 1 && t.Zone == s.settings.Zone {
 			out.Paces[id] = slowdown
 		}
-		if remaining := t.suspectedUntil.Sub(now); remaining > 0 && t.consecutiveFaults > 0 {
+		if remaining := t.suspectedUntil.Sub(now); remaining > 0 && t.consecutiveFaults > 0 && !s.Isolated() {
 			out.Suspects[id] = Suspicion{Remaining: remaining, Age: now.Sub(t.faultSeenAt), RejectsRequests: t.rejectsRequests}
 		}
 	}
--- a/internal/director/unusable.go
+++ b/internal/director/unusable.go
@@ -26,6 +26,8 @@
 	if layers := s.layersWithoutTarget(now, service); layers != "" {
 		parts = append(parts, "no usable target for layers "+layers)
 	}
+	reached, all := s.Reaches()
+	parts = append(parts, fmt.Sprintf("this VM reaches %d of %d targets", reached, all))
 	if last != nil {
 		observer := "this VM"
 		if last.indirect {
--- a/internal/frontdaemon/daemon.go
+++ b/internal/frontdaemon/daemon.go
@@ -18,6 +18,7 @@
 	"tamarackreach/internal/controller"
 	"tamarackreach/internal/director"
 	"tamarackreach/internal/ingress"
+	"tamarackreach/internal/relay"
 	"tamarackreach/internal/retrybudget"
 	"tamarackreach/internal/upstream"
 	"tamarackreach/platform"
@@ -67,6 +68,7 @@
 	reducer    *ingress.Reducer
 	pool       *upstream.Pool
 	ingress    *ingress.RequestHandler
+	relay      *relay.Server
 	controller *controller.Controller
 	metrics    *ingress.Metrics
 	// lastSettingsText is the content of the settings file at the last check, or the
@@ -87,13 +89,15 @@
 func New(s *platform.Settings, options Options) *Daemon {
 	settings := directorSettings(s)
 	settings.Process = rand.Uint32()
+	settings.Relay = director.Relay{VM: s.VM, Address: relayAddress(s), Secret: relay.NewSecret()}
 	state := director.New(settings)
 	d := &Daemon{
 		settings: s, options: options, reducer: ingress.NewReducer(state), pool: upstream.NewPool(),
 		metrics: ingress.NewMetrics(),
 	}
+	d.relay = newRelay(settings.Relay.Secret, d.reducer)
 	d.controller = controller.New(s, d.reducer)
-	d.ingress = ingress.New(d.reducer, d.pool, d.controller.RequestReport, d.metrics)
+	d.ingress = ingress.New(d.reducer, d.pool, d.controller.Probe, d.metrics)
 	d.registerMetrics()
 	return d
 }
@@ -121,6 +125,9 @@
 			return err
 		}
 	}
+	if err := d.serveRelay(ctx, relayAddress(d.settings)); err != nil {
+		return err
+	}
 	go d.sweep(ctx)
 	controllerFailed := make(chan error, 1)
 	go func() { controllerFailed <- d.controller.Run(ctx) }()
--- a/internal/frontdaemon/status.go
+++ b/internal/frontdaemon/status.go
@@ -25,6 +25,22 @@
 		state(func(s *director.State) float64 { return float64(s.LimitedTargets()) }))
 }
 
+// registerReachMetrics registers which targets the VM reaches, and what it relays.
+func (d *Daemon) registerReachMetrics(state func(func(*director.State) float64) func() float64) {
+	m := d.metrics
+	m.Gauge("tamarack_targets_unreached", "Targets that this VM fails to reach itself.",
+		state(func(s *director.State) float64 { reached, all := s.Reaches(); return float64(all - reached) }))
+	m.Gauge("tamarack_isolated", "1 while this VM does not reach most targets although they run.",
+		state(func(s *director.State) float64 {
+			if s.Isolated() {
+				return 1
+			}
+			return 0
+		}))
+	m.Gauge("tamarack_relayed_connections", "Connections to targets that this VM holds for other VMs.",
+		state(func(s *director.State) float64 { return float64(s.Relayed()) }))
+}
+
 // missingLayers returns the number of layers without a usable holder, summed over zones.
 func missingLayers(s *director.State) float64 {
 	missing := uint32(0)
@@ -59,6 +75,7 @@
 	m.Gauge("tamarack_layers_missing", "Layers without a usable holder, summed over zones.",
 		state(missingLayers))
 	d.registerRefusalMetrics(state)
+	d.registerReachMetrics(state)
 	m.Gauge("tamarack_placement_duty", "1 while this VM places layers.", func() float64 {
 		if d.controller.HoldsLease() {
 			return 1
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -21,25 +21,27 @@
 	"tamarackreach/internal/director"
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/relay"
 	"tamarackreach/internal/upstream"
 	"tamarackreach/platform"
 )
 
-// ReportReader fetches a target's load report and passes it to the reducer.
-type ReportReader func(request *director.RequestReport)
+// Prober carries out the probes of targets among the effects of an event, and passes their
+// results to the reducer.
+type Prober func(effects []director.Effect)
 
 // RequestHandler is the http.Handler for callers' requests.
 type RequestHandler struct {
-	reducer    *Reducer
-	pool       *upstream.Pool
-	readReport ReportReader
-	metrics    *Metrics
-	buffers    buffers
+	reducer *Reducer
+	pool    *upstream.Pool
+	probe   Prober
+	metrics *Metrics
+	buffers buffers
 }
 
 // New returns a handler that sends requests over pool.
-func New(r *Reducer, pool *upstream.Pool, readReport ReportReader, m *Metrics) *RequestHandler {
-	return &RequestHandler{reducer: r, pool: pool, readReport: readReport, metrics: m}
+func New(r *Reducer, pool *upstream.Pool, probe Prober, m *Metrics) *RequestHandler {
+	return &RequestHandler{reducer: r, pool: pool, probe: probe, metrics: m}
 }
 
 const (
@@ -243,8 +245,13 @@
 	call := a.call(e)
 	call.ExpiresAt = e.ExpiresAt
 	x, err := a.handler.pool.Do(ctx, call)
+	via := model.NodeID("")
+	if e.Relay != nil {
+		via = e.Relay.VM
+		a.handler.metrics.relayedSends.Inc()
+	}
 	a.log.WithFields(logrus.Fields{
-		"send": e.Number, "target": e.Hops[0].Target, "path": pathText(e.Hops), "route": e.Route.Name,
+		"send": e.Number, "target": e.Hops[0].Target, "relay": via, "path": pathText(e.Hops), "route": e.Route.Name,
 		"left_ms": e.TimeLeft.Milliseconds(), "read_ms": e.Predicted.Prefill.Milliseconds(), "queue_ms": e.Predicted.Queue.Milliseconds(),
 		"shared_parts": a.request.SharedParts,
 	}).Info("request sent")
@@ -262,13 +269,13 @@
 	}
 	ended := &director.SendEnded{
 		ID: a.request.ID, Outcome: outcome, FaultAt: x.Head.FaultAt, Took: time.Since(sentAt),
-		Unresumable: a.unresumable, Random: rand.Float64(),
+		Unresumable: a.unresumable, Unconnected: x.Unconnected, RelayFailed: x.RelayFailed, Responded: x.Response != nil, Random: rand.Float64(),
 	}
 	a.withdrawKept(e, x, outcome)
 	a.handler.metrics.sends.WithLabelValues(outcome.String()).Inc()
 	line := a.log.WithFields(logrus.Fields{
 		"send": e.Number, "outcome": outcome.String(), "fault_at": ended.FaultAt, "took_ms": ended.Took.Milliseconds(),
-		"target": e.Hops[0].Target, "sent": x.Sent, "begun": a.streaming, "reused_connection": x.Reused, "framing": x.Framing(),
+		"target": e.Hops[0].Target, "relay": via, "sent": x.Sent, "begun": a.streaming, "reused_connection": x.Reused, "framing": x.Framing(),
 	})
 	if x.Response != nil {
 		line = line.WithFields(logrus.Fields{"response_status": x.Response.StatusCode, "signed": x.Head.Signed, "encoded": x.Head.Encoded})
@@ -328,8 +335,12 @@
 	if a.lastEventID > 0 {
 		send.ResumeAfter = platform.EventID(a.lastEventID)
 	}
+	var through *relay.Endpoint
+	if e.Relay != nil {
+		through = &relay.Endpoint{VM: e.Relay.VM, Address: e.Relay.Address, Secret: e.Relay.Secret}
+	}
 	return &upstream.Call{
-		ID: a.request.ID, Address: e.Hops[0].Address, Method: a.r.Method, URI: a.r.RequestURI, Host: a.r.Host,
+		ID: a.request.ID, Target: e.Hops[0].Target, Address: e.Hops[0].Address, Relay: through, Method: a.r.Method, URI: a.r.RequestURI, Host: a.r.Host,
 		Header: platform.ForwardHeader(a.r.Header, send), Body: a.request.Body, SilenceInterval: silenceInterval, OnSilence: a.onSilence,
 	}
 }
@@ -341,11 +352,9 @@
 		return nil
 	}
 	effects := a.handler.reducer.Step(director.StreamIdle{ID: a.request.ID, For: time.Since(a.lastReceived)})
+	a.handler.probe(effects)
 	for _, effect := range effects {
-		switch e := effect.(type) {
-		case *director.RequestReport:
-			go a.handler.readReport(e)
-		case *director.Divert:
+		if e, ok := effect.(*director.Divert); ok {
 			a.diverted = true
 			a.log.WithField("reason", e.Reason).Info("send cancelled; request diverted to another path")
 			return errDiverted
--- a/internal/ingress/histories_test.go
+++ b/internal/ingress/histories_test.go
@@ -87,7 +87,7 @@
 	if err := targets.register(reducer); err != nil {
 		return nil, err
 	}
-	handler := ingress.New(reducer, upstream.NewPool(), nil, ingress.NewMetrics())
+	handler := ingress.New(reducer, upstream.NewPool(), func([]director.Effect) {}, ingress.NewMetrics())
 	server := httptest.NewServer(handler)
 	h.call(server.Listener.Addr().String())
 	server.Close() // waits for the handlers
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -19,8 +19,10 @@
 	// promisesDiscarded counts the responses of targets whose status promises that the
 	// request has not run, without a statement of the target that it did not run it.
 	promisesDiscarded *prometheus.CounterVec
-	firstByte         prometheus.Histogram
-	duration          prometheus.Histogram
+	// relayedSends counts the sends through other VMs.
+	relayedSends prometheus.Counter
+	firstByte    prometheus.Histogram
+	duration     prometheus.Histogram
 }
 
 // latencyBuckets are histogram bounds in seconds: from tens of milliseconds for
@@ -43,6 +45,9 @@
 		promisesDiscarded: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tamarack_promises_discarded_total", Help: "Responses of targets that were discarded because their status promises that the request has not run, by status.",
 		}, []string{"status"}),
+		relayedSends: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tamarack_sends_relayed_total", Help: "Sends through another VM, since this one did not reach the target.",
+		}),
 		firstByte: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "tamarack_first_byte_seconds", Help: "Time to the first byte of an answer.", Buckets: latencyBuckets,
 		}),
@@ -50,7 +55,7 @@
 			Name: "tamarack_request_seconds", Help: "Time to the end of a request.", Buckets: latencyBuckets,
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.sends, m.keptFailures, m.promisesDiscarded, m.firstByte, m.duration)
+	m.registry.MustRegister(m.requests, m.sends, m.keptFailures, m.promisesDiscarded, m.relayedSends, m.firstByte, m.duration)
 	return m
 }
 
--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -60,7 +60,7 @@
 	}}})
 	metrics := ingress.NewMetrics()
 	mux := http.NewServeMux()
-	mux.Handle("/", ingress.New(reducer, upstream.NewPool(), nil, metrics))
+	mux.Handle("/", ingress.New(reducer, upstream.NewPool(), func([]director.Effect) {}, metrics))
 	mux.Handle("/metrics", metrics.Handler())
 	server := httptest.NewUnstartedServer(mux)
 	server.Config.ConnContext = ingress.ConnContext
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -12,19 +12,23 @@
 
 	"tamarackreach/internal/bootclock"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/relay"
 	"tamarackreach/platform"
 )
 
 // Exchange is one send of a request to a target and its response.
 type Exchange struct {
 	pool      *Pool
-	address   string
+	route     string
 	conn      *connection
 	stopAbort func() bool
 	released  atomic.Bool
 	body      *responseBody
 	// Sent is true once a byte may have been sent to the target.
 	Sent bool
+	// Unconnected is true when no connection could be opened although there was time for
+	// it, and RelayFailed when the reason is the relay.
+	Unconnected, RelayFailed bool
 	// Reused is true when the connection had carried another request before.
 	Reused bool
 	// Response is the target's response to this send, nil if there is none; its body
@@ -36,12 +40,15 @@
 // Call describes the request to send.
 type Call struct {
 	ID      model.RequestID
+	Target  model.TargetID
 	Address string
-	Method  string
-	URI     string
-	Host    string
-	Header  http.Header
-	Body    []byte
+	// Relay is the VM through which the target is reached, nil for a direct connection.
+	Relay  *relay.Endpoint
+	Method string
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
 	// ExpiresAt is the deadline of the request; 0 when it has none.
 	ExpiresAt model.Instant
 	// SilenceInterval is the time without received bytes after which OnSilence is
@@ -55,9 +62,10 @@
 // returned exchange, also after an error. Cancelling the context aborts the
 // exchange at any time.
 func (p *Pool) Do(ctx context.Context, call *Call) (*Exchange, error) {
-	x := &Exchange{pool: p, address: call.Address}
-	conn, err := p.get(ctx, call.Address, call.ID)
+	x := &Exchange{pool: p, route: call.route()}
+	conn, err := p.get(ctx, call)
 	if err != nil {
+		x.Unconnected, x.RelayFailed = ctx.Err() == nil, errors.Is(err, relay.ErrRelay)
 		return x, err
 	}
 	x.conn, x.Reused = conn, conn.reused
@@ -211,6 +219,6 @@
 		return
 	}
 	if x.released.CompareAndSwap(false, true) {
-		x.pool.put(x.address, x.conn, x.Head.IdleLimit)
+		x.pool.put(x.route, x.conn, x.Head.IdleLimit)
 	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,6 +16,8 @@
 	"golang.org/x/sys/unix"
 
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/relay"
+	"tamarackreach/internal/tcpstate"
 )
 
 const (
@@ -117,20 +119,12 @@
 // errReset means that the target reset the connection.
 var errReset = errors.New("connection reset by the target")
 
-// wasReset reports whether a connection whose read returned io.EOF was reset. The
-// kernel reports a reset only once: if a concurrent write receives the error, a read
-// then returns io.EOF, as if the target had ended its response.
+// wasReset reports whether the connection was reset, after a read that returned io.EOF.
 func (c *connection) wasReset() bool {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return true
+	if framed, ok := c.Conn.(interface{ Ended() bool }); ok && framed.Ended() {
+		return false // the relay states that the target ended in order
 	}
-	var info *unix.TCPInfo
-	var failed error
-	err = raw.Control(func(fd uintptr) {
-		info, failed = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	})
-	return err != nil || failed != nil || info.State == unix.BPF_TCP_CLOSE
+	return tcpstate.WasReset(c.Conn)
 }
 
 // checkIdle reports whether the idle connection is open and has no unread bytes, and
@@ -151,7 +145,7 @@
 	return err == nil && errors.Is(peeked, unix.EAGAIN), err == nil && peeked == nil && n > 0
 }
 
-// Pool holds idle connections by target address.
+// Pool holds idle connections by target address, and by relay.
 type Pool struct {
 	dialer Dialer
 	mu     sync.Mutex
@@ -167,9 +161,10 @@
 
 // get returns a reusable idle connection that has not carried the request id, the
 // most recently used first, or opens a new one.
-func (p *Pool) get(ctx context.Context, address string, id model.RequestID) (*connection, error) {
+func (p *Pool) get(ctx context.Context, call *Call) (*connection, error) {
+	id := call.ID
 	for {
-		c := p.take(address, id)
+		c := p.take(call.route(), id)
 		if c == nil {
 			break
 		}
@@ -184,9 +179,9 @@
 		}
 		_ = c.Close() // a close error is harmless: no request is in flight on it
 	}
-	conn, err := p.dialer.Dial(ctx, address)
+	conn, err := p.dial(ctx, call)
 	if err != nil {
-		return nil, errors.Wrapf(err, "cannot connect to target %s", address)
+		return nil, err
 	}
 	p.mu.Lock()
 	p.opened++
@@ -196,6 +191,22 @@
 	return c, nil
 }
 
+func (p *Pool) dial(ctx context.Context, call *Call) (net.Conn, error) {
+	if call.Relay != nil {
+		return relay.Dial(ctx, p.dialer.Dial, *call.Relay, call.Target)
+	}
+	conn, err := p.dialer.Dial(ctx, call.Address)
+	return conn, errors.Wrapf(err, "cannot connect to target %s", call.Address)
+}
+
+// route names the way to the target, by which idle connections are kept.
+func (call *Call) route() string {
+	if call.Relay != nil {
+		return string(call.Relay.VM) + " " + call.Address
+	}
+	return call.Address
+}
+
 // take removes the most recently used idle connection that has not carried the
 // request id: a late response to an earlier send of the same request could not be
 // told from the response to the next one.
