A request whose time ends while a connection is opened is answered 503, as not run

Cause: the end of the request's time overrode the outcome of a send of which no byte had left, and counted its target as one that may have run it. Now only a send that began can time out. The test failed before (504, and by chance of two timers 503).

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -261,7 +261,7 @@
 	if outcome == 0 {
 		return nil
 	}
-	if ctx.Err() != nil && a.r.Context().Err() == nil {
+	if x.Sent && ctx.Err() != nil && a.r.Context().Err() == nil {
 		outcome = director.TimedOut
 	}
 	if a.diverted {
--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -38,6 +38,11 @@
 		respond(sends, w, r)
 	}))
 	DeferCleanup(target.Close)
+	return startIngressFor(target.Listener.Addr().String())
+}
+
+// startIngressFor starts a router whose one target has an address.
+func startIngressFor(address string) string {
 	state := director.New(director.Settings{
 		VM: "vm-1", Zone: "a", ConfigApply: 2 * time.Second,
 		Retries: retrybudget.Settings{Ratio: 1, Slack: 100, Window: 10 * time.Second},
@@ -56,7 +61,7 @@
 		Services: map[model.ServiceID]*fleet.Service{"desk": {ID: "desk"}},
 	}})
 	reducer.Step(director.TargetsRead{Targets: []*fleet.Target{{
-		ID: "o1", Service: "desk", Address: target.Listener.Addr().String(), Zone: "a", State: fleet.TargetReady, Slots: 6,
+		ID: "o1", Service: "desk", Address: address, Zone: "a", State: fleet.TargetReady, Slots: 6,
 	}}})
 	metrics := ingress.NewMetrics()
 	mux := http.NewServeMux()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -65,7 +65,7 @@
 	x := &Exchange{pool: p, route: call.route()}
 	conn, err := p.get(ctx, call)
 	if err != nil {
-		x.Unconnected, x.RelayFailed = ctx.Err() == nil, errors.Is(err, relay.ErrRelay)
+		x.Unconnected, x.RelayFailed = !expired(ctx), errors.Is(err, relay.ErrRelay)
 		return x, err
 	}
 	x.conn, x.Reused = conn, conn.reused
@@ -123,6 +123,13 @@
 	return x, nil
 }
 
+// expired reports whether a context has ended. A dial with its deadline may fail shortly
+// before its error is set.
+func expired(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && !time.Now().Before(deadline)
+}
+
 // errDeadlinePassed means that the deadline passed before the request was sent.
 var errDeadlinePassed = errors.New("the deadline passed while the connection was opened; not sent")
 
