--- a/internal/upstream/network_test.go
+++ b/internal/upstream/network_test.go
@@ -378,10 +378,17 @@
 	})
 
 	It("sends nothing to a restarted target over a connection to its earlier process", func() {
-		t := serve(func(_ int64, conn net.Conn, r *http.Request) bool { echo(conn, r, "old"); return false })
+		ended := make(chan bool)
+		t := serve(func(_ int64, conn net.Conn, r *http.Request) bool {
+			echo(conn, r, "old")
+			_ = conn.Close()
+			close(ended)
+			return false
+		})
 		p := upstream.NewPool()
 		_, err := exchange(p, t.callWithID("earlier"))
 		Expect(err).NotTo(HaveOccurred())
+		Eventually(ended).Should(BeClosed())
 		address := t.listener.Addr().String()
 		Expect(t.listener.Close()).To(Succeed())
 		listener, err := net.Listen("tcp4", address)
