A draining target that answers no reports still counts against max-attempts

A draining target refuses new connections, and so report requests, while it finishes what it runs; after four it counted as ended.

A draining target counts until its registration is replaced. The new spec failed before (3 targets); a second one holds that a target which stopped while ready is still not counted.

--- a/internal/director/targetlimit_test.go
+++ b/internal/director/targetlimit_test.go
@@ -1,6 +1,8 @@
 package director_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -50,6 +52,31 @@
 		})).To(Equal(2))
 	})
 
+	// missReports misses a target's reports for longer than any bound, while the VM reaches
+	// another target.
+	missReports := func(id model.TargetID) {
+		for range 8 {
+			h.advance(300 * time.Millisecond)
+			h.state.Step(h.now, director.ReportRead{Target: "a4", Report: &fleet.Report{Slowdown: 1, StartedMs: 1}})
+			h.state.Step(h.now, director.ReportRead{Target: id})
+		}
+	}
+
+	// Guards against a target that leaves, takes no new connections, and finishes the
+	// requests that it runs.
+	It("counts a draining target that answers no reports", func() {
+		Expect(runs("/s/x", func(id model.TargetID) {
+			h.changeTarget(id, func(t *fleet.Target) { t.State = fleet.TargetDraining })
+			h.read()
+			missReports(id)
+		})).To(Equal(2))
+	})
+
+	// Guards against streams that fail although the targets that ran them have crashed.
+	It("does not count a target that has stopped", func() {
+		Expect(runs("/s/x", missReports)).To(Equal(3))
+	})
+
 	// Guards against a target that ended, started again under its id and ran the
 	// request again, and is taken for the incarnation that ended.
 	It("counts a later incarnation that ran the request again", func() {
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -312,6 +312,9 @@
 	if t.superseded || t.StartedMs != startedMs && startedMs != 0 {
 		return true
 	}
+	if t.State == fleet.TargetDraining {
+		return false // it may refuse connections and finish the requests that it runs
+	}
 	return (t.missedReports >= endedAfterMissedReports || t.refusedConnections >= crashedAfterRefusals) && s.down(now, t)
 }
 
