--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -278,7 +278,7 @@
 		"target": e.Hops[0].Target, "relay": via, "sent": x.Sent, "begun": a.streaming, "reused_connection": x.Reused, "framing": x.Framing(),
 	})
 	if x.Response != nil {
-		line = line.WithFields(logrus.Fields{"response_status": x.Response.StatusCode, "signed": x.Head.Signed, "encoded": x.Head.Encoded})
+		line = line.WithFields(logrus.Fields{"response_status": x.Response.StatusCode, "signed": x.Head.Signed, "encoded": x.Head.Encoded, "rest_ms": x.Head.Rest.Milliseconds(), "leaving": x.Head.Leaving})
 	}
 	if err != nil {
 		line = line.WithError(err)
