A target that asks a VM for rest gets no request from it until the rest ends

Targets saw: more requests than the two that are allowed between half a second after a 503 with Retry-After and the end of that time (three, the last 2.93 s after the first, by the report).

Cause: nothing read the time. A rejection became a suspicion of 0.4 s that doubles with each further one, which alone sends again after about 0.4, 1.2 and 2.8 s, and a service without another target was sent to at once. Class: a stated fact replaced by a guess.

Change: a rest is kept for the VM and the incarnation, beside suspicion and decided with the rate limits in one place. The relay's rests are told to it and to those that may use it. Refusals state the time until the first rest ends.

Evidence: the failing test (27 and 28 requests in 1.5 s, two allowed) passes; specs for what ends a suspicion and must not end a rest.

--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -34,6 +34,8 @@
 	Answers []answeredPart `json:"answers,omitempty"`
 	// Limits are the rates that targets have named.
 	Limits map[model.TargetID]targetLimit `json:"limits,omitempty"`
+	// Rests are the rests that targets asked VMs for.
+	Rests []targetRest `json:"rests,omitempty"`
 	// Isolated is true when the sender does not reach the targets.
 	Isolated bool `json:"isolated,omitempty"`
 	// Unreachable are the targets that the sender fails to reach, and Signs the signs of life
@@ -152,6 +154,23 @@
 	return director.Sign{Born: s[0], Age: time.Duration(s[1]) * time.Millisecond, Report: s[2] != 0}
 }
 
+// targetRest encodes a director.Rest.
+type targetRest struct {
+	VM     model.NodeID   `json:"v"`
+	Target model.TargetID `json:"t"`
+	BornMs int64          `json:"b"`
+	LeftMs int64          `json:"l"`
+}
+
+// encodeRest rounds the time left up.
+func encodeRest(r director.Rest) targetRest {
+	return targetRest{VM: r.VM, Target: r.Target, BornMs: r.Born, LeftMs: r.Remaining.Milliseconds() + 1}
+}
+
+func (r targetRest) decode() director.Rest {
+	return director.Rest{VM: r.VM, Target: r.Target, Born: r.BornMs, Remaining: time.Duration(r.LeftMs) * time.Millisecond}
+}
+
 // encodePeerState returns the message for a VM's state.
 func encodePeerState(peerState director.PeerState) peerMessage {
 	message := peerMessage{
@@ -186,6 +205,9 @@
 		}
 		message.Limits[id] = encodeLimit(l)
 	}
+	for _, r := range peerState.Rests {
+		message.Rests = append(message.Rests, encodeRest(r))
+	}
 	for _, a := range peerState.Answers {
 		message.Answers = append(message.Answers, encodeAnswer(a))
 	}
@@ -228,6 +250,9 @@
 		}
 		out.Limits[id] = l.decode()
 	}
+	for _, r := range m.Rests {
+		out.Rests = append(out.Rests, r.decode())
+	}
 	for _, a := range m.Answers {
 		out.Answers = append(out.Answers, a.decode())
 	}
--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -188,6 +188,7 @@
 	reasonPromptBacklog = "the targets of the service have too many prompts to read"
 	reasonCrashes       = "targets that ran this content crashed"
 
+	reasonResting   = "the targets of the service asked for rest"
 	reasonUnreached = "the VM does not reach the targets, and no other VM can relay the request"
 
 	reasonFull    = "the targets of the service are full"
@@ -202,18 +203,33 @@
 		return unreachedRetryAfter
 	case reasonLimited:
 		return max(limitRetryAfter, s.limitWait(now, r.service.ID))
+	case reasonResting:
+		return max(minRestRetryAfter, s.restWait(now, r.service.ID))
 	}
 	return missingLayerRetryAfter
 }
 
 // noTargetReason returns why no target of a plain service takes a request.
 func (s *State) noTargetReason(now model.Instant, r *request) string {
-	if slices.ContainsFunc(s.byService[r.service.ID], func(t *target) bool { return t.serving(now) && s.limits.Limited(t.ID) }) {
-		return reasonLimited
+	if reason := s.notTakenReason(now, r.service.ID); reason != "" {
+		return reason
 	}
 	return reasonNoTarget
 }
 
+// notTakenReason returns whether targets of a service take no more requests because of a
+// rest or of a rate; a rest ends at a known time and comes first. It is empty when none
+// names either.
+func (s *State) notTakenReason(now model.Instant, service model.ServiceID) string {
+	switch {
+	case s.restWait(now, service) > 0:
+		return reasonResting
+	case slices.ContainsFunc(s.byService[service], func(t *target) bool { return t.serving(now) && s.limits.Limited(t.ID) }):
+		return reasonLimited
+	}
+	return ""
+}
+
 // send chooses the path of the next send of a request, or returns the reason
 // why there is none.
 func (s *State) send(now model.Instant, r *request) (*Send, string) {
@@ -338,7 +354,7 @@
 	var best *target
 	bestScore := 0.0
 	for _, t := range s.byService[r.service.ID] {
-		if !t.serving(now) || !s.mayStartOn(now, t.ID) {
+		if !t.serving(now) || !s.mayStartOn(now, t) {
 			continue
 		}
 		unreached := !s.reaches(t) && s.runsUnreached(now, t)
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -116,6 +116,13 @@
 	PerSecond float64
 }
 
+// RestRequested reports that the target of a request's send in flight wants no further
+// request for a time.
+type RestRequested struct {
+	ID  model.RequestID
+	For time.Duration
+}
+
 // StreamProgressed reports that the send in flight has delivered several events over
 // ProgressTime or longer: what crashes targets does so with its first events. A VM that was
 // suspended reads late events together, so that time alone shows no progress.
@@ -213,6 +220,8 @@
 	Answers []AnsweredPart
 	// Limits are the rates that targets have named, and the VM's sends to them.
 	Limits map[model.TargetID]TargetLimit
+	// Rests are the rests that the VM read from answers.
+	Rests []Rest
 	// Isolated is true when the VM lost most targets while they run.
 	Isolated bool
 	// Unreachable are the targets that the VM fails to reach; it asks for signs of life.
@@ -255,6 +264,7 @@
 func (AnswerStarted) event()    {}
 func (StreamProgressed) event() {}
 func (RateLimitRead) event()    {}
+func (RestRequested) event()    {}
 func (StreamIdle) event()       {}
 func (RequestFinished) event()  {}
 func (WaitElapsed) event()      {}
--- a/internal/director/export_test.go
+++ b/internal/director/export_test.go
@@ -63,3 +63,6 @@
 	t := s.targets[id]
 	return t != nil && t.serving(now)
 }
+
+// Rests returns the number of rests that are kept.
+func (s *State) Rests() int { return len(s.rests) }
--- a/internal/director/link_simulation_test.go
+++ b/internal/director/link_simulation_test.go
@@ -62,6 +62,9 @@
 	expiresAt model.Instant
 	// send counts the sends; the events of earlier ones are dropped.
 	send int
+	// relay and sentTo are the relay and the first target of the last send.
+	relay  model.NodeID
+	sentTo model.TargetID
 	// ran are the targets that ran the request.
 	ran      []model.TargetID
 	answered bool
@@ -81,6 +84,8 @@
 	frozen    map[model.TargetID]bool
 	scheduled []scheduledAction
 	requests  []*linkRequest
+	// arrivals counts the requests that reached each target from each VM.
+	arrivals  map[link]int
 	processes uint32
 	// partialPlans are the views of VMs on which layers could be placed although running
 	// targets are missing in them.
@@ -92,7 +97,7 @@
 func newLinkSimulation() *linkSimulation {
 	l := &linkSimulation{
 		now: model.Instant(time.Hour), config: config(7), targets: map[model.TargetID]*fleet.Target{}, rows: map[model.TargetID]fleet.StoreVersion{},
-		links: map[link]linkState{}, frozen: map[model.TargetID]bool{},
+		links: map[link]linkState{}, frozen: map[model.TargetID]bool{}, arrivals: map[link]int{},
 	}
 	for _, zone := range []model.AvailabilityZone{"a", "b", "c"} {
 		for n := range 2 {
@@ -267,8 +272,8 @@
 		}
 	}
 	from := r.vm.id
-	if via := viaOf(e); via != "" {
-		from = via
+	if r.relay, r.sentTo = viaOf(e), head; r.relay != "" {
+		from = r.relay
 	}
 	d, open := l.opens(from, head)
 	if from == r.vm.id && l.now < r.vm.idleUntil[head] && l.reaches(from, head) != linkReset {
@@ -303,6 +308,7 @@
 func (l *linkSimulation) run(r *linkRequest, e *director.Send, from model.NodeID, number int) {
 	x := &linkExchange{r: r, send: e, from: from, head: e.Hops[0].Target, number: number, sentAt: l.now, receivedAt: l.now}
 	if l.passes(x) {
+		l.arrivals[link{from, x.head}]++
 		r.ran = append(r.ran, x.head)
 	}
 	l.poll(x)
--- a/internal/director/path.go
+++ b/internal/director/path.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -102,7 +103,7 @@
 		}
 		load := s.load(now, t)
 		used := occupancy(engine, t, load)
-		limited, firstCost := !s.mayStartOn(now, t.ID), firstHopCost(load, t.Slots)
+		limited, firstCost := !s.mayStartOn(now, t), firstHopCost(load, t.Slots)
 		unreached := false
 		if t.Held.First == 0 && !s.reaches(t) && s.runsUnreached(now, t) {
 			unreached = s.relayTo(now, r, t) == nil
@@ -152,7 +153,7 @@
 	if s.findPath(r, candidates, func(c *candidate) bool { return c.usable }) != nil {
 		switch {
 		case limited:
-			return reasonLimited
+			return cmp.Or(s.notTakenReason(now, r.service.ID), reasonLimited)
 		case unreached:
 			return reasonUnreached
 		}
--- a/internal/director/ratelimit.go
+++ b/internal/director/ratelimit.go
@@ -72,9 +72,15 @@
 	return nil
 }
 
-// mayStartOn reports whether the limit of a target allows this VM to send it a request.
-func (s *State) mayStartOn(now model.Instant, id model.TargetID) bool {
-	return !s.limits.Limited(id) || s.limits.Allow(now, id, s.limitVMs(now))
+// mayStartOn reports whether a target takes a request of this VM now, by the rate that it
+// named and the rest that it asked for. A target that asked a relay for rest is left out by
+// relayTo.
+func (s *State) mayStartOn(now model.Instant, t *target) bool {
+	direct := s.reaches(t) || !s.runsUnreached(now, t)
+	if direct && s.restLeft(now, s.settings.VM, t) > 0 {
+		return false
+	}
+	return !s.limits.Limited(t.ID) || s.limits.Allow(now, t.ID, s.limitVMs(now))
 }
 
 // limitVMsInterval is how long the VMs among which limits are divided are used: each
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -255,7 +255,7 @@
 		"left_ms": e.TimeLeft.Milliseconds(), "read_ms": e.Predicted.Prefill.Milliseconds(), "queue_ms": e.Predicted.Queue.Milliseconds(),
 		"shared_parts": a.request.SharedParts,
 	}).Info("request sent")
-	a.recordRateLimit(e, x)
+	a.recordHead(e, x)
 	outcome, complete := a.forward(e, x, err)
 	x.Done(complete)
 	if outcome == 0 {
@@ -287,11 +287,18 @@
 	return ended
 }
 
-// recordRateLimit passes the rate that the target named, or did not, to the reducer.
-func (a *activeRequest) recordRateLimit(e *director.Send, x *upstream.Exchange) {
+// recordHead passes to the reducer what the head of a response states about the target.
+func (a *activeRequest) recordHead(e *director.Send, x *upstream.Exchange) {
 	if x.Response == nil {
 		return
 	}
+	if invalid := x.Head.InvalidRest; invalid != "" {
+		a.log.WithFields(logrus.Fields{"target": e.Hops[0].Target, "value": invalid}).
+			Warn("the rest that the target asks for is neither a number of seconds nor a date; ignored")
+	}
+	if x.Head.Rest > 0 {
+		a.handler.reducer.Step(director.RestRequested{ID: a.request.ID, For: x.Head.Rest})
+	}
 	if invalid := x.Head.InvalidRateLimit; invalid != "" {
 		a.log.WithFields(logrus.Fields{"target": e.Hops[0].Target, "value": invalid}).
 			Warn("rate limit of the target is not a positive number; the lowest one is applied")
