A target that states in a response that it leaves gets no new request

Targets saw: requests of clients for seconds after an answer with Server-Leaving, until the registration said so and was read (nothing read the header).

Class: as for rests, a stated fact that nobody read. The statement is kept for the incarnation, beside any registration and without the store; VMs tell each other.

--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -34,6 +34,9 @@
 	Answers []answeredPart `json:"answers,omitempty"`
 	// Limits are the rates that targets have named.
 	Limits map[model.TargetID]targetLimit `json:"limits,omitempty"`
+	// Leaving are targets that leave, with the start times of their processes in Unix
+	// milliseconds.
+	Leaving map[model.TargetID]int64 `json:"leaving,omitempty"`
 	// Rests are the rests that targets asked VMs for.
 	Rests []targetRest `json:"rests,omitempty"`
 	// Isolated is true when the sender does not reach the targets.
@@ -205,6 +208,7 @@
 		}
 		message.Limits[id] = encodeLimit(l)
 	}
+	message.Leaving = peerState.Leaving
 	for _, r := range peerState.Rests {
 		message.Rests = append(message.Rests, encodeRest(r))
 	}
@@ -250,6 +254,7 @@
 		}
 		out.Limits[id] = l.decode()
 	}
+	out.Leaving = m.Leaving
 	for _, r := range m.Rests {
 		out.Rests = append(out.Rests, r.decode())
 	}
--- a/internal/controller/targetclient.go
+++ b/internal/controller/targetclient.go
@@ -59,14 +59,19 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "cannot create the report request")
 	}
-	status, text, err := do(client, req)
+	answer, err := do(client, req)
 	if err != nil {
 		return nil, err
 	}
-	if status != http.StatusOK {
-		return nil, errors.Newf("report request to target %s returned status %d", address, status)
+	if answer.status != http.StatusOK {
+		return nil, errors.Newf("report request to target %s returned status %d", address, answer.status)
 	}
-	return platform.DecodeReport(text)
+	report, err := platform.DecodeReport(answer.text)
+	if err != nil {
+		return nil, err
+	}
+	report.Leaving = platform.DecodeLeaving(answer.header)
+	return report, nil
 }
 
 // order sends an order and returns the status code of the response.
@@ -78,16 +83,24 @@
 		return 0, errors.Wrap(err, "cannot create the order request")
 	}
 	req.Header.Set("Content-Type", "application/json")
-	status, _, err := do(c.connecting, req)
-	return status, err
+	answer, err := do(c.connecting, req)
+	return answer.status, err
+}
+
+// controlAnswer is a target's response to a report request or an order.
+type controlAnswer struct {
+	status int
+	header http.Header
+	text   []byte
 }
 
-func do(client *http.Client, req *http.Request) (int, []byte, error) {
+// do returns a whole response; its status is 0 when there is none.
+func do(client *http.Client, req *http.Request) (controlAnswer, error) {
 	resp, err := client.Do(req)
 	if err != nil {
-		return 0, nil, errors.Wrap(err, "request to the target failed")
+		return controlAnswer{}, errors.Wrap(err, "request to the target failed")
 	}
 	defer func() { _ = resp.Body.Close() }()
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
-	return resp.StatusCode, text, errors.Wrap(err, "cannot read the target's response")
+	return controlAnswer{status: resp.StatusCode, header: resp.Header, text: text}, errors.Wrap(err, "cannot read the target's response")
 }
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -312,6 +312,9 @@
 		return append(s.markSuperseded(t, e.Report.StartedMs), s.confirmCrashes(now)...)
 	}
 	var effects []Effect
+	if e.Report.Leaving {
+		effects = effectList(s.keepLeaving(now, t.incarnation(), "stated in its report"))
+	}
 	if t.dead(now) {
 		effects = append(effects, &StateChanged{What: "target answers again", Subject: string(t.ID)})
 	}
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -123,6 +123,9 @@
 	For time.Duration
 }
 
+// TargetLeaving reports that the target of a request's send in flight stated that it leaves.
+type TargetLeaving struct{ ID model.RequestID }
+
 // StreamProgressed reports that the send in flight has delivered several events over
 // ProgressTime or longer: what crashes targets does so with its first events. A VM that was
 // suspended reads late events together, so that time alone shows no progress.
@@ -220,6 +223,9 @@
 	Answers []AnsweredPart
 	// Limits are the rates that targets have named, and the VM's sends to them.
 	Limits map[model.TargetID]TargetLimit
+	// Leaving are the targets that stated that they leave, though their registrations say
+	// that they are ready, with the start times of their processes in Unix milliseconds.
+	Leaving map[model.TargetID]int64
 	// Rests are the rests that the VM read from answers.
 	Rests []Rest
 	// Isolated is true when the VM lost most targets while they run.
@@ -265,6 +271,7 @@
 func (StreamProgressed) event() {}
 func (RateLimitRead) event()    {}
 func (RestRequested) event()    {}
+func (TargetLeaving) event()    {}
 func (StreamIdle) event()       {}
 func (RequestFinished) event()  {}
 func (WaitElapsed) event()      {}
--- a/internal/director/placeable.go
+++ b/internal/director/placeable.go
@@ -40,7 +40,7 @@
 			Engine: s.config.Services[id].Engine, Interruptible: s.interruptible(id), Slowness: map[model.TargetID]float64{},
 		}
 		for _, t := range s.byService[id] {
-			if t.State == fleet.TargetReady && (t.missingSince == 0 || s.restore.pending(now)) && !s.down(now, t) {
+			if !t.draining() && (t.missingSince == 0 || s.restore.pending(now)) && !s.down(now, t) {
 				p.Targets = append(p.Targets, *t.Target)
 				p.Slowness[t.ID] = math.Round(t.slowness(now))
 			}
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -87,6 +87,8 @@
 	lead bool
 	// limits are the request rates that targets have named.
 	limits *targetlimit.Limits
+	// leaving holds since when incarnations are known to leave.
+	leaving map[incarnation]model.Instant
 	// rests are the times in which targets want no requests from a VM.
 	rests map[restKey]rest
 	// lastLimitVMs are the VMs among which limits are divided, as of limitVMsAt.
@@ -165,7 +167,7 @@
 		byService: map[model.ServiceID][]*target{}, requests: map[model.RequestID]*request{},
 		peers: map[model.NodeID]*peer{}, budget: retrybudget.New(s.Retries),
 		crashRecords: map[Cause]*crashRecord{}, retries: map[model.ServiceID]*serviceRetries{},
-		peerLostAnswers: map[model.NodeID]*peerAnswers{}, answeredParts: newAnsweredParts(), limits: targetlimit.New(), rests: map[restKey]rest{},
+		peerLostAnswers: map[model.NodeID]*peerAnswers{}, answeredParts: newAnsweredParts(), limits: targetlimit.New(), rests: map[restKey]rest{}, leaving: map[incarnation]model.Instant{},
 	}
 }
 
@@ -195,6 +197,8 @@
 		return effectList(s.rateLimitRead(now, e))
 	case RestRequested:
 		return effectList(s.restRequested(now, e))
+	case TargetLeaving:
+		return effectList(s.targetLeaving(now, e))
 	case StreamProgressed:
 		return s.streamProgressed(now, e.ID)
 	case StreamIdle:
--- a/internal/director/status.go
+++ b/internal/director/status.go
@@ -124,7 +124,7 @@
 	switch {
 	case t.dead(now):
 		return "dead"
-	case t.State == fleet.TargetDraining:
+	case t.draining():
 		return "draining"
 	case now < t.suspectedUntil:
 		return "suspected"
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -35,6 +35,8 @@
 	// report: another VM's sign of life refutes it.
 	connectionFault bool
 	reach           reachability
+	// leaves is true when the registered incarnation stated that it leaves.
+	leaves bool
 	// lastAnswerAt is when this VM last received an answer through the target, and
 	// lastReportAt when it last received the target's report.
 	lastAnswerAt, lastReportAt model.Instant
@@ -191,6 +193,7 @@
 	if known == nil {
 		s.targets[t.ID] = &target{Target: t, rowVersion: rowVersion, slowdown: 1}
 		s.restoreLoad(s.targets[t.ID])
+		s.updateLeaving(s.targets[t.ID])
 		return &StateChanged{What: "target found", Subject: string(t.ID), Detail: describe(t)}
 	}
 	known.missingSince = 0
@@ -209,6 +212,7 @@
 	}
 	before := describe(known.Target)
 	known.Target, known.rowVersion = t, rowVersion
+	s.updateLeaving(known)
 	if after := describe(t); after != before {
 		return &StateChanged{What: "target changed", Subject: string(t.ID), Detail: before + " -> " + after}
 	}
@@ -256,7 +260,7 @@
 
 // serving reports whether the target is ready and not dead.
 func (t *target) serving(now model.Instant) bool {
-	return t.State == fleet.TargetReady && !t.dead(now)
+	return !t.draining() && !t.dead(now)
 }
 
 // usable reports whether the target is serving and not under suspicion.
@@ -312,7 +316,7 @@
 	if t.superseded || t.StartedMs != startedMs && startedMs != 0 {
 		return true
 	}
-	if t.State == fleet.TargetDraining {
+	if t.draining() {
 		return false // it may refuse connections and finish the requests that it runs
 	}
 	return (t.missedReports >= endedAfterMissedReports || t.refusedConnections >= crashedAfterRefusals) && s.down(now, t)
@@ -383,6 +387,7 @@
 	effects = append(effects, s.applySigns(now, e)...)
 	effects = append(effects, s.applyLimits(now, e)...)
 	effects = append(effects, s.applyRests(now, e)...)
+	effects = append(effects, s.applyLeaving(now, e)...)
 	for _, answer := range e.Answers {
 		effects = append(effects, effectList(s.applyAnswered(now, answer, e.VM))...)
 	}
@@ -442,7 +447,7 @@
 	out := PeerState{
 		VM: s.settings.VM, Zone: s.settings.Zone, Process: s.settings.Process, Uptime: now.Sub(s.startedAt), Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
 		Paces: map[model.TargetID]float64{}, Crashes: s.recentCrashes(now), Quarantines: s.quarantines(now),
-		LostAnswers: s.sentLostAnswers(now), Answers: s.sentAnswers(now), Limits: s.sentLimits(now), Rests: s.sentRests(now),
+		LostAnswers: s.sentLostAnswers(now), Answers: s.sentAnswers(now), Limits: s.sentLimits(now), Rests: s.sentRests(now), Leaving: s.sentLeaving(),
 		Isolated: s.Isolated(), Unreachable: s.sentUnreachable(), Signs: s.sentSigns(now), Relay: s.offered(), InFlight: len(s.requests) + s.relayed,
 	}
 	if s.config != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -230,8 +230,10 @@
 
 // Report is a target's report of its state and load.
 type Report struct {
-	Held model.LayerRange
-	Busy bool
+	// Leaving is true when the target states that it leaves.
+	Leaving bool
+	Held    model.LayerRange
+	Busy    bool
 	// Orders counts the orders accepted by this incarnation of the target.
 	Orders    uint64
 	StartedMs int64
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -296,6 +296,9 @@
 		a.log.WithFields(logrus.Fields{"target": e.Hops[0].Target, "value": invalid}).
 			Warn("the rest that the target asks for is neither a number of seconds nor a date; ignored")
 	}
+	if x.Head.Leaving {
+		a.handler.reducer.Step(director.TargetLeaving{ID: a.request.ID})
+	}
 	if x.Head.Rest > 0 {
 		a.handler.reducer.Step(director.RestRequested{ID: a.request.ID, For: x.Head.Rest})
 	}
