A target that is silent for a second is not replaced

Cause: two unanswered reports in a row, half a second each, made a target count as stopped; a pause of 1.4 s in a simulation (with and without a cut VM) took its layers out of the placement view of VMs that are not cut. A refused connection shows more than silence: a target that is silent now counts as stopped 1.1 s after its first unanswered exchange at the earliest, one that refuses as before.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -428,5 +428,6 @@
 	if err != nil {
 		logrus.WithError(err).WithField("target", request.Target).Info("cannot read the target's report")
 	}
-	c.reducer.Step(director.ReportRead{Target: request.Target, Report: report})
+	refused := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	c.reducer.Step(director.ReportRead{Target: request.Target, Report: report, Refused: refused})
 }
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -298,7 +298,7 @@
 	}
 	if e.Report == nil {
 		t.missedReports++
-		s.missed(now, t, t.reportRequestedAt)
+		s.missed(now, t, t.reportRequestedAt, e.Refused)
 		if t.missedReports == deadAfterMissedReports {
 			dead := &StateChanged{What: "target dead", Subject: string(t.ID), Detail: "it does not answer report requests"}
 			return append(s.confirmCrashes(now), dead)
--- a/internal/director/crashrecord.go
+++ b/internal/director/crashrecord.go
@@ -128,7 +128,7 @@
 		return nil
 	}
 	t.refusedConnections++
-	s.missed(now, t, t.connectionProbedAt)
+	s.missed(now, t, t.connectionProbedAt, true)
 	return s.confirmCrashes(now)
 }
 
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -167,6 +167,9 @@
 type ReportRead struct {
 	Target model.TargetID
 	Report *fleet.Report
+	// Refused is true when the target refused or reset the connection: it did not stay
+	// silent.
+	Refused bool
 }
 
 // ConnectionProbed reports whether a target accepted or refused a connection; neither when
--- a/internal/director/reachability.go
+++ b/internal/director/reachability.go
@@ -18,6 +18,9 @@
 	// refuteWindow is how long after a failed exchange another VM's sign of life may arrive
 	// before the target counts as down: a message, a report and a message back.
 	refuteWindow = 600 * time.Millisecond
+	// pauseTolerance is how long after its first exchange without an answer a target that is
+	// silent counts as paused: it may go on after a second or so.
+	pauseTolerance = 1100 * time.Millisecond
 	// reconnectInterval is the interval at which a target that is not reached is probed, and
 	// one that another VM does not reach.
 	reconnectInterval = 500 * time.Millisecond
@@ -45,8 +48,9 @@
 	// missed counts the failed reports and refused connections in a row while this VM
 	// reached other targets.
 	missed int
-	// missedAt is when the last of them ended.
+	// missedAt is when the last of them ended, and silent true when it was not refused.
 	missedAt model.Instant
+	silent   bool
 	// pushedAt is when a sign of life was last sent without delay.
 	pushedAt model.Instant
 }
@@ -90,13 +94,13 @@
 // missed records a failed report or a refused connection that began at startedAt. It shows
 // something about the target only if this VM has reached another one since then, or since
 // the failure before.
-func (s *State) missed(now model.Instant, t *target, startedAt model.Instant) {
+func (s *State) missed(now model.Instant, t *target, startedAt model.Instant, refused bool) {
 	since := startedAt
 	if t.reach.missedAt != 0 {
 		since = t.reach.missedAt
 	}
 	s.exchangeFailed(now, t)
-	t.reach.missedAt = now
+	t.reach.missedAt, t.reach.silent = now, !refused
 	if s.links.contactAt > since {
 		t.reach.missed++
 	}
@@ -141,8 +145,17 @@
 	if t.superseded {
 		return true
 	}
-	refutable := len(s.peers) > 0 && now.Sub(t.reach.failedAt) < refuteWindow
-	return t.reach.failedAt != 0 && t.reach.missed >= deadAfterMissedReports && !t.runs(now) && !s.Isolated() && !refutable
+	if t.reach.failedAt == 0 || t.reach.missed < deadAfterMissedReports || t.runs(now) || s.Isolated() {
+		return false
+	}
+	wait := time.Duration(0)
+	if len(s.peers) > 0 {
+		wait = refuteWindow
+	}
+	if t.reach.silent {
+		wait = pauseTolerance
+	}
+	return now.Sub(t.reach.failedAt) >= wait
 }
 
 // applySigns applies the signs of life that another VM has had.
