--- a/internal/controller/content_test.go
+++ b/internal/controller/content_test.go
@@ -15,6 +15,7 @@
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/ingress"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/upstream"
 	"tamarackreach/platform"
 	"tamarackreach/platform/platformtest"
 )
@@ -37,7 +38,7 @@
 
 	// start returns a VM with its reducer; it has read the rows.
 	start := func(vm model.NodeID) *Controller {
-		c := New(&platform.Settings{VM: vm, Zone: "a", StoreAddress: store.Address()}, ingress.NewReducer(director.New(director.Settings{VM: vm})))
+		c := New(&platform.Settings{VM: vm, Zone: "a", StoreAddress: store.Address()}, ingress.NewReducer(director.New(director.Settings{VM: vm})), upstream.Dial)
 		Expect(c.readContent(ctx)).To(Succeed())
 		c.reducer.Step(director.VMsCounted{Count: 1})
 		c.reducer.Step(director.ProbeDue{})
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -83,18 +83,18 @@
 	ownRows     ownRowsLimit
 }
 
-// New returns a controller.
-func New(s *platform.Settings, r *ingress.Reducer) *Controller {
+// New returns a controller that connects to targets by dial.
+func New(s *platform.Settings, r *ingress.Reducer, dial upstream.DialFunc) *Controller {
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return upstream.Dialer{}.Dial(ctx, address)
+			return upstream.Dial(ctx, address)
 		},
 		MaxIdleConnsPerHost:    4, // one for each loop that reads or writes
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxReportBytes,
 	}
 	c := &Controller{
-		settings: s, reducer: r, targets: newTargetClient(), view: &view{}, startedAt: bootclock.Now(),
+		settings: s, reducer: r, targets: newTargetClient(dial), view: &view{}, startedAt: bootclock.Now(),
 		content: contentState{lost: make(chan struct{}, 1)},
 	}
 	c.store = platform.NewStore(s.StoreAddress, transport, c.acceptEra)
@@ -383,14 +383,16 @@
 
 // probeConnection reports to the reducer whether a target accepts or refuses connections.
 func (c *Controller) probeConnection(e *director.ProbeConnection) {
-	accepted, refused := probeConnection(e.Address)
+	accepted, refused := probeConnection(c.targets.dial, e.Address)
 	c.reducer.Step(director.ConnectionProbed{Target: e.Target, Accepted: accepted, Refused: refused})
 }
 
 // probeConnection opens and closes a connection, and reports whether it was accepted, and
 // whether nothing listens at the address.
-func probeConnection(address string) (accepted, refused bool) {
-	conn, err := (&net.Dialer{Timeout: connectionProbeTimeout}).Dial("tcp", address)
+func probeConnection(dial upstream.DialFunc, address string) (accepted, refused bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), connectionProbeTimeout)
+	defer cancel()
+	conn, err := dial(ctx, address)
 	if err == nil {
 		_ = conn.Close()
 	}
--- a/internal/controller/era_test.go
+++ b/internal/controller/era_test.go
@@ -13,12 +13,13 @@
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/placementlease"
 	"tamarackreach/internal/storeera"
+	"tamarackreach/internal/upstream"
 	"tamarackreach/platform"
 )
 
 var _ = Describe("a new era of the store", func() {
 	newController := func(vm model.NodeID, firstStart bool) *Controller {
-		return New(&platform.Settings{VM: vm, Zone: "a", FirstStart: firstStart}, ingress.NewReducer(director.New(director.Settings{VM: vm})))
+		return New(&platform.Settings{VM: vm, Zone: "a", FirstStart: firstStart}, ingress.NewReducer(director.New(director.Settings{VM: vm})), upstream.Dial)
 	}
 
 	// Guards against a holder that acts on a lease whose row the restore lost.
--- a/internal/controller/probe_test.go
+++ b/internal/controller/probe_test.go
@@ -5,6 +5,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"tamarackreach/internal/upstream"
 )
 
 var _ = Describe("probeConnection", func() {
@@ -14,7 +16,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		address := listener.Addr().String()
 		probe := func(address string) []bool {
-			accepted, refused := probeConnection(address)
+			accepted, refused := probeConnection(upstream.Dial, address)
 			return []bool{accepted, refused}
 		}
 		Expect(probe(address)).To(Equal([]bool{true, false}))
--- a/internal/controller/settle_bench_test.go
+++ b/internal/controller/settle_bench_test.go
@@ -12,6 +12,7 @@
 	"tamarackreach/internal/director"
 	"tamarackreach/internal/ingress"
 	"tamarackreach/internal/retrybudget"
+	"tamarackreach/internal/upstream"
 	"tamarackreach/platform"
 	"tamarackreach/platform/platformtest"
 )
@@ -67,7 +68,7 @@
 		c := New(s, ingress.NewReducer(director.New(director.Settings{
 			VM: s.VM, Zone: s.Zone, ConfigApply: s.Bounds.ConfigApply, Revoke: s.Bounds.Revoke, Stall: s.Bounds.Stall, Grace: s.Bounds.Grace,
 			Retries: retrybudget.Settings{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
-		})))
+		})), upstream.Dial)
 		vms = append(vms, c)
 		go func() { _ = c.Run(ctx) }() // ends with the context
 		time.Sleep(settleStart)
--- a/internal/controller/targetclient.go
+++ b/internal/controller/targetclient.go
@@ -34,18 +34,19 @@
 	// connecting opens a connection for each request: for orders, so that none is sent on a
 	// connection that the target is closing, and to learn whether a target is reached.
 	connecting *http.Client
+	dial       upstream.DialFunc
 }
 
-func newTargetClient() *targetClient {
+func newTargetClient(dial upstream.DialFunc) *targetClient {
 	client := func(keepAlive bool) *http.Client {
 		return &http.Client{Transport: &http.Transport{
 			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-				return upstream.Dialer{}.Dial(ctx, address)
+				return dial(ctx, address)
 			},
 			DisableCompression: true, MaxResponseHeaderBytes: maxReportBytes, DisableKeepAlives: !keepAlive, MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdleTimeout,
 		}}
 	}
-	return &targetClient{reports: client(true), connecting: client(false)}
+	return &targetClient{reports: client(true), connecting: client(false), dial: dial}
 }
 
 func (c *targetClient) report(ctx context.Context, address string) (*fleet.Report, error) {
--- a/internal/frontdaemon/daemon.go
+++ b/internal/frontdaemon/daemon.go
@@ -57,6 +57,8 @@
 	MetricsAddress string
 	// DroppedLines returns the number of dropped log lines; nil omits the metric.
 	DroppedLines func() uint64
+	// Dial opens connections to targets and relays; nil selects upstream.Dial.
+	Dial upstream.DialFunc
 	// SettingsPath is the settings file to poll for changes; empty disables reloading.
 	SettingsPath string
 }
@@ -87,16 +89,19 @@
 
 // New returns a daemon with its reducer, connection pool, controller and handler.
 func New(s *platform.Settings, options Options) *Daemon {
+	if options.Dial == nil {
+		options.Dial = upstream.Dial
+	}
 	settings := directorSettings(s)
 	settings.Process = rand.Uint32()
 	settings.Relay = director.Relay{VM: s.VM, Address: relayAddress(s), Secret: relay.NewSecret()}
 	state := director.New(settings)
 	d := &Daemon{
-		settings: s, options: options, reducer: ingress.NewReducer(state), pool: upstream.NewPool(),
+		settings: s, options: options, reducer: ingress.NewReducer(state), pool: upstream.NewPoolOver(options.Dial),
 		metrics: ingress.NewMetrics(),
 	}
-	d.relay = newRelay(settings.Relay.Secret, d.reducer)
-	d.controller = controller.New(s, d.reducer)
+	d.relay = newRelay(settings.Relay.Secret, d.reducer, options.Dial)
+	d.controller = controller.New(s, d.reducer, options.Dial)
 	d.ingress = ingress.New(d.reducer, d.pool, d.controller.Probe, d.metrics)
 	d.registerMetrics()
 	return d
--- a/internal/frontdaemon/relay.go
+++ b/internal/frontdaemon/relay.go
@@ -29,9 +29,9 @@
 	return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort))
 }
 
-func newRelay(secret string, r *ingress.Reducer) *relay.Server {
+func newRelay(secret string, r *ingress.Reducer, dial upstream.DialFunc) *relay.Server {
 	return &relay.Server{
-		Secret: secret, Dial: upstream.Dialer{}.Dial,
+		Secret: secret, Dial: dial,
 		Resolve: func(id model.TargetID) (address string, ok bool) {
 			r.Read(func(s *director.State) { address, ok = s.RelayTarget(id) })
 			return address, ok
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -57,7 +57,7 @@
 	listener, f := listen(), &fixture{}
 	f.Endpoint = relay.Endpoint{VM: "vm-2", Address: listener.Addr().String(), Secret: relay.NewSecret()}
 	server := &relay.Server{
-		Secret: f.Secret, Dial: upstream.Dialer{}.Dial,
+		Secret: f.Secret, Dial: upstream.Dial,
 		Resolve: func(id model.TargetID) (string, bool) { return target, id == "i-1" },
 		Opened: func(_ model.TargetID, connected bool) {
 			if connected {
@@ -75,7 +75,7 @@
 }
 
 func (f *fixture) dial() (net.Conn, error) {
-	return relay.Dial(context.Background(), upstream.Dialer{}.Dial, f.Endpoint, "i-1")
+	return relay.Dial(context.Background(), upstream.Dial, f.Endpoint, "i-1")
 }
 
 // end closes a connection in order, or resets it.
@@ -125,7 +125,7 @@
 			_, _ = io.WriteString(conn, "connected\n\x00\x04HTTP")
 			_ = conn.Close()
 		}()
-		conn, err := relay.Dial(context.Background(), upstream.Dialer{}.Dial, relay.Endpoint{VM: "vm-2", Address: listener.Addr().String()}, "i-1")
+		conn, err := relay.Dial(context.Background(), upstream.Dial, relay.Endpoint{VM: "vm-2", Address: listener.Addr().String()}, "i-1")
 		Expect(err).NotTo(HaveOccurred())
 		text, err := io.ReadAll(conn)
 		Expect(string(text)).To(Equal("HTTP"))
@@ -176,7 +176,7 @@
 	DescribeTable("connects only VMs, and only to registered targets", func(change func(*relay.Endpoint), id model.TargetID) {
 		f := startRelay(startTarget(func(conn net.Conn) { _ = conn.Close() }))
 		change(&f.Endpoint)
-		_, err := relay.Dial(context.Background(), upstream.Dialer{}.Dial, f.Endpoint, id)
+		_, err := relay.Dial(context.Background(), upstream.Dial, f.Endpoint, id)
 		Expect(errors.Is(err, relay.ErrRelay)).To(BeTrue(), "%v", err)
 		Expect(f.opened.Load()).To(BeZero())
 	},
@@ -217,7 +217,7 @@
 	It("that does not answer is given up in time", func() {
 		listener := listen() // accepts in the kernel only
 		started := time.Now()
-		_, err := relay.Dial(context.Background(), upstream.Dialer{}.Dial, relay.Endpoint{Address: listener.Addr().String()}, "i-1")
+		_, err := relay.Dial(context.Background(), upstream.Dial, relay.Endpoint{Address: listener.Addr().String()}, "i-1")
 		Expect(errors.Is(err, relay.ErrRelay)).To(BeTrue(), "%v", err)
 		Expect(time.Since(started)).To(BeNumerically("<", time.Second))
 	})
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -50,11 +50,12 @@
 // errAborted means that the exchange was aborted while its response was read.
 var errAborted = errors.New("exchange aborted: its deadline passed or its caller left")
 
-// Dialer opens TCP connections that fail soon when the remote host is unreachable.
-type Dialer struct{}
+// DialFunc opens a connection to an address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
-// Dial connects to an address within dialTimeout.
-func (Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+// Dial opens a TCP connection within dialTimeout. It fails soon when the remote host becomes
+// unreachable.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
 	return d.DialContext(ctx, "tcp", address)
 }
@@ -147,7 +148,7 @@
 
 // Pool holds idle connections by target address, and by relay.
 type Pool struct {
-	dialer Dialer
+	dial   DialFunc
 	mu     sync.Mutex
 	idle   map[string][]*connection
 	opened int
@@ -157,7 +158,10 @@
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: map[string][]*connection{}} }
+func NewPool() *Pool { return NewPoolOver(Dial) }
+
+// NewPoolOver returns an empty pool that opens connections by dial.
+func NewPoolOver(dial DialFunc) *Pool { return &Pool{dial: dial, idle: map[string][]*connection{}} }
 
 // get returns a reusable idle connection that has not carried the request id, the
 // most recently used first, or opens a new one.
@@ -179,7 +183,7 @@
 		}
 		_ = c.Close() // a close error is harmless: no request is in flight on it
 	}
-	conn, err := p.dial(ctx, call)
+	conn, err := p.connect(ctx, call)
 	if err != nil {
 		return nil, err
 	}
@@ -191,11 +195,11 @@
 	return c, nil
 }
 
-func (p *Pool) dial(ctx context.Context, call *Call) (net.Conn, error) {
+func (p *Pool) connect(ctx context.Context, call *Call) (net.Conn, error) {
 	if call.Relay != nil {
-		return relay.Dial(ctx, p.dialer.Dial, *call.Relay, call.Target)
+		return relay.Dial(ctx, p.dial, *call.Relay, call.Target)
 	}
-	conn, err := p.dialer.Dial(ctx, call.Address)
+	conn, err := p.dial(ctx, call.Address)
 	return conn, errors.Wrapf(err, "cannot connect to target %s", call.Address)
 }
 
