A stopping relay finishes the requests that it carries; messages cost less at many targets

A VM that stops ended while it still relayed requests of others, since only its own counted. It now waits for relayed connections that carried a byte within a second, up to the end of its grace.

Whether another VM asks for signs of life is known without a look at every VM for every target, and isolation is decided when signs arrive and each probe round, not with each message: with 12,000 targets and 64 VMs that would have been millions of look-ups a second.

--- a/internal/director/reachability.go
+++ b/internal/director/reachability.go
@@ -42,9 +42,8 @@
 	failedAt model.Instant
 	// contactAt is when the target last answered this VM directly.
 	contactAt model.Instant
-	// peerSignAt is when the target last gave a sign of life to another VM, peerSignFrom.
-	peerSignAt   model.Instant
-	peerSignFrom model.NodeID
+	// peerSignAt is when the target last gave a sign of life to another VM.
+	peerSignAt model.Instant
 	// missed counts the failed reports and refused connections in a row while this VM
 	// reached other targets.
 	missed int
@@ -160,6 +159,9 @@
 
 // applySigns applies the signs of life that another VM has had.
 func (s *State) applySigns(now model.Instant, e PeerState) []Effect {
+	if len(e.Signs) == 0 {
+		return nil
+	}
 	for _, id := range slices.Sorted(maps.Keys(e.Signs)) {
 		t, sign := s.targets[id], e.Signs[id]
 		if t == nil || t.StartedMs != sign.Born {
@@ -169,7 +171,7 @@
 		if at <= t.reach.peerSignAt {
 			continue
 		}
-		t.reach.peerSignAt, t.reach.peerSignFrom = at, e.VM
+		t.reach.peerSignAt = at
 		if !t.runs(now) {
 			continue
 		}
@@ -228,6 +230,9 @@
 
 // unreachedByPeer reports whether another VM asks for signs of life of a target.
 func (s *State) unreachedByPeer(now model.Instant, t *target) bool {
+	if s.unreachedByPeers == 0 {
+		return false
+	}
 	for _, p := range s.peers {
 		if p.unreachable[t.ID] && now.Sub(p.receivedAt) <= peerExpiry {
 			return true
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -103,6 +103,9 @@
 	// terminating is when termination was requested; 0 before.
 	terminating model.Instant
 	links       links
+	// unreachedByPeers is the number of targets in the last messages of other VMs that they
+	// fail to reach.
+	unreachedByPeers int
 	// relayed counts the connections that this VM relays for others.
 	relayed int
 }
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -95,7 +95,7 @@
 }
 
 // updatePeer replaces what is known of another VM by its last message.
-func (s *State) updatePeer(now model.Instant, e PeerState) *peer {
+func (s *State) updatePeer(now model.Instant, e PeerState) {
 	p := s.peers[e.VM]
 	if p == nil {
 		p = &peer{}
@@ -103,11 +103,12 @@
 	}
 	p.receivedAt, p.zone, p.loads, p.isolated, p.relay, p.inFlight = now, e.Zone, e.Loads, e.Isolated, e.Relay, e.InFlight
 	p.relay.VM = e.VM
+	s.unreachedByPeers -= len(p.unreachable)
 	p.unreachable = make(map[model.TargetID]bool, len(e.Unreachable))
 	for _, id := range e.Unreachable {
 		p.unreachable[id] = true
 	}
-	return p
+	s.unreachedByPeers += len(p.unreachable)
 }
 
 const (
@@ -356,11 +357,9 @@
 
 // reportDueForOthers reports whether the report of a target is due that this VM monitors.
 func (s *State) reportDueForOthers(now model.Instant, t *target, lead bool) bool {
-	if !s.monitors(now, t, lead) {
-		return false
-	}
 	since := now.Sub(t.reportRequestedAt)
-	return t.Zone == s.settings.Zone && since >= slowdownReadInterval || since >= reconnectInterval && s.unreachedByPeer(now, t)
+	due := t.Zone == s.settings.Zone && since >= slowdownReadInterval || since >= reconnectInterval && s.unreachedByPeer(now, t)
+	return due && s.monitors(now, t, lead)
 }
 
 // requestReport requests a target's report.
--- a/internal/frontdaemon/daemon.go
+++ b/internal/frontdaemon/daemon.go
@@ -231,8 +231,8 @@
 	return names
 }
 
-// drain reports not ready at once and keeps serving. It returns when no request is in
-// flight after minDrainTime, or when the drain time has expired.
+// drain reports not ready at once and keeps serving, also as a relay. It returns when no
+// request is in flight after minDrainTime, or when the drain time has expired.
 func (d *Daemon) drain(server *http.Server) {
 	logrus.WithField("in_flight", d.ingress.InFlight()).Info("stopping")
 	d.reducer.Step(director.Terminating{})
@@ -241,7 +241,7 @@
 	limit := d.settings.Bounds.Grace - killMargin
 	for time.Since(started) < limit {
 		time.Sleep(drainPollInterval)
-		if time.Since(started) > minDrainTime && d.ingress.InFlight() == 0 {
+		if time.Since(started) > minDrainTime && d.ingress.InFlight() == 0 && d.relay.Active(relayIdleTime) == 0 {
 			return
 		}
 	}
--- a/internal/frontdaemon/relay.go
+++ b/internal/frontdaemon/relay.go
@@ -20,6 +20,10 @@
 // relayKeepAlive detects senders whose machine has stopped within ten seconds.
 var relayKeepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 5}
 
+// relayIdleTime is how long a relayed connection is idle before it holds no request in flight:
+// longer than the usual answer of a plain service and the pauses of a stream.
+const relayIdleTime = time.Second
+
 // relayAddress returns the address of this VM's relay: the port for messages between VMs,
 // as a TCP port. It is empty where the settings name no such port.
 func relayAddress(s *platform.Settings) string {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -50,6 +50,7 @@
 // fixture is a relay with one registered target, "i-1".
 type fixture struct {
 	relay.Endpoint
+	server                 *relay.Server
 	opened, failed, closed atomic.Int32
 }
 
@@ -68,6 +69,7 @@
 		},
 		Closed: func() { f.closed.Add(1) },
 	}
+	f.server = server
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
 	go func() { _ = server.Serve(ctx, listener) }()
@@ -222,6 +224,24 @@
 		Expect(time.Since(started)).To(BeNumerically("<", time.Second))
 	})
 
+	// Guards against a relay that ends while it carries requests, and one that waits for
+	// connections which are only kept.
+	It("knows which connections carry bytes", func() {
+		f := startRelay(startTarget(func(conn net.Conn) { _, _ = io.Copy(conn, conn) }))
+		Expect(f.server.Active(time.Minute)).To(BeZero())
+		conn, err := f.dial()
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(conn, "x")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = conn.Read(make([]byte, 1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(f.server.Active(time.Minute)).To(Equal(1))
+		time.Sleep(60 * time.Millisecond)
+		Expect(f.server.Active(50 * time.Millisecond)).To(BeZero())
+		Expect(conn.Close()).To(Succeed())
+		Eventually(func() int { return f.server.Active(time.Minute) }).Should(BeZero())
+	})
+
 	// Guards against memory and descriptors that other VMs use without end.
 	It("refuses connections beyond its bound at once", func() {
 		release := make(chan bool)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -49,6 +49,37 @@
 
 	mu    sync.Mutex
 	count int
+	// lastByteAt is when each open connection last carried a byte.
+	lastByteAt map[*relayed]time.Time
+}
+
+// relayed is a connection between a sender and a target.
+type relayed struct {
+	server         *Server
+	sender, target net.Conn
+}
+
+// carried records that a connection has carried a byte.
+func (c *relayed) carried() {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if _, open := c.server.lastByteAt[c]; open {
+		c.server.lastByteAt[c] = time.Now()
+	}
+}
+
+// Active returns the number of connections that carried a byte within a time: those that
+// senders keep for later requests do not.
+func (s *Server) Active(within time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	active := 0
+	for _, at := range s.lastByteAt {
+		if time.Since(at) <= within {
+			active++
+		}
+	}
+	return active
 }
 
 // Serve accepts connections until the context ends.
@@ -110,7 +141,19 @@
 		return
 	}
 	logrus.WithFields(logrus.Fields{"target": id, "sender": sender.RemoteAddr().String()}).Debug("relay connection opened")
-	relay(sender, target)
+	s.open(sender, target).relay()
+}
+
+// open records an open connection.
+func (s *Server) open(sender, target net.Conn) *relayed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lastByteAt == nil {
+		s.lastByteAt = map[*relayed]time.Time{}
+	}
+	c := &relayed{server: s, sender: sender, target: target}
+	s.lastByteAt[c] = time.Now()
+	return c
 }
 
 // authorize reads the sender's line and returns the target that it names and its address.
@@ -142,32 +185,47 @@
 }
 
 // relay copies both directions until the target's bytes end or either side fails.
-func relay(sender, target net.Conn) {
+func (c *relayed) relay() {
 	go func() {
 		// The sender ends its direction only by closing the connection; that of the target
 		// is closed too, so that the target stops its work.
-		_, _ = io.Copy(onlyWriter{target}, onlyReader{sender})
-		_ = target.Close()
+		_ = c.copyRequests()
+		_ = c.target.Close()
 	}()
-	if err := copyFramed(sender, target); err != nil {
-		reset(sender)
+	if err := c.copyFramed(); err != nil {
+		reset(c.sender)
 	}
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	delete(c.server.lastByteAt, c)
 }
 
-// onlyReader and onlyWriter hide other methods of a connection, so that io.Copy copies
-// through a buffer and not by splice.
-type (
-	onlyReader struct{ io.Reader }
-	onlyWriter struct{ io.Writer }
-)
+// copyRequests passes on what the sender sends, as it is.
+func (c *relayed) copyRequests() error {
+	buffer := make([]byte, maxFrameBytes)
+	for {
+		n, err := c.sender.Read(buffer)
+		if n > 0 {
+			c.carried()
+			if _, err := c.target.Write(buffer[:n]); err != nil {
+				return err
+			}
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
 
 // copyFramed passes on what the target sends, as frames. It returns an error unless the
 // target's bytes have ended in order and the end was passed on.
-func copyFramed(sender io.Writer, target net.Conn) error {
+func (c *relayed) copyFramed() error {
 	buffer := make([]byte, 2+maxFrameBytes)
+	sender, target := c.sender, c.target
 	for {
 		n, err := target.Read(buffer[2:])
 		if n > 0 {
+			c.carried()
 			binary.BigEndian.PutUint16(buffer, uint16(n))
 			if _, err := sender.Write(buffer[:2+n]); err != nil {
 				return err
