--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -167,7 +167,7 @@
 
 // encodeRest rounds the time left up.
 func encodeRest(r director.Rest) targetRest {
-	return targetRest{VM: r.VM, Target: r.Target, BornMs: r.Born, LeftMs: r.Remaining.Milliseconds() + 1}
+	return targetRest{VM: r.VM, Target: r.Target, BornMs: r.Born, LeftMs: (r.Remaining + time.Millisecond - 1).Milliseconds()}
 }
 
 func (r targetRest) decode() director.Rest {
--- a/internal/controller/message_test.go
+++ b/internal/controller/message_test.go
@@ -27,6 +27,14 @@
 			LostAnswers: []director.LostAnswer{{Cause: 1<<64 - 1, Target: "t5", Born: 1796374390000, Age: 300 * time.Millisecond}},
 			Limits:      map[model.TargetID]director.TargetLimit{"t6": {Shared: targetlimit.Shared{PerSecond: 20.2, Age: time.Second, Sends: 1.5}, Born: 1796374390000}},
 			Answers:     []director.AnsweredPart{{Part: 1<<64 - 1, Age: 9 * time.Minute}},
+			Zone:        "a",
+			Isolated:    true,
+			Unreachable: []model.TargetID{"t7", "t8"},
+			Signs:       map[model.TargetID]director.Sign{"t9": {Born: 1796374390000, Age: 40 * time.Millisecond, Report: true}, "t10": {Born: 2, Age: time.Second}},
+			Relay:       director.Relay{VM: "vm-1", Address: "10.1.0.40:7340", Secret: "8f3a"},
+			InFlight:    17,
+			Rests:       []director.Rest{{VM: "vm-2", Target: "t11", Born: 1796374390000, Remaining: 2500 * time.Millisecond}},
+			Leaving:     map[model.TargetID]int64{"t12": 1796374390000},
 		}
 		text, err := json.Marshal(encodePeerState(peerState))
 		Expect(err).NotTo(HaveOccurred())
@@ -36,10 +44,18 @@
 	})
 
 	// Pattern: a VM has requests on every target of a large zone.
-	It("fits into a datagram with load on a thousand targets", func() {
-		peerState := director.PeerState{VM: "front-zone-a-12", Loads: map[model.TargetID]director.Load{}}
+	It("fits into a datagram with load on a thousand targets, many of which are not reached", func() {
+		peerState := director.PeerState{VM: "front-zone-a-12", Loads: map[model.TargetID]director.Load{}, Signs: map[model.TargetID]director.Sign{}}
 		for i := range 1000 {
-			peerState.Loads[model.TargetID(fmt.Sprintf("i-%010d", i))] = director.Load{Requests: 120, TokenLayers: 1e6, Waiting: 10, First: 60}
+			id := model.TargetID(fmt.Sprintf("i-%010d", i))
+			peerState.Loads[id] = director.Load{Requests: 120, TokenLayers: 1e6, Waiting: 10, First: 60}
+			if i < 256 {
+				peerState.Unreachable = append(peerState.Unreachable, id)
+				peerState.Signs[id] = director.Sign{Born: 1796374390000, Age: 1999 * time.Millisecond, Report: true}
+			}
+			if i < 64 {
+				peerState.Rests = append(peerState.Rests, director.Rest{VM: "front-zone-a-12", Target: id, Born: 1796374390000, Remaining: 9 * time.Minute})
+			}
 		}
 		text, err := json.Marshal(encodePeerState(peerState))
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -85,7 +85,7 @@
 	if at := s.byAddress[e.FaultAt]; at != nil {
 		t, named = at, true
 	}
-	if t == nil || e.Outcome == Failed || !named && s.restReplacesSuspicion(now, r, e) {
+	if t == nil || e.Outcome == Failed || !named && s.replacesSuspicion(now, r, e) {
 		return nil
 	}
 	minPeriod := time.Duration(0)
@@ -98,17 +98,6 @@
 	}))
 }
 
-// restReplacesSuspicion reports whether the target of a rejected send said for how long it
-// wants no requests.
-func (s *State) restReplacesSuspicion(now model.Instant, r *request, e SendEnded) bool {
-	vm := s.settings.VM
-	if r.via != "" {
-		vm = r.via
-	}
-	t := s.targets[r.hops[0].Target]
-	return e.Outcome == Rejected && t != nil && s.restLeft(now, vm, t) >= initialSuspicion
-}
-
 // nextEffect decides how to continue after a failed send.
 //
 // Invariant: a request that may not be repeated is sent again only when all its
--- a/internal/director/rest.go
+++ b/internal/director/rest.go
@@ -54,14 +54,20 @@
 	if r == nil || r.sentTo.target == "" || e.For <= 0 {
 		return nil
 	}
-	vm := s.settings.VM
-	if r.via != "" {
-		vm = r.via
-	}
 	if e.For > restGrace {
 		s.learned++
 	}
-	return s.keepRest(now, restKey{vm, r.sentTo.target}, rest{startedMs: r.sentTo.startedMs, until: now.Add(e.For), own: true}, "read from its answer")
+	return s.keepRest(now, restKey{s.senderOf(r), r.sentTo.target}, rest{startedMs: r.sentTo.startedMs, until: now.Add(e.For), own: true}, "read from its answer")
+}
+
+// senderOf returns the VM from which the send in flight of a request reaches its target.
+func (s *State) senderOf(r *request) model.NodeID { return cmp.Or(r.via, s.settings.VM) }
+
+// replacesSuspicion reports whether the target of a rejected send said for how long it wants
+// no requests, at least for the time of a suspicion.
+func (s *State) replacesSuspicion(now model.Instant, r *request, e SendEnded) bool {
+	t := s.targets[r.hops[0].Target]
+	return e.Outcome == Rejected && t != nil && s.restLeft(now, s.senderOf(r), t) >= initialSuspicion
 }
 
 // keepRest keeps the later end of two rests.
