A VM monitors the targets that the first VM of its zone does not reach

Cause: the first VM of a zone monitors its targets for the others; where it alone lost its link to one of them and no request used that target, no VM had a sign of life of it, and the view of one VM replaced it. Now the first VM of the zone that may reach the target does. The new specs failed before (a-tail-0 left the placement view after 2 s).

--- a/internal/director/link_simulation_test.go
+++ b/internal/director/link_simulation_test.go
@@ -88,6 +88,8 @@
 	// arrivals counts the requests that reached each target from each VM.
 	arrivals  map[link]int
 	processes uint32
+	// quiet is true while no request arrives.
+	quiet bool
 	// partialPlans are the views of VMs on which layers could be placed although running
 	// targets are missing in them.
 	partialPlans []string
@@ -432,7 +434,7 @@
 		l.exchange(vm, true)
 	}
 	for n, path := range []string{"/s/x", "/r/x", "/p/x"} {
-		if l.every(200*time.Millisecond, offset+time.Duration(n)*simulationStep) {
+		if !l.quiet && l.every(200*time.Millisecond, offset+time.Duration(n)*simulationStep) {
 			l.arrive(vm, path)
 		}
 	}
--- a/internal/director/link_test.go
+++ b/internal/director/link_test.go
@@ -101,6 +101,28 @@
 		expectServedAlike(l, cutAt.Add(time.Second), []model.NodeID{"a-2"}, []model.NodeID{"a-1", "b-1", "c-1"})
 	})
 
+	// Guards against a target that is replaced because the VM which monitors its zone for
+	// the others, and places layers, does not reach it, while no request shows that it runs.
+	DescribeTable("ask others of targets that only they do not reach", func(state linkState, lost ...model.TargetID) {
+		l := newLinkSimulation()
+		l.quiet = true
+		l.advance(5 * time.Second)
+		for _, id := range lost {
+			l.links[link{"a-1", id}] = state
+		}
+		l.advance(10 * time.Second)
+		Expect(l.partialPlans).To(BeEmpty())
+		l.quiet = false
+		from := l.now
+		l.advance(3 * time.Second)
+		answered, all := l.served(from.Add(time.Second), from.Add(2*time.Second), allVMs...)
+		Expect(answered).To(Equal(all))
+	},
+		Entry("one, silent", linkSilent, model.TargetID("a-tail-0")), Entry("one, refused", linkRefuses, model.TargetID("a-tail-0")),
+		Entry("two, silent", linkSilent, model.TargetID("a-head-0"), model.TargetID("a-tail-0")),
+		Entry("two, reset", linkReset, model.TargetID("a-head-0"), model.TargetID("b-tail-0")),
+	)
+
 	// Guards against layers being placed on the view of targets that answer again one by
 	// one after a cut of all VMs.
 	It("place no layers on a partial view when all VMs were cut", func() {
--- a/internal/director/reachability.go
+++ b/internal/director/reachability.go
@@ -241,18 +241,23 @@
 	return false
 }
 
-// monitors reports whether this VM reads the reports of a target for the others. lead is
-// true on the first VM of the zone that is not isolated. Where no VM of the zone reaches the
-// target, the first VM of all that may reach it does.
+// monitors reports whether this VM reads the reports of a target for the others: the first
+// VM of the target's zone that may reach it, or where there is none the first of all. lead
+// is true on the first VM of the own zone that is not isolated.
 func (s *State) monitors(now model.Instant, t *target, lead bool) bool {
 	if s.Isolated() {
 		return false
 	}
-	if t.Zone == s.settings.Zone {
-		return lead
+	own := t.Zone == s.settings.Zone
+	if own && lead {
+		return true
 	}
 	for vm, p := range s.peers {
-		if !p.isolated && !p.unreachable[t.ID] && now.Sub(p.receivedAt) <= peerExpiry && (p.zone == t.Zone || vm < s.settings.VM) {
+		if p.isolated || p.unreachable[t.ID] || now.Sub(p.receivedAt) > peerExpiry {
+			continue
+		}
+		inZone, before := p.zone == t.Zone, vm < s.settings.VM
+		if own && inZone && before || !own && (inZone || before) {
 			return false
 		}
 	}
