--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -37,8 +37,8 @@
 	// Leaving are targets that leave, with the start times of their processes in Unix
 	// milliseconds.
 	Leaving map[model.TargetID]int64 `json:"leaving,omitempty"`
-	// Rests are the rests that targets asked VMs for.
-	Rests []targetRest `json:"rests,omitempty"`
+	// Backoffs are the backoffs that targets requested of VMs.
+	Backoffs []targetBackoff `json:"backoffs,omitempty"`
 	// Isolated is true when the sender does not reach the targets.
 	Isolated bool `json:"isolated,omitempty"`
 	// Unreachable are the targets that the sender fails to reach, and Signs the signs of life
@@ -157,21 +157,21 @@
 	return director.Sign{Born: s[0], Age: time.Duration(s[1]) * time.Millisecond, Report: s[2] != 0}
 }
 
-// targetRest encodes a director.Rest.
-type targetRest struct {
+// targetBackoff encodes a director.Backoff.
+type targetBackoff struct {
 	VM     model.NodeID   `json:"v"`
 	Target model.TargetID `json:"t"`
 	BornMs int64          `json:"b"`
 	LeftMs int64          `json:"l"`
 }
 
-// encodeRest rounds the time left up.
-func encodeRest(r director.Rest) targetRest {
-	return targetRest{VM: r.VM, Target: r.Target, BornMs: r.Born, LeftMs: (r.Remaining + time.Millisecond - 1).Milliseconds()}
+// encodeBackoff rounds the time left up.
+func encodeBackoff(r director.Backoff) targetBackoff {
+	return targetBackoff{VM: r.VM, Target: r.Target, BornMs: r.Born, LeftMs: (r.Remaining + time.Millisecond - 1).Milliseconds()}
 }
 
-func (r targetRest) decode() director.Rest {
-	return director.Rest{VM: r.VM, Target: r.Target, Born: r.BornMs, Remaining: time.Duration(r.LeftMs) * time.Millisecond}
+func (r targetBackoff) decode() director.Backoff {
+	return director.Backoff{VM: r.VM, Target: r.Target, Born: r.BornMs, Remaining: time.Duration(r.LeftMs) * time.Millisecond}
 }
 
 // encodePeerState returns the message for a VM's state.
@@ -209,8 +209,8 @@
 		message.Limits[id] = encodeLimit(l)
 	}
 	message.Leaving = peerState.Leaving
-	for _, r := range peerState.Rests {
-		message.Rests = append(message.Rests, encodeRest(r))
+	for _, r := range peerState.Backoffs {
+		message.Backoffs = append(message.Backoffs, encodeBackoff(r))
 	}
 	for _, a := range peerState.Answers {
 		message.Answers = append(message.Answers, encodeAnswer(a))
@@ -255,8 +255,8 @@
 		out.Limits[id] = l.decode()
 	}
 	out.Leaving = m.Leaving
-	for _, r := range m.Rests {
-		out.Rests = append(out.Rests, r.decode())
+	for _, r := range m.Backoffs {
+		out.Backoffs = append(out.Backoffs, r.decode())
 	}
 	for _, a := range m.Answers {
 		out.Answers = append(out.Answers, a.decode())
--- a/internal/controller/message_test.go
+++ b/internal/controller/message_test.go
@@ -33,7 +33,7 @@
 			Signs:       map[model.TargetID]director.Sign{"t9": {Born: 1796374390000, Age: 40 * time.Millisecond, Report: true}, "t10": {Born: 2, Age: time.Second}},
 			Relay:       director.Relay{VM: "vm-1", Address: "10.1.0.40:7340", Secret: "8f3a"},
 			InFlight:    17,
-			Rests:       []director.Rest{{VM: "vm-2", Target: "t11", Born: 1796374390000, Remaining: 2500 * time.Millisecond}},
+			Backoffs:    []director.Backoff{{VM: "vm-2", Target: "t11", Born: 1796374390000, Remaining: 2500 * time.Millisecond}},
 			Leaving:     map[model.TargetID]int64{"t12": 1796374390000},
 		}
 		text, err := json.Marshal(encodePeerState(peerState))
@@ -54,7 +54,7 @@
 				peerState.Signs[id] = director.Sign{Born: 1796374390000, Age: 1999 * time.Millisecond, Report: true}
 			}
 			if i < 64 {
-				peerState.Rests = append(peerState.Rests, director.Rest{VM: "front-zone-a-12", Target: id, Born: 1796374390000, Remaining: 9 * time.Minute})
+				peerState.Backoffs = append(peerState.Backoffs, director.Backoff{VM: "front-zone-a-12", Target: id, Born: 1796374390000, Remaining: 9 * time.Minute})
 			}
 		}
 		text, err := json.Marshal(encodePeerState(peerState))
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -57,7 +57,7 @@
 	// isolated are the VMs that state that they do not reach the targets.
 	isolated map[model.NodeID]bool
 	view     *view
-	// probe carries out the probes that a message asks for.
+	// probe carries out the probes that a message makes due.
 	probe ingress.Prober
 	// lastQuery is the number of the last query; pending are those without a reply.
 	lastQuery uint64
--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -188,7 +188,7 @@
 	reasonPromptBacklog = "the targets of the service have too many prompts to read"
 	reasonCrashes       = "targets that ran this content crashed"
 
-	reasonResting   = "the targets of the service asked for rest"
+	reasonBackoff   = "the targets of the service requested a backoff"
 	reasonUnreached = "the VM does not reach the targets, and no other VM can relay the request"
 
 	reasonFull    = "the targets of the service are full"
@@ -203,8 +203,8 @@
 		return unreachedRetryAfter
 	case reasonLimited:
 		return max(limitRetryAfter, s.limitWait(now, r.service.ID))
-	case reasonResting:
-		return max(minRestRetryAfter, s.restWait(now, r.service.ID))
+	case reasonBackoff:
+		return max(minBackoffRetryAfter, s.backoffWait(now, r.service.ID))
 	}
 	return missingLayerRetryAfter
 }
@@ -218,12 +218,12 @@
 }
 
 // notTakenReason returns whether targets of a service take no more requests because of a
-// rest or of a rate; a rest ends at a known time and comes first. It is empty when none
+// backoff or of a rate; a backoff ends at a known time and comes first. It is empty when none
 // names either.
 func (s *State) notTakenReason(now model.Instant, service model.ServiceID) string {
 	switch {
-	case s.restWait(now, service) > 0:
-		return reasonResting
+	case s.backoffWait(now, service) > 0:
+		return reasonBackoff
 	case slices.ContainsFunc(s.byService[service], func(t *target) bool { return t.serving(now) && s.limits.Limited(t.ID) }):
 		return reasonLimited
 	}
--- a/internal/director/rest_test.go
+++ b/internal/director/backoff_test.go
@@ -12,7 +12,7 @@
 	"tamarackreach/internal/model"
 )
 
-var _ = Describe("a target that asks this VM for rest", func() {
+var _ = Describe("a target that requests a backoff of this VM", func() {
 	var h *harness
 	BeforeEach(func() {
 		h = newHarness()
@@ -22,27 +22,27 @@
 		h.read()
 	})
 
-	// askRest has the target of a request reject it and ask for rest, and returns the effect
+	// requestBackoff has the target of a request reject it and request a backoff, and returns the effect
 	// of the end of the send.
-	askRest := func(path string, d time.Duration) director.Effect {
+	requestBackoff := func(path string, d time.Duration) director.Effect {
 		id, e := h.arrive(path)
 		expectSend(e)
-		h.state.Step(h.now, director.RestRequested{ID: id, For: d})
+		h.state.Step(h.now, director.BackoffRequested{ID: id, For: d})
 		return h.endSend(id, director.Rejected)
 	}
-	expectResting := func(path string, left time.Duration) {
+	expectBackoff := func(path string, left time.Duration) {
 		_, e := h.arrive(path)
 		refusal := expectRefusal(e)
-		ExpectWithOffset(1, refusal.Reason).To(ContainSubstring("asked for rest"))
+		ExpectWithOffset(1, refusal.Reason).To(ContainSubstring("requested a backoff"))
 		ExpectWithOffset(1, refusal.RetryAfter).To(BeNumerically("~", left, left/2+time.Millisecond))
 	}
 
 	DescribeTable("gets no request until it ends", func(path string) {
-		Expect(expectRefusal(askRest(path, 3*time.Second)).Status).To(Equal(503))
+		Expect(expectRefusal(requestBackoff(path, 3*time.Second)).Status).To(Equal(503))
 		for passed := 100 * time.Millisecond; passed < 3*time.Second; passed += 100 * time.Millisecond {
 			h.advance(100 * time.Millisecond)
 			h.read()
-			expectResting(path, 3*time.Second-passed)
+			expectBackoff(path, 3*time.Second-passed)
 		}
 		h.advance(100 * time.Millisecond)
 		_, e := h.arrive(path)
@@ -51,15 +51,15 @@
 		Entry("plain", "/r/x"), Entry("stream", "/s/x"),
 	)
 
-	// Guards against what ends a suspicion, and must not end a rest.
-	DescribeTable("rests through", func(event func(running model.RequestID)) {
+	// Guards against what ends a suspicion, and must not end a backoff.
+	DescribeTable("keeps its backoff through", func(event func(running model.RequestID)) {
 		running, e := h.arrive("/s/earlier")
 		expectSend(e)
-		askRest("/s/x", 3*time.Second)
+		requestBackoff("/s/x", 3*time.Second)
 		h.advance(700 * time.Millisecond)
 		event(running)
 		h.advance(700 * time.Millisecond)
-		expectResting("/s/x", 1600*time.Millisecond)
+		expectBackoff("/s/x", 1600*time.Millisecond)
 	},
 		Entry("the answer to an earlier request", func(running model.RequestID) {
 			h.state.Step(h.now, director.AnswerStarted{ID: running})
@@ -75,8 +75,8 @@
 		Entry("changed settings", func(model.RequestID) {
 			h.state.Step(h.now, director.SettingsChanged{Settings: harnessSettings})
 		}),
-		Entry("a shorter rest", func(running model.RequestID) {
-			h.state.Step(h.now, director.RestRequested{ID: running, For: 100 * time.Millisecond})
+		Entry("a shorter backoff", func(running model.RequestID) {
+			h.state.Step(h.now, director.BackoffRequested{ID: running, For: 100 * time.Millisecond})
 		}),
 		Entry("the end of its registration for a moment", func(model.RequestID) {
 			head := h.targets["head"]
@@ -88,7 +88,7 @@
 	)
 
 	It("is used again by its next incarnation", func() {
-		askRest("/r/x", time.Minute)
+		requestBackoff("/r/x", time.Minute)
 		h.changeTarget("o1", func(t *fleet.Target) { t.StartedMs = 2 })
 		h.read()
 		_, e := h.arrive("/r/x")
@@ -98,12 +98,12 @@
 	It("leaves requests to the others", func() {
 		h.addTarget("o2", orders, "a", 0, 0)
 		h.read()
-		send, ok := askRest("/r/x", 3*time.Second).(*director.Send)
+		send, ok := requestBackoff("/r/x", 3*time.Second).(*director.Send)
 		Expect(ok).To(BeTrue(), "sent again at once")
-		rested := map[model.TargetID]model.TargetID{"o1": "o2", "o2": "o1"}[send.Hops[0].Target]
+		backedOff := map[model.TargetID]model.TargetID{"o1": "o2", "o2": "o1"}[send.Hops[0].Target]
 		for range 20 {
 			_, e := h.arrive("/r/x")
-			Expect(expectSend(e).Hops[0].Target).NotTo(Equal(rested))
+			Expect(expectSend(e).Hops[0].Target).NotTo(Equal(backedOff))
 		}
 	})
 
@@ -117,7 +117,7 @@
 		for expectSend(e).Hops[0].Target != "tail" {
 			id, e = h.arrive("/s/x")
 		}
-		h.state.Step(h.now, director.RestRequested{ID: id, For: time.Minute})
+		h.state.Step(h.now, director.BackoffRequested{ID: id, For: time.Minute})
 		_, e = h.arrive("/s/x")
 		Expect(expectSend(e).Hops).To(HaveLen(2))
 		Expect(expectSend(e).Hops[1].Target).To(BeEquivalentTo("tail"))
@@ -125,26 +125,26 @@
 
 	It("does not make other VMs avoid it", func() {
 		other := h.peer("vm-2")
-		askRest("/r/x", 3*time.Second)
+		requestBackoff("/r/x", 3*time.Second)
 		exchange([]*harness{h, other})
 		_, e := other.arrive("/r/x")
 		expectSend(e)
 	})
 
-	// Guards against a rest that VMs tell each other for ever, since each message adds its
+	// Guards against a backoff that VMs pass on for ever, since each message adds its
 	// time on the way.
 	It("ends in time however often VMs exchange it", func() {
 		vms := []*harness{h, h.peer("vm-2"), h.peer("vm-3")}
-		askRest("/r/x", time.Second)
+		requestBackoff("/r/x", time.Second)
 		for range 11 {
 			exchange(vms)
 			for _, vm := range vms {
 				vm.advance(100 * time.Millisecond)
-				for _, r := range vm.state.OwnPeerState(vm.now).Rests {
+				for _, r := range vm.state.OwnPeerState(vm.now).Backoffs {
 					Expect(r.Remaining).To(BeNumerically("<=", time.Second))
 				}
 				r := vm.state.OwnPeerState(vm.now)
-				r.Rests = append([]director.Rest{}, r.Rests...)
+				r.Backoffs = append([]director.Backoff{}, r.Backoffs...)
 				h.state.Step(h.now.Add(-50*time.Millisecond), r)
 			}
 		}
@@ -152,20 +152,20 @@
 		expectSend(e)
 	})
 
-	// Guards against memory that grows with the rests of targets that are gone.
+	// Guards against memory that grows with the backoffs of targets that are gone.
 	It("is one of a bounded number", func() {
 		for n := range 5000 {
-			h.state.Step(h.now, director.PeerState{VM: "vm-2", Rests: []director.Rest{{
+			h.state.Step(h.now, director.PeerState{VM: "vm-2", Backoffs: []director.Backoff{{
 				VM: "vm-2", Target: model.TargetID(fmt.Sprint("t", n)), Born: 1, Remaining: time.Minute,
 			}}})
 		}
-		Expect(h.state.Rests()).To(Equal(4096))
+		Expect(h.state.Backoffs()).To(Equal(4096))
 	})
 })
 
-var _ = Describe("a target that asks a relay for rest", func() {
+var _ = Describe("a target that requests a backoff of a relay", func() {
 	// Guards against requests that the relay, or other VMs through it, send to a target that
-	// asked it for rest in an answer to a third VM.
+	// requested a backoff of it in an answer to a third VM.
 	It("gets no more requests from the relay, and others from other VMs", func() {
 		l := newLinkSimulation()
 		l.advance(3 * time.Second)
@@ -175,7 +175,7 @@
 		r := l.arrive(vm, "/p/x")
 		Expect(r.relay).NotTo(BeEmpty())
 		asked := link{r.relay, r.sentTo}
-		l.step(vm, director.RestRequested{ID: r.id, For: 3 * time.Second})
+		l.step(vm, director.BackoffRequested{ID: r.id, For: 3 * time.Second})
 		l.advance(500 * time.Millisecond)
 		l.arrivals = map[link]int{}
 		l.advance(2 * time.Second)
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -116,9 +116,9 @@
 	PerSecond float64
 }
 
-// RestRequested reports that the target of a request's send in flight wants no further
+// BackoffRequested reports that the target of a request's send in flight wants no further
 // request for a time.
-type RestRequested struct {
+type BackoffRequested struct {
 	ID  model.RequestID
 	For time.Duration
 }
@@ -229,11 +229,11 @@
 	// Leaving are the targets that stated that they leave, though their registrations say
 	// that they are ready, with the start times of their processes in Unix milliseconds.
 	Leaving map[model.TargetID]int64
-	// Rests are the rests that the VM read from answers.
-	Rests []Rest
+	// Backoffs are the backoffs that the VM read from answers.
+	Backoffs []Backoff
 	// Isolated is true when the VM lost most targets while they run.
 	Isolated bool
-	// Unreachable are the targets that the VM fails to reach; it asks for signs of life.
+	// Unreachable are the targets that the VM fails to reach; others reply with signs of life.
 	Unreachable []model.TargetID
 	// Signs are the signs of life of targets that other VMs do not reach.
 	Signs map[model.TargetID]Sign
@@ -273,7 +273,7 @@
 func (AnswerStarted) event()    {}
 func (StreamProgressed) event() {}
 func (RateLimitRead) event()    {}
-func (RestRequested) event()    {}
+func (BackoffRequested) event() {}
 func (TargetLeaving) event()    {}
 func (StreamIdle) event()       {}
 func (RequestFinished) event()  {}
--- a/internal/director/export_test.go
+++ b/internal/director/export_test.go
@@ -64,5 +64,5 @@
 	return t != nil && t.serving(now)
 }
 
-// Rests returns the number of rests that are kept.
-func (s *State) Rests() int { return len(s.rests) }
+// Backoffs returns the number of backoffs that are kept.
+func (s *State) Backoffs() int { return len(s.backoffs) }
--- a/internal/director/link_test.go
+++ b/internal/director/link_test.go
@@ -103,7 +103,7 @@
 
 	// Guards against a target that is replaced because the VM which monitors its zone for
 	// the others, and places layers, does not reach it, while no request shows that it runs.
-	DescribeTable("ask others of targets that only they do not reach", func(state linkState, lost ...model.TargetID) {
+	DescribeTable("keep targets that only they do not reach in the placement view", func(state linkState, lost ...model.TargetID) {
 		l := newLinkSimulation()
 		l.quiet = true
 		l.advance(5 * time.Second)
--- a/internal/director/lostanswer.go
+++ b/internal/director/lostanswer.go
@@ -300,8 +300,8 @@
 			if t.Kind != "" || now.Sub(t.connectionProbedAt) < reconnectInterval && t.connectionProbedAt != 0 {
 				continue
 			}
-			asked := s.unreachedByPeer(now, t) && now.Sub(t.reach.contactAt) >= reconnectInterval && s.monitors(now, t, e.Lead)
-			if !s.reaches(t) && s.runsUnreached(now, t) || asked {
+			monitored := s.unreachedByPeer(now, t) && now.Sub(t.reach.contactAt) >= reconnectInterval && s.monitors(now, t, e.Lead)
+			if !s.reaches(t) && s.runsUnreached(now, t) || monitored {
 				effects = append(effects, s.probeConnection(now, t))
 			}
 		}
--- a/internal/director/ratelimit.go
+++ b/internal/director/ratelimit.go
@@ -73,11 +73,11 @@
 }
 
 // mayStartOn reports whether a target takes a request of this VM now, by the rate that it
-// named and the rest that it asked for. A target that asked a relay for rest is left out by
+// named and the backoff that it requested. A target that requested a backoff of a relay is left out by
 // relayTo.
 func (s *State) mayStartOn(now model.Instant, t *target) bool {
 	direct := s.reaches(t) || !s.runsUnreached(now, t)
-	if direct && s.restLeft(now, s.settings.VM, t) > 0 {
+	if direct && s.backoffLeft(now, s.settings.VM, t) > 0 {
 		return false
 	}
 	return !s.limits.Limited(t.ID) || s.limits.Allow(now, t.ID, s.limitVMs(now))
--- a/internal/director/reachability.go
+++ b/internal/director/reachability.go
@@ -228,7 +228,7 @@
 	return nil
 }
 
-// unreachedByPeer reports whether another VM asks for signs of life of a target.
+// unreachedByPeer reports whether another VM lists a target as not reached.
 func (s *State) unreachedByPeer(now model.Instant, t *target) bool {
 	if s.unreachedByPeers == 0 {
 		return false
--- a/internal/director/relay.go
+++ b/internal/director/relay.go
@@ -50,7 +50,7 @@
 	bestLoad := 0.0
 	for vm, p := range s.peers {
 		if p.relay.Address == "" || p.isolated || p.unreachable[t.ID] || now.Sub(p.receivedAt) > relayFresh ||
-			p.relayFailedAt != 0 && now.Sub(p.relayFailedAt) < relayFailurePeriod || s.restLeft(now, vm, t) > 0 {
+			p.relayFailedAt != 0 && now.Sub(p.relayFailedAt) < relayFailurePeriod || s.backoffLeft(now, vm, t) > 0 {
 			continue
 		}
 		load := float64(p.inFlight+p.relayedFromHere+1) * (0.5 + weight(r, vm))
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -89,8 +89,8 @@
 	limits *targetlimit.Limits
 	// leaving holds since when incarnations are known to leave.
 	leaving map[incarnation]model.Instant
-	// rests are the times in which targets want no requests from a VM.
-	rests map[restKey]rest
+	// backoffs are the times in which targets want no requests from a VM.
+	backoffs map[backoffKey]backoff
 	// lastLimitVMs are the VMs among which limits are divided, as of limitVMsAt.
 	lastLimitVMs targetlimit.VMs
 	limitVMsAt   model.Instant
@@ -170,7 +170,7 @@
 		byService: map[model.ServiceID][]*target{}, requests: map[model.RequestID]*request{},
 		peers: map[model.NodeID]*peer{}, budget: retrybudget.New(s.Retries),
 		crashRecords: map[Cause]*crashRecord{}, retries: map[model.ServiceID]*serviceRetries{},
-		peerLostAnswers: map[model.NodeID]*peerAnswers{}, answeredParts: newAnsweredParts(), limits: targetlimit.New(), rests: map[restKey]rest{}, leaving: map[incarnation]model.Instant{},
+		peerLostAnswers: map[model.NodeID]*peerAnswers{}, answeredParts: newAnsweredParts(), limits: targetlimit.New(), backoffs: map[backoffKey]backoff{}, leaving: map[incarnation]model.Instant{},
 	}
 }
 
@@ -198,8 +198,8 @@
 		s.recordAnswerStart(now, e.ID)
 	case RateLimitRead:
 		return effectList(s.rateLimitRead(now, e))
-	case RestRequested:
-		return effectList(s.restRequested(now, e))
+	case BackoffRequested:
+		return effectList(s.backoffRequested(now, e))
 	case TargetLeaving:
 		return effectList(s.targetLeaving(now, e))
 	case StreamProgressed:
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -385,7 +385,7 @@
 	effects := append(s.keepLostAnswers(now, e), s.contentRead(now)...)
 	effects = append(effects, s.applySigns(now, e)...)
 	effects = append(effects, s.applyLimits(now, e)...)
-	effects = append(effects, s.applyRests(now, e)...)
+	effects = append(effects, s.applyBackoffs(now, e)...)
 	effects = append(effects, s.applyLeaving(now, e)...)
 	for _, answer := range e.Answers {
 		effects = append(effects, effectList(s.applyAnswered(now, answer, e.VM))...)
@@ -446,7 +446,7 @@
 	out := PeerState{
 		VM: s.settings.VM, Zone: s.settings.Zone, Process: s.settings.Process, Uptime: now.Sub(s.startedAt), Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
 		Paces: map[model.TargetID]float64{}, Crashes: s.recentCrashes(now), Quarantines: s.quarantines(now),
-		LostAnswers: s.sentLostAnswers(now), Answers: s.sentAnswers(now), Limits: s.sentLimits(now), Rests: s.sentRests(now), Leaving: s.sentLeaving(),
+		LostAnswers: s.sentLostAnswers(now), Answers: s.sentAnswers(now), Limits: s.sentLimits(now), Backoffs: s.sentBackoffs(now), Leaving: s.sentLeaving(),
 		Isolated: s.Isolated(), Unreachable: s.sentUnreachable(), Signs: s.sentSigns(now), Relay: s.offered(), InFlight: len(s.requests) + s.relayed,
 	}
 	if s.config != nil {
--- a/internal/ingress/rest_test.go
+++ b/internal/ingress/backoff_test.go
@@ -10,15 +10,15 @@
 	. "github.com/onsi/gomega"
 )
 
-// restGrace is the time within which requests that are under way may still reach a target
-// that asked for rest, and maxDuringRest bounds those that reach it later.
+// backoffGrace is the time within which requests that are under way may still reach a target
+// that requested a backoff, and maxDuringBackoff bounds those that reach it later.
 const (
-	restGrace     = 500 * time.Millisecond
-	maxDuringRest = 2
+	backoffGrace     = 500 * time.Millisecond
+	maxDuringBackoff = 2
 )
 
-var _ = Describe("a target that asks for rest", func() {
-	// Guards against a target that asks for rest and gets more requests: a rejection was a
+var _ = Describe("a target that requests a backoff", func() {
+	// Guards against a target that requests a backoff and gets more requests: a rejection was a
 	// short suspicion, whatever the target asked for, and an only target was always used.
 	DescribeTable("gets no more requests from the VM until it ends", func(path string) {
 		var mu sync.Mutex
@@ -48,13 +48,13 @@
 		}
 		late := 0
 		for _, at := range arrivals {
-			if since := at.Sub(arrivals[0]); since > restGrace && since < 2*time.Second {
+			if since := at.Sub(arrivals[0]); since > backoffGrace && since < 2*time.Second {
 				late++
 			}
 		}
-		Expect(late).To(BeNumerically("<=", maxDuringRest))
+		Expect(late).To(BeNumerically("<=", maxDuringBackoff))
 		Expect(refusals).NotTo(BeEmpty())
-		Expect(refusals[0]).To(BeNumerically(">", 500*time.Millisecond), "the rest says when to come back")
+		Expect(refusals[0]).To(BeNumerically(">", 500*time.Millisecond), "the backoff says when to come back")
 		Eventually(func() int { resp, _, _ := fetch(url + path); return resp.StatusCode }, 2*time.Second).Should(Equal(http.StatusOK))
 	},
 		Entry("idempotent", "/r/x"), Entry("not idempotent", "/p/x"), Entry("stream", "/s/x"),
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -278,7 +278,7 @@
 		"target": e.Hops[0].Target, "relay": via, "sent": x.Sent, "begun": a.streaming, "reused_connection": x.Reused, "framing": x.Framing(),
 	})
 	if x.Response != nil {
-		line = line.WithFields(logrus.Fields{"response_status": x.Response.StatusCode, "signed": x.Head.Signed, "encoded": x.Head.Encoded, "rest_ms": x.Head.Rest.Milliseconds(), "leaving": x.Head.Leaving})
+		line = line.WithFields(logrus.Fields{"response_status": x.Response.StatusCode, "signed": x.Head.Signed, "encoded": x.Head.Encoded, "backoff_ms": x.Head.Backoff.Milliseconds(), "leaving": x.Head.Leaving})
 	}
 	if err != nil {
 		line = line.WithError(err)
@@ -292,15 +292,15 @@
 	if x.Response == nil {
 		return
 	}
-	if invalid := x.Head.InvalidRest; invalid != "" {
+	if invalid := x.Head.InvalidBackoff; invalid != "" {
 		a.log.WithFields(logrus.Fields{"target": e.Hops[0].Target, "value": invalid}).
-			Warn("the rest that the target asks for is neither a number of seconds nor a date; ignored")
+			Warn("the backoff that the target requests is neither a number of seconds nor a date; ignored")
 	}
 	if x.Head.Leaving {
 		a.handler.reducer.Step(director.TargetLeaving{ID: a.request.ID})
 	}
-	if x.Head.Rest > 0 {
-		a.handler.reducer.Step(director.RestRequested{ID: a.request.ID, For: x.Head.Rest})
+	if x.Head.Backoff > 0 {
+		a.handler.reducer.Step(director.BackoffRequested{ID: a.request.ID, For: x.Head.Backoff})
 	}
 	if invalid := x.Head.InvalidRateLimit; invalid != "" {
 		a.log.WithFields(logrus.Fields{"target": e.Hops[0].Target, "value": invalid}).
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -201,7 +201,7 @@
 
 	// Guards against a refusal by the target that is taken for a fault of the relay, so that
 	// others are tried in turn.
-	It("tells a target that does not accept from a relay that cannot be used", func() {
+	It("distinguishes a target that does not accept from a relay that cannot be used", func() {
 		listener := listen()
 		address := listener.Addr().String()
 		Expect(listener.Close()).To(Succeed())
