A VM knows the loads of all VMs: digests of zones, sums of loads

Cause: a VM sent its whole state to at most 32 VMs of its zone and 32 of the others, in the order of a map. At 117 VMs a VM heard of a third of the other zones, at 34 a zone not of all of its own, and two could lead. What was sent grew with VMs squared, and a decision walked all VMs for each target.

Change: internal/membership (pure) decides who leads a zone and to whom messages go; its simulation of 4 to 410 VMs states that every VM knows of all, at most a second old, with one leader a zone, and that messages between zones grow with zones only. The leader merges the states of its zone (internal/zonedigest, pure) into one compressed datagram to two VMs of each other zone, which forward it. Digests begin with a byte that is no JSON, so that the builds of today skip them; these get the sender's own messages as long as their registrations state no protocol. internal/loadview (pure) keeps the sum of the others' loads by target.

The simulation found that a leader needed up to ten seconds to find that of a zone of a hundred VMs; a VM that does not lead passes a digest on.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -21,6 +21,7 @@
 	"tamarackreach/internal/director"
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/ingress"
+	"tamarackreach/internal/membership"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/placementlease"
 	"tamarackreach/internal/storeera"
@@ -244,6 +245,8 @@
 type vmRecord struct {
 	Zone        model.AvailabilityZone `json:"zone"`
 	PeerAddress string                 `json:"peer_address"`
+	// Protocol is the newest protocol between VMs that the VM's build understands.
+	Protocol int `json:"protocol,omitempty"`
 }
 
 // coordinate reads the coordination table, registers this VM and acquires or renews
@@ -297,7 +300,7 @@
 }
 
 func (c *Controller) register(ctx context.Context, row fleet.StoreRow) {
-	value, err := json.Marshal(vmRecord{Zone: c.settings.Zone, PeerAddress: c.peers.address()})
+	value, err := json.Marshal(vmRecord{Zone: c.settings.Zone, PeerAddress: c.peers.address(), Protocol: membership.DigestProtocol})
 	if err != nil {
 		logrus.WithError(err).Error("cannot encode the VM record")
 		return
--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -48,6 +48,10 @@
 	// Relay is the address and the secret of the relay that the sender offers.
 	Relay    []string `json:"relay,omitempty"`
 	InFlight int      `json:"in_flight,omitempty"`
+	// Urgent is true when the zone's leader is to send a digest without delay.
+	Urgent bool `json:"urgent,omitempty"`
+	// AgeMs is the age of the state; it is set in digests only.
+	AgeMs int64 `json:"age_ms,omitempty"`
 	// Query is the number of a query for the recipient's state of the store; State is
 	// the reply to it. Such a message has no other fields but VM.
 	Query uint64 `json:"ask,omitempty"`
@@ -225,6 +229,7 @@
 		Suspects: make(map[model.TargetID]director.Suspicion, len(m.Suspects)),
 	}
 	out.Zone, out.Isolated, out.Unreachable, out.InFlight = m.Zone, m.Isolated, m.Unreachable, m.InFlight
+	out.Age = time.Duration(m.AgeMs) * time.Millisecond
 	if len(m.Relay) == 2 {
 		out.Relay = director.Relay{VM: m.VM, Address: m.Relay[0], Secret: m.Relay[1]}
 	}
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -15,28 +14,22 @@
 	"tamarackreach/internal/bootclock"
 	"tamarackreach/internal/director"
 	"tamarackreach/internal/ingress"
+	"tamarackreach/internal/membership"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/zonedigest"
 	"tamarackreach/platform"
 )
 
 const (
-	// peerStateInterval is the interval of messages within a zone.
-	peerStateInterval = 200 * time.Millisecond
 	// minLearnedInterval is the minimum time between two messages that are sent to all VMs
 	// without delay.
 	minLearnedInterval = 100 * time.Millisecond
-	// crossZoneEvery is the number of intervals between messages to other zones:
-	// traffic between zones is expensive.
-	crossZoneEvery = 3
-	// peerTimeout is the time without a message after which a VM of the zone counts
-	// as failed: five messages.
-	peerTimeout = time.Second
+	// earlierBuildsEvery is the number of intervals between messages to VMs of other zones
+	// whose builds understand no digests.
+	earlierBuildsEvery = 3
 	// queryTimeout bounds the wait for the leader's reply, which takes milliseconds
 	// within a zone.
 	queryTimeout = 100 * time.Millisecond
-	// maxPeers bounds the recipients of a message in this zone, and those in other
-	// zones.
-	maxPeers = 32
 	// maxMessageBytes is the size of the receive buffer for datagrams.
 	maxMessageBytes = 60 << 10
 )
@@ -44,30 +37,33 @@
 // peers exchanges load and failures with other VMs by UDP. A lost message only makes
 // the state of its recipients older.
 type peers struct {
-	settings   *platform.Settings
-	reducer    *ingress.Reducer
-	conn       net.PacketConn
-	mu         sync.Mutex
-	sameZone   []*net.UDPAddr
-	otherZones []*net.UDPAddr
-	// zonePeers are the addresses of the other VMs of the zone; received is when
-	// the last message of each VM arrived.
-	zonePeers map[model.NodeID]*net.UDPAddr
-	received  map[model.NodeID]model.Instant
-	// isolated are the VMs that state that they do not reach the targets.
-	isolated map[model.NodeID]bool
-	view     *view
+	settings *platform.Settings
+	reducer  *ingress.Reducer
+	conn     net.PacketConn
+	mu       sync.Mutex
+	members  *membership.Members
+	// collector holds the states of the VMs of the zone.
+	collector *zonedigest.Collector
+	// addresses are the decoded addresses of the VMs, by their text.
+	addresses map[string]*net.UDPAddr
+	view      *view
 	// probe carries out the probes that a message makes due.
 	probe ingress.Prober
 	// lastQuery is the number of the last query; pending are those without a reply.
 	lastQuery uint64
 	pending   map[uint64]chan *state
+	// digestDue has an element when this VM's zone is to send a digest without delay.
+	digestDue chan struct{}
+	// recent are the numbers of the last digests received.
+	recent     [recentDigests]uint64
+	nextRecent int
+	counts     messageCounts
 }
 
 func newPeers(s *platform.Settings, r *ingress.Reducer, v *view, probe ingress.Prober) *peers {
 	return &peers{
-		settings: s, reducer: r, received: map[model.NodeID]model.Instant{}, isolated: map[model.NodeID]bool{}, view: v, probe: probe,
-		pending: map[uint64]chan *state{},
+		settings: s, reducer: r, members: membership.New(s.VM, s.Zone), collector: zonedigest.NewCollector(), view: v, probe: probe,
+		pending: map[uint64]chan *state{}, addresses: map[string]*net.UDPAddr{}, digestDue: make(chan struct{}, 1),
 	}
 }
 
@@ -86,61 +82,62 @@
 
 // setVMs replaces the list of VMs.
 func (p *peers) setVMs(vms map[model.NodeID]vmRecord) {
-	var sameZone, otherZones []*net.UDPAddr
-	zonePeers := map[model.NodeID]*net.UDPAddr{}
+	registered := make(map[model.NodeID]membership.VM, len(vms))
+	addresses := make(map[string]*net.UDPAddr, len(vms))
 	for name, record := range vms {
-		if name == p.settings.VM {
-			continue
-		}
 		address, err := net.ResolveUDPAddr("udp4", record.PeerAddress)
 		if err != nil {
 			logrus.WithError(err).WithField("vm", name).Warn("invalid VM address ignored")
 			continue
 		}
-		if record.Zone == p.settings.Zone {
-			sameZone = append(sameZone, address)
-			zonePeers[name] = address
-		} else {
-			otherZones = append(otherZones, address)
-		}
+		registered[name] = membership.VM{Zone: record.Zone, Address: record.PeerAddress, Protocol: record.Protocol}
+		addresses[record.PeerAddress] = address
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sameZone, p.otherZones = sameZone[:min(len(sameZone), maxPeers)], otherZones[:min(len(otherZones), maxPeers)]
-	p.zonePeers = zonePeers
+	p.members.SetRegistered(registered)
+	p.addresses = addresses
+}
+
+// RegisteredVMs returns the number of VMs registered in the store, as of the last read.
+func (c *Controller) RegisteredVMs() int {
+	c.peers.mu.Lock()
+	defer c.peers.mu.Unlock()
+	return c.peers.members.Registered()
+}
+
+// resolved returns the decoded addresses; the caller holds the lock.
+func (p *peers) resolved(texts []string) []*net.UDPAddr {
+	out := make([]*net.UDPAddr, 0, len(texts))
+	for _, text := range texts {
+		if address := p.addresses[text]; address != nil {
+			out = append(out, address)
+		}
+	}
+	return out
 }
 
-// isLeader reports whether no live VM of the zone has a smaller name. Two VMs may
-// both be leader for a time; both then do the leader's reads.
+// isLeader reports whether this VM leads its zone.
 func (p *peers) isLeader(now model.Instant) bool { return p.leader(now) == nil }
 
-// monitors reports whether this VM monitors the targets of its zone: no live VM of the zone
-// with a smaller name reaches them.
+// monitors reports whether this VM monitors the targets of its zone.
 func (p *peers) monitors(now model.Instant) bool {
 	isolated := false
 	p.reducer.Read(func(s *director.State) { isolated = s.Isolated() })
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for name := range p.zonePeers {
-		if received, found := p.received[name]; found && name < p.settings.VM && !p.isolated[name] && now.Sub(received) < peerTimeout {
-			return false
-		}
-	}
-	return !isolated
+	return p.members.Monitors(now, isolated)
 }
 
 // leader returns the address of the zone leader, or nil when this VM is the leader.
 func (p *peers) leader(now model.Instant) *net.UDPAddr {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	first := p.settings.VM
-	var address *net.UDPAddr
-	for name, candidate := range p.zonePeers {
-		if received, found := p.received[name]; found && name < first && now.Sub(received) < peerTimeout {
-			first, address = name, candidate
-		}
+	_, address, ok := p.members.Leader(now)
+	if !ok {
+		return nil
 	}
-	return address
+	return p.addresses[address]
 }
 
 // queryLeader returns the zone leader's store state and the time of the query. It
@@ -202,21 +199,25 @@
 func (p *peers) run(ctx context.Context) {
 	go p.receive(ctx)
 	go p.sendLearned(ctx)
+	go p.sendDigests(ctx)
 	round := 0
-	every(ctx, constant(peerStateInterval), func() {
+	every(ctx, p.interval, func() {
 		round++
-		p.sendPeerState(p.recipients(round%crossZoneEvery == 0))
+		p.sendPeerState(p.recipients(round%earlierBuildsEvery == 0), false)
 	})
 }
 
-// recipients returns the addresses of the VMs of this zone, or of all zones.
-func (p *peers) recipients(allZones bool) []*net.UDPAddr {
+func (p *peers) interval() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !allZones {
-		return p.sameZone
-	}
-	return slices.Concat(p.sameZone, p.otherZones)
+	return p.members.Interval()
+}
+
+// recipients returns the addresses to which this VM's own messages go.
+func (p *peers) recipients(otherZones bool) []*net.UDPAddr {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.resolved(p.members.MessageRecipients(otherZones))
 }
 
 // sendLearned sends the state to all VMs when this VM has learned of content that
@@ -228,7 +229,8 @@
 			return
 		case <-p.reducer.Learned():
 		}
-		p.sendPeerState(p.recipients(true))
+		p.sendPeerState(p.recipients(true), true)
+		p.hastenDigest()
 		select {
 		case <-ctx.Done():
 			return
@@ -237,13 +239,15 @@
 	}
 }
 
-func (p *peers) sendPeerState(addresses []*net.UDPAddr) {
+// sendPeerState sends this VM's state; urgent is true when other zones are to receive it
+// without delay.
+func (p *peers) sendPeerState(addresses []*net.UDPAddr, urgent bool) {
 	if len(addresses) == 0 {
 		return
 	}
-	var peerState director.PeerState
-	p.reducer.Read(func(s *director.State) { peerState = s.OwnPeerState(bootclock.Now()) })
-	text, err := json.Marshal(encodePeerState(peerState))
+	message := encodePeerState(p.ownState(bootclock.Now()))
+	message.Urgent = urgent
+	text, err := json.Marshal(message)
 	if err != nil {
 		logrus.WithError(err).Error("cannot encode the peer message")
 		return
@@ -253,6 +257,11 @@
 	}
 }
 
+func (p *peers) ownState(now model.Instant) (out director.PeerState) {
+	p.reducer.Read(func(s *director.State) { out = s.OwnPeerState(now) })
+	return out
+}
+
 func (p *peers) receive(ctx context.Context) {
 	go func() {
 		<-ctx.Done()
@@ -268,25 +277,53 @@
 			logrus.WithError(err).Debug("cannot read a peer message")
 			continue
 		}
-		var message peerMessage
-		if err := json.Unmarshal(buffer[:n], &message); err != nil {
-			logrus.WithError(err).Debug("invalid peer message ignored")
-			continue
-		}
-		p.mu.Lock()
-		p.received[message.VM] = bootclock.Now()
-		p.mu.Unlock()
-		switch {
-		case message.State != nil:
-			p.deliver(message.Query, message.State)
-			continue
-		case message.Query != 0:
-			p.sendMessage(from, peerMessage{VM: p.settings.VM, Query: message.Query, State: p.view.snapshot(bootclock.Now())})
-			continue
-		}
-		p.mu.Lock()
-		p.isolated[message.VM] = message.Isolated
-		p.mu.Unlock()
-		p.probe(p.reducer.Step(message.received()))
+		p.received(buffer[:n], from)
+	}
+}
+
+// received applies a datagram.
+func (p *peers) received(text []byte, from net.Addr) {
+	if len(text) == 0 || text[0] != '{' {
+		p.receivedDigest(text)
+		return
+	}
+	var message peerMessage
+	if err := json.Unmarshal(text, &message); err != nil || message.VM == "" {
+		p.counts.skip(skippedInvalid)
+		logrus.WithError(err).WithField("from", from).Debug("invalid peer message ignored")
+		return
+	}
+	switch now := bootclock.Now(); {
+	case message.State != nil:
+		p.answered(now, message.VM)
+		p.deliver(message.Query, message.State)
+	case message.Query != 0:
+		p.answered(now, message.VM)
+		p.sendMessage(from, peerMessage{VM: p.settings.VM, Query: message.Query, State: p.view.snapshot(now)})
+	default:
+		p.receivedState(now, &message)
+	}
+}
+
+// answered records that a VM runs.
+func (p *peers) answered(now model.Instant, vm model.NodeID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.members.Answered(now, vm)
+}
+
+// receivedState applies a VM's own message.
+func (p *peers) receivedState(now model.Instant, message *peerMessage) {
+	state := message.received()
+	inZone := state.Zone == p.settings.Zone
+	p.mu.Lock()
+	p.members.Heard(now, state.VM, state.Isolated)
+	if inZone {
+		p.collector.Put(now, state)
+	}
+	p.mu.Unlock()
+	p.probe(p.reducer.Step(state))
+	if inZone && message.Urgent {
+		p.hastenDigest()
 	}
 }
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -207,6 +207,8 @@
 	Process uint32
 	// Uptime is the time for which the process has run.
 	Uptime time.Duration
+	// Age is the time since the VM sent the state; 0 for its own message.
+	Age time.Duration
 	// Loads is the load that the VM itself puts on each target.
 	Loads map[model.TargetID]Load
 	// Suspects are the targets that the VM suspects.
--- a/internal/director/export_test.go
+++ b/internal/director/export_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"tamarackreach/internal/loadview"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/retrybudget"
 )
@@ -18,6 +19,7 @@
 		c.targets[id] = &copied
 	}
 	c.peers = maps.Clone(s.peers)
+	c.loads = loadview.New()
 	c.budget = retrybudget.New(s.settings.Retries)
 	c.rebuildIndexes()
 	return &c
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tamarackreach/internal/fleet"
+	"tamarackreach/internal/loadview"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/retrybudget"
 	"tamarackreach/internal/targetlimit"
@@ -62,6 +63,8 @@
 	targetsRead bool
 	requests    map[model.RequestID]*request
 	peers       map[model.NodeID]*peer
+	// loads are the loads of the other VMs.
+	loads *loadview.View
 	// listedVMs is the number of VMs registered in the store; 0 while it is unknown.
 	listedVMs int
 	budget    *retrybudget.Budget
@@ -168,7 +171,7 @@
 	return &State{
 		settings: s, targets: map[model.TargetID]*target{}, byAddress: map[string]*target{},
 		byService: map[model.ServiceID][]*target{}, requests: map[model.RequestID]*request{},
-		peers: map[model.NodeID]*peer{}, budget: retrybudget.New(s.Retries),
+		peers: map[model.NodeID]*peer{}, loads: loadview.New(), budget: retrybudget.New(s.Retries),
 		crashRecords: map[Cause]*crashRecord{}, retries: map[model.ServiceID]*serviceRetries{},
 		peerLostAnswers: map[model.NodeID]*peerAnswers{}, answeredParts: newAnsweredParts(), limits: targetlimit.New(), backoffs: map[backoffKey]backoff{}, leaving: map[incarnation]model.Instant{},
 	}
@@ -227,6 +230,8 @@
 		return s.probeDue(now, e)
 	case PeerState:
 		return s.applyPeer(now, e)
+	case ZoneState:
+		return s.applyZone(now, e)
 	case ContentRead:
 		s.keepStored(now, e)
 	case StoreFailed:
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tamarackreach/internal/fleet"
+	"tamarackreach/internal/loadview"
 	"tamarackreach/internal/model"
 )
 
@@ -67,23 +68,12 @@
 }
 
 // Load is the work in flight on a target.
-type Load struct {
-	// Requests is the number of requests.
-	Requests int
-	// TokenLayers is the sum over requests of tokens times layers run by the target.
-	TokenLayers float64
-	// Waiting is the number of requests without an answer yet: their prompts are in
-	// prefill.
-	Waiting int
-	// First counts the requests whose first hop is the target.
-	First int
-}
+type Load = loadview.Load
 
 // peer is the last state received from another VM.
 type peer struct {
 	receivedAt  model.Instant
 	zone        model.AvailabilityZone
-	loads       map[model.TargetID]Load
 	isolated    bool
 	unreachable map[model.TargetID]bool
 	relay       Relay
@@ -101,7 +91,7 @@
 		p = &peer{}
 		s.peers[e.VM] = p
 	}
-	p.receivedAt, p.zone, p.loads, p.isolated, p.relay, p.inFlight = now, e.Zone, e.Loads, e.Isolated, e.Relay, e.InFlight
+	p.receivedAt, p.zone, p.isolated, p.relay, p.inFlight = now.Add(-e.Age), e.Zone, e.Isolated, e.Relay, e.InFlight
 	p.relay.VM = e.VM
 	s.unreachedByPeers -= len(p.unreachable)
 	p.unreachable = make(map[model.TargetID]bool, len(e.Unreachable))
@@ -118,8 +108,8 @@
 	lapsedGrace = 2700 * time.Millisecond
 	// neededWindow is how long a suspected target is probed after a path was missing.
 	neededWindow = time.Second
-	// peerExpiry is how long a peer's load counts: ten of its message intervals.
-	peerExpiry = 2 * time.Second
+	// peerExpiry is how long the last message of a VM counts.
+	peerExpiry = loadview.Expiry
 )
 
 func (s *State) updateTargets(now model.Instant, e TargetsRead) []Effect {
@@ -156,6 +146,7 @@
 		}
 		delete(s.targets, id)
 		s.limits.Forget(id)
+		s.loads.Forget(id)
 		effects = append(effects, &StateChanged{What: "target gone", Subject: string(id), Detail: t.Address})
 	}
 	s.rebuildIndexes()
@@ -368,8 +359,14 @@
 	return &RequestReport{Target: t.ID, Address: t.Address, NewConnection: t.reach.failedAt != 0}
 }
 
-// applyPeer applies the state received from another VM.
+// applyPeer applies the message of another VM.
 func (s *State) applyPeer(now model.Instant, e PeerState) []Effect {
+	s.loads.SetVM(now, e.VM, e.Zone, e.Loads)
+	return s.applyState(now, e)
+}
+
+// applyState applies the state of another VM, but for its loads.
+func (s *State) applyState(now model.Instant, e PeerState) []Effect {
 	known := len(s.peers)
 	s.updatePeer(now, e)
 	s.dropStored(now, e)
@@ -426,18 +423,8 @@
 
 // load returns the load of all VMs on a target, as far as it is known.
 func (s *State) load(now model.Instant, t *target) Load {
-	l := t.ownLoad
-	for _, p := range s.peers {
-		if now.Sub(p.receivedAt) > peerExpiry {
-			continue
-		}
-		other := p.loads[t.ID]
-		l.Requests += other.Requests
-		l.TokenLayers += other.TokenLayers
-		l.Waiting += other.Waiting
-		l.First += other.First
-	}
-	return l
+	s.loads.Expire(now)
+	return t.ownLoad.Plus(*s.loads.Sum(t.ID))
 }
 
 // OwnPeerState returns the state for other VMs: own loads, suspicions, slowdowns,
--- a/internal/frontdaemon/status.go
+++ b/internal/frontdaemon/status.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"tamarackreach/internal/bootclock"
+	"tamarackreach/internal/controller"
 	"tamarackreach/internal/director"
 )
 
@@ -41,6 +42,30 @@
 		state(func(s *director.State) float64 { return float64(s.Relayed()) }))
 }
 
+// registerPeerMetrics registers what the VM knows of the others, and the messages.
+func (d *Daemon) registerPeerMetrics(state func(func(*director.State) float64) func() float64) {
+	m := d.metrics
+	m.Gauge("tamarack_vms_registered", "VMs registered in the store, this one included.",
+		func() float64 { return float64(d.controller.RegisteredVMs()) })
+	m.Gauge("tamarack_vms_heard", "Other VMs whose last message counts.",
+		state(func(s *director.State) float64 { count, _ := s.KnownVMs(bootclock.Now()); return float64(count) }))
+	m.Gauge("tamarack_vm_message_age_seconds", "Age of the oldest message of another VM that counts.",
+		state(func(s *director.State) float64 { _, oldest := s.KnownVMs(bootclock.Now()); return oldest.Seconds() }))
+	for name, counter := range map[string]struct {
+		help  string
+		value func(controller.MessageCounts) uint64
+	}{
+		"tamarack_peer_messages_invalid_total":      {"Messages of other VMs skipped because they do not decode.", func(c controller.MessageCounts) uint64 { return c.Invalid }},
+		"tamarack_peer_messages_unknown_kind_total": {"Messages of other VMs skipped because this build does not know their kind.", func(c controller.MessageCounts) uint64 { return c.UnknownKind }},
+		"tamarack_digests_sent_total":               {"Digests of this VM's zone sent to VMs of other zones.", func(c controller.MessageCounts) uint64 { return c.DigestsSent }},
+		"tamarack_digest_bytes_sent_total":          {"Bytes of these digests.", func(c controller.MessageCounts) uint64 { return c.DigestBytes }},
+		"tamarack_digests_received_total":           {"Digests of other zones received, without copies.", func(c controller.MessageCounts) uint64 { return c.DigestsReceived }},
+		"tamarack_digests_too_large_total":          {"Digests not sent because they do not fit into a datagram.", func(c controller.MessageCounts) uint64 { return c.DigestsTooLarge }},
+	} {
+		m.Counter(name, counter.help, func() float64 { return float64(counter.value(d.controller.MessageCounts())) })
+	}
+}
+
 // missingLayers returns the number of layers without a usable holder, summed over zones.
 func missingLayers(s *director.State) float64 {
 	missing := uint32(0)
@@ -76,6 +101,7 @@
 		state(missingLayers))
 	d.registerRefusalMetrics(state)
 	d.registerReachMetrics(state)
+	d.registerPeerMetrics(state)
 	m.Gauge("tamarack_placement_duty", "1 while this VM places layers.", func() float64 {
 		if d.controller.HoldsLease() {
 			return 1
