--- a/cmd/tamarack-soak/main.go
+++ b/cmd/tamarack-soak/main.go
@@ -18,6 +18,7 @@
 
 func main() {
 	binary := flag.String("binary", "bin/tamarack-front", "path of the entry VM program")
+	earlier := flag.String("earlier", "", "path of an earlier build of the program; VMs are upgraded and rolled back in the course of each seed")
 	dir := flag.String("dir", filepath.Join(os.TempDir(), "tamarack-soak"), "`directory` for settings and logs")
 	firstSeed := flag.Uint64("seed", uint64(time.Now().UnixNano()%1e9), "first seed")
 	seeds := flag.Int("seeds", 1, "number of seeds")
@@ -41,7 +42,7 @@
 			defer func() { <-slots; running.Done() }()
 			seed := *firstSeed + uint64(i)
 			report, err := soak.Run(soak.Options{
-				Seed: seed, Binary: *binary, Dir: filepath.Join(*dir, fmt.Sprint(seed)), VMs: *vms, Callers: *callers, Faults: *faults,
+				Seed: seed, Binary: *binary, Earlier: *earlier, Dir: filepath.Join(*dir, fmt.Sprint(seed)), VMs: *vms, Callers: *callers, Faults: *faults,
 				ResponseFaults: *responseFaults, AttemptFaults: *attemptFaults, AttemptFaultsOnly: *attemptFaultsOnly, Restores: *restores, RestoresOnly: *restoresOnly,
 			})
 			if err != nil {
@@ -49,8 +50,8 @@
 				fmt.Printf("seed %d: %v\n", seed, err)
 				return
 			}
-			fmt.Printf("seed %d: %d calls, %d served, %d refused, %d arrivals at targets, %.0f%% of the retry budget, %d faults, %d restores, %d store writes in the peak second, %d streams without a length cut, %d broken\n",
-				seed, report.Calls, report.Served, report.Refused, report.Arrivals, 100*report.PeakRetries, len(report.Faults), report.Restores, report.PeakWrites, report.Unframed, len(report.Violations))
+			fmt.Printf("seed %d: %d calls, %d served, %d refused, %d arrivals at targets, %.0f%% of the retry budget, %d faults, %d restores, %d store writes in the peak second, %d streams without a length cut, %d builds replaced, %d broken\n",
+				seed, report.Calls, report.Served, report.Refused, report.Arrivals, 100*report.PeakRetries, len(report.Faults), report.Restores, report.PeakWrites, report.Unframed, report.Replaced, len(report.Violations))
 			if len(report.Violations) > 0 {
 				fmt.Printf("seed %d: faults %s\n", seed, strings.Join(report.Faults, "; "))
 			}
--- a/internal/controller/content_test.go
+++ b/internal/controller/content_test.go
@@ -136,11 +136,13 @@
 		Eventually(writes, contentWriteInterval).Should(Equal(2))
 	})
 
+	readVMs := func(c *Controller) { Expect(c.readTable(ctx, c.tables[vmsTable], c.reader(vmsTable))).To(Succeed()) }
+
 	// Guards against a storm of writes when several rows of each VM are lost in a restore
 	// (soak seeds 19029, 19036).
 	It("are not written within a second of the VM's registration", func() {
 		c := start("vm-1")
-		c.coordinate(ctx)
+		readVMs(c)
 		registered := writes()
 		Expect(store.Count(coordinationTable, vmPrefix)).To(Equal(1))
 		own(c, quarantine)
@@ -152,9 +154,9 @@
 		Eventually(writes, ownRowsInterval).Should(Equal(registered + 1))
 		c.registered.Store(nil)
 		store.Remove(coordinationTable, vmPrefix+"vm-1")
-		c.coordinate(ctx)
+		readVMs(c)
 		Expect(store.Count(coordinationTable, vmPrefix)).To(BeZero())
-		Eventually(func() int { c.coordinate(ctx); return store.Count(coordinationTable, vmPrefix) }, 2*ownRowsInterval, 100*time.Millisecond).Should(Equal(1))
+		Eventually(func() int { readVMs(c); return store.Count(coordinationTable, vmPrefix) }, 2*ownRowsInterval, 100*time.Millisecond).Should(Equal(1))
 	})
 
 	// Guards against a row that a restore has lost, and that is missing when all VMs
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -6,10 +6,8 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -24,6 +22,7 @@
 	"tamarackreach/internal/membership"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/placementlease"
+	"tamarackreach/internal/relay"
 	"tamarackreach/internal/storeera"
 	"tamarackreach/internal/upstream"
 	"tamarackreach/platform"
@@ -49,9 +48,8 @@
 	// coordinationInterval is the interval at which the lease holder and the leader of
 	// a zone read the coordination table; the lease is renewed then.
 	coordinationInterval = placementlease.RenewInterval
-	// followerInterval is the interval at which other VMs read it: they need only the
-	// list of VMs.
-	followerInterval = 5 * time.Second
+	// listInterval bounds the age of a VM's list of the others.
+	listInterval = 5 * time.Second
 )
 
 // Controller runs the background loops of a VM.
@@ -71,38 +69,47 @@
 	registered atomic.Pointer[storeera.Belief[bool]]
 	// lease is when the read that preceded the last successful write of the lease row
 	// began.
-	lease atomic.Pointer[storeera.Belief[model.Instant]]
-	// coordinationReadAt is when the coordination table was last read.
-	coordinationReadAt model.Instant
-	view               *view
-	// vms are the VMs of the last read, and those of earlier eras whose rows may be
-	// written again.
-	vms map[model.NodeID]vmRecord
-	// lastTargets are the registrations of the last read.
-	lastTargets director.TargetsRead
-	content     contentState
-	ownRows     ownRowsLimit
+	lease  atomic.Pointer[storeera.Belief[model.Instant]]
+	tables [tableCount]*table
+	// copies requests other VMs' copies of these tables.
+	copies *http.Client
+	// storeFailedAt is when the last call to the store failed, 0 after one that succeeded.
+	storeFailedAt atomic.Int64
+	applied       appliedTables
+	content       contentState
+	ownRows       ownRowsLimit
 }
 
 // New returns a controller that connects to targets by dial.
 func New(s *platform.Settings, r *ingress.Reducer, dial upstream.DialFunc) *Controller {
-	transport := &http.Transport{
+	c := &Controller{
+		settings: s, reducer: r, targets: newTargetClient(dial), startedAt: bootclock.Now(),
+		content: contentState{lost: make(chan struct{}, 1)}, copies: &http.Client{Transport: newTransport(1)},
+	}
+	for i := range c.tables {
+		c.tables[i] = newTable(i)
+	}
+	c.store = platform.NewStore(s.StoreAddress, newTransport(storeConnections), c.acceptEra)
+	c.setInterval(s.Bounds)
+	c.peers = newPeers(s, r, c, c.Probe)
+	c.peers.copies = membership.Endpoint{Address: copiesAddress(s), Secret: relay.NewSecret()}
+	c.orders = newOrders(r, c.targets)
+	return c
+}
+
+// storeConnections is the number of idle connections to the store that are kept: one for each
+// loop that calls it.
+const storeConnections = 6
+
+func newTransport(idle int) *http.Transport {
+	return &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return upstream.Dial(ctx, address)
 		},
-		MaxIdleConnsPerHost:    4, // one for each loop that reads or writes
+		MaxIdleConnsPerHost:    idle,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxReportBytes,
 	}
-	c := &Controller{
-		settings: s, reducer: r, targets: newTargetClient(dial), view: &view{}, startedAt: bootclock.Now(),
-		content: contentState{lost: make(chan struct{}, 1)},
-	}
-	c.store = platform.NewStore(s.StoreAddress, transport, c.acceptEra)
-	c.setInterval(s.Bounds)
-	c.peers = newPeers(s, r, c.view, c.Probe)
-	c.orders = newOrders(r, c.targets)
-	return c
 }
 
 // Run runs the loops until the context ends. It returns an error when the peer
@@ -111,11 +118,16 @@
 	if err := c.peers.listen(ctx); err != nil {
 		return err
 	}
+	if err := c.serveCopies(ctx); err != nil {
+		return err
+	}
 	go c.loadContent(ctx)
 	go c.storeContent(ctx)
-	go every(ctx, c.pollInterval, func() { c.refreshConfig(ctx) })
-	go every(ctx, c.pollInterval, func() { c.refreshTargets(ctx) })
-	go every(ctx, constant(coordinationInterval), func() { c.coordinate(ctx) })
+	for i := range c.tables {
+		go c.follow(ctx, i)
+	}
+	go c.followFeed(ctx, configTable)
+	go c.followFeed(ctx, targetsTable)
 	go every(ctx, constant(planInterval), func() { c.placeLayers(ctx) })
 	go every(ctx, constant(probeInterval), c.probe)
 	go c.peers.run(ctx)
@@ -134,7 +146,6 @@
 func (c *Controller) setInterval(b platform.Bounds) {
 	interval := min(b.ConfigApply, b.Drain) / pollsPerBound
 	c.interval.Store(int64(interval))
-	c.view.setInterval(interval)
 }
 
 func (c *Controller) pollInterval() time.Duration { return time.Duration(c.interval.Load()) }
@@ -161,86 +172,11 @@
 	}
 }
 
-// refreshConfig confirms the configuration with the zone leader, or reads it from
-// the store.
-func (c *Controller) refreshConfig(ctx context.Context) {
-	if reported, queriedAt, ok := c.peers.queryLeader(ctx); ok && c.view.sameConfig(reported) {
-		// The reported age is counted back from the query, so that a VM suspended since
-		// then computes the full age.
-		c.reducer.Step(director.ConfigRead{Started: queriedAt.Add(-reported.configAge()), Era: reported.Era})
-		return
-	}
-	c.readConfig(ctx)
-}
-
-func (c *Controller) readConfig(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	store, started := c.view.storeGeneration(), bootclock.Now()
-	row, err := c.store.Config(ctx)
-	if err != nil {
-		c.storeFailed(err)
-		return
-	}
-	if row.Absent() {
-		return
-	}
-	if c.view.confirmConfig(row.Version, started) {
-		c.reducer.Step(director.ConfigRead{Started: started, Era: row.Version.Era})
-		return
-	}
-	config, err := platform.DecodeConfig(row.Value)
-	if err != nil {
-		logrus.WithError(err).WithField("row", row.Version).Error("configuration not usable")
-		return
-	}
-	c.reducer.Step(director.ConfigRead{Config: config, Started: started, Era: row.Version.Era})
-	var inForce model.Revision
-	c.reducer.Read(func(s *director.State) { inForce = s.Config().Version })
-	if inForce == config.Version {
-		c.view.replaceConfig(store, row.Version, started)
-	}
-}
-
 func (c *Controller) storeFailed(err error) {
 	logrus.WithError(err).Debug("store call failed")
 	c.reducer.Step(director.StoreFailed{})
 }
 
-// refreshTargets treats the known registrations as read again when the zone leader
-// has the same ones, or reads them from the store.
-func (c *Controller) refreshTargets(ctx context.Context) {
-	if reported, _, ok := c.peers.queryLeader(ctx); ok && c.view.sameTargets(reported) {
-		c.reducer.Step(c.lastTargets)
-		return
-	}
-	c.readTargets(ctx)
-}
-
-func (c *Controller) readTargets(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	store, started := c.view.storeGeneration(), bootclock.Now()
-	snapshot, err := c.store.Targets(ctx)
-	if err != nil {
-		c.storeFailed(err)
-		return
-	}
-	read := director.TargetsRead{Rows: make(map[model.TargetID]fleet.StoreVersion, len(snapshot.Rows)), Newest: snapshot.Newest}
-	for _, row := range snapshot.Rows {
-		target, err := platform.DecodeTarget(row)
-		if err != nil {
-			logrus.WithError(err).Debug("invalid registration ignored")
-			continue
-		}
-		read.Targets = append(read.Targets, target)
-		read.Rows[target.ID] = row.Version
-	}
-	c.reducer.Step(read)
-	c.lastTargets = read
-	c.view.replaceTargets(store, snapshot, started)
-}
-
 // vmRecord is a VM's registration in the store.
 type vmRecord struct {
 	Zone        model.AvailabilityZone `json:"zone"`
@@ -249,54 +185,29 @@
 	Protocol int `json:"protocol,omitempty"`
 }
 
-// coordinate reads the coordination table, registers this VM and acquires or renews
-// the placement lease.
-func (c *Controller) coordinate(ctx context.Context) {
-	now := bootclock.Now()
-	if !c.registrationDue(now) && !c.peers.monitors(now) && !c.peers.isLeader(now) && !c.holdsLease(now) && now.Sub(c.coordinationReadAt) < followerInterval {
-		return
-	}
-	c.coordinationReadAt = now
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	started := bootclock.Now()
-	snapshot, err := c.store.Table(ctx, coordinationTable)
-	if err != nil {
-		c.storeFailed(err)
-		return
-	}
+// coordinationDue reports whether this VM reads the coordination table itself: it has to
+// register, or holds the placement lease.
+func (c *Controller) coordinationDue(now model.Instant) bool {
+	return c.registrationDue(now) || c.holdsLease(now)
+}
+
+// coordinate registers this VM and acquires or renews the placement lease, after a read of
+// the coordination table that began at startedAt.
+func (c *Controller) coordinate(ctx context.Context, snapshot platform.Snapshot, startedAt model.Instant) {
 	leaseRow := fleet.StoreRow{Key: leaseKey, Version: fleet.StoreVersion{Era: snapshot.Newest.Era}}
 	ownRow := fleet.StoreRow{Key: vmPrefix + string(c.settings.VM), Version: leaseRow.Version}
-	vms := map[model.NodeID]vmRecord{}
-	if c.rowsMayBeLost(started) {
-		maps.Copy(vms, c.vms)
-	}
 	for _, row := range snapshot.Rows {
-		if row.Key == leaseKey {
+		switch row.Key {
+		case leaseRow.Key:
 			leaseRow = row
-			continue
-		}
-		name, found := strings.CutPrefix(row.Key, vmPrefix)
-		if !found {
-			continue
-		}
-		var record vmRecord
-		if err := json.Unmarshal(row.Value, &record); err != nil {
-			logrus.WithError(err).WithField("row", row.Key).Warn("invalid VM record ignored")
-			continue
-		}
-		vms[model.NodeID(name)] = record
-		if model.NodeID(name) == c.settings.VM {
+		case ownRow.Key:
 			ownRow = row
 		}
 	}
-	c.vms = vms
-	c.peers.setVMs(vms)
-	c.reducer.Step(director.VMsCounted{Count: len(vms)})
-	if c.registrationDue(started) && c.ownRows.allow(bootclock.Now()) {
+	if c.registrationDue(startedAt) && c.ownRows.allow(bootclock.Now()) {
 		c.register(ctx, ownRow)
 	}
-	c.renewLease(ctx, leaseRow, snapshot.Clock, started)
+	c.renewLease(ctx, leaseRow, snapshot.Clock, startedAt)
 }
 
 func (c *Controller) register(ctx context.Context, row fleet.StoreRow) {
--- a/internal/controller/digest.go
+++ b/internal/controller/digest.go
@@ -208,6 +208,11 @@
 	}
 }
 
+// noteOf returns what a VM states of itself.
+func noteOf(s *director.PeerState) membership.Note {
+	return membership.Note{Isolated: s.Isolated, StoreFailing: s.StoreFailing, Copies: s.Copies}
+}
+
 // receivedDigest applies the digest of another zone, unless it is a copy, and passes it on:
 // as the leader to the VMs of this zone, otherwise to the leader.
 func (p *peers) receivedDigest(text []byte) {
@@ -235,7 +240,7 @@
 	now := bootclock.Now()
 	p.mu.Lock()
 	for _, m := range digest.Members {
-		p.members.Heard(now.Add(-m.Age), m.State.VM, m.State.Isolated)
+		p.members.Heard(now.Add(-m.Age), m.State.VM, noteOf(&m.State))
 	}
 	p.mu.Unlock()
 	if text[0] == digestKind {
--- a/internal/controller/digest_test.go
+++ b/internal/controller/digest_test.go
@@ -30,7 +30,7 @@
 	}
 	newPeersOf := func(zone model.AvailabilityZone) (*peers, *ingress.Reducer) {
 		reducer := ingress.NewReducer(director.New(director.Settings{VM: "vm-9", Zone: zone}))
-		return newPeers(&platform.Settings{VM: "vm-9", Zone: zone}, reducer, &view{}, func([]director.Effect) {}), reducer
+		return newPeers(&platform.Settings{VM: "vm-9", Zone: zone}, reducer, nil, func([]director.Effect) {}), reducer
 	}
 
 	It("round-trips", func() {
--- a/internal/controller/era.go
+++ b/internal/controller/era.go
@@ -21,7 +21,7 @@
 
 // lostRowGrace is how long after a restore a missing row of another VM is attributed
 // to it: the spread, the interval at which VMs read, and a failed attempt.
-const lostRowGrace = registrationSpread + followerInterval + 2*time.Second
+const lostRowGrace = registrationSpread + listInterval + 2*time.Second
 
 // eraState is what a VM knows of the store's eras.
 type eraState struct {
@@ -80,7 +80,7 @@
 		return nil
 	}
 	c.era.since = bootclock.Now()
-	c.view.reset(era)
+	c.resetTables(era)
 	if restored {
 		c.reducer.Step(director.StoreRestored{Era: era})
 		c.contentLost()
@@ -95,7 +95,7 @@
 	c.era.tracker, c.era.since = storeera.Tracker{}, 0
 	c.lease.Store(nil)
 	c.registered.Store(nil)
-	c.view.reset(0)
+	c.replaceStore()
 	c.reducer.Step(director.StoreReplaced{})
 	c.contentLost()
 }
--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tamarackreach/internal/director"
+	"tamarackreach/internal/membership"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/targetlimit"
 )
@@ -48,6 +49,10 @@
 	// Relay is the address and the secret of the relay that the sender offers.
 	Relay    []string `json:"relay,omitempty"`
 	InFlight int      `json:"in_flight,omitempty"`
+	// Copies is the address and the secret of the sender's copies of the store's tables, and
+	// StoreFailing true when its own last call to the store failed.
+	Copies       []string `json:"copies,omitempty"`
+	StoreFailing bool     `json:"store_failing,omitempty"`
 	// Urgent is true when the zone's leader is to send a digest without delay.
 	Urgent bool `json:"urgent,omitempty"`
 	// AgeMs is the age of the state; it is set in digests only.
@@ -185,6 +190,10 @@
 		Suspects: make(map[model.TargetID]suspicion, len(peerState.Suspects)),
 	}
 	message.Zone, message.Isolated, message.Unreachable, message.InFlight = peerState.Zone, peerState.Isolated, peerState.Unreachable, peerState.InFlight
+	message.StoreFailing = peerState.StoreFailing
+	if peerState.Copies.Address != "" {
+		message.Copies = []string{peerState.Copies.Address, peerState.Copies.Secret}
+	}
 	if peerState.Relay.Address != "" {
 		message.Relay = []string{peerState.Relay.Address, peerState.Relay.Secret}
 	}
@@ -230,6 +239,10 @@
 	}
 	out.Zone, out.Isolated, out.Unreachable, out.InFlight = m.Zone, m.Isolated, m.Unreachable, m.InFlight
 	out.Age = time.Duration(m.AgeMs) * time.Millisecond
+	out.StoreFailing = m.StoreFailing
+	if len(m.Copies) == 2 {
+		out.Copies = membership.Endpoint{Address: m.Copies[0], Secret: m.Copies[1]}
+	}
 	if len(m.Relay) == 2 {
 		out.Relay = director.Relay{VM: m.VM, Address: m.Relay[0], Secret: m.Relay[1]}
 	}
--- a/internal/controller/message_test.go
+++ b/internal/controller/message_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"tamarackreach/internal/director"
+	"tamarackreach/internal/membership"
 	"tamarackreach/internal/model"
 	"tamarackreach/internal/targetlimit"
 )
@@ -16,25 +17,27 @@
 var _ = Describe("peerMessage", func() {
 	It("round-trips the shared state", func() {
 		peerState := director.PeerState{
-			VM:          "vm-1",
-			Process:     1<<32 - 1,
-			Uptime:      time.Hour,
-			Loads:       map[model.TargetID]director.Load{"t1": {Requests: 3, TokenLayers: 12345, Waiting: 2, First: 1}},
-			Suspects:    map[model.TargetID]director.Suspicion{"t2": {Remaining: time.Second, Age: 20 * time.Millisecond, RejectsRequests: true}},
-			Paces:       map[model.TargetID]float64{"t3": 12},
-			Crashes:     []director.Crash{{Cause: 7, Target: "t4", Born: 3}},
-			Quarantines: []director.Quarantine{{Cause: 1<<64 - 1, Level: 3, Cleared: 1, Remaining: 40 * time.Second, Age: time.Second, Trial: true}},
-			LostAnswers: []director.LostAnswer{{Cause: 1<<64 - 1, Target: "t5", Born: 1796374390000, Age: 300 * time.Millisecond}},
-			Limits:      map[model.TargetID]director.TargetLimit{"t6": {Shared: targetlimit.Shared{PerSecond: 20.2, Age: time.Second, Sends: 1.5}, Born: 1796374390000}},
-			Answers:     []director.AnsweredPart{{Part: 1<<64 - 1, Age: 9 * time.Minute}},
-			Zone:        "a",
-			Isolated:    true,
-			Unreachable: []model.TargetID{"t7", "t8"},
-			Signs:       map[model.TargetID]director.Sign{"t9": {Born: 1796374390000, Age: 40 * time.Millisecond, Report: true}, "t10": {Born: 2, Age: time.Second}},
-			Relay:       director.Relay{VM: "vm-1", Address: "10.1.0.40:7340", Secret: "8f3a"},
-			InFlight:    17,
-			Backoffs:    []director.Backoff{{VM: "vm-2", Target: "t11", Born: 1796374390000, Remaining: 2500 * time.Millisecond}},
-			Leaving:     map[model.TargetID]int64{"t12": 1796374390000},
+			VM:           "vm-1",
+			Process:      1<<32 - 1,
+			Uptime:       time.Hour,
+			Loads:        map[model.TargetID]director.Load{"t1": {Requests: 3, TokenLayers: 12345, Waiting: 2, First: 1}},
+			Suspects:     map[model.TargetID]director.Suspicion{"t2": {Remaining: time.Second, Age: 20 * time.Millisecond, RejectsRequests: true}},
+			Paces:        map[model.TargetID]float64{"t3": 12},
+			Crashes:      []director.Crash{{Cause: 7, Target: "t4", Born: 3}},
+			Quarantines:  []director.Quarantine{{Cause: 1<<64 - 1, Level: 3, Cleared: 1, Remaining: 40 * time.Second, Age: time.Second, Trial: true}},
+			LostAnswers:  []director.LostAnswer{{Cause: 1<<64 - 1, Target: "t5", Born: 1796374390000, Age: 300 * time.Millisecond}},
+			Limits:       map[model.TargetID]director.TargetLimit{"t6": {Shared: targetlimit.Shared{PerSecond: 20.2, Age: time.Second, Sends: 1.5}, Born: 1796374390000}},
+			Answers:      []director.AnsweredPart{{Part: 1<<64 - 1, Age: 9 * time.Minute}},
+			Zone:         "a",
+			Isolated:     true,
+			Unreachable:  []model.TargetID{"t7", "t8"},
+			Signs:        map[model.TargetID]director.Sign{"t9": {Born: 1796374390000, Age: 40 * time.Millisecond, Report: true}, "t10": {Born: 2, Age: time.Second}},
+			Relay:        director.Relay{VM: "vm-1", Address: "10.1.0.40:7340", Secret: "8f3a"},
+			InFlight:     17,
+			StoreFailing: true,
+			Copies:       membership.Endpoint{Address: "10.1.0.40:7341", Secret: "9e2c"},
+			Backoffs:     []director.Backoff{{VM: "vm-2", Target: "t11", Born: 1796374390000, Remaining: 2500 * time.Millisecond}},
+			Leaving:      map[model.TargetID]int64{"t12": 1796374390000},
 		}
 		text, err := json.Marshal(encodePeerState(peerState))
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -27,9 +27,6 @@
 	// earlierBuildsEvery is the number of intervals between messages to VMs of other zones
 	// whose builds understand no digests.
 	earlierBuildsEvery = 3
-	// queryTimeout bounds the wait for the leader's reply, which takes milliseconds
-	// within a zone.
-	queryTimeout = 100 * time.Millisecond
 	// maxMessageBytes is the size of the receive buffer for datagrams.
 	maxMessageBytes = 60 << 10
 )
@@ -46,12 +43,11 @@
 	collector *zonedigest.Collector
 	// addresses are the decoded addresses of the VMs, by their text.
 	addresses map[string]*net.UDPAddr
-	view      *view
+	// copies is where this VM passes on its copies of the store's tables.
+	copies membership.Endpoint
+	store  storeState
 	// probe carries out the probes that a message makes due.
 	probe ingress.Prober
-	// lastQuery is the number of the last query; pending are those without a reply.
-	lastQuery uint64
-	pending   map[uint64]chan *state
 	// digestDue has an element when this VM's zone is to send a digest without delay.
 	digestDue chan struct{}
 	// recent are the numbers of the last digests received.
@@ -60,10 +56,19 @@
 	counts     messageCounts
 }
 
-func newPeers(s *platform.Settings, r *ingress.Reducer, v *view, probe ingress.Prober) *peers {
+// storeState is what the messages between VMs need of this VM's state of the store.
+type storeState interface {
+	// state returns the state as builds of protocol 0 query it.
+	state(now model.Instant) *state
+	storeFailing(now model.Instant) bool
+	// wakeUp has the copies of tables refreshed without delay; a bit stands for each.
+	wakeUp(tables byte)
+}
+
+func newPeers(s *platform.Settings, r *ingress.Reducer, store storeState, probe ingress.Prober) *peers {
 	return &peers{
-		settings: s, reducer: r, members: membership.New(s.VM, s.Zone), collector: zonedigest.NewCollector(), view: v, probe: probe,
-		pending: map[uint64]chan *state{}, addresses: map[string]*net.UDPAddr{}, digestDue: make(chan struct{}, 1),
+		settings: s, reducer: r, members: membership.New(s.VM, s.Zone), collector: zonedigest.NewCollector(), store: store, probe: probe,
+		addresses: map[string]*net.UDPAddr{}, digestDue: make(chan struct{}, 1),
 	}
 }
 
@@ -117,58 +122,32 @@
 	return out
 }
 
-// isLeader reports whether this VM leads its zone.
-func (p *peers) isLeader(now model.Instant) bool { return p.leader(now) == nil }
-
 // monitors reports whether this VM monitors the targets of its zone.
 func (p *peers) monitors(now model.Instant) bool {
-	isolated := false
-	p.reducer.Read(func(s *director.State) { isolated = s.Isolated() })
+	isolated := p.isolated()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.members.Monitors(now, isolated)
 }
 
-// leader returns the address of the zone leader, or nil when this VM is the leader.
-func (p *peers) leader(now model.Instant) *net.UDPAddr {
+func (p *peers) isolated() (isolated bool) {
+	p.reducer.Read(func(s *director.State) { isolated = s.Isolated() })
+	return isolated
+}
+
+// storeSource returns the VM whose copies of the store's tables this VM takes; ok is false
+// while it reads the store itself.
+func (p *peers) storeSource(now model.Instant, storeFailing bool) (vm model.NodeID, at membership.Endpoint, ok bool) {
+	own := p.ownNote(storeFailing)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_, address, ok := p.members.Leader(now)
-	if !ok {
-		return nil
-	}
-	return p.addresses[address]
+	return p.members.StoreSource(now, own)
 }
 
-// queryLeader returns the zone leader's store state and the time of the query. It
-// returns false when this VM is the leader or no reply arrived in time.
-func (p *peers) queryLeader(ctx context.Context) (*state, model.Instant, bool) {
-	now := bootclock.Now()
-	address := p.leader(now)
-	if address == nil {
-		return nil, now, false
-	}
-	reply := make(chan *state, 1)
+func (p *peers) inZone() int {
 	p.mu.Lock()
-	p.lastQuery++
-	number := p.lastQuery
-	p.pending[number] = reply
-	p.mu.Unlock()
-	defer func() {
-		p.mu.Lock()
-		delete(p.pending, number)
-		p.mu.Unlock()
-	}()
-	p.sendMessage(address, peerMessage{VM: p.settings.VM, Query: number})
-	timer := time.NewTimer(queryTimeout)
-	defer timer.Stop()
-	select {
-	case s := <-reply:
-		return s, now, true
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return nil, now, false
+	defer p.mu.Unlock()
+	return p.members.InZone()
 }
 
 func (p *peers) sendMessage(to net.Addr, message peerMessage) {
@@ -186,16 +165,6 @@
 	}
 }
 
-// deliver passes a reply to its query; a late reply is discarded.
-func (p *peers) deliver(number uint64, s *state) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if pending := p.pending[number]; pending != nil {
-		pending <- s
-		delete(p.pending, number)
-	}
-}
-
 func (p *peers) run(ctx context.Context) {
 	go p.receive(ctx)
 	go p.sendLearned(ctx)
@@ -259,6 +228,7 @@
 
 func (p *peers) ownState(now model.Instant) (out director.PeerState) {
 	p.reducer.Read(func(s *director.State) { out = s.OwnPeerState(now) })
+	out.StoreFailing, out.Copies = p.store.storeFailing(now), p.copies
 	return out
 }
 
@@ -284,7 +254,7 @@
 // received applies a datagram.
 func (p *peers) received(text []byte, from net.Addr) {
 	if len(text) == 0 || text[0] != '{' {
-		p.receivedDigest(text)
+		p.receivedBinary(text)
 		return
 	}
 	var message peerMessage
@@ -295,16 +265,24 @@
 	}
 	switch now := bootclock.Now(); {
 	case message.State != nil:
-		p.answered(now, message.VM)
-		p.deliver(message.Query, message.State)
+		p.counts.skip(skippedUnknownKind) // this build sends no queries
 	case message.Query != 0:
 		p.answered(now, message.VM)
-		p.sendMessage(from, peerMessage{VM: p.settings.VM, Query: message.Query, State: p.view.snapshot(now)})
+		p.sendMessage(from, peerMessage{VM: p.settings.VM, Query: message.Query, State: p.store.state(now)})
 	default:
 		p.receivedState(now, &message)
 	}
 }
 
+// receivedBinary applies a datagram that is not JSON.
+func (p *peers) receivedBinary(text []byte) {
+	if len(text) == 2 && text[0] == hintKind {
+		p.store.wakeUp(text[1])
+		return
+	}
+	p.receivedDigest(text)
+}
+
 // answered records that a VM runs.
 func (p *peers) answered(now model.Instant, vm model.NodeID) {
 	p.mu.Lock()
@@ -317,7 +295,7 @@
 	state := message.received()
 	inZone := state.Zone == p.settings.Zone
 	p.mu.Lock()
-	p.members.Heard(now, state.VM, state.Isolated)
+	p.members.Heard(now, state.VM, noteOf(&state))
 	if inZone {
 		p.collector.Put(now, state)
 	}
--- a/internal/controller/settle_bench_test.go
+++ b/internal/controller/settle_bench_test.go
@@ -74,7 +74,7 @@
 		time.Sleep(settleStart)
 	}
 	await(b, store, vms, time.Now())
-	time.Sleep(2 * followerInterval) // all VMs know each other
+	time.Sleep(2 * listInterval) // all VMs know each other
 	steady := time.Now()
 	time.Sleep(settleWindow)
 	before := store.Calls(steady, time.Now())
@@ -109,11 +109,9 @@
 		time.Sleep(settleCallCheck)
 		era, read, held := store.Era(), 0, 0
 		for _, c := range vms {
-			c.view.mu.Lock()
-			if uint64(c.view.era) == era && c.view.configRow != 0 {
+			if _, version, _, ok := c.tables[configTable].snapshot(); ok && uint64(version.Era) == era {
 				read++
 			}
-			c.view.mu.Unlock()
 			if c.HoldsLease() && uint64(c.era.current()) == era {
 				held++
 			}
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -1,18 +1,13 @@
 package controller
 
 import (
-	"encoding/binary"
-	"sync"
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
 	"tamarackreach/platform"
 )
 
-// state is a VM's last known state of the store, as sent to VMs of its zone.
+// state is a VM's last known state of the store, as builds of protocol 0 query it from the
+// first VM of their zone.
 type state struct {
 	Era          fleet.StoreEra   `json:"era,omitempty"`
 	ConfigRow    model.RowVersion `json:"config_row"`
@@ -21,110 +16,41 @@
 	TargetsAgeMs int64            `json:"targets_age_ms"`
 }
 
-// configAge returns the time since the start of the read that returned the
-// configuration. A millisecond is added because ConfigAgeMs is rounded down.
-func (s *state) configAge() time.Duration { return time.Duration(s.ConfigAgeMs+1) * time.Millisecond }
-
-// view is this VM's last known state of the store: the version of the
-// configuration's row and a hash of the versions of all registrations.
-type view struct {
-	mu sync.Mutex
-	// interval is the poll interval of the store; a leader's state older than that,
-	// with a margin, is not used.
-	interval time.Duration
-	// generation is the number of resets; results of reads that began before the last
-	// one are discarded.
-	generation int
-	// era is the current era of the store; configRow and targetsHash are of it.
-	era           fleet.StoreEra
-	configRow     model.RowVersion
-	configReadAt  model.Instant
-	targetsHash   uint64
-	targetsReadAt model.Instant
-}
-
-func (v *view) setInterval(interval time.Duration) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.interval = interval
-}
-
-// reset discards the state, so that the next poll reads everything in an era of the
-// store.
-func (v *view) reset(era fleet.StoreEra) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.generation++
-	v.era = era
-	v.configRow, v.targetsHash, v.targetsReadAt = 0, 0, 0
-}
-
-// storeGeneration returns the generation of a read that begins now.
-func (v *view) storeGeneration() int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.generation
-}
-
-// snapshot returns the state to send to a VM of the zone.
-func (v *view) snapshot(now model.Instant) *state {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return &state{
-		Era: v.era, ConfigRow: v.configRow, ConfigAgeMs: now.Sub(v.configReadAt).Milliseconds(),
-		TargetsHash: v.targetsHash, TargetsAgeMs: now.Sub(v.targetsReadAt).Milliseconds(),
+// state returns the state for a VM with a build of protocol 0.
+func (c *Controller) state(now model.Instant) *state {
+	config, targets := c.tables[configTable], c.tables[targetsTable]
+	configAge, _ := config.age(now)
+	targetsAge, _ := targets.age(now)
+	out := &state{
+		Era: c.era.current(), ConfigAgeMs: configAge.Milliseconds(), TargetsAgeMs: targetsAge.Milliseconds(), TargetsHash: targets.versionsHash(),
 	}
+	config.mu.Lock()
+	defer config.mu.Unlock()
+	if row, found := config.copied.Row(platform.KeyConfig); found {
+		out.ConfigRow = row.Version.Row
+	}
+	return out
 }
 
-// sameConfig reports whether a leader's state is recent and has the configuration
-// that is in force here.
-func (v *view) sameConfig(s *state) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.configRow != 0 && s.Era == v.era && s.ConfigRow == v.configRow && s.configAge() <= v.interval+callTimeout/4
-}
-
-// sameTargets reports whether a leader's state is recent and has the registrations
-// that are known here.
-func (v *view) sameTargets(s *state) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	age := time.Duration(s.TargetsAgeMs) * time.Millisecond
-	return v.targetsReadAt != 0 && s.Era == v.era && s.TargetsHash == v.targetsHash && age <= v.interval+callTimeout/4
-}
-
-// confirmConfig reports whether a row read from the store is the one in force. If
-// so, it records started, the time at which the read began.
-func (v *view) confirmConfig(row fleet.StoreVersion, started model.Instant) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if row.Era != v.era || row.Row != v.configRow {
-		return false
+// wakeUp has the copies of tables refreshed without delay; a bit stands for each.
+func (c *Controller) wakeUp(tables byte) {
+	for _, t := range c.tables {
+		if tables&(1<<t.index) != 0 {
+			t.wakeUp()
+		}
 	}
-	v.configReadAt = started
-	return true
 }
 
-func (v *view) replaceConfig(generation int, row fleet.StoreVersion, started model.Instant) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if generation != v.generation || row.Era != v.era {
-		return
+// resetTables empties the copies for an era of the store.
+func (c *Controller) resetTables(era fleet.StoreEra) {
+	for _, t := range c.tables {
+		t.reset(era)
 	}
-	v.configRow, v.configReadAt = row.Row, started
 }
 
-func (v *view) replaceTargets(generation int, snapshot platform.Snapshot, started model.Instant) {
-	hash := xxhash.New()
-	for _, row := range snapshot.Rows {
-		// Writing to a hash never fails.
-		_, _ = hash.WriteString(row.Key)
-		_, _ = hash.Write(binary.LittleEndian.AppendUint64(nil, uint64(row.Version.Row)))
-	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if generation != v.generation || snapshot.Newest.Era != v.era {
-		return
+// replaceStore empties the copies; another store is used from now on.
+func (c *Controller) replaceStore() {
+	for _, t := range c.tables {
+		t.replaceStore()
 	}
-	v.targetsHash, v.targetsReadAt = hash.Sum64(), started
 }
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tamarackreach/internal/fleet"
+	"tamarackreach/internal/membership"
 	"tamarackreach/internal/model"
 )
 
@@ -239,6 +240,10 @@
 	Unreachable []model.TargetID
 	// Signs are the signs of life of targets that other VMs do not reach.
 	Signs map[model.TargetID]Sign
+	// StoreFailing is true when the VM's last call to the store failed, and Copies is where it
+	// passes on its copies of the store's tables. The reducer uses neither.
+	StoreFailing bool
+	Copies       membership.Endpoint
 	// Relay is the relay that the VM offers, and InFlight the number of requests and relayed
 	// connections there.
 	Relay    Relay
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -345,6 +345,12 @@
 	return []Effect{&StateChanged{What: "store regained", Detail: "unreachable for " + outage.String()}}
 }
 
+// StoreOutage reports whether reads of the store fail, and when they last succeeded again
+// after a failure, 0 if never.
+func (s *State) StoreOutage() (failing bool, recoveredAt model.Instant) {
+	return s.storeFailedAt != 0, s.storeRecoveredAt
+}
+
 // Ready reports whether the VM should take new connections.
 func (s *State) Ready(now model.Instant) bool {
 	return s.terminating == 0 && s.config != nil && s.targetsRead && !s.keysExpired(now)
--- a/internal/frontdaemon/status.go
+++ b/internal/frontdaemon/status.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -11,8 +12,7 @@
 	"tamarackreach/internal/director"
 )
 
-// StatusPath is the path on the metrics address that serves director.Status as
-// JSON.
+// StatusPath is the path on the metrics address that serves Status as JSON.
 const StatusPath = "/status"
 
 // registerRefusalMetrics registers what the VM withholds from targets.
@@ -51,6 +51,20 @@
 		state(func(s *director.State) float64 { count, _ := s.KnownVMs(bootclock.Now()); return float64(count) }))
 	m.Gauge("tamarack_vm_message_age_seconds", "Age of the oldest message of another VM that counts.",
 		state(func(s *director.State) float64 { _, oldest := s.KnownVMs(bootclock.Now()); return oldest.Seconds() }))
+	m.Gauge("tamarack_store_reader", "1 while this VM reads the store itself, 0 while it takes another VM's copies.", func() float64 {
+		if d.controller.StoreStatus().Source == "" {
+			return 1
+		}
+		return 0
+	})
+	m.Counter("tamarack_store_table_reads_total", "Reads of whole tables of the store.",
+		func() float64 {
+			return d.sumTables(func(t controller.TableStatus) float64 { return float64(t.FromStore) })
+		})
+	m.Counter("tamarack_store_copies_taken_total", "Copies of tables taken from other VMs.",
+		func() float64 {
+			return d.sumTables(func(t controller.TableStatus) float64 { return float64(t.FromVMs) })
+		})
 	for name, counter := range map[string]struct {
 		help  string
 		value func(controller.MessageCounts) uint64
@@ -66,6 +80,13 @@
 	}
 }
 
+func (d *Daemon) sumTables(value func(controller.TableStatus) float64) (sum float64) {
+	for _, t := range d.controller.StoreStatus().Tables {
+		sum += value(t)
+	}
+	return sum
+}
+
 // missingLayers returns the number of layers without a usable holder, summed over zones.
 func missingLayers(s *director.State) float64 {
 	missing := uint32(0)
@@ -136,10 +157,28 @@
 	}
 }
 
-// status serves director.Status as JSON.
+// Status is the view of an entry VM, as served on StatusPath.
+type Status struct {
+	director.Status
+	// Store is how the VM knows the store's state.
+	Store controller.StoreStatus `json:"store"`
+	// VMsRegistered is the number of VMs in the store, VMsHeard that of others whose last
+	// message counts, and OldestMessageMs the age of the oldest of these.
+	VMsRegistered   int   `json:"vms_registered"`
+	VMsHeard        int   `json:"vms_heard"`
+	OldestMessageMs int64 `json:"oldest_message_ms"`
+}
+
+// status serves Status as JSON.
 func (d *Daemon) status(w http.ResponseWriter, _ *http.Request) {
-	var status director.Status
-	d.reducer.Read(func(s *director.State) { status = s.Status(bootclock.Now()) })
+	status := Status{Store: d.controller.StoreStatus(), VMsRegistered: d.controller.RegisteredVMs()}
+	d.reducer.Read(func(s *director.State) {
+		now := bootclock.Now()
+		status.Status = s.Status(now)
+		var oldest time.Duration
+		status.VMsHeard, oldest = s.KnownVMs(now)
+		status.OldestMessageMs = oldest.Milliseconds()
+	})
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(status); err != nil {
 		logrus.WithError(err).Debug("cannot write the status response")
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -48,11 +48,28 @@
 	Protocol int
 }
 
+// Endpoint is where a VM passes on its copies of the store's tables.
+type Endpoint struct {
+	// Address is empty where the VM passes on none.
+	Address string
+	// Secret authorises requests; it is sent to VMs only.
+	Secret string
+}
+
+// Note is what a VM states of itself.
+type Note struct {
+	// Isolated is true when the VM does not reach the targets.
+	Isolated bool
+	// StoreFailing is true when the VM's last call to the store failed.
+	StoreFailing bool
+	Copies       Endpoint
+}
+
 // member is a registered VM, and what its last message stated.
 type member struct {
 	VM
-	heardAt  model.Instant
-	isolated bool
+	Note
+	heardAt model.Instant
 }
 
 // Members is the view of one VM, which it does not contain.
@@ -83,7 +100,7 @@
 			continue
 		}
 		known := m.heard[name]
-		next[name] = &member{VM: vm, heardAt: known.heardAt, isolated: known.isolated}
+		next[name] = &member{VM: vm, Note: known.Note, heardAt: known.heardAt}
 		if vm.Zone == m.zone {
 			inZone++
 		} else {
@@ -95,21 +112,20 @@
 	m.zones = slices.Sorted(maps.Keys(zones))
 }
 
-// Heard records that a VM has sent a message at a time, and whether it stated that it does
-// not reach the targets.
-func (m *Members) Heard(at model.Instant, vm model.NodeID, isolated bool) {
+// Heard records that a VM has sent a message at a time, and what it stated of itself.
+func (m *Members) Heard(at model.Instant, vm model.NodeID, note Note) {
 	if vm == m.self || at < m.heard[vm].heardAt {
 		return
 	}
-	m.heard[vm] = member{heardAt: at, isolated: isolated}
+	m.heard[vm] = member{heardAt: at, Note: note}
 	if known := m.other[vm]; known != nil {
-		known.heardAt, known.isolated = at, isolated
+		known.heardAt, known.Note = at, note
 	}
 }
 
 // Answered records that a VM has answered, which shows only that it runs.
 func (m *Members) Answered(at model.Instant, vm model.NodeID) {
-	m.Heard(at, vm, m.heard[vm].isolated)
+	m.Heard(at, vm, m.heard[vm].Note)
 }
 
 func (v *member) runs(now model.Instant, within time.Duration) bool {
@@ -138,13 +154,13 @@
 // Monitors reports whether this VM monitors the targets of its zone: no VM before it runs
 // that reaches them. isolated is true when this VM does not.
 func (m *Members) Monitors(now model.Instant, isolated bool) bool {
-	_, _, other := m.first(now, func(v *member) bool { return !v.isolated })
+	_, _, other := m.first(now, func(v *member) bool { return !v.Isolated })
 	return !other && !isolated
 }
 
 // first returns the first running VM of the zone before this one that admit accepts.
 func (m *Members) first(now model.Instant, admit func(*member) bool) (model.NodeID, string, bool) {
-	timeout := max(leaderTimeout, leaderMessages*m.Interval())
+	timeout := m.leaderTimeout()
 	for _, name := range m.names {
 		if name > m.self {
 			break
@@ -156,6 +172,10 @@
 	return "", "", false
 }
 
+func (m *Members) leaderTimeout() time.Duration {
+	return max(leaderTimeout, leaderMessages*m.Interval())
+}
+
 // MessageRecipients returns the addresses to which this VM's own messages go: all VMs of its
 // zone and, with otherZones, those of other zones whose builds understand no digests.
 func (m *Members) MessageRecipients(otherZones bool) []string {
@@ -222,5 +242,77 @@
 	return out
 }
 
+// StoreSource returns the VM from which this VM takes the state of the store: the first of
+// its zone, or where this is that VM, the first of all. ok is false when this VM is the first
+// of all and reads the store. A VM comes behind others while its calls to the store fail, and
+// while it is isolated, since the VM that reads also holds the placement lease. own is what
+// this VM states of itself.
+//
+// Invariant: VMs with the same knowledge form no cycle, since each takes from one that comes
+// before it in one order.
+func (m *Members) StoreSource(now model.Instant, own Note) (model.NodeID, Endpoint, bool) {
+	self := &member{VM: VM{Zone: m.zone}, Note: own, heardAt: now}
+	inZone, inZoneName := self, m.self
+	ofAll, ofAllName := self, m.self
+	timeout := m.leaderTimeout()
+	for _, name := range m.names {
+		v := m.other[name]
+		within := presenceTimeout
+		if v.Zone == m.zone {
+			within = timeout
+		}
+		if v.Copies.Address == "" || !v.runs(now, within) {
+			continue
+		}
+		if v.Zone == m.zone && v.before(name, inZone, inZoneName) {
+			inZone, inZoneName = v, name
+		}
+		if v.before(name, ofAll, ofAllName) {
+			ofAll, ofAllName = v, name
+		}
+	}
+	switch m.self {
+	case ofAllName:
+		return "", Endpoint{}, false
+	case inZoneName:
+		return ofAllName, ofAll.Copies, true
+	}
+	return inZoneName, inZone.Copies, true
+}
+
+// before reports whether the store's state is rather taken from v than from w.
+func (v *member) before(name model.NodeID, w *member, wName model.NodeID) bool {
+	if v.StoreFailing != w.StoreFailing {
+		return w.StoreFailing
+	}
+	if v.Isolated != w.Isolated {
+		return w.Isolated
+	}
+	return name < wName
+}
+
+// HintRecipients returns the addresses of VMs that take the state of the store from this one
+// when own is what it states of itself: those of its zone if it is the first there, and the
+// first ones of other zones if it is the first of all.
+func (m *Members) HintRecipients(now model.Instant, own Note) []string {
+	source, _, other := m.StoreSource(now, own)
+	if v := m.other[source]; other && v != nil && v.Zone == m.zone {
+		return nil
+	}
+	var out []string
+	for _, name := range m.names {
+		if v := m.other[name]; v.Zone == m.zone && v.Protocol >= DigestProtocol {
+			out = append(out, v.Address)
+		}
+	}
+	if !other {
+		out = append(out, m.DigestRecipients(now, 0)...)
+	}
+	return out
+}
+
+// InZone returns the number of other VMs of the zone.
+func (m *Members) InZone() int { return m.inZone }
+
 // Registered returns the number of VMs registered, this one included.
 func (m *Members) Registered() int { return len(m.other) + 1 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -46,12 +47,12 @@
 		m.SetRegistered(registered(8, 2))
 		_, _, other := m.Leader(start)
 		Expect(other).To(BeFalse(), "no other is known to run")
-		m.Heard(start, name(0), false)
-		m.Heard(start, name(1), false)
-		m.Heard(start, name(2), false)
+		m.Heard(start, name(0), membership.Note{})
+		m.Heard(start, name(1), membership.Note{})
+		m.Heard(start, name(2), membership.Note{})
 		leader, address, other := m.Leader(start)
 		Expect([]any{leader, address, other}).To(Equal([]any{name(0), "10.0.0.0:7340", true}))
-		m.Heard(start.Add(900*time.Millisecond), name(2), false)
+		m.Heard(start.Add(900*time.Millisecond), name(2), membership.Note{})
 		leader, _, _ = m.Leader(start.Add(time.Second))
 		Expect(leader).To(Equal(name(2)), "the first is silent")
 		Expect(m.LeadsDigests(start.Add(time.Second))).To(BeFalse())
@@ -63,13 +64,13 @@
 	It("exchanges digests among the builds that understand them, and sends the others its own messages", func() {
 		m := membership.New(name(2), zoneOf(2, 2))
 		m.SetRegistered(registered(8, 2, 0, 1, 3))
-		m.Heard(start, name(0), false)
+		m.Heard(start, name(0), membership.Note{})
 		leader, _, _ := m.Leader(start)
 		Expect(leader).To(Equal(name(0)))
 		Expect(m.LeadsDigests(start)).To(BeTrue())
 		Expect(m.ForwardRecipients(start)).To(Equal([]string{"10.0.0.4:7340", "10.0.0.6:7340"}))
 		Expect(m.MessageRecipients(false)).To(Equal([]string{"10.0.0.0:7340", "10.0.0.4:7340", "10.0.0.6:7340"}))
-		m.Heard(start, name(0), false)
+		m.Heard(start, name(0), membership.Note{})
 		Expect(m.MessageRecipients(true)).To(ContainElements("10.0.0.1:7340", "10.0.0.3:7340"))
 		Expect(m.DigestRecipients(start, 0)).To(Equal([]string{"10.0.0.5:7340", "10.0.0.7:7340"}))
 	})
@@ -77,17 +78,17 @@
 	It("has a VM monitor targets that reaches them", func() {
 		m := membership.New(name(2), zoneOf(2, 2))
 		m.SetRegistered(registered(4, 2))
-		m.Heard(start, name(0), true)
+		m.Heard(start, name(0), membership.Note{Isolated: true})
 		Expect(m.Monitors(start, false)).To(BeTrue())
 		Expect(m.Monitors(start, true)).To(BeFalse())
-		m.Heard(start, name(0), false)
+		m.Heard(start, name(0), membership.Note{})
 		Expect(m.Monitors(start, false)).To(BeFalse())
 	})
 
 	It("keeps what it heard of a VM before it was registered, and of the newest message only", func() {
 		m := membership.New(name(2), zoneOf(2, 2))
-		m.Heard(start, name(0), true)
-		m.Heard(start.Add(-time.Second), name(0), false)
+		m.Heard(start, name(0), membership.Note{Isolated: true})
+		m.Heard(start.Add(-time.Second), name(0), membership.Note{})
 		m.SetRegistered(registered(4, 2))
 		leader, _, _ := m.Leader(start)
 		Expect(leader).To(Equal(name(0)))
@@ -106,7 +107,7 @@
 			}
 		}
 		Expect(seen).To(HaveLen(20))
-		m.Heard(start, name(7), false)
+		m.Heard(start, name(7), membership.Note{})
 		Expect(m.DigestRecipients(start, 0)).To(Equal([]string{"10.0.0.7:7340"}))
 	})
 
@@ -119,6 +120,93 @@
 	})
 })
 
+var _ = Describe("the VM from which the store's state is taken", func() {
+	const vms, zones = 12, 3
+	note := func(i int) membership.Note {
+		return membership.Note{Copies: membership.Endpoint{Address: fmt.Sprint("copies-", i)}}
+	}
+	// sources returns where each VM takes the state from, "" for the store, when all know
+	// what all state.
+	sources := func(change func(i int, n *membership.Note)) map[model.NodeID]model.NodeID {
+		out := map[model.NodeID]model.NodeID{}
+		notes := make([]membership.Note, vms)
+		for i := range notes {
+			notes[i] = note(i)
+			change(i, &notes[i])
+		}
+		for i := range vms {
+			m := membership.New(name(i), zoneOf(i, zones))
+			m.SetRegistered(registered(vms, zones))
+			for k := range vms {
+				m.Heard(start, name(k), notes[k])
+			}
+			source, _, ok := m.StoreSource(start, notes[i])
+			Expect(ok).To(Equal(source != ""))
+			out[name(i)] = source
+		}
+		return out
+	}
+
+	It("is the first of the zone, for these the first of all, and for that one the store", func() {
+		out := sources(func(int, *membership.Note) {})
+		Expect(out[name(0)]).To(BeEmpty())
+		Expect(out[name(1)]).To(Equal(name(0)))
+		Expect(out[name(2)]).To(Equal(name(0)))
+		Expect(out[name(5)]).To(Equal(name(2)))
+		Expect(out[name(9)]).To(Equal(name(0)))
+	})
+
+	// Pattern: the store refuses some VMs while it serves the others.
+	It("is another one while the first cannot call the store", func() {
+		out := sources(func(i int, n *membership.Note) { n.StoreFailing = i == 0 || i == 1 })
+		Expect(out[name(2)]).To(BeEmpty())
+		Expect(out[name(0)]).To(Equal(name(3)))
+		Expect(out[name(1)]).To(Equal(name(4)))
+		Expect(out[name(3)]).To(Equal(name(2)))
+	})
+
+	It("is the first of all while nobody can call the store", func() {
+		Expect(sources(func(_ int, n *membership.Note) { n.StoreFailing = true })[name(0)]).To(BeEmpty())
+	})
+
+	It("is not an isolated VM, nor one that passes on no copies", func() {
+		out := sources(func(i int, n *membership.Note) {
+			n.Isolated = i == 0
+			if i == 1 {
+				n.Copies = membership.Endpoint{}
+			}
+		})
+		Expect(out[name(2)]).To(BeEmpty())
+		Expect(out[name(4)]).To(Equal(name(2)))
+	})
+
+	// Pattern: a zone is cut off: its first VM reads the store for it, if it can.
+	It("is in the own zone when no other zone is heard", func() {
+		m := membership.New(name(2), zoneOf(2, zones))
+		m.SetRegistered(registered(vms, zones))
+		m.Heard(start.Add(-2*time.Second), name(0), note(0))
+		m.Heard(start, name(5), note(5))
+		_, _, ok := m.StoreSource(start, note(2))
+		Expect(ok).To(BeFalse())
+	})
+
+	It("forms no cycle, whatever VMs state of themselves", func() {
+		for seed := range uint64(300) {
+			random := rand.New(rand.NewPCG(seed, 0))
+			out := sources(func(_ int, n *membership.Note) {
+				n.StoreFailing, n.Isolated = random.IntN(2) == 0, random.IntN(2) == 0
+			})
+			for vm := range out {
+				steps := 0
+				for at := vm; out[at] != ""; at = out[at] {
+					steps++
+					Expect(steps).To(BeNumerically("<=", 2), "seed %d", seed)
+				}
+			}
+		}
+	})
+})
+
 // fleetOf simulates the messages between n VMs in zones: every VM sends at its interval,
 // leaders exchange digests, a message takes latency and arrives unless lost.
 type fleetOf struct {
@@ -178,7 +266,7 @@
 func (f *fleetOf) send(vm *simulatedVM) {
 	for _, address := range vm.members.MessageRecipients(true) {
 		to := f.at(address)
-		to.members.Heard(f.now, vm.id, false)
+		to.members.Heard(f.now, vm.id, membership.Note{})
 		to.stated[vm.id] = f.now
 		if to.index%f.zones != vm.index%f.zones {
 			f.crossed++
@@ -216,7 +304,7 @@
 // apply has a VM receive the digest of another.
 func (f *fleetOf) apply(from, to *simulatedVM) {
 	state := func(id model.NodeID, at model.Instant) {
-		to.members.Heard(at, id, false)
+		to.members.Heard(at, id, membership.Note{})
 		to.stated[id] = max(to.stated[id], at)
 	}
 	state(from.id, f.now)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -164,8 +164,8 @@
 		f := all[r.random.IntN(len(all))]
 		r.lock.Lock()
 		end := f.inject(r)
-		r.lock.Unlock()
 		r.report.Faults = append(r.report.Faults, fmt.Sprintf("%.3f s %s", time.Since(r.started).Seconds(), f.name))
+		r.lock.Unlock()
 		duration := time.Duration(r.random.Int64N(int64(maxFaultDuration)))
 		if end != nil {
 			wait.Add(1)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -23,6 +23,9 @@
 	Seed uint64
 	// Binary is the path of the entry VM's program.
 	Binary string
+	// Earlier is the path of an earlier build of it; with one, VMs are replaced by VMs of the
+	// other build in the course of the run.
+	Earlier string
 	// Dir is the folder for settings and logs.
 	Dir string
 	// VMs is the number of entry VM processes, Callers that of clients.
@@ -55,6 +58,8 @@
 	// Restores is the number of times that the store came back from an older copy,
 	// PeakWrites the most write calls to it in a second soon after that.
 	PeakWrites, Restores int
+	// Replaced is the number of times that a VM was replaced by one of another build.
+	Replaced int
 	// Faults lists the injected faults, each after the time of its start.
 	Faults []string
 	// Violations lists the violated guarantees.
@@ -128,6 +133,7 @@
 	r.served = time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	r.callers.start(ctx, o.Seed, o.Callers)
+	r.replaceBuilds()
 	r.injectFaults()
 	if err := r.awaitServing(recoveryTimeout); err != nil {
 		r.report.Violations = append(r.report.Violations, fmt.Sprintf("recovery: %v", err))
@@ -166,7 +172,11 @@
 	}
 	for i := range r.VMs {
 		host := platformtest.Host(int(r.Seed%1000), i)
-		v, err := startVM(r.Dir, r.Binary, fmt.Sprintf("vm-%d", i+1), []string{"a", "b"}[i%2], host, r.store.Address(), &r.spans)
+		binary := r.Binary
+		if !r.startsLater() {
+			binary = r.Earlier
+		}
+		v, err := startVM(r.Dir, binary, fmt.Sprintf("vm-%d", i+1), []string{"a", "b"}[i%2], host, r.store.Address(), &r.spans)
 		if err != nil {
 			return err
 		}
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -17,8 +17,9 @@
 // vm is an entry VM: a process of the real program that is restarted whenever it
 // exits, as the platform does.
 type vm struct {
-	name       string
-	client     string // address for client connections
+	name   string
+	client string // address for client connections
+	// binary is the program of the next start.
 	binary     string
 	configPath string
 	settings   string // of all starts but the first
@@ -61,7 +62,9 @@
 func (v *vm) writeSettings(text string) error { return os.WriteFile(v.configPath, []byte(text), 0o600) }
 
 func (v *vm) start() error {
+	v.mu.Lock()
 	cmd := exec.Command(v.binary)
+	v.mu.Unlock()
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+v.configPath)
 	cmd.Stdout, cmd.Stderr = v.log, v.log
 	if err := cmd.Start(); err != nil {
