VMs that start together for the first time leave the store to one of them

Cause, by logs of all VMs: for two seconds after the first start no VM knew a source, since lists of VMs were read before the others had registered.

Change: at the first start a VM registers before it reads the list of VMs, and waits two seconds for another VM's copies of the other tables, unless it is the first of those registered. A VM acquires the lease only as the one that reads the store, 1.5 s after its start or as the first. It calls the feed once it has been that VM for a second. Hints do not wake the VM that reads. Registrations are read whole once an interval.

--- a/internal/controller/apply.go
+++ b/internal/controller/apply.go
@@ -111,6 +111,9 @@
 		}
 		vms[model.NodeID(name)] = record
 	}
+	if len(vms) != len(c.applied.vms) {
+		logrus.WithFields(logrus.Fields{"vms": len(vms), "before": len(c.applied.vms)}).Info("list of VMs changed")
+	}
 	c.applied.vms = vms
 	c.peers.setVMs(vms)
 	c.reducer.Step(director.VMsCounted{Count: len(vms)})
--- a/internal/controller/content.go
+++ b/internal/controller/content.go
@@ -98,6 +98,8 @@
 	// written is true once a row of this VM may be in the store: this process may have
 	// written it, or has read that of an earlier one.
 	written atomic.Bool
+	// loaded is closed once the table was read.
+	loaded chan struct{}
 	// lost has an element when the row may have been lost in a restore of the store.
 	lost chan struct{}
 	// writes counts the writes that succeeded, failures those that did not.
@@ -116,6 +118,7 @@
 	defer cancel()
 	every(ctx, c.pollInterval, func() {
 		if c.readContent(ctx) == nil {
+			close(c.content.loaded)
 			cancel()
 		}
 	})
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -48,6 +48,11 @@
 	// coordinationInterval is the interval at which the lease holder and the leader of
 	// a zone read the coordination table; the lease is renewed then.
 	coordinationInterval = placementlease.RenewInterval
+	// discoveryDelay is the time within which all VMs start at the first start.
+	discoveryDelay = 400 * time.Millisecond
+	// leaseDelay is how long a VM leaves the placement lease to others after its start, in
+	// which it hears of them.
+	leaseDelay = 1500 * time.Millisecond
 	// listInterval bounds the age of a VM's list of the others.
 	listInterval = 5 * time.Second
 )
@@ -84,7 +89,7 @@
 func New(s *platform.Settings, r *ingress.Reducer, dial upstream.DialFunc) *Controller {
 	c := &Controller{
 		settings: s, reducer: r, targets: newTargetClient(dial), startedAt: bootclock.Now(),
-		content: contentState{lost: make(chan struct{}, 1)}, copies: &http.Client{Transport: newTransport(1)},
+		content: contentState{lost: make(chan struct{}, 1), loaded: make(chan struct{})}, copies: &http.Client{Transport: newTransport(1)},
 	}
 	for i := range c.tables {
 		c.tables[i] = newTable(i)
@@ -207,7 +212,36 @@
 	if c.registrationDue(startedAt) && c.ownRows.allow(bootclock.Now()) {
 		c.register(ctx, ownRow)
 	}
-	c.renewLease(ctx, leaseRow, snapshot.Clock, startedAt)
+	if c.holdsLease(startedAt) || c.peers.mayHoldLease(startedAt, c.startedAt, c.storeFailing(startedAt)) {
+		c.renewLease(ctx, leaseRow, snapshot.Clock, startedAt)
+	}
+}
+
+// firstRegistration registers this VM at the first start of the deployment without reading
+// the list of VMs before, and waits until the others, which start at the same time, have done
+// so as well. A row that is there all the same is found by the read that follows.
+func (c *Controller) firstRegistration(ctx context.Context) {
+	if !c.settings.FirstStart {
+		return
+	}
+	if wait(ctx, c.content.loaded, discoveryDelay) && c.ownRows.allow(bootclock.Now()) {
+		c.register(ctx, fleet.StoreRow{Key: vmPrefix + string(c.settings.VM), Version: fleet.StoreVersion{Era: c.era.current()}})
+	}
+	wait(ctx, nil, discoveryDelay)
+}
+
+// wait returns true when the channel is closed, and false after a time or when the context
+// ends.
+func wait(ctx context.Context, closed <-chan struct{}, limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-closed:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
 }
 
 func (c *Controller) register(ctx context.Context, row fleet.StoreRow) {
@@ -225,6 +259,7 @@
 		logrus.WithError(err).Info("VM registration failed; retrying")
 		return
 	}
+	logrus.WithField("version", row.Version).Info("VM registered")
 	c.registered.Store(storeera.Hold(true, row.Version.Era))
 }
 
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -144,6 +144,24 @@
 	return p.members.StoreSource(now, own)
 }
 
+// mayHoldLease reports whether this VM may acquire the placement lease: it reads the store for
+// all, and has had the time to hear of the others or is the first of those registered.
+func (p *peers) mayHoldLease(now, startedAt model.Instant, storeFailing bool) bool {
+	if _, _, other := p.storeSource(now, storeFailing); other {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(startedAt) >= leaseDelay || p.members.First()
+}
+
+// first reports whether no VM registered comes before this one.
+func (p *peers) first() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members.Registered() > 1 && p.members.First()
+}
+
 func (p *peers) inZone() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/controller/tables.go
+++ b/internal/controller/tables.go
@@ -36,6 +36,9 @@
 	feedWait = 5 * time.Second
 	// feedInterval is the minimum time between two calls of the feed.
 	feedInterval = 200 * time.Millisecond
+	// feedDelay is how long a VM has been the one that reads the store before it calls the
+	// feed: one that has just started hears of the others first.
+	feedDelay = time.Second
 )
 
 // table is this VM's copy of a table of the store.
@@ -157,8 +160,9 @@
 	feed  func(context.Context, model.RowVersion, time.Duration) (platform.Changes, error)
 	// apply passes the copy on to the reducer.
 	apply func()
-	// interval is how often the copy is refreshed.
-	interval func() time.Duration
+	// interval is how often the copy is refreshed, and wholeInterval how often the VM that
+	// reads the store for others reads the whole table.
+	interval, wholeInterval func() time.Duration
 	// due reports whether this VM has to read the table itself, and after uses what it read;
 	// both may be nil.
 	due   func(now model.Instant) bool
@@ -169,18 +173,21 @@
 	half := func() time.Duration { return c.pollInterval() / 2 }
 	switch index {
 	case configTable:
-		return tableReader{whole: c.store.Config, feed: c.store.ConfigFeed, apply: c.applyConfig, interval: half}
+		return tableReader{whole: c.store.Config, feed: c.store.ConfigFeed, apply: c.applyConfig, interval: half, wholeInterval: half}
 	case targetsTable:
-		return tableReader{whole: c.store.Targets, feed: c.store.TargetsFeed, apply: c.applyTargets, interval: half}
+		return tableReader{whole: c.store.Targets, feed: c.store.TargetsFeed, apply: c.applyTargets, interval: half, wholeInterval: c.pollInterval}
 	}
 	whole := func(ctx context.Context) (platform.Snapshot, error) { return c.store.Table(ctx, coordinationTable) }
-	return tableReader{whole: whole, apply: c.applyVMs, interval: constant(coordinationInterval), due: c.coordinationDue, after: c.coordinate}
+	return tableReader{whole: whole, apply: c.applyVMs, interval: constant(coordinationInterval), wholeInterval: constant(coordinationInterval), due: c.coordinationDue, after: c.coordinate}
 }
 
 // follow keeps the copy of a table current: from another VM's copy, or from the store.
 func (c *Controller) follow(ctx context.Context, index int) {
 	t, r := c.tables[index], c.reader(index)
 	var failures storereads.Failures
+	if index == vmsTable {
+		c.firstRegistration(ctx)
+	}
 	for {
 		c.refresh(ctx, t, r, &failures)
 		timer := time.NewTimer(r.interval())
@@ -212,8 +219,8 @@
 	age, known := t.age(now)
 	interval := 2 * r.interval()
 	read := storereads.Read(storereads.Input{
-		Reader: !other, Known: known, Age: age, Interval: interval, InZone: c.peers.inZone(),
-		SinceStart: now.Sub(c.startedAt), FirstStart: c.settings.FirstStart, Random: rand.Float64(),
+		Reader: !other, Known: known, Age: age, Interval: interval, WholeInterval: r.wholeInterval(), InZone: c.peers.inZone(),
+		SinceStart: now.Sub(c.startedAt), FirstStart: c.settings.FirstStart && t.index != vmsTable && !c.peers.first(), Random: rand.Float64(),
 	})
 	if read && failures.Allow(now) {
 		failures.Record(now, c.readTable(ctx, t, r) == nil, interval)
@@ -247,6 +254,7 @@
 func (c *Controller) followFeed(ctx context.Context, index int) {
 	t, r := c.tables[index], c.reader(index)
 	var after fleet.StoreVersion
+	readerSince := bootclock.Now()
 	for ctx.Err() == nil {
 		wait := feedInterval
 		now := bootclock.Now()
@@ -254,7 +262,9 @@
 		if after.Era != version.Era || after.Row < version.Row {
 			after = version
 		}
-		if _, _, other := c.peers.storeSource(now, c.storeFailing(now)); !other && ok {
+		if _, _, other := c.peers.storeSource(now, c.storeFailing(now)); other || !ok {
+			readerSince = now
+		} else if now.Sub(readerSince) >= feedDelay {
 			var err error
 			if after, err = c.readFeed(ctx, t, r, after); err != nil {
 				wait = c.pollInterval()
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"tamarackreach/internal/bootclock"
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
 	"tamarackreach/platform"
@@ -32,8 +33,13 @@
 	return out
 }
 
-// wakeUp has the copies of tables refreshed without delay; a bit stands for each.
+// wakeUp has the copies of tables refreshed without delay; a bit stands for each. The VM that
+// reads the store does so at its own interval.
 func (c *Controller) wakeUp(tables byte) {
+	now := bootclock.Now()
+	if _, _, other := c.peers.storeSource(now, c.storeFailing(now)); !other {
+		return
+	}
 	for _, t := range c.tables {
 		if tables&(1<<t.index) != 0 {
 			t.wakeUp()
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -311,6 +311,9 @@
 	return out
 }
 
+// First reports whether no VM registered comes before this one by name.
+func (m *Members) First() bool { return len(m.names) == 0 || m.self < m.names[0] }
+
 // InZone returns the number of other VMs of the zone.
 func (m *Members) InZone() int { return m.inZone }
 
--- a/internal/storereads/storereads.go
+++ b/internal/storereads/storereads.go
@@ -19,7 +19,7 @@
 	maxAgeIntervals = 2
 	// firstStartDelay is how long a VM of the first start waits for another one's copy: all
 	// VMs start together, before there are requests.
-	firstStartDelay = time.Second
+	firstStartDelay = 2 * time.Second
 	// maxBackoffIntervals bounds the pause between failing reads.
 	maxBackoffIntervals = 2
 )
@@ -34,10 +34,13 @@
 	Age   time.Duration
 	// Interval is the time within which a read is to confirm the table.
 	Interval time.Duration
+	// WholeInterval is how often the VM that reads for others reads.
+	WholeInterval time.Duration
 	// InZone is the number of other VMs of the zone.
 	InZone     int
 	SinceStart time.Duration
-	// FirstStart is true when the whole deployment starts for the first time.
+	// FirstStart is true when the whole deployment starts for the first time, and another VM
+	// is to read the store.
 	FirstStart bool
 	// Random is uniform in [0,1).
 	Random float64
@@ -54,8 +57,10 @@
 	switch {
 	case !in.Known && in.FirstStart && in.SinceStart < firstStartDelay:
 		return false
-	case in.Reader || !in.Known:
+	case !in.Known:
 		return true
+	case in.Reader:
+		return in.Age >= in.WholeInterval-slack/2
 	case in.Age <= in.Interval+slack:
 		return false
 	case in.Age > maxAgeIntervals*in.Interval:
