--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"os/exec"
 	"path/filepath"
 	"sync"
 	"testing"
@@ -93,4 +94,45 @@
 		}
 		runs.Wait()
 	})
+
+	// VMs are replaced by VMs of another build while faults go on, and some go back. The
+	// earlier build is that of the last landing.
+	It("hold every guarantee beside an earlier build of the program", func() {
+		earlier := buildOf(lastLanding)
+		var runs sync.WaitGroup
+		for _, o := range []soak.Options{{Seed: 801}, {Seed: 802, Restores: true}, {Seed: 804}} {
+			o.Binary, o.Earlier, o.Dir, o.VMs, o.Callers, o.Faults = binary(), earlier, GinkgoT().TempDir(), 4, 9, 4*time.Second
+			runs.Add(1)
+			go func() {
+				defer runs.Done()
+				defer GinkgoRecover()
+				report, err := soak.Run(o)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(report.Violations).To(BeEmpty(), "seed %d, faults: %v", o.Seed, report.Faults)
+				Expect(report.Replaced).To(BeNumerically(">=", o.VMs))
+				Expect(report.Served).To(BeNumerically(">", 50), "seed %d", o.Seed)
+			}()
+		}
+		runs.Wait()
+	})
 })
+
+// lastLanding is the commit whose build is in production.
+const lastLanding = "45726cd"
+
+// buildOf builds the program of a commit of this repository's history and returns its path.
+func buildOf(commit string) string {
+	dir := GinkgoT().TempDir()
+	archive := filepath.Join(dir, "source.tar")
+	run := func(in, name string, args ...string) {
+		cmd := exec.Command(name, args...)
+		cmd.Dir = in
+		output, err := cmd.CombinedOutput()
+		Expect(err).NotTo(HaveOccurred(), "%s %v: %s", name, args, output)
+	}
+	run("../..", "git", "archive", "--output", archive, commit)
+	run(dir, "tar", "-xf", archive)
+	path := filepath.Join(dir, "tamarack-front")
+	run(dir, "go", "build", "-buildvcs=false", "-o", path, "./cmd/tamarack-front")
+	return path
+}
