--- a/internal/ctl/explainlog.go
+++ b/internal/ctl/explainlog.go
@@ -16,7 +16,7 @@
 // maxLogLine limits the length of a log line, in bytes.
 const maxLogLine = 1 << 20
 
-// logLine holds the fields of a structured log line that explain reads.
+// logLine holds the fields of a structured log line that explain and losses read.
 type logLine struct {
 	Time    time.Time `json:"time"`
 	VM      string    `json:"id"`
@@ -31,7 +31,9 @@
 	Reason  string    `json:"reason"`
 	FaultAt string    `json:"fault_at"`
 	Error   string    `json:"error"`
+	Zone    string    `json:"zone"`
 	Send    int       `json:"send"`
+	Sends   int       `json:"sends"`
 	Status  int       `json:"status"`
 	Events  int       `json:"events"`
 	TookMs  int64     `json:"took_ms"`
--- a/internal/ctl/platform.go
+++ b/internal/ctl/platform.go
@@ -57,12 +57,12 @@
 			s.printf("%s\n", text)
 			return nil
 		}
-		printPlacement(s, status)
+		printPlacement(s, &status.Status)
 		return nil
 	}
 }
 
-func readStatus(s *session, address string) (*director.Status, []byte, error) {
+func readStatus(s *session, address string) (*frontdaemon.Status, []byte, error) {
 	url := "http://" + address + frontdaemon.StatusPath
 	req, err := http.NewRequestWithContext(s.ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "the status broke off; ask again")
 	}
-	var status director.Status
+	var status frontdaemon.Status
 	if err := json.Unmarshal(text, &status); err != nil || resp.StatusCode != http.StatusOK {
 		return nil, nil, errors.Newf("%s answered %d and no status; is it the metrics address of a tamarack-front?", url, resp.StatusCode)
 	}
