A VM of another zone counts as ended after 2.5 s of silence, not one

Cause: since its state comes in its zone's digests, a VM of another zone seems silent for a second and more while its zone changes the leader. Others then took over the lost answers of all VMs of that zone, and cut the streams that they sent through them as relays. Found by reading.

Change: otherZoneSilence for both.

--- a/internal/director/lostanswer.go
+++ b/internal/director/lostanswer.go
@@ -14,10 +14,12 @@
 	// maxLostAnswers bounds the lost answers that await confirmation of a crash, and
 	// maxSentLostAnswers those in a message.
 	maxLostAnswers, maxSentLostAnswers = 4096, 16
-	// peerSilence is how long after its last message a VM counts as ended, so that its
-	// lost answers are confirmed by others: longer than the interval of messages between
-	// zones.
+	// peerSilence is how long after its last message a VM of the zone counts as ended, so
+	// that its lost answers are confirmed by others.
 	peerSilence = time.Second
+	// otherZoneSilence is that time for a VM of another zone: its messages come in digests,
+	// which are missing while the zone changes its leader.
+	otherZoneSilence = 2500 * time.Millisecond
 )
 
 // lostAnswer is an answer lost on a target that may have crashed.
@@ -189,7 +191,7 @@
 	var effects []Effect
 	for _, vm := range slices.Sorted(maps.Keys(s.peerLostAnswers)) {
 		p := s.peerLostAnswers[vm]
-		if silent := now.Sub(p.receivedAt); silent >= peerSilence {
+		if silent := now.Sub(p.receivedAt); silent >= s.silenceOf(vm) {
 			delete(s.peerLostAnswers, vm)
 			effects = append(effects, s.inherit(now, vmProcess{vm, p.process}, p.lost, "silent for "+silent.String())...)
 		}
@@ -197,6 +199,14 @@
 	return effects
 }
 
+// silenceOf returns how long a VM sends no messages before it counts as ended.
+func (s *State) silenceOf(vm model.NodeID) time.Duration {
+	if p := s.peers[vm]; p != nil && p.zone != "" && p.zone != s.settings.Zone {
+		return otherZoneSilence
+	}
+	return peerSilence
+}
+
 // inherit takes over the lost answers of a VM whose process has ended: nobody else
 // confirms the crashes.
 func (s *State) inherit(now model.Instant, observer vmProcess, lost []lostAnswer, reason string) []Effect {
--- a/internal/director/relay.go
+++ b/internal/director/relay.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// relayFresh is how old the last message of a VM may be for it to be used as a relay: two
-	// messages between zones.
-	relayFresh = 1500 * time.Millisecond
+	// zoneRelayFresh is how old the last message of a VM of the zone may be for it to be used
+	// as a relay.
+	zoneRelayFresh = 1500 * time.Millisecond
 	// relayFailurePeriod is how long a VM that failed as a relay is left out.
 	relayFailurePeriod = time.Second
 	// relayCost is the cost of a path that begins at a relay, in milliseconds per decode step:
@@ -49,7 +49,7 @@
 	var best *Relay
 	bestLoad := 0.0
 	for vm, p := range s.peers {
-		if p.relay.Address == "" || p.isolated || p.unreachable[t.ID] || now.Sub(p.receivedAt) > relayFresh ||
+		if p.relay.Address == "" || p.isolated || p.unreachable[t.ID] || now.Sub(p.receivedAt) > s.relayFresh(p) ||
 			p.relayFailedAt != 0 && now.Sub(p.relayFailedAt) < relayFailurePeriod || s.backoffLeft(now, vm, t) > 0 {
 			continue
 		}
@@ -65,6 +65,14 @@
 	return best
 }
 
+// relayFresh returns how old the last message of a VM may be for it to be used as a relay.
+func (s *State) relayFresh(p *peer) time.Duration {
+	if p.zone != "" && p.zone != s.settings.Zone {
+		return otherZoneSilence
+	}
+	return zoneRelayFresh
+}
+
 // relayFor returns the relay of a send to a target, nil for a direct one: the target is
 // reached, or no VM relays to it.
 func (s *State) relayFor(now model.Instant, r *request, t *target) *Relay {
@@ -127,7 +135,7 @@
 		return false
 	}
 	p := s.peers[r.via]
-	return p == nil || now.Sub(p.receivedAt) > relayFresh
+	return p == nil || now.Sub(p.receivedAt) > s.relayFresh(p)
 }
 
 // recordContact records that the first target of a request's send answered, if it was
--- a/internal/doccheck/boundary_test.go
+++ b/internal/doccheck/boundary_test.go
@@ -20,7 +20,10 @@
 
 // purePackages are the packages with the deciding code on the users' platform.
 // They have no side effects.
-var purePackages = []string{"director", "placement", "paths", "retrybudget", "placementlease", "fleet"}
+var purePackages = []string{
+	"director", "placement", "paths", "retrybudget", "placementlease", "fleet",
+	"loadview", "zonedigest", "membership", "storereplica", "storereads",
+}
 
 // forbiddenImports are imports that a pure package must not have.
 var forbiddenImports = []string{"net", "os", "context", "sync", "tamarackreach/platform", "github.com/sirupsen/logrus"}
