Rows of a replaced store are applied though their versions are known

Cause: what was applied was remembered by version across a change of the store's address; a row of the new store with the same version counted as applied, and the feed went on after a version of the old one.

--- a/internal/controller/apply.go
+++ b/internal/controller/apply.go
@@ -27,6 +27,14 @@
 	vms map[model.NodeID]vmRecord
 }
 
+// reset forgets what was applied by versions of a store that is no longer used: those of
+// another store may be equal.
+func (a *appliedTables) reset() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.config, a.targets = fleet.StoreVersion{}, nil
+}
+
 type decodedTarget struct {
 	version fleet.StoreVersion
 	target  *fleet.Target
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -144,6 +144,7 @@
 func (c *Controller) Apply(s *platform.Settings) {
 	if c.store.SetAddress(s.StoreAddress) {
 		c.restartEras()
+		c.applied.reset()
 	}
 	c.setInterval(s.Bounds)
 }
--- a/internal/controller/tables.go
+++ b/internal/controller/tables.go
@@ -254,13 +254,14 @@
 func (c *Controller) followFeed(ctx context.Context, index int) {
 	t, r := c.tables[index], c.reader(index)
 	var after fleet.StoreVersion
+	generation := t.storeGeneration()
 	readerSince := bootclock.Now()
 	for ctx.Err() == nil {
 		wait := feedInterval
 		now := bootclock.Now()
 		_, version, _, ok := t.snapshot()
-		if after.Era != version.Era || after.Row < version.Row {
-			after = version
+		if current := t.storeGeneration(); current != generation || after.Era != version.Era || after.Row < version.Row {
+			after, generation = version, current
 		}
 		if _, _, other := c.peers.storeSource(now, c.storeFailing(now)); other || !ok {
 			readerSince = now
--- a/internal/controller/tables_test.go
+++ b/internal/controller/tables_test.go
@@ -245,6 +245,30 @@
 		Expect(t.copied.Read()).To(BeFalse(), "the copy of the earlier era is empty")
 	})
 
+	// Pattern: the settings name another store, whose rows have the same versions by chance.
+	It("and rows of a replaced store are applied, also with versions that are known", func() {
+		f, other := newCopyFixture(), newCopyFixture()
+		c := f.start("vm-1")
+		f.readAll(c)
+		Expect(other.store.Put("op", "config", platformtest.Config(9, "key"))).To(Succeed())
+		for range 3 {
+			Expect(f.store.Put("op", "config", platformtest.Config(2, "key"))).To(Succeed())
+			f.readAll(c)
+		}
+		next := *c.settings
+		next.StoreAddress = other.store.Address()
+		Expect(other.store.Put("servers", "c", map[string]any{"service": "desk", "address": "127.0.0.1:8", "zone": "a", "slots": 8, "state": "ready", "born": 1})).To(Succeed())
+		c.Apply(&next)
+		c.applied.mu.Lock()
+		Expect(c.applied.config).To(BeZero())
+		c.applied.mu.Unlock()
+		other.readAll(c)
+		var status director.Status
+		c.reducer.Read(func(s *director.State) { status = s.Status(bootclock.Now()) })
+		Expect(status.Configuration).To(BeEquivalentTo(9))
+		Expect(status.Targets).To(HaveLen(3))
+	})
+
 	// Pattern: the store's address changes while a read from the old one is in flight.
 	It("and reads from a replaced store are discarded", func() {
 		f := newCopyFixture()
