Digests are compressed and read with state that is reused

Cause: each digest allocated a compressor and a decompressor of some hundred kilobytes. BenchmarkDigest, one run each beside other work, 23 VMs and 41 targets: 3.38 ms for encoding and decoding before, 0.60 and 0.49 ms after; 34 VMs and 1,000 targets: 6.96 ms before, 3.88 and 3.07 after, 13 KB a digest.

--- a/internal/controller/digest.go
+++ b/internal/controller/digest.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,6 +53,15 @@
 	VMs  []peerMessage           `json:"vms"`
 }
 
+// compressors and decompressors are reused, since each has some hundred kilobytes of state.
+var (
+	compressors = sync.Pool{New: func() any {
+		w, _ := flate.NewWriter(nil, flate.BestSpeed) // the level is valid
+		return w
+	}}
+	decompressors = sync.Pool{New: func() any { return flate.NewReader(nil) }}
+)
+
 func encodeDigest(d *zonedigest.Digest, number uint64) ([]byte, error) {
 	body := digestMessage{Zone: d.Zone, VM: d.Sender, Load: make(map[model.TargetID]load, len(d.Loads))}
 	for id, l := range d.Loads {
@@ -65,8 +75,9 @@
 	var out bytes.Buffer
 	out.WriteByte(digestKind)
 	out.Write(binary.BigEndian.AppendUint64(nil, number))
-	// A valid level and a buffer cause no error.
-	compressed, _ := flate.NewWriter(&out, flate.BestSpeed)
+	compressed := compressors.Get().(*flate.Writer)
+	defer compressors.Put(compressed)
+	compressed.Reset(&out)
 	if err := json.NewEncoder(compressed).Encode(&body); err != nil {
 		return nil, errors.Wrap(err, "cannot encode the digest")
 	}
@@ -89,8 +100,11 @@
 
 // decodeDigest decodes a digest whose number was read.
 func decodeDigest(text []byte) (*zonedigest.Digest, error) {
-	body := flate.NewReader(bytes.NewReader(text[digestHeaderBytes:]))
-	defer func() { _ = body.Close() }() // reads from memory
+	body := decompressors.Get().(io.Reader)
+	defer decompressors.Put(body)
+	if err := body.(flate.Resetter).Reset(bytes.NewReader(text[digestHeaderBytes:]), nil); err != nil {
+		return nil, errors.Wrap(err, "cannot decompress the digest")
+	}
 	var message digestMessage
 	if err := json.NewDecoder(io.LimitReader(body, maxDigestBytes)).Decode(&message); err != nil {
 		return nil, errors.Wrap(err, "the digest of a zone is skipped: it does not decode")
