VMs that take copies read a failing store less often

Change: pauses after failures double up to four intervals, at the VM that reads up to one. Once the store serves, copies come from there.

--- a/internal/controller/tables.go
+++ b/internal/controller/tables.go
@@ -217,13 +217,16 @@
 	}
 	now = bootclock.Now()
 	age, known := t.age(now)
-	interval := 2 * r.interval()
+	interval := c.pollInterval()
+	if t.index == vmsTable {
+		interval = listInterval
+	}
 	read := storereads.Read(storereads.Input{
 		Reader: !other, Known: known, Age: age, Interval: interval, WholeInterval: r.wholeInterval(), InZone: c.peers.inZone(),
 		SinceStart: now.Sub(c.startedAt), FirstStart: c.settings.FirstStart && t.index != vmsTable && !c.peers.first(), Random: rand.Float64(),
 	})
 	if read && failures.Allow(now) {
-		failures.Record(now, c.readTable(ctx, t, r) == nil, interval)
+		failures.Record(now, c.readTable(ctx, t, r) == nil, !other, interval)
 	}
 }
 
--- a/internal/storereads/storereads.go
+++ b/internal/storereads/storereads.go
@@ -20,8 +20,10 @@
 	// firstStartDelay is how long a VM of the first start waits for another one's copy: all
 	// VMs start together, before there are requests.
 	firstStartDelay = 2 * time.Second
-	// maxBackoffIntervals bounds the pause between failing reads.
-	maxBackoffIntervals = 2
+	// maxReaderBackoff bounds the pause between the failing reads of the VM that reads for
+	// others, in intervals, and maxBackoff that of another VM: once the store serves again,
+	// it takes a copy.
+	maxReaderBackoff, maxBackoff = 1, 4
 )
 
 // Input is what the decision rests on.
@@ -78,12 +80,16 @@
 // Allow reports whether a read may start.
 func (f *Failures) Allow(now model.Instant) bool { return now >= f.notBefore }
 
-// Record records the result of a read.
-func (f *Failures) Record(now model.Instant, succeeded bool, interval time.Duration) {
+// Record records the result of a read. The pause after a failure doubles with each in a row.
+func (f *Failures) Record(now model.Instant, succeeded, reader bool, interval time.Duration) {
 	if succeeded {
 		*f = Failures{}
 		return
 	}
-	f.inRow = min(f.inRow+1, maxBackoffIntervals)
-	f.notBefore = now.Add(time.Duration(f.inRow) * interval / 2)
+	most := time.Duration(maxBackoff) * interval
+	if reader {
+		most = maxReaderBackoff * interval
+	}
+	f.notBefore = now.Add(min(interval/2<<f.inRow, most))
+	f.inRow = min(f.inRow+1, maxBackoff)
 }
--- a/internal/storereads/storereads_test.go
+++ b/internal/storereads/storereads_test.go
@@ -59,19 +59,33 @@
 })
 
 var _ = Describe("failing reads", func() {
-	It("are spaced, at most by an interval, until one succeeds", func() {
+	It("are spaced until one succeeds, at most by an interval at the VM that reads for others", func() {
 		var f storereads.Failures
 		now := model.Instant(time.Hour)
 		Expect(f.Allow(now)).To(BeTrue())
-		f.Record(now, false, interval)
+		f.Record(now, false, true, interval)
 		Expect(f.Allow(now.Add(interval/2 - 1))).To(BeFalse())
 		Expect(f.Allow(now.Add(interval / 2))).To(BeTrue())
 		for range 9 {
-			f.Record(now, false, interval)
+			f.Record(now, false, true, interval)
 		}
 		Expect(f.Allow(now.Add(interval - 1))).To(BeFalse())
 		Expect(f.Allow(now.Add(interval))).To(BeTrue())
-		f.Record(now, true, interval)
+		f.Record(now, true, true, interval)
 		Expect(f.Allow(now)).To(BeTrue())
 	})
+
+	// Pattern: the store is silent for eight seconds, and 117 VMs find their copies too old.
+	It("of the other VMs are few while the store is away for long", func() {
+		var f storereads.Failures
+		now := model.Instant(time.Hour)
+		reads := 0
+		for end := now.Add(8 * time.Second); now < end; now = now.Add(interval / 2) {
+			if f.Allow(now) {
+				reads++
+				f.Record(now, false, false, interval)
+			}
+		}
+		Expect(reads).To(BeNumerically("<=", 4))
+	})
 })
