A stream whose bytes complete no event counts as silent

Cause: a target's connection was watched for silence only between reads, so that a stalled target which sends a byte now and then was never suspected or left before the deadline. Shown by reading; the test fails without the change (OnTrickle did not exist).

Change: while bytes arrive the exchange calls OnTrickle once an interval; for a stream without an event since, it is treated as a silence. Not covered: a target that sends whole events without data.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -349,10 +349,22 @@
 	if e.Relay != nil {
 		through = &relay.Endpoint{VM: e.Relay.VM, Address: e.Relay.Address, Secret: e.Relay.Secret}
 	}
-	return &upstream.Call{
+	call := &upstream.Call{
 		ID: a.request.ID, Target: e.Hops[0].Target, Address: e.Hops[0].Address, Relay: through, Method: a.r.Method, URI: a.r.RequestURI, Host: a.r.Host,
 		Header: platform.ForwardHeader(a.r.Header, send), Body: a.request.Body, SilenceInterval: silenceInterval, OnSilence: a.onSilence,
 	}
+	if e.Route.Kind == fleet.Stream {
+		call.OnTrickle = a.onTrickle
+	}
+	return call
+}
+
+// onTrickle treats a stream as silent whose bytes complete no event.
+func (a *activeRequest) onTrickle() error {
+	if time.Since(a.lastReceived) < silenceInterval {
+		return nil
+	}
+	return a.onSilence()
 }
 
 // onSilence notifies the reducer that no data arrives from the target. It returns
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -56,6 +56,9 @@
 	SilenceInterval time.Duration
 	// OnSilence may abort the exchange by returning an error.
 	OnSilence func() error
+	// OnTrickle is called at that interval while bytes arrive, and may abort the exchange as
+	// well: single bytes show no progress. It may be nil.
+	OnTrickle func() error
 }
 
 // Do sends a request and reads the head of its response. Done must be called on the
@@ -69,7 +72,7 @@
 		return x, err
 	}
 	x.conn, x.Reused = conn, conn.reused
-	conn.silenceInterval, conn.onSilence = call.SilenceInterval, call.OnSilence
+	conn.silenceInterval, conn.onSilence, conn.onTrickle, conn.trickleAt = call.SilenceInterval, call.OnSilence, call.OnTrickle, time.Now()
 	x.stopAbort = context.AfterFunc(ctx, x.abort)
 	if call.ExpiresAt != 0 {
 		// The time left is stated as of the send: connecting takes a part of it.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -75,6 +75,9 @@
 	reader          *bufio.Reader
 	silenceInterval time.Duration
 	onSilence       func() error
+	// onTrickle is called each silenceInterval while data arrives, last at trickleAt.
+	onTrickle func() error
+	trickleAt time.Time
 	// expiresAt is when the idle connection is no longer reused, because the target
 	// may close it.
 	expiresAt time.Time
@@ -109,6 +112,9 @@
 			return n, errReset
 		}
 		if n > 0 || err == nil || !errors.As(err, &timeout) || !timeout.Timeout() {
+			if trickleErr := c.trickled(n); trickleErr != nil {
+				return n, trickleErr
+			}
 			return n, err
 		}
 		if err := c.onSilence(); err != nil {
@@ -117,6 +123,15 @@
 	}
 }
 
+// trickled calls onTrickle after a read of n bytes, if it is due.
+func (c *connection) trickled(n int) error {
+	if n == 0 || c.onTrickle == nil || time.Since(c.trickleAt) < c.silenceInterval {
+		return nil
+	}
+	c.trickleAt = time.Now()
+	return c.onTrickle()
+}
+
 // errReset means that the target reset the connection.
 var errReset = errors.New("connection reset by the target")
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -241,6 +241,37 @@
 		Expect(errors.Is(err, abort)).To(BeTrue())
 	})
 
+	// Pattern: a target that has stalled sends a byte of its next event now and then.
+	It("calls OnTrickle while bytes arrive, and aborts on its error", func() {
+		t := serve(func(_ int64, conn net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTamarackreach-Attempt-Id: a\r\nContent-Length: 1000\r\n\r\n")
+			for range 1000 {
+				if _, err := io.WriteString(conn, "x"); err != nil {
+					return false
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			return false
+		})
+		abort := errors.New("aborted")
+		trickles := 0
+		call := t.call()
+		call.OnSilence = func() error { return nil }
+		call.OnTrickle = func() error {
+			if trickles++; trickles == 3 {
+				return abort
+			}
+			return nil
+		}
+		started := time.Now()
+		x, err := upstream.NewPool().Do(context.Background(), call)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, x.Response.Body)
+		Expect(errors.Is(err, abort)).To(BeTrue())
+		Expect(time.Since(started)).To(BeNumerically("<", 2*time.Second))
+		x.Done(false)
+	})
+
 	It("closes the connection when the context is cancelled", func() {
 		closed := make(chan struct{})
 		t := serve(func(_ int64, conn net.Conn, _ *http.Request) bool {
