--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -323,3 +323,8 @@
 		p.hastenDigest()
 	}
 }
+
+// ownNote returns what this VM states of itself for the choice of a source.
+func (p *peers) ownNote(storeFailing bool) membership.Note {
+	return membership.Note{Isolated: p.isolated(), StoreFailing: storeFailing, Copies: p.copies}
+}
--- a/internal/controller/view.go
+++ b/internal/controller/protocol0.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"tamarackreach/internal/bootclock"
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
 	"tamarackreach/platform"
@@ -32,31 +31,3 @@
 	}
 	return out
 }
-
-// wakeUp has the copies of tables refreshed without delay; a bit stands for each. The VM that
-// reads the store does so at its own interval.
-func (c *Controller) wakeUp(tables byte) {
-	now := bootclock.Now()
-	if _, _, other := c.peers.storeSource(now, c.storeFailing(now)); !other {
-		return
-	}
-	for _, t := range c.tables {
-		if tables&(1<<t.index) != 0 {
-			t.wakeUp()
-		}
-	}
-}
-
-// resetTables empties the copies for an era of the store.
-func (c *Controller) resetTables(era fleet.StoreEra) {
-	for _, t := range c.tables {
-		t.reset(era)
-	}
-}
-
-// replaceStore empties the copies; another store is used from now on.
-func (c *Controller) replaceStore() {
-	for _, t := range c.tables {
-		t.replaceStore()
-	}
-}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -60,10 +60,10 @@
 		{"change", "show one change, by -id or -revision; settles a change in doubt", changeFlags},
 		{"status", "show which revision is in force where, targets and alarms", statusFlags},
 		{"drain", "let a target leave: drain TARGET", drainFlags},
-		{"fleet", "show from whom an entry VM of tamarack-front takes the store's state, and which others it hears", fleetFlags},
+		{"fleet", "show from whom an entry VM of tamarack-front takes the store's state, and which others it hears", vmStatusFlags(printFleet)},
 		{"losses", "count by cause, zone and time how requests ended: losses -log FILES", lossesFlags},
 		{"explain", "show how a request was routed: explain REQUEST, or explain -log FILES REQUEST once it has ended", explainFlags},
-		{"placement", "show which target of tamarack-front holds which layers, and the holes: placement -status ADDRESS", placementFlags},
+		{"placement", "show which target of tamarack-front holds which layers, and the holes: placement -status ADDRESS", vmStatusFlags(printPlacement)},
 		{"check", "check files of tamarack-front: check -settings FILE -deploy FILE", checkFlags},
 		{"keys", "make a test CA and node keys: keys -dir DIR NODE...", keysFlags},
 	}
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -1,26 +1,6 @@
 package ctl
 
-import (
-	"flag"
-
-	"tamarackreach/internal/frontdaemon"
-)
-
-func fleetFlags(set *flag.FlagSet) func(*session) error {
-	address := set.String("status", "127.0.0.1:9464", "metrics `address` of an entry VM, host:port")
-	return func(s *session) error {
-		status, text, err := readStatus(s, *address)
-		if err != nil {
-			return err
-		}
-		if s.json {
-			s.printf("%s\n", text)
-			return nil
-		}
-		printFleet(s, status)
-		return nil
-	}
-}
+import "tamarackreach/internal/frontdaemon"
 
 // printFleet prints how a VM knows the store's state and the other VMs.
 func printFleet(s *session, status *frontdaemon.Status) {
--- a/internal/ctl/platform.go
+++ b/internal/ctl/platform.go
@@ -9,7 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"tamarackreach/internal/director"
 	"tamarackreach/internal/frontdaemon"
 	"tamarackreach/platform"
 )
@@ -46,19 +45,22 @@
 	}
 }
 
-func placementFlags(set *flag.FlagSet) func(*session) error {
-	address := set.String("status", "127.0.0.1:9464", "metrics `address` of an entry VM, host:port")
-	return func(s *session) error {
-		status, text, err := readStatus(s, *address)
-		if err != nil {
-			return err
-		}
-		if s.json {
-			s.printf("%s\n", text)
+// vmStatusFlags returns a command that prints the status of an entry VM, as JSON or by print.
+func vmStatusFlags(print func(*session, *frontdaemon.Status)) func(*flag.FlagSet) func(*session) error {
+	return func(set *flag.FlagSet) func(*session) error {
+		address := set.String("status", "127.0.0.1:9464", "metrics `address` of an entry VM, host:port")
+		return func(s *session) error {
+			status, text, err := readStatus(s, *address)
+			if err != nil {
+				return err
+			}
+			if s.json {
+				s.printf("%s\n", text)
+				return nil
+			}
+			print(s, status)
 			return nil
 		}
-		printPlacement(s, &status.Status)
-		return nil
 	}
 }
 
@@ -84,7 +86,7 @@
 	return &status, text, nil
 }
 
-func printPlacement(s *session, status *director.Status) {
+func printPlacement(s *session, status *frontdaemon.Status) {
 	s.printf("%s in %s: configuration %d, confirmed %d ms ago, store away %t, store era %d, %d requests\n",
 		status.VM, status.Zone, status.Configuration, status.ConfirmedMs, status.StoreUnreachable, status.StoreEra, status.InFlight)
 	for _, t := range status.Targets {
