Soak: a VM that was rolled back does not write its later build's row

The VM's later build had written its protocol, a restore brought back the row of before, and the earlier build that ran by then reads in it what it writes itself. Such a row is right.

The check is narrowed to that: the VM runs the earlier build, the row in the store states no protocol, and nothing else differs.

--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -141,7 +141,7 @@
 	end := time.Now().Add(rowsTimeout)
 	for {
 		_, lost := r.lostRows()
-		lost = slices.DeleteFunc(lost, r.forgottenContent)
+		lost = slices.DeleteFunc(lost, func(row platformtest.Row) bool { return r.forgottenContent(row) || r.writtenByLaterBuild(row) })
 		if len(lost) == 0 || time.Now().After(end) {
 			return lost
 		}
--- a/internal/soak/restore_test.go
+++ b/internal/soak/restore_test.go
@@ -37,6 +37,49 @@
 		Expect(r.forgottenContent(row(contentTable, "vm-2"))).To(BeFalse())
 	})
 
+	// Pattern: a VM is rolled back, and a restore loses the row of its later build (soak
+	// -earlier 45726cd -restores, seeds 95008 and 95014).
+	It("expect no VM to write the registration of a build from which it was rolled back", func() {
+		store, err := platformtest.NewStore()
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { Expect(store.Close()).To(Succeed()) }()
+		registration := func(address string, protocol int) map[string]any {
+			out := map[string]any{"zone": "a", "peer_address": address}
+			if protocol > 0 {
+				out["protocol"] = protocol
+			}
+			return out
+		}
+		put := func(address string, protocol int) {
+			Expect(store.Put("tamarackreach", "vm/vm-1", registration(address, protocol))).To(Succeed())
+		}
+		put("10.0.0.1:7", 0)
+		copied := store.Copy()
+		put("10.0.0.1:7", 1)
+		store.Restore(copied)
+		v := &vm{name: "vm-1", binary: "earlier"}
+		r := &run{Options: Options{Earlier: "earlier"}, store: store, vms: []*vm{v}}
+		lost := store.Lost()
+		Expect(lost).To(HaveLen(1))
+		Expect(r.writtenByLaterBuild(lost[0])).To(BeTrue())
+		v.binary = "later"
+		Expect(r.writtenByLaterBuild(lost[0])).To(BeFalse(), "it runs the later build")
+		v.binary, r.Earlier = "earlier", ""
+		Expect(r.writtenByLaterBuild(lost[0])).To(BeFalse(), "no build was replaced")
+		r.Earlier = "earlier"
+		put("10.0.0.2:7", 0)
+		copied = store.Copy()
+		put("10.0.0.1:7", 1)
+		store.Restore(copied)
+		Expect(r.writtenByLaterBuild(store.Lost()[0])).To(BeFalse(), "the address differs too")
+		store.Remove("tamarackreach", "vm/vm-1")
+		put("10.0.0.1:7", 1)
+		copied = store.Copy()
+		put("10.0.0.3:7", 1)
+		store.Restore(copied)
+		Expect(r.writtenByLaterBuild(store.Lost()[0])).To(BeFalse(), "the row in the store is of the later build as well")
+	})
+
 	DescribeTable("find a request at a target whose drain its VM has read",
 		func(drained time.Time, fault span, found bool) {
 			run := newRun("r-1", "r", 1, 200)
--- a/internal/soak/upgrade.go
+++ b/internal/soak/upgrade.go
@@ -1,10 +1,15 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
+	"slices"
 	"syscall"
 	"time"
+
+	"tamarackreach/platform/platformtest"
 )
 
 const (
@@ -58,3 +63,27 @@
 	r.lock.Unlock()
 	time.Sleep(upgradeGap)
 }
+
+// writtenByLaterBuild reports whether a lost registration is one that its VM, which was rolled
+// back since, does not write: the row in the store is that of the earlier build, and differs
+// from the lost one in the protocol only.
+func (r *run) writtenByLaterBuild(lost platformtest.Row) bool {
+	if r.Earlier == "" || !slices.ContainsFunc(r.vms, func(v *vm) bool { return lost.Key == "vm/"+v.name && v.runs(r.Earlier) }) {
+		return false
+	}
+	present := r.store.Present(lost)
+	var then, now map[string]any
+	if json.Unmarshal(lost.Value, &then) != nil || json.Unmarshal(present.Value, &now) != nil {
+		return false
+	}
+	_, stated := now["protocol"]
+	delete(then, "protocol")
+	return !stated && reflect.DeepEqual(then, now)
+}
+
+// runs reports whether the next process of the VM is of a program, or the present one.
+func (v *vm) runs(binary string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.binary == binary
+}
