--- a/internal/controller/tables.go
+++ b/internal/controller/tables.go
@@ -46,6 +46,8 @@
 	// reads of an earlier one are discarded.
 	copied     storereplica.Table
 	generation int
+	// encoded holds responses to other VMs, until the copy changes.
+	encoded encodedCopies
 	// cursor is the position in the copy of source.
 	cursor storereplica.Cursor
 	source model.NodeID
--- a/internal/storereplica/storereplica.go
+++ b/internal/storereplica/storereplica.go
@@ -151,10 +151,13 @@
 	return changed, true
 }
 
+// Position returns the cursor behind the last change.
+func (t *Table) Position() Cursor { return Cursor{Epoch: t.epoch, Change: t.change} }
+
 // Since returns what has changed since a cursor, or all rows where the cursor is of another
 // copy or too old.
 func (t *Table) Since(c Cursor) Delta {
-	d := Delta{Version: t.Version(), Next: Cursor{Epoch: t.epoch, Change: t.change}}
+	d := Delta{Version: t.Version(), Next: t.Position()}
 	if c.Epoch != t.epoch || c.Change < t.forgotten {
 		d.Full, c.Change = true, 0
 	}
