--- a/review/_lab/lab.go
+++ b/review/_lab/lab.go
@@ -179,7 +179,11 @@
 blob-mb-s = 80.0
 `
 
-func (l *lab) startVM(name, zone string) (*vm, error) {
+func (l *lab) startVM(name, zone string) (*vm, error) { return l.startVMLosing(name, zone, false) }
+
+// startVMLosing starts a machine whose first write to the store is done and not answered where
+// loseFirstWrite is true.
+func (l *lab) startVMLosing(name, zone string, loseFirstWrite bool) (*vm, error) {
 	if l.shared == nil {
 		shared, err := newSharedLink(l)
 		if err != nil {
@@ -188,6 +192,7 @@
 		l.shared = shared
 	}
 	link := &link{conns: map[net.Conn]bool{}}
+	link.loseWrite.Store(loseFirstWrite)
 	ip := fmt.Sprintf("127.%d.%d.%d", 40+l.octet%200, 1+l.octet, 10+len(l.vms))
 	v := &vm{lab: l, name: name, zone: zone, ip: ip, link: link, configPath: filepath.Join(l.dir, name+".toml"), done: make(chan struct{})}
 	text := func(first bool) string {
@@ -323,6 +328,9 @@
 	cut atomic.Bool
 	// epoch counts the calls of silence: older connections carry nothing more.
 	epoch atomic.Int64
+	// loseWrite has the answer to the next write get lost: its connection delivers nothing
+	// further.
+	loseWrite atomic.Bool
 }
 
 // silence has all open connections carry nothing more, without a reset.
@@ -409,6 +417,7 @@
 	k.track(near, true)
 	defer k.track(near, false)
 	epoch := k.epoch.Load()
+	var lost atomic.Bool
 	copyBytes := func(to, from net.Conn) {
 		buffer := make([]byte, 64<<10)
 		for {
@@ -416,7 +425,10 @@
 			for k.cut.Load() { // held up, as behind a partition
 				time.Sleep(10 * time.Millisecond)
 			}
-			if n > 0 && k.epoch.Load() == epoch {
+			if to == far && strings.HasPrefix(string(buffer[:n]), "POST /rows-tx ") && k.loseWrite.CompareAndSwap(true, false) {
+				lost.Store(true)
+			}
+			if n > 0 && k.epoch.Load() == epoch && (to == far || !lost.Load()) {
 				if _, err := to.Write(buffer[:n]); err != nil {
 					break
 				}
@@ -490,6 +502,29 @@
 	})
 }
 
+// crash ends the runner without an answer to what it runs; it is back after a while, under
+// the same id.
+func (r *runner) crash(away time.Duration) {
+	address := r.address()
+	_ = r.server.Close()
+	r.lab.log("%s crashes", r.id)
+	time.AfterFunc(away, func() {
+		listener, err := net.Listen("tcp4", address)
+		if err != nil {
+			r.lab.log("%s cannot start again: %v", r.id, err)
+			return
+		}
+		r.mu.Lock()
+		r.listener, r.born = listener, time.Now().UnixMilli()
+		r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
+		server := r.server
+		r.mu.Unlock()
+		go func() { _ = server.Serve(listener) }()
+		_ = r.register("ready")
+		r.lab.log("%s is back", r.id)
+	})
+}
+
 func (r *runner) deregister() { r.lab.store.Remove("servers", r.id) }
 
 func (r *runner) serve(w http.ResponseWriter, q *http.Request) {
