--- a/review/_lab/lab.go
+++ b/review/_lab/lab.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	rand2 "math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -179,11 +180,17 @@
 blob-mb-s = 80.0
 `
 
-func (l *lab) startVM(name, zone string) (*vm, error) { return l.startVMLosing(name, zone, false) }
+func (l *lab) startVM(name, zone string) (*vm, error) { return l.startMachine(name, zone, machine{}) }
 
-// startVMLosing starts a machine whose first write to the store is done and not answered where
-// loseFirstWrite is true.
-func (l *lab) startVMLosing(name, zone string, loseFirstWrite bool) (*vm, error) {
+// machine says how a machine starts.
+type machine struct {
+	// loseFirstWrite has its first write to the store be done and not answered.
+	loseFirstWrite bool
+	// added is true for a machine that joins a running deployment.
+	added bool
+}
+
+func (l *lab) startMachine(name, zone string, how machine) (*vm, error) {
 	if l.shared == nil {
 		shared, err := newSharedLink(l)
 		if err != nil {
@@ -192,14 +199,14 @@
 		l.shared = shared
 	}
 	link := &link{conns: map[net.Conn]bool{}}
-	link.loseWrite.Store(loseFirstWrite)
+	link.loseWrite.Store(how.loseFirstWrite)
 	ip := fmt.Sprintf("127.%d.%d.%d", 40+l.octet%200, 1+l.octet, 10+len(l.vms))
 	v := &vm{lab: l, name: name, zone: zone, ip: ip, link: link, configPath: filepath.Join(l.dir, name+".toml"), done: make(chan struct{})}
 	text := func(first bool) string {
 		return fmt.Sprintf(settingsText, name, ip, zone, first, ip, ip, l.shared.Addr().String())
 	}
 	v.settings = text(false)
-	if err := os.WriteFile(v.configPath, []byte(text(true)), 0o600); err != nil {
+	if err := os.WriteFile(v.configPath, []byte(text(!how.added)), 0o600); err != nil {
 		return nil, err
 	}
 	var err error
@@ -262,6 +269,7 @@
 func (v *vm) checkReady() {
 	client := &http.Client{Timeout: 900 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	misses := 2
+	time.Sleep(time.Duration(rand2.IntN(1000)) * time.Millisecond) // the checks are not aligned with the start
 	for {
 		select {
 		case <-v.done:
@@ -658,7 +666,7 @@
 	fmt.Printf(format+"\n", args...)
 }
 
-// load is a number of clients that send one request after the other, each on a new
+// load is a number of clients that send one request after the other, each on a kept
 // connection.
 type load struct {
 	lab  *lab
@@ -674,6 +682,8 @@
 		d.wait.Add(1)
 		go func() {
 			defer d.wait.Done()
+			kept := &keptConn{}
+			defer kept.close()
 			for {
 				select {
 				case <-d.end:
@@ -684,7 +694,7 @@
 				d.mu.Lock()
 				d.all[q.id] = q
 				d.mu.Unlock()
-				l.sendNew(vms[c%len(vms)], q)
+				kept.send(l, vms[c%len(vms)], q)
 				if q.err != nil {
 					time.Sleep(20 * time.Millisecond)
 				}
@@ -694,6 +704,36 @@
 	return d
 }
 
+// keptConn is a client's connection, which it keeps as long as the machine does.
+type keptConn struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (k *keptConn) close() {
+	if k.conn != nil {
+		_ = k.conn.Close()
+		k.conn = nil
+	}
+}
+
+func (k *keptConn) send(l *lab, v *vm, q *request) {
+	q.startedAt = time.Now()
+	defer func() { l.log("%s %s %s through %s: %s", q.id, q.method, q.path, q.vm, q.result()) }()
+	if k.conn == nil {
+		conn, err := net.DialTimeout("tcp4", v.ip+":8227", time.Second)
+		if err != nil {
+			q.err, q.endedAt = err, time.Now()
+			return
+		}
+		k.conn, k.reader = conn, bufio.NewReader(conn)
+	}
+	q.send(k.conn, k.reader)
+	if q.err != nil || q.header.Get("Connection") == "close" {
+		k.close()
+	}
+}
+
 // stop ends the clients and returns their requests by id.
 func (d *load) stop() map[string]*request {
 	close(d.end)
