--- a/review/_lab/lab.go
+++ b/review/_lab/lab.go
@@ -40,8 +40,7 @@
 	dir     string
 	trouble bool
 	store   *platformtest.Store
-	// shared is the store's address for all machines.
-	shared  net.Listener
+	link    *storeLink
 	vms     []*vm
 	started time.Time
 
@@ -65,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &lab{dir: dir, trouble: trouble, store: store, started: time.Now(), record: bufio.NewWriter(file), file: file, octet: 1 + os.Getpid()%250}, nil
+	return &lab{dir: dir, trouble: trouble, store: store, started: time.Now(), record: bufio.NewWriter(file), file: file, octet: rand2.IntN(200 * 250)}, nil
 }
 
 // log writes a line to the record.
@@ -79,8 +78,8 @@
 	for _, v := range l.vms {
 		v.stop()
 	}
-	if l.shared != nil {
-		_ = l.shared.Close()
+	if l.link != nil {
+		l.link.close()
 	}
 	_ = l.store.Close()
 	l.mu.Lock()
@@ -105,7 +104,6 @@
 	lab        *lab
 	name       string
 	zone, ip   string
-	link       *link // to the store
 	settings   string
 	configPath string
 	logFile    *os.File
@@ -180,33 +178,21 @@
 blob-mb-s = 80.0
 `
 
-func (l *lab) startVM(name, zone string) (*vm, error) { return l.startMachine(name, zone, machine{}) }
-
-// machine says how a machine starts.
-type machine struct {
-	// loseFirstWrite has its first write to the store be done and not answered.
-	loseFirstWrite bool
-	// added is true for a machine that joins a running deployment.
-	added bool
-}
-
-func (l *lab) startMachine(name, zone string, how machine) (*vm, error) {
-	if l.shared == nil {
-		shared, err := newSharedLink(l)
+func (l *lab) startVM(name, zone string) (*vm, error) {
+	if l.link == nil {
+		link, err := newStoreLink(l)
 		if err != nil {
 			return nil, err
 		}
-		l.shared = shared
+		l.link = link
 	}
-	link := &link{conns: map[net.Conn]bool{}}
-	link.loseWrite.Store(how.loseFirstWrite)
-	ip := fmt.Sprintf("127.%d.%d.%d", 40+l.octet%200, 1+l.octet, 10+len(l.vms))
-	v := &vm{lab: l, name: name, zone: zone, ip: ip, link: link, configPath: filepath.Join(l.dir, name+".toml"), done: make(chan struct{})}
+	ip := fmt.Sprintf("127.%d.%d.%d", 40+l.octet/250, 1+l.octet%250, 10+len(l.vms))
+	v := &vm{lab: l, name: name, zone: zone, ip: ip, configPath: filepath.Join(l.dir, name+".toml"), done: make(chan struct{})}
 	text := func(first bool) string {
-		return fmt.Sprintf(settingsText, name, ip, zone, first, ip, ip, l.shared.Addr().String())
+		return fmt.Sprintf(settingsText, name, ip, zone, first, ip, ip, l.link.address())
 	}
 	v.settings = text(false)
-	if err := os.WriteFile(v.configPath, []byte(text(!how.added)), 0o600); err != nil {
+	if err := os.WriteFile(v.configPath, []byte(text(true)), 0o600); err != nil {
 		return nil, err
 	}
 	var err error
@@ -309,8 +295,6 @@
 	_ = v.process.Kill()
 	v.mu.Unlock()
 	<-v.done
-	v.link.cut.Store(false)
-	v.link.resetAll()
 	_ = v.logFile.Close()
 }
 
@@ -328,140 +312,178 @@
 	return false
 }
 
-// link is the way of one machine to the store: a TCP proxy.
-type link struct {
-	mu    sync.Mutex
-	conns map[net.Conn]bool
-	// cut holds up all bytes in both directions, of open and of new connections.
-	cut atomic.Bool
-	// epoch counts the calls of silence: older connections carry nothing more.
-	epoch atomic.Int64
-	// loseWrite has the answer to the next write get lost: its connection delivers nothing
-	// further.
-	loseWrite atomic.Bool
+// storeLink is the way of all machines to the store: a TCP proxy on one address. It can cut one
+// machine off, and lose the answer to a write.
+type storeLink struct {
+	lab      *lab
+	listener net.Listener
+	mu       sync.Mutex
+	conns    map[*storeConn]bool
+	cut      *vm
+	// loseKey is the key of a row whose next write is done and not answered: its connection
+	// delivers nothing further.
+	loseKey string
 }
 
-// silence has all open connections carry nothing more, without a reset.
-func (k *link) silence() { k.epoch.Add(1) }
+// storeConn is a connection of a machine to the store.
+type storeConn struct {
+	near, far net.Conn
+	// held holds up all bytes, as behind a partition; lost drops those to the machine.
+	held, lost atomic.Bool
+}
 
-// newSharedLink listens on one address for all machines, as the store does, and passes each
-// connection on over the link of the machine that opened it.
-func newSharedLink(l *lab) (net.Listener, error) {
+func newStoreLink(l *lab) (*storeLink, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
+	k := &storeLink{lab: l, listener: listener, conns: map[*storeConn]bool{}}
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go func() {
-				v := l.opener(conn)
-				if v == nil {
-					_ = conn.Close()
-					return
-				}
-				v.link.serve(conn, l.store.Address())
-			}()
+			go k.serve(conn)
 		}
 	}()
-	return listener, nil
+	return k, nil
 }
 
-// opener returns the machine whose process holds the other end of a connection.
-func (l *lab) opener(conn net.Conn) *vm {
-	table, err := os.ReadFile("/proc/self/net/tcp")
+func (k *storeLink) address() string { return k.listener.Addr().String() }
+
+func (k *storeLink) serve(near net.Conn) {
+	far, err := net.Dial("tcp4", k.lab.store.Address())
 	if err != nil {
-		return nil
+		_ = near.Close()
+		return
 	}
-	local := fmt.Sprintf(":%04X", conn.RemoteAddr().(*net.TCPAddr).Port)
-	remote := fmt.Sprintf(":%04X", conn.LocalAddr().(*net.TCPAddr).Port)
-	inode := ""
-	for line := range strings.SplitSeq(string(table), "\n") {
-		f := strings.Fields(line)
-		if len(f) > 9 && strings.HasSuffix(f[1], local) && strings.HasSuffix(f[2], remote) {
-			inode = "socket:[" + f[9] + "]"
-		}
+	c := &storeConn{near: near, far: far}
+	k.mu.Lock()
+	if k.cut != nil {
+		c.held.Store(k.cut.holds(openers(k.listener), c))
 	}
-	l.mu.Lock()
-	vms := append([]*vm(nil), l.vms...)
-	l.mu.Unlock()
-	for _, v := range vms {
-		v.mu.Lock()
-		pid := 0
-		if v.process != nil {
-			pid = v.process.Pid
+	k.conns[c] = true
+	k.mu.Unlock()
+	go k.copy(c, far, near)
+	k.copy(c, near, far)
+	k.mu.Lock()
+	delete(k.conns, c)
+	k.mu.Unlock()
+}
+
+func (k *storeLink) copy(c *storeConn, to, from net.Conn) {
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buffer)
+		for c.held.Load() {
+			time.Sleep(5 * time.Millisecond)
 		}
-		v.mu.Unlock()
-		dir := fmt.Sprintf("/proc/%d/fd", pid)
-		entries, _ := os.ReadDir(dir)
-		for _, e := range entries {
-			if to, _ := os.Readlink(filepath.Join(dir, e.Name())); to == inode {
-				return v
+		if to == c.far && k.loses(string(buffer[:n])) {
+			c.lost.Store(true)
+		}
+		if n > 0 && (to == c.far || !c.lost.Load()) {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				break
 			}
 		}
+		if err != nil {
+			break
+		}
 	}
-	return nil
+	_ = to.Close()
+	_ = from.Close()
 }
 
-func (k *link) track(c net.Conn, open bool) {
+// loses reports whether the answer to a request gets lost.
+func (k *storeLink) loses(request string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if open {
-		k.conns[c] = true
-	} else {
-		delete(k.conns, c)
+	if k.loseKey == "" || !strings.HasPrefix(request, "POST /rows-tx ") || !strings.Contains(request, `"key":"`+k.loseKey+`"`) {
+		return false
 	}
+	k.lab.log("the answer to the write of %s gets lost", k.loseKey)
+	k.loseKey = ""
+	return true
 }
 
-func (k *link) serve(near net.Conn, to string) {
-	far, err := net.Dial("tcp4", to)
-	if err != nil {
-		_ = near.Close()
-		return
-	}
-	k.track(near, true)
-	defer k.track(near, false)
-	epoch := k.epoch.Load()
-	var lost atomic.Bool
-	copyBytes := func(to, from net.Conn) {
-		buffer := make([]byte, 64<<10)
-		for {
-			n, err := from.Read(buffer)
-			for k.cut.Load() { // held up, as behind a partition
-				time.Sleep(10 * time.Millisecond)
-			}
-			if to == far && strings.HasPrefix(string(buffer[:n]), "POST /rows-tx ") && k.loseWrite.CompareAndSwap(true, false) {
-				lost.Store(true)
-			}
-			if n > 0 && k.epoch.Load() == epoch && (to == far || !lost.Load()) {
-				if _, err := to.Write(buffer[:n]); err != nil {
-					break
-				}
-			}
-			if err != nil {
-				break
-			}
-		}
-		if k.epoch.Load() == epoch {
-			_ = to.Close()
+// cutOff cuts a machine off: its open and its new connections.
+func (k *storeLink) cutOff(v *vm) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.cut = v
+	of, count := openers(k.listener), 0
+	for c := range k.conns {
+		if v.holds(of, c) {
+			c.held.Store(true)
+			count++
 		}
-		_ = from.Close()
 	}
-	go copyBytes(far, near)
-	copyBytes(near, far)
+	k.lab.log("%s is cut off from the store, %d open connections", v.name, count)
 }
 
-// resetAll resets the open connections.
-func (k *link) resetAll() {
+// heal ends the cut.
+func (k *storeLink) heal() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.cut != nil {
+		k.lab.log("%s reaches the store again", k.cut.name)
+	}
+	k.cut = nil
 	for c := range k.conns {
-		_ = c.(*net.TCPConn).SetLinger(0)
-		_ = c.Close()
+		c.held.Store(false)
+	}
+}
+
+func (k *storeLink) close() {
+	_ = k.listener.Close()
+	k.heal()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for c := range k.conns {
+		_ = c.near.Close()
+		_ = c.far.Close()
+	}
+}
+
+// openers returns the sockets, by their local port, that are connected to a listener.
+func openers(listener net.Listener) map[int]string {
+	const established = "01"
+	out := map[int]string{}
+	table, err := os.ReadFile("/proc/self/net/tcp")
+	if err != nil {
+		return out
+	}
+	remote := fmt.Sprintf(":%04X", listener.Addr().(*net.TCPAddr).Port)
+	for line := range strings.SplitSeq(string(table), "\n") {
+		if !strings.Contains(line, remote) {
+			continue
+		}
+		f := strings.Fields(line)
+		if len(f) < 10 || !strings.HasSuffix(f[2], remote) || f[3] != established {
+			continue
+		}
+		_, hex, _ := strings.Cut(f[1], ":")
+		if port, err := strconv.ParseInt(hex, 16, 32); err == nil {
+			out[int(port)] = "socket:[" + f[9] + "]"
+		}
 	}
+	return out
+}
+
+// holds reports whether the machine's process has the other end of a connection.
+func (v *vm) holds(of map[int]string, c *storeConn) bool {
+	socket := of[c.near.RemoteAddr().(*net.TCPAddr).Port]
+	v.mu.Lock()
+	dir := fmt.Sprintf("/proc/%d/fd", v.process.Pid)
+	v.mu.Unlock()
+	entries, _ := os.ReadDir(dir)
+	for _, e := range entries {
+		if to, _ := os.Readlink(filepath.Join(dir, e.Name())); socket != "" && to == socket {
+			return true
+		}
+	}
+	return false
 }
 
 // run is what a runner saw of a request.
--- a/review/_lab/leave.go
+++ b/review/_lab/leave.go
@@ -52,8 +52,7 @@
 		}
 		time.Sleep(3500 * time.Millisecond)
 		if l.trouble {
-			l.log("front-a-1 is cut off from the store")
-			l.vms[0].link.cut.Store(true)
+			l.link.cutOff(l.vms[0])
 		}
 		time.Sleep(550 * time.Millisecond)
 		for _, r := range round {
@@ -64,8 +63,7 @@
 		}
 		time.Sleep(1450 * time.Millisecond)
 		if l.trouble {
-			l.vms[0].link.cut.Store(false)
-			l.log("front-a-1 reaches the store again")
+			l.link.heal()
 		}
 		time.Sleep(3500 * time.Millisecond)
 		for _, r := range round {
--- a/review/_lab/poison.go
+++ b/review/_lab/poison.go
@@ -98,8 +98,15 @@
 	if err != nil {
 		return 0, err
 	}
+	link, err := newStoreLink(l)
+	if err != nil {
+		return 0, err
+	}
+	if l.link = link; l.trouble {
+		link.loseKey = "vm/front-c-1"
+	}
 	for _, m := range []struct{ name, zone string }{{"front-a-1", "a"}, {"front-a-2", "a"}, {"front-b-1", "b"}, {"front-c-1", "c"}} {
-		if _, err := l.startMachine(m.name, m.zone, machine{loseFirstWrite: l.trouble && m.name == "front-c-1"}); err != nil {
+		if _, err := l.startVM(m.name, m.zone); err != nil {
 			return 0, err
 		}
 	}
