--- a/internal/controller/copies.go
+++ b/internal/controller/copies.go
@@ -203,7 +203,7 @@
 	if response.Store != c.store.Address() || response.AgeMs < 0 || !c.acceptCopiedEra(response.Era) {
 		return false
 	}
-	c.noteOutage(queriedAt, response)
+	c.noteOutage(queriedAt, source, response)
 	version := fleet.StoreVersion{Era: response.Era, Row: response.Version}
 	delta := storereplica.Delta{
 		Full: response.Full, Rows: decodeCopiedRows(response.Rows, response.Era), Removed: decodeCopiedRows(response.Removed, response.Era),
@@ -239,7 +239,13 @@
 
 // noteOutage records an outage of the store that another VM observed: registrations lapse
 // while the store is away, also for a VM that did not read it meanwhile.
-func (c *Controller) noteOutage(queriedAt model.Instant, response *copyResponse) {
+func (c *Controller) noteOutage(queriedAt model.Instant, source model.NodeID, response *copyResponse) {
+	if response.Failing || response.RecoveredMs != 0 {
+		logrus.WithFields(logrus.Fields{
+			"source": source, "failing": response.Failing, "recovered_ms": response.RecoveredMs, "age_ms": response.AgeMs,
+			"own_failing": c.storeFailing(queriedAt),
+		}).Info("copy states an outage of the store")
+	}
 	if response.Failing {
 		c.reducer.Step(director.StoreFailed{})
 		return
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -133,7 +133,8 @@
 		if listed[id] {
 			continue
 		}
-		if t.missingSince == 0 {
+		first := t.missingSince == 0
+		if first {
 			t.missingSince = now
 		}
 		// Registrations lapse while the store is unreachable and return soon after. One
@@ -142,6 +143,12 @@
 		lapsed := t.listed < s.storeRecoveredAt && now.Sub(s.storeRecoveredAt) < lapsedGrace ||
 			t.listedIn != e.Newest.Era && s.restore.pending(now)
 		if lapsed && newest[t.Address] <= t.StartedMs {
+			if first {
+				effects = append(effects, &StateChanged{
+					What: "registration missing; target kept", Subject: string(id),
+					Detail: "the store was regained " + now.Sub(s.storeRecoveredAt).String() + " ago, listed " + now.Sub(t.listed).String() + " ago",
+				})
+			}
 			continue
 		}
 		delete(s.targets, id)
