--- a/internal/controller/apply.go
+++ b/internal/controller/apply.go
@@ -70,11 +70,11 @@
 func (c *Controller) applyTargets() {
 	c.applied.mu.Lock()
 	defer c.applied.mu.Unlock()
-	rows, version, _, ok := c.tables[targetsTable].snapshot()
+	rows, version, confirmedAt, ok := c.tables[targetsTable].snapshot()
 	if !ok {
 		return
 	}
-	read := director.TargetsRead{Rows: make(map[model.TargetID]fleet.StoreVersion, len(rows)), Newest: version}
+	read := director.TargetsRead{Rows: make(map[model.TargetID]fleet.StoreVersion, len(rows)), Newest: version, ConfirmedAt: confirmedAt}
 	decoded := make(map[string]decodedTarget, len(rows))
 	for _, row := range rows {
 		d, known := c.applied.targets[row.Key]
--- a/internal/controller/copies.go
+++ b/internal/controller/copies.go
@@ -34,9 +34,6 @@
 	// copiesHeaderTimeout and copiesIdleTimeout bound a connection for copies.
 	copiesHeaderTimeout = 2 * time.Second
 	copiesIdleTimeout   = 30 * time.Second
-	// recoveryTolerance is the difference up to which two statements of the time of a
-	// recovery of the store are of the same one.
-	recoveryTolerance = 500 * time.Millisecond
 )
 
 // copiedRow is a row in a response.
@@ -54,9 +51,9 @@
 	Era     fleet.StoreEra   `json:"era"`
 	Version model.RowVersion `json:"version"`
 	AgeMs   int64            `json:"age_ms"`
-	// Failing is true while the VM's reads of the store fail, and RecoveredMs the time since
-	// they last succeeded again; 0 when they never failed.
-	Failing     bool  `json:"failing,omitempty"`
+	// RecoveredMs is the time since the last outage of the store ended, in which no VM known
+	// to the sender read the registrations; 0 if it knows of none. Failed reads of the sender
+	// alone are not stated.
 	RecoveredMs int64 `json:"recovered_ms,omitempty"`
 }
 
@@ -168,9 +165,7 @@
 		stated.AgeMs = now.Sub(t.copied.ConfirmedAt()).Milliseconds()
 	}
 	c.reducer.Read(func(s *director.State) {
-		failing, recoveredAt := s.StoreOutage()
-		stated.Failing = failing
-		if recoveredAt != 0 {
+		if recoveredAt := s.StoreRecoveredAt(); recoveredAt != 0 {
 			stated.RecoveredMs = max(now.Sub(recoveredAt).Milliseconds(), 1)
 		}
 	})
@@ -203,7 +198,7 @@
 	if response.Store != c.store.Address() || response.AgeMs < 0 || !c.acceptCopiedEra(response.Era) {
 		return false
 	}
-	c.noteOutage(queriedAt, source, response)
+	c.noteRecovery(queriedAt, source, response)
 	version := fleet.StoreVersion{Era: response.Era, Row: response.Version}
 	delta := storereplica.Delta{
 		Full: response.Full, Rows: decodeCopiedRows(response.Rows, response.Era), Removed: decodeCopiedRows(response.Removed, response.Era),
@@ -237,31 +232,17 @@
 	return era >= c.era.current() && c.acceptEra(era, nil) == nil
 }
 
-// noteOutage records an outage of the store that another VM observed: registrations lapse
-// while the store is away, also for a VM that did not read it meanwhile.
-func (c *Controller) noteOutage(queriedAt model.Instant, source model.NodeID, response *copyResponse) {
-	if response.Failing || response.RecoveredMs != 0 {
-		logrus.WithFields(logrus.Fields{
-			"source": source, "failing": response.Failing, "recovered_ms": response.RecoveredMs, "age_ms": response.AgeMs,
-			"own_failing": c.storeFailing(queriedAt),
-		}).Info("copy states an outage of the store")
-	}
-	if response.Failing {
-		c.reducer.Step(director.StoreFailed{})
-		return
-	}
+// noteRecovery passes on when the last outage of the store ended by the word of another VM:
+// registrations expire while the store is away, also for a VM that did not read it meanwhile.
+// That the other VM's reads fail shows nothing about the store.
+func (c *Controller) noteRecovery(queriedAt model.Instant, source model.NodeID, response *copyResponse) {
 	if response.RecoveredMs == 0 {
 		return
 	}
-	recoveredAt := queriedAt.Add(-time.Duration(response.RecoveredMs) * time.Millisecond)
-	known := false
-	c.reducer.Read(func(s *director.State) {
-		failing, at := s.StoreOutage()
-		known = failing || recoveredAt.Sub(at) <= recoveryTolerance
-	})
-	if !known && recoveredAt.Sub(c.startedAt) > 0 {
-		c.reducer.Step(director.StoreFailed{})
-	}
+	logrus.WithFields(logrus.Fields{
+		"source": source, "recovered_ms": response.RecoveredMs, "age_ms": response.AgeMs, "own_failing": c.storeFailing(queriedAt),
+	}).Debug("copy states an outage of the store")
+	c.reducer.Step(director.RecoveryStated{At: queriedAt.Add(-time.Duration(response.RecoveredMs) * time.Millisecond)})
 }
 
 func (c *Controller) requestCopy(ctx context.Context, endpoint membership.Endpoint, name string, cursor storereplica.Cursor) (*copyResponse, error) {
--- a/internal/controller/tables_test.go
+++ b/internal/controller/tables_test.go
@@ -32,6 +32,8 @@
 type copyFixture struct {
 	store *platformtest.Store
 	ctx   context.Context
+	// heartbeat is the interval of the targets' renewals that VMs know; 0 for unknown.
+	heartbeat time.Duration
 }
 
 func newCopyFixture() *copyFixture {
@@ -57,7 +59,7 @@
 	host := fmt.Sprintf("127.77.%d.%d", lastHost/250, 1+lastHost%250)
 	s, err := platform.ParseSettings([]byte(platformtest.Settings(string(vm), "a", host, f.store.Address())))
 	Expect(err).NotTo(HaveOccurred())
-	c := New(s, ingress.NewReducer(director.New(director.Settings{VM: vm, Zone: "a", ConfigApply: s.Bounds.ConfigApply, Revoke: s.Bounds.Revoke})), upstream.Dial)
+	c := New(s, ingress.NewReducer(director.New(director.Settings{VM: vm, Zone: "a", ConfigApply: s.Bounds.ConfigApply, Revoke: s.Bounds.Revoke, Heartbeat: f.heartbeat})), upstream.Dial)
 	Expect(c.peers.listen(f.ctx)).To(Succeed())
 	Expect(c.serveCopies(f.ctx)).To(Succeed())
 	return c
--- a/internal/director/eramodel_test.go
+++ b/internal/director/eramodel_test.go
@@ -284,7 +284,7 @@
 	version := func(row uint64) fleet.StoreVersion {
 		return fleet.StoreVersion{Era: call.era, Row: model.RowVersion(row)}
 	}
-	read := director.TargetsRead{Rows: map[model.TargetID]fleet.StoreVersion{}, Newest: version(call.store.counter)}
+	read := director.TargetsRead{Rows: map[model.TargetID]fleet.StoreVersion{}, Newest: version(call.store.counter), ConfirmedAt: call.started}
 	if stage := call.store.target; stage == ready || stage == draining {
 		t := &fleet.Target{ID: modelTarget, Service: orders, Address: "at", Zone: "a", State: fleet.TargetReady, Slots: 6, StartedMs: 1}
 		if stage == draining {
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -32,6 +32,9 @@
 	Rows map[model.TargetID]fleet.StoreVersion
 	// Newest is the newest version of any row of the store.
 	Newest fleet.StoreVersion
+	// ConfirmedAt is when the read began, by this VM or another one, that last returned these
+	// registrations; 0 means now.
+	ConfirmedAt model.Instant
 }
 
 // StoreRestored reports that the store has come back from an older copy: a new era
@@ -43,9 +46,13 @@
 // of the earlier one.
 type StoreReplaced struct{}
 
-// StoreFailed reports a failed read of the store.
+// StoreFailed reports a failed read of the store by this VM.
 type StoreFailed struct{}
 
+// RecoveryStated reports when the last outage of the store ended by the word of the VM whose
+// copies are taken.
+type RecoveryStated struct{ At model.Instant }
+
 // RequestArrived reports a new request of a caller.
 type RequestArrived struct {
 	Request *fleet.Request
@@ -273,6 +280,7 @@
 func (ConfigRead) event()       {}
 func (TargetsRead) event()      {}
 func (StoreFailed) event()      {}
+func (RecoveryStated) event()   {}
 func (StoreRestored) event()    {}
 func (StoreReplaced) event()    {}
 func (RequestArrived) event()   {}
--- a/internal/director/export_test.go
+++ b/internal/director/export_test.go
@@ -35,7 +35,7 @@
 	if s.config != nil {
 		add(uint64(s.config.Version))
 	}
-	add(0, uint64(s.newestConfig), uint64(s.confirmedAt), uint64(s.storeFailedAt), uint64(s.storeRecoveredAt),
+	add(0, uint64(s.newestConfig), uint64(s.confirmedAt), uint64(s.store.confirmedAt), uint64(s.store.failedAt), uint64(s.store.recoveredAt),
 		uint64(s.restore.at), uint64(s.restore.copied.Era), uint64(s.restore.copied.Row))
 	if s.targetsRead {
 		add(1)
@@ -55,10 +55,8 @@
 	return s.config != nil && !s.keysExpired(now) && s.workspaceByKey[key] != nil
 }
 
-// Recovering reports whether lapsed registrations may still be missing after an outage.
-func (s *State) Recovering(now model.Instant) bool {
-	return s.storeRecoveredAt != 0 && now.Sub(s.storeRecoveredAt) < lapsedGrace
-}
+// Recovering reports whether expired registrations may be missing from the latest read.
+func (s *State) Recovering(now model.Instant) bool { return s.store.expired(now, 0, s.minOutage()) }
 
 // Serves reports whether requests may be sent to a target.
 func (s *State) Serves(now model.Instant, id model.TargetID) bool {
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -28,6 +28,8 @@
 	Stall time.Duration
 	// FirstStart is true when the whole deployment starts for the first time.
 	FirstStart bool
+	// Heartbeat is the interval at which targets renew their registrations; 0 when unknown.
+	Heartbeat time.Duration
 	// Retries bounds retries over all VMs.
 	Retries retrybudget.Settings
 	// Process differs between the processes of a VM.
@@ -49,10 +51,7 @@
 	firstConfigAt model.Instant
 	// confirmedAt is when the read that last confirmed the configuration was sent.
 	confirmedAt model.Instant
-	// storeFailedAt is when reads of the store began to fail; 0 while they succeed.
-	storeFailedAt model.Instant
-	// storeRecoveredAt is when a read of the store last succeeded after a failure.
-	storeRecoveredAt model.Instant
+	store       storeReads
 	// storeEra is the era of the last read of the store.
 	storeEra fleet.StoreEra
 	// restore is the last return of the store from an older copy; zero before the first.
@@ -236,6 +235,8 @@
 		s.keepStored(now, e)
 	case StoreFailed:
 		return s.storeFailed(now)
+	case RecoveryStated:
+		s.store.statedAt = max(s.store.statedAt, e.At)
 	case StoreRestored:
 		return s.storeRestored(now, e)
 	case StoreReplaced:
@@ -297,7 +298,6 @@
 // Invariant: only a read of the newest configuration known confirms it. A read of an
 // older one is from a copy of the store that lost the newer.
 func (s *State) configRead(now model.Instant, e ConfigRead) []Effect {
-	effects := s.storeSucceeded(now)
 	if s.firstConfigAt == 0 && e.Config != nil {
 		s.firstConfigAt = now
 	}
@@ -306,7 +306,7 @@
 		s.confirmedAt = max(s.confirmedAt, e.Started)
 	}
 	if e.Config == nil || s.config != nil && e.Config.Version <= s.config.Version {
-		return effects
+		return nil
 	}
 	s.config = e.Config
 	s.newestConfig = max(s.newestConfig, e.Config.Version)
@@ -325,30 +325,7 @@
 			s.workspaceByKey[key] = w
 		}
 	}
-	return append(effects, &StateChanged{What: "configuration in force", Subject: version(e.Config.Version)})
-}
-
-func (s *State) storeFailed(now model.Instant) []Effect {
-	if s.storeFailedAt != 0 {
-		return nil
-	}
-	s.storeFailedAt = now
-	return []Effect{&StateChanged{What: "store lost", Detail: "serving continues with the last known state"}}
-}
-
-func (s *State) storeSucceeded(now model.Instant) []Effect {
-	if s.storeFailedAt == 0 {
-		return nil
-	}
-	outage := now.Sub(s.storeFailedAt)
-	s.storeFailedAt, s.storeRecoveredAt = 0, now
-	return []Effect{&StateChanged{What: "store regained", Detail: "unreachable for " + outage.String()}}
-}
-
-// StoreOutage reports whether reads of the store fail, and when they last succeeded again
-// after a failure, 0 if never.
-func (s *State) StoreOutage() (failing bool, recoveredAt model.Instant) {
-	return s.storeFailedAt != 0, s.storeRecoveredAt
+	return []Effect{&StateChanged{What: "configuration in force", Subject: version(e.Config.Version)}}
 }
 
 // Ready reports whether the VM should take new connections.
--- a/internal/director/status.go
+++ b/internal/director/status.go
@@ -18,7 +18,8 @@
 	// ConfirmedMs is the time since the start of the last read that confirmed it; -1
 	// before the first.
 	ConfirmedMs int64 `json:"confirmed_ms"`
-	// StoreUnreachable is true while reads of the store fail.
+	// StoreUnreachable is true while reads of the store by this VM fail and no other VM's copy
+	// shows a later one.
 	StoreUnreachable bool `json:"store_away"`
 	// StoreEra is the era of the last read of the store.
 	StoreEra fleet.StoreEra `json:"store_era"`
@@ -83,7 +84,7 @@
 // Status returns the VM's view at a time, in a fixed order.
 func (s *State) Status(now model.Instant) Status {
 	out := Status{
-		VM: s.settings.VM, Zone: s.settings.Zone, ConfirmedMs: -1, StoreUnreachable: s.storeFailedAt != 0, StoreEra: s.storeEra, InFlight: len(s.requests), Isolated: s.Isolated(),
+		VM: s.settings.VM, Zone: s.settings.Zone, ConfirmedMs: -1, StoreUnreachable: s.store.failedAt != 0, StoreEra: s.storeEra, InFlight: len(s.requests), Isolated: s.Isolated(),
 		Targets: []TargetStatus{}, Holes: s.missingLayers(now),
 	}
 	if s.config != nil {
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -18,8 +18,8 @@
 	// missingSince is when a read first lacked the registration; 0 while it is
 	// registered.
 	missingSince model.Instant
-	// listed is when a read of the store last contained the registration, and listedIn
-	// the era of that read.
+	// listed is when the latest read of the store began that contained the registration, and
+	// listedIn the era of that read.
 	listed   model.Instant
 	listedIn fleet.StoreEra
 	// suspectedUntil is when the suspicion ends.
@@ -102,10 +102,6 @@
 }
 
 const (
-	// lapsedGrace is how long after an outage of the store lapsed registrations are
-	// kept: a live target registers again within two seconds, as the platform
-	// guarantees, and a poll must then read its registration.
-	lapsedGrace = 2700 * time.Millisecond
 	// neededWindow is how long a suspected target is probed after a path was missing.
 	neededWindow = time.Second
 	// peerExpiry is how long the last message of a VM counts.
@@ -113,7 +109,10 @@
 )
 
 func (s *State) updateTargets(now model.Instant, e TargetsRead) []Effect {
-	effects := s.storeSucceeded(now)
+	if e.ConfirmedAt == 0 {
+		e.ConfirmedAt = now
+	}
+	effects := s.storeSucceeded(now, e.ConfirmedAt)
 	if s.restore.precedes(e.Newest) {
 		return effects
 	}
@@ -137,16 +136,15 @@
 		if first {
 			t.missingSince = now
 		}
-		// Registrations lapse while the store is unreachable and return soon after. One
-		// that was listed after the store's recovery and is missing now was removed, and
-		// so was one whose address belongs to a newer incarnation.
-		lapsed := t.listed < s.storeRecoveredAt && now.Sub(s.storeRecoveredAt) < lapsedGrace ||
-			t.listedIn != e.Newest.Era && s.restore.pending(now)
-		if lapsed && newest[t.Address] <= t.StartedMs {
+		// Registrations expire while the store is away and return soon after. One that was
+		// listed after the store's recovery and is missing now was removed, and so was one
+		// whose address belongs to a newer incarnation.
+		expired := s.store.expired(now, t.listed, s.minOutage()) || t.listedIn != e.Newest.Era && s.restore.pending(now)
+		if expired && newest[t.Address] <= t.StartedMs {
 			if first {
 				effects = append(effects, &StateChanged{
 					What: "registration missing; target kept", Subject: string(id),
-					Detail: "the store was regained " + now.Sub(s.storeRecoveredAt).String() + " ago, listed " + now.Sub(t.listed).String() + " ago",
+					Detail: "listed " + now.Sub(t.listed).String() + " ago, latest read " + now.Sub(e.ConfirmedAt).String() + " ago, store recovered " + now.Sub(s.store.recoveredAt).String() + " ago",
 				})
 			}
 			continue
@@ -174,7 +172,7 @@
 		change = s.updateTarget(now, t, row)
 	}
 	current := s.targets[t.ID]
-	current.listed, current.listedIn = now, e.Newest.Era
+	current.listed, current.listedIn = e.ConfirmedAt, e.Newest.Era
 	return change
 }
 
--- a/internal/frontdaemon/daemon.go
+++ b/internal/frontdaemon/daemon.go
@@ -82,7 +82,7 @@
 func directorSettings(s *platform.Settings) director.Settings {
 	return director.Settings{
 		VM: s.VM, Zone: s.Zone, ConfigApply: s.Bounds.ConfigApply, Revoke: s.Bounds.Revoke, Stall: s.Bounds.Stall,
-		Grace: s.Bounds.Grace, FirstStart: s.FirstStart,
+		Grace: s.Bounds.Grace, FirstStart: s.FirstStart, Heartbeat: s.Heartbeat,
 		Retries: retrybudget.Settings{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
 	}
 }
