--- a/internal/controller/apply.go
+++ b/internal/controller/apply.go
@@ -81,7 +81,7 @@
 		if !known || d.version != row.Version {
 			target, err := platform.DecodeTarget(row)
 			if err != nil {
-				logrus.WithError(err).Debug("invalid registration ignored")
+				logrus.WithError(err).WithField("row", row.Version).Warn("invalid registration; the others are used")
 			}
 			d = decodedTarget{version: row.Version, target: target}
 		}
@@ -95,6 +95,19 @@
 	c.reducer.Step(read)
 }
 
+// InvalidRegistrations returns the number of rows of the targets' table that do not decode.
+func (c *Controller) InvalidRegistrations() int {
+	c.applied.mu.Lock()
+	defer c.applied.mu.Unlock()
+	invalid := 0
+	for _, d := range c.applied.targets {
+		if d.target == nil {
+			invalid++
+		}
+	}
+	return invalid
+}
+
 // applyVMs passes the list of VMs on to the messages between them.
 func (c *Controller) applyVMs() {
 	c.applied.mu.Lock()
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -136,7 +136,7 @@
 		start(func() { o.confirm(ctx, byID[id]) })
 	}
 	for _, order := range plan {
-		start(func() { o.sendOrder(ctx, byID[order.Target], order.Layers, p.Interruptible) })
+		start(func() { o.sendOrder(ctx, p.Engine, byID[order.Target], order.Layers, p.Interruptible) })
 	}
 	wait.Wait()
 }
@@ -165,7 +165,7 @@
 // the target rejects it when another order came in between. With interrupt, requests
 // that use released layers are interrupted, since waiting for slow ones would delay
 // the ordered layers; it is set only when all requests of the service may be repeated.
-func (o *orders) sendOrder(ctx context.Context, t fleet.Target, layers model.LayerRange, interrupt bool) {
+func (o *orders) sendOrder(ctx context.Context, engine *fleet.Engine, t fleet.Target, layers model.LayerRange, interrupt bool) {
 	now := bootclock.Now()
 	report, err := o.targets.report(ctx, t.Address)
 	if err != nil {
@@ -173,6 +173,10 @@
 		return
 	}
 	if report.Busy || report.Held != t.Held {
+		if err := engine.CheckHeld(t.Kind, report.Held); err != nil {
+			logrus.WithError(err).WithField("target", t.ID).Warn("the target's report states layers that it cannot hold; order postponed")
+			report.Held = model.LayerRange{}
+		}
 		// Its registration is stale, or it is executing an order of an earlier lease holder.
 		o.track(t, &unconfirmed{layers: report.Held, startedMs: t.StartedMs, orderedAt: now, queriedAt: now})
 		return
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -307,14 +307,15 @@
 	if t.dead(now) {
 		effects = append(effects, &StateChanged{What: "target answers again", Subject: string(t.ID)})
 	}
-	if (e.Report.Slowdown >= slowThreshold) != (t.slowness(now) > 1) {
+	slowdown := min(e.Report.Slowdown, maxSlowdown)
+	if (slowdown >= slowThreshold) != (t.slowness(now) > 1) {
 		effects = append(effects, &StateChanged{
-			What: "target pace", Subject: string(t.ID), Detail: strconv.FormatFloat(e.Report.Slowdown, 'f', 1, 64),
+			What: "target pace", Subject: string(t.ID), Detail: strconv.FormatFloat(slowdown, 'f', 1, 64),
 		})
 	}
 	t.superseded = false
 	s.contact(now, t)
-	t.missedReports, t.slowdown, t.slowdownAt, t.lastReportAt = 0, e.Report.Slowdown, now, now
+	t.missedReports, t.slowdown, t.slowdownAt, t.lastReportAt = 0, slowdown, now, now
 	for _, address := range e.Report.Stalled {
 		if at := s.byAddress[address]; at != nil && !at.layersJustChanged(now) {
 			effects = append(effects, effectList(s.suspect(now, at, fault{
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -325,7 +325,9 @@
 			s.workspaceByKey[key] = w
 		}
 	}
-	return []Effect{&StateChanged{What: "configuration in force", Subject: version(e.Config.Version)}}
+	effects := s.checkRegistrations()
+	s.rebuildIndexes()
+	return append(effects, &StateChanged{What: "configuration in force", Subject: version(e.Config.Version)})
 }
 
 // Ready reports whether the VM should take new connections.
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -15,6 +15,8 @@
 type target struct {
 	*fleet.Target
 	rowVersion fleet.StoreVersion
+	// refused is why the registration names no target to use, empty for one that does.
+	refused string
 	// missingSince is when a read first lacked the registration; 0 while it is
 	// registered.
 	missingSince model.Instant
@@ -154,6 +156,7 @@
 		s.loads.Forget(id)
 		effects = append(effects, &StateChanged{What: "target gone", Subject: string(id), Detail: t.Address})
 	}
+	effects = append(effects, s.checkRegistrations()...)
 	s.rebuildIndexes()
 	return append(effects, s.confirmCrashes(now)...)
 }
@@ -225,12 +228,50 @@
 		" born " + strconv.FormatInt(t.StartedMs, 10)
 }
 
+// checkRegistrations finds the registrations that contradict the configuration.
+//
+// Invariant: a registration that no target of its service can have is in no index, so that it
+// gets no request and no plan counts it.
+func (s *State) checkRegistrations() []Effect {
+	if s.config == nil {
+		return nil
+	}
+	var effects []Effect
+	for _, t := range s.targets {
+		refused := ""
+		if service := s.config.Services[t.Service]; service != nil && service.Engine != nil {
+			if err := service.Engine.CheckHeld(t.Kind, t.Held); err != nil {
+				refused = err.Error()
+			}
+		}
+		if refused != "" && refused != t.refused {
+			effects = append(effects, &StateChanged{What: "registration refused", Subject: string(t.ID), Detail: refused})
+		}
+		t.refused = refused
+	}
+	return effects
+}
+
+// RefusedRegistrations returns the number of registrations that contradict the configuration.
+func (s *State) RefusedRegistrations() int {
+	refused := 0
+	for _, t := range s.targets {
+		if t.refused != "" {
+			refused++
+		}
+	}
+	return refused
+}
+
 // rebuildIndexes rebuilds the indexes by service and address; targets of a service
 // are sorted by id.
 func (s *State) rebuildIndexes() {
 	s.byService = map[model.ServiceID][]*target{}
 	s.byAddress = map[string]*target{}
 	for _, t := range s.targets {
+		if t.refused != "" {
+			continue
+		}
 		s.byService[t.Service] = append(s.byService[t.Service], t)
 		if other := s.byAddress[t.Address]; other == nil || t.registeredAfter(other) {
 			s.byAddress[t.Address] = t
@@ -278,6 +319,8 @@
 	slowdownReadInterval = time.Second
 	// slowThreshold is the slowdown from which a target counts as slow.
 	slowThreshold = 1.3
+	// maxSlowdown bounds a slowdown that is stated: predictions with it stay finite.
+	maxSlowdown = 1000
 	// slowdownExpiry is how long a slowdown counts without being received again.
 	slowdownExpiry = 3 * time.Second
 )
@@ -381,7 +424,7 @@
 	}
 	for id, slowdown := range e.Paces {
 		if t := s.targets[id]; t != nil {
-			t.slowdown, t.slowdownAt = slowdown, now
+			t.slowdown, t.slowdownAt = min(slowdown, maxSlowdown), now
 		}
 	}
 	effects := append(s.keepLostAnswers(now, e), s.contentRead(now)...)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"tamarackreach/internal/model"
 )
 
@@ -113,6 +115,25 @@
 	Hardware          map[model.AcceleratorKind]Hardware
 }
 
+// CheckHeld returns an error where no target of a kind can hold a layer range: it is not within
+// the model, the kind is unknown, or its memory is too small.
+func (e *Engine) CheckHeld(kind model.AcceleratorKind, held model.LayerRange) error {
+	if held.First == held.End {
+		return nil
+	}
+	if held.First > held.End || held.End > e.Layers {
+		return errors.Newf("layers %s are not within the model's %d", held, e.Layers)
+	}
+	hardware, known := e.Hardware[kind]
+	if !known {
+		return errors.Newf("layers %s are on unknown hardware %q", held, kind)
+	}
+	if size := float64(held.Len()) * e.LayerMB; size > hardware.MemoryMB {
+		return errors.Newf("layers %s take %.0f MB, and hardware %q has %.0f MB", held, size, kind, hardware.MemoryMB)
+	}
+	return nil
+}
+
 // KVMBPerTokenLayer returns the KV cache size of one token in one layer, in
 // megabytes.
 func (e *Engine) KVMBPerTokenLayer() float64 {
--- a/internal/frontdaemon/status.go
+++ b/internal/frontdaemon/status.go
@@ -137,6 +137,10 @@
 		func() float64 { return float64(d.controller.EraCounts().Stale) })
 	m.Counter("tamarack_store_responses_invalid_total", "Responses of the store discarded because their era is not a number.",
 		func() float64 { return float64(d.controller.EraCounts().Invalid) })
+	m.Gauge("tamarack_registrations_invalid", "Rows of the targets' table that name no target to use: they do not decode, or contradict the configuration.",
+		state(func(s *director.State) float64 {
+			return float64(d.controller.InvalidRegistrations() + s.RefusedRegistrations())
+		}))
 	m.Counter("tamarack_content_records_written_total", "Writes of this VM's record of content that crashes targets.",
 		func() float64 { succeeded, _ := d.controller.ContentWrites(); return float64(succeeded) })
 	m.Counter("tamarack_content_record_writes_failed_total", "Writes of that record which the store did not acknowledge; they are retried.",
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -15,7 +15,8 @@
 	ID   model.TargetID
 	Zone model.AvailabilityZone
 	Kind model.AcceleratorKind
-	// Held is the range that the target serves or is loading.
+	// Held is the range that the target serves or is loading; one that it cannot hold counts
+	// as none.
 	Held model.LayerRange
 	// Slowdown multiplies the step time of the target's kind; values below 1 count
 	// as 1.
@@ -104,7 +105,9 @@
 func newZone(engine *fleet.Engine, members []Member) *zone {
 	z := &zone{engine: engine, members: members, planned: make([]model.LayerRange, len(members)), model: newRateModel(engine)}
 	for i, m := range members {
-		z.planned[i] = model.LayerRange{First: m.Held.First, End: min(m.Held.End, engine.Layers)}
+		if engine.CheckHeld(m.Kind, m.Held) == nil {
+			z.planned[i] = m.Held
+		}
 	}
 	return z
 }
