--- a/internal/ingress/histories_test.go
+++ b/internal/ingress/histories_test.go
@@ -76,7 +76,7 @@
 func play(seed uint64) (*history, error) {
 	random := rand.New(rand.NewPCG(seed, 22))
 	h := &history{requests: planRequests(random, seed), busy: chance(random, 0.15)}
-	targets := &scriptedTargets{random: random, draw: h.drawScript}
+	targets := &scriptedTargets{random: random, repeats: rand.New(rand.NewPCG(seed, 39)), draw: h.drawScript}
 	defer targets.close()
 	state := director.New(director.Settings{
 		VM: "vm-1", Zone: "a", ConfigApply: 2 * time.Second, Retries: retrybudget.Settings{Ratio: 1, Slack: 100, Window: 10 * time.Second},
@@ -329,8 +329,8 @@
 			q.id, q.path, q.deadline, q.leaveAfter, a.status, a.whole, a.err, a.header.Get("X-Run"), len(a.body))
 	}
 	for _, r := range h.runs {
-		fmt.Fprintf(&b, "run %d of %s after %q: silent %v status %d signed %v not executed %v echo %q framing %d sent %d+%d of %d ending %d extra %v late %s complete %v\n",
-			r.number, r.request, r.resumeAfter, r.silent, r.status, r.signed, r.notExecuted, r.echo, r.framing, r.whole, r.partial, len(r.pieces), r.ending, r.extra != "", r.lateBy, r.complete())
+		fmt.Fprintf(&b, "run %d of %s after %q: silent %v status %d signed %v not executed %v echo %q framing %d sent %d+%d of %d ending %d extra %v late %s repeats %v complete %v\n",
+			r.number, r.request, r.resumeAfter, r.silent, r.status, r.signed, r.notExecuted, r.echo, r.framing, r.whole, r.partial, len(r.pieces), r.ending, r.extra != "", r.lateBy, r.repeats, r.complete())
 	}
 	return b.String()
 }
--- a/internal/ingress/scripted_target_test.go
+++ b/internal/ingress/scripted_target_test.go
@@ -65,6 +65,9 @@
 	// extra is a second response, sent with the end of the first, or after lateBy.
 	extra  string
 	lateBy time.Duration
+	// repeats is true when the response before, on the same connection, is sent once more
+	// ahead of this one.
+	repeats bool
 }
 
 // run is one send as its target handled it.
@@ -198,7 +201,9 @@
 type scriptedTargets struct {
 	mu     sync.Mutex
 	random *rand.Rand
-	runs   []*run
+	// repeats draws which sends are answered with the response before first.
+	repeats *rand.Rand
+	runs    []*run
 	// draw returns the script of a send.
 	draw func(random *rand.Rand, r *run) *script
 	// deregister removes the registration of a target.
@@ -232,7 +237,7 @@
 func (s *scriptedTargets) serve(target int, conn net.Conn) {
 	defer func() { _ = conn.Close() }() // the scripted end
 	reader := bufio.NewReader(conn)
-	crossed := false
+	crossed, before := false, ""
 	for {
 		req, err := http.ReadRequest(reader)
 		if err != nil {
@@ -242,10 +247,19 @@
 			return
 		}
 		r := s.record(req, crossed)
-		crossed = r.extra != ""
+		if before == "" {
+			r.repeats = false
+		}
+		crossed = r.extra != "" || r.repeats
 		if r.ending == hangDeregistered {
 			s.deregister(target)
 		}
+		if r.repeats {
+			if _, err := io.WriteString(conn, before); err != nil {
+				return
+			}
+		}
+		before = r.head() + strings.Join(r.wire(), "")
 		if !r.send(conn) {
 			return
 		}
@@ -260,6 +274,7 @@
 		number: len(s.runs) + 1, crossed: crossed, request: req.Header.Get("Tamarackreach-Attempt-Id"), resumeAfter: req.Header.Get("Last-Event-Id"),
 	}
 	r.script = s.draw(s.random, r)
+	r.repeats = chance(s.repeats, 0.3)
 	r.ran = !r.notExecuted && r.status != http.StatusMisdirectedRequest
 	s.runs = append(s.runs, r)
 	return r
