--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -315,7 +315,8 @@
 	}
 	t.superseded = false
 	s.contact(now, t)
-	t.missedReports, t.slowdown, t.slowdownAt, t.lastReportAt = 0, slowdown, now, now
+	t.missedReports, t.lastReportAt = 0, now
+	t.slowdown, t.slowdownAt, t.slowdownReadAt = slowdown, now, now
 	for _, address := range e.Report.Stalled {
 		if at := s.byAddress[address]; at != nil && !at.layersJustChanged(now) {
 			effects = append(effects, effectList(s.suspect(now, at, fault{
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -221,7 +221,8 @@
 	Loads map[model.TargetID]Load
 	// Suspects are the targets that the VM suspects.
 	Suspects map[model.TargetID]Suspicion
-	// Paces are the slowdowns of slow targets; 1 is normal.
+	// Paces are the slowdowns of slow targets of the VM's zone that it has read from them; 1 is
+	// normal. A VM that is told of one does not state it.
 	Paces map[model.TargetID]float64
 	// Crashes are recent crashes of targets and the content that they were running.
 	Crashes []Crash
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -65,8 +65,9 @@
 	connectionProbedAt model.Instant
 	// slowdown is the slowdown factor last received; 1 is normal.
 	slowdown float64
-	// slowdownAt is when slowdown was received, from the target or a peer.
-	slowdownAt model.Instant
+	// slowdownAt is when slowdown was received, from the target or another VM, and
+	// slowdownReadAt when this VM last read it from the target.
+	slowdownAt, slowdownReadAt model.Instant
 }
 
 // Load is the work in flight on a target.
@@ -423,8 +424,9 @@
 		s.updateVMs(now)
 	}
 	for id, slowdown := range e.Paces {
-		if t := s.targets[id]; t != nil {
-			t.slowdown, t.slowdownAt = min(slowdown, maxSlowdown), now
+		// What this VM reads itself is newer than what others state of it.
+		if t := s.targets[id]; t != nil && now.Sub(t.slowdownReadAt) > slowdownExpiry {
+			t.slowdown, t.slowdownAt = min(slowdown, maxSlowdown), now.Add(-e.Age)
 		}
 	}
 	effects := append(s.keepLostAnswers(now, e), s.contentRead(now)...)
@@ -491,7 +493,8 @@
 		if t.ownLoad.Requests != 0 {
 			out.Loads[id] = t.ownLoad
 		}
-		if slowdown := t.slowness(now); slowdown > 1 && t.Zone == s.settings.Zone {
+		// Only own reads are stated: VMs that passed on each other's would never forget one.
+		if slowdown := t.slowness(now); slowdown > 1 && t.Zone == s.settings.Zone && t.slowdownAt == t.slowdownReadAt {
 			out.Paces[id] = slowdown
 		}
 		if remaining := t.suspectedUntil.Sub(now); remaining > 0 && t.consecutiveFaults > 0 && !s.Isolated() {
