--- a/internal/controller/copies.go
+++ b/internal/controller/copies.go
@@ -236,7 +236,7 @@
 // registrations expire while the store is away, also for a VM that did not read it meanwhile.
 // That the other VM's reads fail shows nothing about the store.
 func (c *Controller) noteRecovery(queriedAt model.Instant, source model.NodeID, response *copyResponse) {
-	if response.RecoveredMs == 0 {
+	if response.RecoveredMs <= 0 {
 		return
 	}
 	logrus.WithFields(logrus.Fields{
--- a/internal/controller/outage_test.go
+++ b/internal/controller/outage_test.go
@@ -64,4 +64,11 @@
 		f.takeAll(third, vm)
 		Expect(targets(third)).To(Equal(1))
 	})
+
+	It("ignores an outage that ends in the future, by the word of a faulty VM", func() {
+		vm.noteRecovery(bootclock.Now(), "vm-1", &copyResponse{copyState: copyState{RecoveredMs: -1e9}})
+		f.store.Remove("servers", "a")
+		f.readAll(vm)
+		Expect(targets(vm)).To(Equal(1))
+	})
 })
