--- a/internal/frontdaemon/status.go
+++ b/internal/frontdaemon/status.go
@@ -121,6 +121,7 @@
 	m.Gauge("tamarack_layers_missing", "Layers without a usable holder, summed over zones.",
 		state(missingLayers))
 	d.registerRefusalMetrics(state)
+	d.registerRegistrationMetrics(state)
 	d.registerReachMetrics(state)
 	d.registerPeerMetrics(state)
 	m.Gauge("tamarack_placement_duty", "1 while this VM places layers.", func() float64 {
@@ -137,10 +138,6 @@
 		func() float64 { return float64(d.controller.EraCounts().Stale) })
 	m.Counter("tamarack_store_responses_invalid_total", "Responses of the store discarded because their era is not a number.",
 		func() float64 { return float64(d.controller.EraCounts().Invalid) })
-	m.Gauge("tamarack_registrations_invalid", "Rows of the targets' table that name no target to use: they do not decode, or contradict the configuration.",
-		state(func(s *director.State) float64 {
-			return float64(d.controller.InvalidRegistrations() + s.RefusedRegistrations())
-		}))
 	m.Counter("tamarack_content_records_written_total", "Writes of this VM's record of content that crashes targets.",
 		func() float64 { succeeded, _ := d.controller.ContentWrites(); return float64(succeeded) })
 	m.Counter("tamarack_content_record_writes_failed_total", "Writes of that record which the store did not acknowledge; they are retried.",
@@ -161,6 +158,14 @@
 	}
 }
 
+// registerRegistrationMetrics registers the metric of registrations that name no target to use.
+func (d *Daemon) registerRegistrationMetrics(state func(func(*director.State) float64) func() float64) {
+	d.metrics.Gauge("tamarack_registrations_invalid", "Rows of the targets' table that name no target to use: they do not decode, or contradict the configuration.",
+		state(func(s *director.State) float64 {
+			return float64(d.controller.InvalidRegistrations() + s.RefusedRegistrations())
+		}))
+}
+
 // Status is the view of an entry VM, as served on StatusPath.
 type Status struct {
 	director.Status
