Outlier detection: targets that answer with errors leave the rotation

A target that answers every request with an error at once stays the least loaded one, since failed sends raise no suspicion.

Results are counted by target over four seconds, and VMs state their counts to each other. A target with far more errors than the others of its service is out of rotation for 400 ms, doubling up to 3.2 s, and returns after two successful trials. A retry that would pass through a failing target which has answered the request with an error is not sent.

--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -55,6 +55,8 @@
 	StoreFailing bool     `json:"store_failing,omitempty"`
 	// Urgent is true when the zone's leader is to send a digest without delay.
 	Urgent bool `json:"urgent,omitempty"`
+	// Outliers are the sender's results of targets that answer with errors.
+	Outliers *outliers `json:"outliers,omitempty"`
 	// AgeMs is the age of the state; it is set in digests only.
 	AgeMs int64 `json:"age_ms,omitempty"`
 	// Query is the number of a query for the recipient's state of the store; State is
@@ -222,6 +224,7 @@
 		message.Limits[id] = encodeLimit(l)
 	}
 	message.Leaving = peerState.Leaving
+	message.Outliers = encodeOutliers(peerState.Outliers)
 	for _, r := range peerState.Backoffs {
 		message.Backoffs = append(message.Backoffs, encodeBackoff(r))
 	}
@@ -273,6 +276,7 @@
 		out.Limits[id] = l.decode()
 	}
 	out.Leaving = m.Leaving
+	out.Outliers = m.Outliers.decode()
 	for _, r := range m.Backoffs {
 		out.Backoffs = append(out.Backoffs, r.decode())
 	}
--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -242,6 +242,8 @@
 	relay := s.relayFor(now, r, first)
 	r.sends++
 	r.sentTo = first.incarnation()
+	r.resultCounted = false
+	s.beginTrials(now, r)
 	s.adjustLoad(r, 1)
 	s.beginRelayed(r, relay)
 	s.limits.Sent(now, r.sentTo.target)
@@ -314,10 +316,10 @@
 }
 
 // recordAnswerStart records that a request's prefill is complete.
-func (s *State) recordAnswerStart(now model.Instant, id model.RequestID) {
+func (s *State) recordAnswerStart(now model.Instant, id model.RequestID) []Effect {
 	r := s.requests[id]
 	if r == nil || !r.awaitingFirst {
-		return
+		return nil
 	}
 	r.answerStarted = true
 	s.recordContact(now, r)
@@ -328,6 +330,7 @@
 		}
 	}
 	r.awaitingFirst = false
+	return s.recordSuccess(now, r)
 }
 
 // meanTokens estimates the mean number of tokens that a request holds in the KV
@@ -372,6 +375,7 @@
 		if r.mayHaveRunOn(t.ID) {
 			score += triedPenalty
 		}
+		score += s.ejectionPenalty(now, r, t)
 		if now < t.suspectedUntil {
 			score += suspectPenalty
 		}
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -43,6 +43,7 @@
 		}
 		s.recordContact(now, r)
 	}
+	effects = append(effects, s.recordFinished(now, r, e)...)
 	s.adjustLoad(r, -1)
 	s.remove(now, r)
 	return effects
@@ -61,6 +62,7 @@
 		r.recordPossibleRun()
 		effects = append(effects, s.recordLostAnswer(now, r, e.Outcome)...)
 	}
+	effects = append(effects, s.recordFailed(now, r, e)...)
 	if e.Outcome == NotSent && r.sentTo.target != "" {
 		s.limits.NotSent(now, r.sentTo.target)
 	}
@@ -142,7 +144,9 @@
 		return s.failRequest(now, r, e, http.StatusBadGateway, reasonCrashes) // quarantined while it waited
 	}
 	reason := "the retry budget is spent"
-	if r.retryReserved || s.reserveRetry(now, r, e.Outcome) {
+	if s.retryFutile(now, r) {
+		reason = reasonFailing
+	} else if r.retryReserved || s.reserveRetry(now, r, e.Outcome) {
 		var send *Send
 		if send, reason = s.send(now, r); send != nil {
 			s.useRetry(now, r, e.Outcome)
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -9,6 +9,7 @@
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/membership"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/outlier"
 )
 
 // Event is an input of the reducer.
@@ -106,6 +107,8 @@
 	RelayFailed bool
 	// Responded is true when the head of a response was received.
 	Responded bool
+	// Status is that of the response; 0 without one.
+	Status int
 	// Unresumable is true when no target can continue the answer that the caller has
 	// begun to receive.
 	Unresumable bool
@@ -168,6 +171,8 @@
 	// Failure is true when that was a failure or a stream without an event: it does not
 	// show that the request can be answered without a crash.
 	Failure bool
+	// Status is that of the answer; 0 when unknown.
+	Status int
 }
 
 // ReportRead carries a target's load report; Report is nil when the target did not
@@ -256,6 +261,8 @@
 	// connections there.
 	Relay    Relay
 	InFlight int
+	// Outliers are the VM's results of targets that answer with errors.
+	Outliers outlier.Observations
 }
 
 // Suspicion is a VM's suspicion that a target is faulty.
--- a/internal/director/path.go
+++ b/internal/director/path.go
@@ -64,20 +64,15 @@
 	// limited is true when the target's limit allows no further request to it as the
 	// first hop.
 	limited bool
+	// ejected is true while the target is out of rotation because of its errors.
+	ejected bool
 }
 
 // choosePath returns the cheapest path with capacity for the request, or the reason
 // why there is none.
 func (s *State) choosePath(now model.Instant, r *request) ([]fleet.Hop, string) {
 	candidates := s.candidates(now, r)
-	hops := s.findPath(r, candidates, func(c *candidate) bool { return c.usable && !c.full })
-	if hops == nil {
-		hops = s.findPath(r, candidates, func(c *candidate) bool { return (c.usable || c.target.reportedSinceFault(now)) && !c.full })
-	}
-	if hops == nil && r.sends > 0 {
-		// The request was admitted before; a full path is better than none.
-		hops = s.findPath(r, candidates, func(c *candidate) bool { return c.usable || c.target.reportedSinceFault(now) })
-	}
+	hops := s.findInRotation(now, r, candidates)
 	if hops == nil {
 		return nil, s.noPathReason(now, r, candidates)
 	}
@@ -88,6 +83,20 @@
 	return hops, ""
 }
 
+// findWithCapacity returns the cheapest path over candidates that are not full, as far as
+// possible without those under suspicion.
+func (s *State) findWithCapacity(now model.Instant, r *request, candidates []candidate) []fleet.Hop {
+	hops := s.findPath(r, candidates, func(c *candidate) bool { return c.usable && !c.full })
+	if hops == nil {
+		hops = s.findPath(r, candidates, func(c *candidate) bool { return (c.usable || c.target.reportedSinceFault(now)) && !c.full })
+	}
+	if hops == nil && r.sends > 0 {
+		// The request was admitted before; a full path is better than none.
+		hops = s.findPath(r, candidates, func(c *candidate) bool { return c.usable || c.target.reportedSinceFault(now) })
+	}
+	return hops
+}
+
 // candidates returns the holders of layers that serve the request's service.
 func (s *State) candidates(now model.Instant, r *request) []candidate {
 	engine := r.service.Engine
@@ -118,7 +127,7 @@
 				CostPerLayer: layerCost(engine, t, load, used) * t.slowness(now) * (1 - costNoise + 2*costNoise*noise.Float64()),
 				FirstHopCost: firstCost,
 			},
-			target: t, usable: t.usable(now), full: used > fullOccupancy, limited: limited, unreached: unreached,
+			target: t, usable: t.usable(now), full: used > fullOccupancy, limited: limited, unreached: unreached, ejected: s.ejected(now, r, t),
 		})
 	}
 	return out
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -9,6 +9,7 @@
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/loadview"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/outlier"
 	"tamarackreach/internal/retrybudget"
 	"tamarackreach/internal/targetlimit"
 )
@@ -110,6 +111,8 @@
 	unreachedByPeers int
 	// relayed counts the connections that this VM relays for others.
 	relayed int
+	// outliers are the targets that answer with errors more often than the others.
+	outliers *outlier.Tracker
 }
 
 // request is a client attempt in flight.
@@ -150,6 +153,10 @@
 	awaitingFirst bool
 	// progressed is true once a send has progressed; see StreamProgressed.
 	progressed bool
+	// failedOn are the targets that answered a send with an error, and resultCounted is true
+	// once the result of the send in flight has counted.
+	failedOn      []model.TargetID
+	resultCounted bool
 	// random is uniform in [0,1) and drawn for each send.
 	random float64
 }
@@ -173,6 +180,7 @@
 		peers: map[model.NodeID]*peer{}, loads: loadview.New(), budget: retrybudget.New(s.Retries),
 		crashRecords: map[Cause]*crashRecord{}, retries: map[model.ServiceID]*serviceRetries{},
 		peerLostAnswers: map[model.NodeID]*peerAnswers{}, answeredParts: newAnsweredParts(), limits: targetlimit.New(), backoffs: map[backoffKey]backoff{}, leaving: map[incarnation]model.Instant{},
+		outliers: outlier.New(s.VM),
 	}
 }
 
@@ -197,7 +205,7 @@
 	case SendEnded:
 		return s.sendEnded(now, e)
 	case AnswerStarted:
-		s.recordAnswerStart(now, e.ID)
+		return s.recordAnswerStart(now, e.ID)
 	case RateLimitRead:
 		return effectList(s.rateLimitRead(now, e))
 	case BackoffRequested:
@@ -215,7 +223,6 @@
 	default:
 		return s.stepGlobal(now, e)
 	}
-	return nil
 }
 
 // stepGlobal applies an event that concerns no single request.
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -246,6 +246,7 @@
 	for _, list := range s.byService {
 		slices.SortFunc(list, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	s.trackOutliers()
 }
 
 // drainsBy reports whether a row of any age states that the known incarnation drains.
@@ -399,6 +400,7 @@
 	effects = append(effects, s.applyLimits(now, e)...)
 	effects = append(effects, s.applyBackoffs(now, e)...)
 	effects = append(effects, s.applyLeaving(now, e)...)
+	effects = append(effects, s.applyOutliers(now, e)...)
 	for _, answer := range e.Answers {
 		effects = append(effects, effectList(s.applyAnswered(now, answer, e.VM))...)
 	}
@@ -450,6 +452,7 @@
 		Paces: map[model.TargetID]float64{}, Crashes: s.recentCrashes(now), Quarantines: s.quarantines(now),
 		LostAnswers: s.sentLostAnswers(now), Answers: s.sentAnswers(now), Limits: s.sentLimits(now), Backoffs: s.sentBackoffs(now), Leaving: s.sentLeaving(),
 		Isolated: s.Isolated(), Unreachable: s.sentUnreachable(), Signs: s.sentSigns(now), Relay: s.offered(), InFlight: len(s.requests) + s.relayed,
+		Outliers: s.outliers.Observations(now),
 	}
 	if s.config != nil {
 		out.Config = s.config.Version
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -76,6 +76,8 @@
 	buffer        responseBuffer
 	// failure is true when the response delivered is a failure of the target.
 	failure bool
+	// status is that of the response delivered, 0 for none.
+	status int
 	// lastEventID is the id of the last whole event forwarded to the caller.
 	lastEventID int64
 	// unresumable is true when data was forwarded to the caller after lastEventID: no
@@ -191,7 +193,7 @@
 }
 
 func (a *activeRequest) finish(delivered bool, outcome string) {
-	a.handler.reducer.Step(director.RequestFinished{ID: a.request.ID, Delivered: delivered, Failure: a.failure})
+	a.handler.reducer.Step(director.RequestFinished{ID: a.request.ID, Delivered: delivered, Failure: a.failure, Status: a.status})
 	took := time.Since(a.started)
 	a.handler.metrics.requestEnded(outcome, took, a.timeToFirstByte)
 	a.log.WithFields(logrus.Fields{
@@ -278,6 +280,7 @@
 		"target": e.Hops[0].Target, "relay": via, "sent": x.Sent, "begun": a.streaming, "reused_connection": x.Reused, "framing": x.Framing(),
 	})
 	if x.Response != nil {
+		ended.Status = x.Response.StatusCode
 		line = line.WithFields(logrus.Fields{"response_status": x.Response.StatusCode, "signed": x.Head.Signed, "encoded": x.Head.Encoded, "backoff_ms": x.Head.Backoff.Milliseconds(), "leaving": x.Head.Leaving})
 	}
 	if err != nil {
@@ -442,7 +445,7 @@
 
 func (a *activeRequest) writeWhole(resp *bufferedResponse) {
 	a.timeToFirstByte, a.answeredBy = time.Since(a.started), resp.source
-	a.failure = resp.status/100 != 2
+	a.status, a.failure = resp.status, resp.status/100 != 2
 	if err := a.response.writeWhole(resp); err != nil {
 		a.log.WithError(err).Info("cannot write the response to the caller")
 	}
--- a/internal/zonedigest/zonedigest.go
+++ b/internal/zonedigest/zonedigest.go
@@ -108,6 +108,7 @@
 	for i := range s.Backoffs {
 		s.Backoffs[i].Remaining -= by
 	}
+	s.Outliers = s.Outliers.Delayed(by)
 	return s
 }
 
