--- a/internal/clientlimit/abusetest/front_test.go
+++ b/internal/clientlimit/abusetest/front_test.go
@@ -117,7 +117,8 @@
 	output, err := os.Create(f.log)
 	Expect(err).NotTo(HaveOccurred())
 	f.cmd = exec.Command(binary())
-	f.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+settings)
+	// The variables of the runtime are those of deploy/system.toml.
+	f.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+settings, "GOGC=200", "GOMAXPROCS=1")
 	f.cmd.Stdout, f.cmd.Stderr = output, output
 	Expect(f.cmd.Start()).To(Succeed(), "build it with make build")
 	go func() {
