--- a/internal/director/outliers.go
+++ b/internal/director/outliers.go
@@ -13,7 +13,10 @@
 	// ejectedPenalty ranks a target out of rotation behind one that may have run the request,
 	// and before one under suspicion.
 	ejectedPenalty = 300
-	reasonFailing  = "the only targets that can serve the request answer with errors"
+	// retryErrorWeight weighs the recent errors of a target in the choice for a retry: a request
+	// that failed once is sent to a target that did not fail lately.
+	retryErrorWeight = 50
+	reasonFailing    = "the only targets that can serve the request answer with errors"
 )
 
 // outlierTarget returns the registered incarnation of a target.
@@ -99,7 +102,7 @@
 
 func (s *State) recordResult(now model.Instant, r *request, t *target, ok bool) []Effect {
 	change := s.outliers.Record(now, outlier.Result{Target: t.outlierTarget(), SentAt: r.sentAt, OK: ok})
-	if change != nil && change.Ejected {
+	if change != nil && change.Ejected || !ok && s.outliers.Urgent(now, t.outlierTarget()) {
 		s.learned++ // others send to the target until they know
 	}
 	return outlierEffects(change)
@@ -141,8 +144,11 @@
 
 // ejectionPenalty returns the penalty in the ranking of plain targets.
 func (s *State) ejectionPenalty(now model.Instant, r *request, t *target) float64 {
-	if s.ejected(now, r, t) {
+	switch {
+	case s.ejected(now, r, t):
 		return ejectedPenalty
+	case r.sends > 0:
+		return retryErrorWeight * s.outliers.RecentErrorRate(now, t.outlierTarget())
 	}
 	return 0
 }
@@ -172,7 +178,9 @@
 	}
 	inRotation := keep(func(c *candidate) bool { return !c.ejected })
 	if len(r.failedOn) > 0 {
-		others := keep(func(c *candidate) bool { return !c.ejected && !slices.Contains(r.failedOn, c.target.ID) })
+		others := keep(func(c *candidate) bool {
+			return !c.ejected && !slices.Contains(r.failedOn, c.target.ID) && !s.outliers.Failing(now, c.target.outlierTarget())
+		})
 		if hops := s.findWithCapacity(now, r, others); hops != nil {
 			return hops
 		}
--- a/internal/outlier/ejection.go
+++ b/internal/outlier/ejection.go
@@ -65,7 +65,7 @@
 // discardResults discards the results of a target: they were the reason of an ejection, or
 // precede a return.
 func (t *Tracker) discardResults(now model.Instant, known *target) {
-	known.own, known.peerErrors, known.peerResults, known.countsFrom = window{}, 0, 0, now
+	known.own, known.peers, known.countsFrom = window{}, Tallies{}, now
 	t.peers.dropTarget(known.ID)
 	delete(t.group(known.group).faulty, known.ID)
 }
--- a/internal/outlier/observations.go
+++ b/internal/outlier/observations.go
@@ -22,8 +22,8 @@
 
 // Count is what a VM has received of a target in the window.
 type Count struct {
-	Target          Target
-	Errors, Results int
+	Target  Target
+	Results Tallies
 	// LastError is the time since the last error; negative without one.
 	LastError time.Duration
 }
@@ -41,8 +41,8 @@
 type Observations struct {
 	// Counts are those of targets with errors at any VM.
 	Counts []Count
-	// Good is the number of results without errors in groups with errors at any VM.
-	Good      map[Group]int
+	// Good are the results without errors in groups with errors at any VM.
+	Good      map[Group][spans]int
 	Ejections []Ejection
 }
 
@@ -73,21 +73,20 @@
 	for g, known := range t.groups {
 		known.prune(now)
 		for _, k := range known.faulty {
-			results, errors := k.own.sum(now)
-			if results == 0 {
+			count := Count{Target: k.Target, Results: k.own.sum(now), LastError: -1}
+			if count.whole().Results == 0 {
 				continue
 			}
-			count := Count{Target: k.Target, Errors: errors, Results: results, LastError: -1}
-			if errors > 0 {
+			if count.whole().Errors > 0 {
 				count.LastError = now.Sub(k.lastError)
 			}
 			out.Counts = append(out.Counts, count)
 		}
-		if good, _ := known.good.sum(now); good > 0 && len(known.faulty) > 0 {
+		if good := known.good.sum(now); good[spans-1].Results > 0 && len(known.faulty) > 0 {
 			if out.Good == nil {
-				out.Good = map[Group]int{}
+				out.Good = map[Group][spans]int{}
 			}
-			out.Good[g] = good
+			out.Good[g] = [spans]int{good[0].Results, good[1].Results}
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(t.targets)) {
@@ -97,7 +96,7 @@
 		}
 	}
 	slices.SortFunc(out.Counts, func(a, b Count) int {
-		return cmp.Or(cmp.Compare(b.Errors, a.Errors), cmp.Compare(a.Target.ID, b.Target.ID))
+		return cmp.Or(cmp.Compare(b.whole().Errors, a.whole().Errors), cmp.Compare(a.Target.ID, b.Target.ID))
 	})
 	out.Counts = out.Counts[:min(len(out.Counts), maxRows)]
 	out.Ejections = out.Ejections[:min(len(out.Ejections), maxRows)]
@@ -111,12 +110,15 @@
 	t.peers.remove(vm, t)
 	var changes []*Change
 	if len(o.Counts) > 0 || len(o.Good) > 0 {
-		rows := &vmRows{receivedAt: now, good: map[Group]int{}, counts: map[model.TargetID]Count{}}
+		rows := &vmRows{receivedAt: now, good: map[Group][spans]int{}, counts: map[model.TargetID]Count{}}
 		t.peers[vm] = rows
 		for g, good := range o.Good {
 			if t.groups[g] != nil {
-				rows.good[g] = min(max(good, 0), maxResults)
-				t.groups[g].peerGood += rows.good[g]
+				for i := range good {
+					good[i] = min(max(good[i], 0), maxResults)
+				}
+				rows.good[g] = good
+				t.groups[g].addPeerGood(good, 1)
 			}
 		}
 		for _, c := range o.Counts[:min(len(o.Counts), maxRows)] {
@@ -135,20 +137,33 @@
 
 // valid reports whether the figures of another VM are possible.
 func (c *Count) valid() bool {
-	return c.Errors >= 0 && c.Results >= c.Errors && c.Results <= maxResults && c.LastError <= Window && (c.Errors == 0 || c.LastError >= 0)
+	for _, sum := range c.Results {
+		if sum.Errors < 0 || sum.Results < sum.Errors || sum.Results > maxResults {
+			return false
+		}
+	}
+	return c.LastError <= Window && (c.whole().Errors == 0 || c.LastError >= 0)
+}
+
+// whole returns the results in Window.
+func (c *Count) whole() Tally { return c.Results[spans-1] }
+
+func (g *group) addPeerGood(good [spans]int, sign int) {
+	for i := range good {
+		g.peerGood[i] += sign * good[i]
+	}
 }
 
 // adoptCount adds the count of another VM. Errors from before the last change of the target's
 // standing do not count.
 func (t *Tracker) adoptCount(now model.Instant, rows *vmRows, c Count) *Change {
 	known := t.get(c.Target)
-	if known == nil || !c.valid() || known.out(now) || c.Errors > 0 && now.Add(-c.LastError) < known.countsFrom {
+	if known == nil || !c.valid() || known.out(now) || c.whole().Errors > 0 && now.Add(-c.LastError) < known.countsFrom {
 		return nil
 	}
 	rows.counts[c.Target.ID] = c
-	known.peerErrors += c.Errors
-	known.peerResults += c.Results
-	if c.Errors == 0 {
+	known.peers.add(c.Results, 1)
+	if c.whole().Errors == 0 {
 		return nil
 	}
 	known.lastError = max(known.lastError, now.Add(-c.LastError))
@@ -186,7 +201,7 @@
 
 type vmRows struct {
 	receivedAt model.Instant
-	good       map[Group]int
+	good       map[Group][spans]int
 	counts     map[model.TargetID]Count
 }
 
@@ -199,13 +214,12 @@
 	delete(p, vm)
 	for g, good := range rows.good {
 		if t.groups[g] != nil {
-			t.groups[g].peerGood -= good
+			t.groups[g].addPeerGood(good, -1)
 		}
 	}
 	for id, c := range rows.counts {
 		if known := t.targets[id]; known != nil && known.Target == c.Target {
-			known.peerErrors -= c.Errors
-			known.peerResults -= c.Results
+			known.peers.add(c.Results, -1)
 		}
 	}
 }
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -118,7 +118,7 @@
 	size     int
 	capacity float64
 	good     window
-	peerGood int
+	peerGood [spans]int
 	faulty   map[model.TargetID]*target
 }
 
@@ -129,8 +129,8 @@
 	own        window
 	lastError  model.Instant
 	lastGoodAt model.Instant
-	// peerErrors and peerResults are the sums of what other VMs state.
-	peerErrors, peerResults int
+	// peers is the sum of what other VMs state.
+	peers Tallies
 	// countsFrom is the time from which errors count: that of the last change of standing.
 	countsFrom model.Instant
 	ejection
@@ -226,24 +226,27 @@
 	if known.out(now) {
 		return nil
 	}
-	errors, results := known.sum(now)
-	if errors < minErrors || float64(errors) < minErrorRate*float64(results) {
-		return nil
-	}
-	base := t.baseline(now, known)
-	if binomialTail(errors, results, base) > significance || !t.mayEject(now, known) {
-		return nil
+	for span, sum := range known.sum(now) {
+		if !sum.mostlyErrors() {
+			continue
+		}
+		// Few results of the others in the short window may lack errors by chance.
+		base := max(t.baseline(now, known, span), t.baseline(now, known, spans-1))
+		if binomialTail(sum.Errors, sum.Results, base) > significance || !t.mayEject(now, known) {
+			continue
+		}
+		known.detected = known.own.sum(now)[span].Errors > 0
+		t.counts.Ejections++
+		return t.eject(now, known, strconv.Itoa(sum.Errors)+" errors of "+strconv.Itoa(sum.Results)+" results, rate of others "+strconv.FormatFloat(base, 'f', 3, 64))
 	}
-	_, own := known.own.sum(now)
-	known.detected = own > 0
-	t.counts.Ejections++
-	return t.eject(now, known, strconv.Itoa(errors)+" errors of "+strconv.Itoa(results)+" results; others "+strconv.FormatFloat(base, 'f', 3, 64))
+	return nil
 }
 
-// sum returns the errors and results of a target, of all VMs.
-func (k *target) sum(now model.Instant) (errors, results int) {
-	ownResults, ownErrors := k.own.sum(now)
-	return ownErrors + k.peerErrors, ownResults + k.peerResults
+// sum returns the results of a target, of all VMs.
+func (k *target) sum(now model.Instant) Tallies {
+	out := k.own.sum(now)
+	out.add(k.peers, 1)
+	return out
 }
 
 // mayEject reports whether a target may leave the rotation within the bound, which holds for
@@ -283,8 +286,29 @@
 	if known == nil || known.Target != id {
 		return false
 	}
-	errors, results := known.sum(now)
-	return known.out(now) || errors >= minErrors && float64(errors) >= minErrorRate*float64(results)
+	return known.out(now) || known.sum(now)[0].mostlyErrors()
+}
+
+// Urgent reports whether an error of a target is to be stated to other VMs without delay: its
+// last results are errors, and the sum is not yet enough to judge.
+func (t *Tracker) Urgent(now model.Instant, id Target) bool {
+	known := t.targets[id.ID]
+	if known == nil || known.Target != id || known.out(now) {
+		return false
+	}
+	sum := known.sum(now)[0]
+	return sum.Errors >= minUrgent && sum.Errors <= maxUrgent && float64(sum.Errors) >= minErrorRate*float64(sum.Results)
+}
+
+// RecentErrorRate returns the fraction of errors among the last results of a target, below
+// the measured one where they are few.
+func (t *Tracker) RecentErrorRate(now model.Instant, id Target) float64 {
+	known := t.targets[id.ID]
+	if known == nil || known.Target != id {
+		return 0
+	}
+	sum := known.sum(now)[0]
+	return float64(sum.Errors) / float64(sum.Results+2)
 }
 
 // Out returns the targets out of rotation, in a fixed order.
