--- a/internal/director/export_test.go
+++ b/internal/director/export_test.go
@@ -7,6 +7,7 @@
 
 	"tamarackreach/internal/loadview"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/outlier"
 	"tamarackreach/internal/retrybudget"
 )
 
@@ -21,6 +22,7 @@
 	c.peers = maps.Clone(s.peers)
 	c.loads = loadview.New()
 	c.budget = retrybudget.New(s.settings.Retries)
+	c.outliers = outlier.New(s.settings.VM)
 	c.rebuildIndexes()
 	return &c
 }
--- a/internal/director/outliers.go
+++ b/internal/director/outliers.go
@@ -176,6 +176,9 @@
 		}
 		return out
 	}
+	if len(r.failedOn) == 0 && !slices.ContainsFunc(candidates, func(c candidate) bool { return c.ejected }) {
+		return s.findWithCapacity(now, r, candidates)
+	}
 	inRotation := keep(func(c *candidate) bool { return !c.ejected })
 	if len(r.failedOn) > 0 {
 		others := keep(func(c *candidate) bool {
--- a/internal/outlier/ejection.go
+++ b/internal/outlier/ejection.go
@@ -60,6 +60,7 @@
 	known.trialFrom = until.Add(time.Duration(t.spread(known.ID, known.level) * float64(until.Sub(now))))
 	known.returnedAt, known.trialAt, known.trying, known.successes = 0, 0, false, 0
 	t.discardResults(now, known)
+	t.ejected[known.ID] = known
 }
 
 // discardResults discards the results of a target: they were the reason of an ejection, or
@@ -97,6 +98,33 @@
 		return nil
 	}
 	known.returnedAt = now
+	delete(t.ejected, known.ID)
 	t.discardResults(now, known)
 	return &Change{Target: known.Target, Detail: "trials succeeded"}
 }
+
+// prune drops ejections that ended without a trial, and some of the targets without results in
+// the window.
+func (t *Tracker) prune(now model.Instant) {
+	for id, known := range t.ejected {
+		if !known.out(now) {
+			delete(t.ejected, id)
+		}
+	}
+	checked := 0
+	for id, known := range t.targets {
+		if checked++; checked > maxPruneChecks {
+			return
+		}
+		if t.ejected[id] == nil && known.idle(now) {
+			delete(t.targets, id)
+			delete(t.group(known.group).faulty, id)
+		}
+	}
+}
+
+// idle reports whether nothing that is known of a target matters any more.
+func (k *target) idle(now model.Instant) bool {
+	recent := max(k.lastGoodAt, k.lastError, k.returnedAt, k.trialFrom, k.countsFrom)
+	return now.Sub(recent) > levelReset && k.sum(now) == (Tallies{})
+}
--- a/internal/outlier/observations.go
+++ b/internal/outlier/observations.go
@@ -69,6 +69,7 @@
 // Observations returns what this VM states to others.
 func (t *Tracker) Observations(now model.Instant) Observations {
 	t.peers.expire(now, t)
+	t.prune(now)
 	var out Observations
 	for g, known := range t.groups {
 		known.prune(now)
@@ -89,8 +90,8 @@
 			out.Good[g] = [spans]int{good[0].Results, good[1].Results}
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(t.targets)) {
-		k := t.targets[id]
+	for _, id := range slices.Sorted(maps.Keys(t.ejected)) {
+		k := t.ejected[id]
 		if remaining := k.until.Sub(now); k.detected && k.out(now) && remaining > 0 {
 			out.Ejections = append(out.Ejections, Ejection{Target: k.Target, Level: k.level, Remaining: remaining, Age: now.Sub(k.at)})
 		}
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -34,6 +34,8 @@
 	// ends without one: a target that no request needs would count against the bound on
 	// ejected capacity forever.
 	unusedExpiry = 10 * time.Second
+	// maxPruneChecks bounds the targets that are checked for pruning at once.
+	maxPruneChecks = 32
 	// maxEjectedFraction bounds the capacity of a group out of rotation.
 	maxEjectedFraction = 0.5
 )
@@ -101,6 +103,8 @@
 	vm      model.NodeID
 	members map[model.TargetID]member
 	targets map[model.TargetID]*target
+	// ejected holds the targets that have not returned since their last ejection.
+	ejected map[model.TargetID]*target
 	groups  map[Group]*group
 	peers   peerRows
 	counts  Counts
@@ -140,7 +144,7 @@
 func New(vm model.NodeID) *Tracker {
 	return &Tracker{
 		vm: vm, members: map[model.TargetID]member{}, targets: map[model.TargetID]*target{},
-		groups: map[Group]*group{}, peers: peerRows{},
+		ejected: map[model.TargetID]*target{}, groups: map[Group]*group{}, peers: peerRows{},
 	}
 }
 
@@ -165,6 +169,7 @@
 			delete(t.group(known.group).faulty, id)
 			t.peers.dropTarget(id)
 			delete(t.targets, id)
+			delete(t.ejected, id)
 		}
 	}
 	for in, g := range t.groups {
@@ -253,7 +258,7 @@
 // each group and so for the service.
 func (t *Tracker) mayEject(now model.Instant, known *target) bool {
 	out := t.members[known.ID].Capacity
-	for id, other := range t.targets {
+	for id, other := range t.ejected {
 		if other != known && other.group == known.group && other.out(now) {
 			out += t.members[id].Capacity
 		}
@@ -264,7 +269,7 @@
 // Standing returns whether a target may get a new request; repeatable is true for a
 // request that may be sent again.
 func (t *Tracker) Standing(now model.Instant, id Target, repeatable bool) Standing {
-	known := t.targets[id.ID]
+	known := t.ejected[id.ID]
 	if known == nil || known.Target != id || !known.out(now) {
 		return InRotation
 	}
@@ -274,11 +279,6 @@
 	return Ejected
 }
 
-// Ejected reports whether a target gets no new request while others can serve.
-func (t *Tracker) Ejected(now model.Instant, id Target, repeatable bool) bool {
-	return t.Standing(now, id, repeatable) == Ejected
-}
-
 // Failing reports whether most of the recent results of a target are errors, or it is out of
 // rotation.
 func (t *Tracker) Failing(now model.Instant, id Target) bool {
@@ -313,8 +313,8 @@
 
 // Out returns the targets out of rotation, in a fixed order.
 func (t *Tracker) Out(now model.Instant) (out []Target) {
-	for _, id := range slices.Sorted(maps.Keys(t.targets)) {
-		if known := t.targets[id]; known.out(now) {
+	for _, id := range slices.Sorted(maps.Keys(t.ejected)) {
+		if known := t.ejected[id]; known.out(now) {
 			out = append(out, known.Target)
 		}
 	}
