--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -34,6 +34,8 @@
 	// ends without one: a target that no request needs would count against the bound on
 	// ejected capacity forever.
 	unusedExpiry = 10 * time.Second
+	// maxPruneChecks bounds the targets that are checked for pruning at once.
+	maxPruneChecks = 32
 	// maxEjectedFraction bounds the capacity of a group out of rotation.
 	maxEjectedFraction = 0.5
 )
@@ -101,6 +103,8 @@
 	vm      model.NodeID
 	members map[model.TargetID]member
 	targets map[model.TargetID]*target
+	// ejected holds the targets that have not returned since their last ejection.
+	ejected map[model.TargetID]*target
 	groups  map[Group]*group
 	peers   peerRows
 	counts  Counts
@@ -118,7 +122,7 @@
 	size     int
 	capacity float64
 	good     window
-	peerGood int
+	peerGood [spans]int
 	faulty   map[model.TargetID]*target
 }
 
@@ -129,8 +133,8 @@
 	own        window
 	lastError  model.Instant
 	lastGoodAt model.Instant
-	// peerErrors and peerResults are the sums of what other VMs state.
-	peerErrors, peerResults int
+	// peers is the sum of what other VMs state.
+	peers Tallies
 	// countsFrom is the time from which errors count: that of the last change of standing.
 	countsFrom model.Instant
 	ejection
@@ -140,7 +144,7 @@
 func New(vm model.NodeID) *Tracker {
 	return &Tracker{
 		vm: vm, members: map[model.TargetID]member{}, targets: map[model.TargetID]*target{},
-		groups: map[Group]*group{}, peers: peerRows{},
+		ejected: map[model.TargetID]*target{}, groups: map[Group]*group{}, peers: peerRows{},
 	}
 }
 
@@ -165,6 +169,7 @@
 			delete(t.group(known.group).faulty, id)
 			t.peers.dropTarget(id)
 			delete(t.targets, id)
+			delete(t.ejected, id)
 		}
 	}
 	for in, g := range t.groups {
@@ -226,31 +231,34 @@
 	if known.out(now) {
 		return nil
 	}
-	errors, results := known.sum(now)
-	if errors < minErrors || float64(errors) < minErrorRate*float64(results) {
-		return nil
-	}
-	base := t.baseline(now, known)
-	if binomialTail(errors, results, base) > significance || !t.mayEject(now, known) {
-		return nil
+	for span, sum := range known.sum(now) {
+		if !sum.mostlyErrors() {
+			continue
+		}
+		// Few results of the others in the short window may lack errors by chance.
+		base := max(t.baseline(now, known, span), t.baseline(now, known, spans-1))
+		if binomialTail(sum.Errors, sum.Results, base) > significance || !t.mayEject(now, known) {
+			continue
+		}
+		known.detected = known.own.sum(now)[span].Errors > 0
+		t.counts.Ejections++
+		return t.eject(now, known, strconv.Itoa(sum.Errors)+" errors of "+strconv.Itoa(sum.Results)+" results, rate of others "+strconv.FormatFloat(base, 'f', 3, 64))
 	}
-	_, own := known.own.sum(now)
-	known.detected = own > 0
-	t.counts.Ejections++
-	return t.eject(now, known, strconv.Itoa(errors)+" errors of "+strconv.Itoa(results)+" results; others "+strconv.FormatFloat(base, 'f', 3, 64))
+	return nil
 }
 
-// sum returns the errors and results of a target, of all VMs.
-func (k *target) sum(now model.Instant) (errors, results int) {
-	ownResults, ownErrors := k.own.sum(now)
-	return ownErrors + k.peerErrors, ownResults + k.peerResults
+// sum returns the results of a target, of all VMs.
+func (k *target) sum(now model.Instant) Tallies {
+	out := k.own.sum(now)
+	out.add(k.peers, 1)
+	return out
 }
 
 // mayEject reports whether a target may leave the rotation within the bound, which holds for
 // each group and so for the service.
 func (t *Tracker) mayEject(now model.Instant, known *target) bool {
 	out := t.members[known.ID].Capacity
-	for id, other := range t.targets {
+	for id, other := range t.ejected {
 		if other != known && other.group == known.group && other.out(now) {
 			out += t.members[id].Capacity
 		}
@@ -261,7 +269,7 @@
 // Standing returns whether a target may get a new request; repeatable is true for a
 // request that may be sent again.
 func (t *Tracker) Standing(now model.Instant, id Target, repeatable bool) Standing {
-	known := t.targets[id.ID]
+	known := t.ejected[id.ID]
 	if known == nil || known.Target != id || !known.out(now) {
 		return InRotation
 	}
@@ -271,11 +279,6 @@
 	return Ejected
 }
 
-// Ejected reports whether a target gets no new request while others can serve.
-func (t *Tracker) Ejected(now model.Instant, id Target, repeatable bool) bool {
-	return t.Standing(now, id, repeatable) == Ejected
-}
-
 // Failing reports whether most of the recent results of a target are errors, or it is out of
 // rotation.
 func (t *Tracker) Failing(now model.Instant, id Target) bool {
@@ -283,14 +286,35 @@
 	if known == nil || known.Target != id {
 		return false
 	}
-	errors, results := known.sum(now)
-	return known.out(now) || errors >= minErrors && float64(errors) >= minErrorRate*float64(results)
+	return known.out(now) || known.sum(now)[0].mostlyErrors()
+}
+
+// Urgent reports whether an error of a target is to be stated to other VMs without delay: its
+// last results are errors, and the sum is not yet enough to judge.
+func (t *Tracker) Urgent(now model.Instant, id Target) bool {
+	known := t.targets[id.ID]
+	if known == nil || known.Target != id || known.out(now) {
+		return false
+	}
+	sum := known.sum(now)[0]
+	return sum.Errors >= minUrgent && sum.Errors <= maxUrgent && float64(sum.Errors) >= minErrorRate*float64(sum.Results)
+}
+
+// RecentErrorRate returns the fraction of errors among the last results of a target, below
+// the measured one where they are few.
+func (t *Tracker) RecentErrorRate(now model.Instant, id Target) float64 {
+	known := t.targets[id.ID]
+	if known == nil || known.Target != id {
+		return 0
+	}
+	sum := known.sum(now)[0]
+	return float64(sum.Errors) / float64(sum.Results+2)
 }
 
 // Out returns the targets out of rotation, in a fixed order.
 func (t *Tracker) Out(now model.Instant) (out []Target) {
-	for _, id := range slices.Sorted(maps.Keys(t.targets)) {
-		if known := t.targets[id]; known.out(now) {
+	for _, id := range slices.Sorted(maps.Keys(t.ejected)) {
+		if known := t.ejected[id]; known.out(now) {
 			out = append(out, known.Target)
 		}
 	}
