--- a/internal/controller/message_test.go
+++ b/internal/controller/message_test.go
@@ -11,6 +11,7 @@
 	"tamarackreach/internal/director"
 	"tamarackreach/internal/membership"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/outlier"
 	"tamarackreach/internal/targetlimit"
 )
 
@@ -38,6 +39,11 @@
 			Copies:       membership.Endpoint{Address: "10.1.0.40:7341", Secret: "9e2c"},
 			Backoffs:     []director.Backoff{{VM: "vm-2", Target: "t11", Born: 1796374390000, Remaining: 2500 * time.Millisecond}},
 			Leaving:      map[model.TargetID]int64{"t12": 1796374390000},
+			Outliers: outlier.Observations{
+				Counts:    []outlier.Count{{Target: outlier.Target{ID: "t13", StartedMs: 1796374390000}, Results: outlier.Tallies{{Errors: 2, Results: 3}, {Errors: 4, Results: 9}}, LastError: 30 * time.Millisecond}},
+				Good:      map[outlier.Group][2]int{{Service: "s"}: {3, 4}, {Service: "s", Later: true}: {0, 6}},
+				Ejections: []outlier.Ejection{{Target: outlier.Target{ID: "t14", StartedMs: 1796374390000}, Level: 3, Remaining: time.Second, Age: 600 * time.Millisecond}},
+			},
 		}
 		text, err := json.Marshal(encodePeerState(peerState))
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/director/outliers.go
+++ b/internal/director/outliers.go
@@ -13,6 +13,9 @@
 	// ejectedPenalty ranks a target out of rotation behind one that may have run the request,
 	// and before one under suspicion.
 	ejectedPenalty = 300
+	// failingPenalty is the penalty of a target in rotation that mostly answers with errors: as
+	// if all its slots were in use, since errors that arrive at once leave it without load.
+	failingPenalty = 1
 	// retryErrorWeight weighs the recent errors of a target in the choice for a retry: a request
 	// that failed once is sent to a target that did not fail lately.
 	retryErrorWeight = 50
@@ -149,6 +152,8 @@
 		return ejectedPenalty
 	case r.sends > 0:
 		return retryErrorWeight * s.outliers.RecentErrorRate(now, t.outlierTarget())
+	case s.outliers.Failing(now, t.outlierTarget()):
+		return failingPenalty
 	}
 	return 0
 }
--- a/internal/director/retries_test.go
+++ b/internal/director/retries_test.go
@@ -179,3 +179,61 @@
 		Expect(h.budgetOf(llm).Spent).To(BeZero())
 	})
 })
+
+var _ = Describe("a retry after an error", func() {
+	fail := func(h *harness, id model.RequestID) director.Effect {
+		return lastEffect(h.state.Step(h.now, director.SendEnded{ID: id, Outcome: director.Failed, Status: 500, Random: 0.5}))
+	}
+
+	// Guards against retries that spend the budget on the target that has just failed them,
+	// while no other path exists: they fail again, and other requests are denied theirs.
+	It("is not sent to the target that failed it, mostly fails and is the only one", func() {
+		h := newHarness()
+		h.addTarget("f", llm, "a", 0, 40)
+		h.addTarget("later", llm, "a", 40, 80)
+		h.read()
+		for range 6 {
+			id, e := h.arrive("/s/x")
+			expectSend(e)
+			if send, again := fail(h, id).(*director.Send); again {
+				Expect(send.Hops[0].Target).To(BeEquivalentTo("f"))
+				fail(h, id)
+			}
+			h.state.Step(h.now, director.RequestFinished{ID: id})
+		}
+		Expect(h.budgetOf(llm).Spent).To(BeNumerically("<=", 2))
+		h.addTarget("g", llm, "b", 0, 40)
+		h.read()
+		id, e := h.arrive("/s/x")
+		for expectSend(e).Hops[0].Target != "f" {
+			id, e = h.arrive("/s/x")
+		}
+		Expect(expectSend(fail(h, id)).Hops[0].Target).To(BeEquivalentTo("g"))
+	})
+
+	It("avoids the first hop that failed the request before that is ejected", func() {
+		h := newHarness()
+		h.addTarget("f", llm, "a", 0, 40)
+		h.addTarget("later", llm, "a", 40, 80)
+		h.addTarget("g", llm, "b", 0, 40)
+		h.read()
+		id, e := h.arrive("/s/x")
+		Expect(expectSend(e).Hops[0].Target).To(BeEquivalentTo("f"))
+		Expect(expectSend(fail(h, id)).Hops[0].Target).To(BeEquivalentTo("g"))
+		Expect(h.state.EjectedTargets(h.now)).To(BeEmpty())
+	})
+
+	// A rejection promises that the request has not run: it is a matter of load.
+	It("counts no rejection as an error", func() {
+		h := newHarness()
+		h.addTarget("f", orders, "a", 0, 0)
+		h.read()
+		for range 20 {
+			id, _ := h.arrive("/r/x")
+			h.endSend(id, director.Rejected)
+			h.state.Step(h.now, director.RequestFinished{ID: id})
+			h.advance(10 * time.Millisecond)
+		}
+		Expect(h.state.OwnPeerState(h.now).Outliers.Empty()).To(BeTrue())
+	})
+})
--- a/internal/frontdaemon/status.go
+++ b/internal/frontdaemon/status.go
@@ -121,6 +121,7 @@
 	m.Gauge("tamarack_layers_missing", "Layers without a usable holder, summed over zones.",
 		state(missingLayers))
 	d.registerRefusalMetrics(state)
+	d.registerOutlierMetrics(state)
 	d.registerRegistrationMetrics(state)
 	d.registerReachMetrics(state)
 	d.registerPeerMetrics(state)
--- a/internal/outlier/observations.go
+++ b/internal/outlier/observations.go
@@ -47,7 +47,7 @@
 }
 
 // Empty reports whether there is nothing to state.
-func (o *Observations) Empty() bool {
+func (o Observations) Empty() bool {
 	return len(o.Counts) == 0 && len(o.Good) == 0 && len(o.Ejections) == 0
 }
 
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -254,6 +254,11 @@
 	return out
 }
 
+// erred reports whether the target has an error in the window.
+func (k *target) erred(now model.Instant) bool {
+	return k.lastError != 0 && now.Sub(k.lastError) <= Window
+}
+
 // mayEject reports whether a target may leave the rotation within the bound, which holds for
 // each group and so for the service.
 func (t *Tracker) mayEject(now model.Instant, known *target) bool {
@@ -286,7 +291,7 @@
 	if known == nil || known.Target != id {
 		return false
 	}
-	return known.out(now) || known.sum(now)[0].mostlyErrors()
+	return known.out(now) || known.erred(now) && known.sum(now)[0].mostlyErrors()
 }
 
 // Urgent reports whether an error of a target is to be stated to other VMs without delay: its
@@ -304,7 +309,7 @@
 // the measured one where they are few.
 func (t *Tracker) RecentErrorRate(now model.Instant, id Target) float64 {
 	known := t.targets[id.ID]
-	if known == nil || known.Target != id {
+	if known == nil || known.Target != id || !known.erred(now) {
 		return 0
 	}
 	sum := known.sum(now)[0]
--- a/internal/zonedigest/zonedigest_test.go
+++ b/internal/zonedigest/zonedigest_test.go
@@ -10,6 +10,7 @@
 	"tamarackreach/internal/director"
 	"tamarackreach/internal/loadview"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/outlier"
 	"tamarackreach/internal/targetlimit"
 	"tamarackreach/internal/zonedigest"
 )
@@ -32,6 +33,10 @@
 		LostAnswers: []director.LostAnswer{{Cause: 4, Age: time.Second}},
 		Answers:     []director.AnsweredPart{{Part: 5, Age: time.Second}},
 		Backoffs:    []director.Backoff{{VM: vm, Target: "b", Remaining: time.Second}},
+		Outliers: outlier.Observations{
+			Counts:    []outlier.Count{{Target: outlier.Target{ID: "c"}, LastError: time.Second}, {Target: outlier.Target{ID: "d"}, LastError: -1}},
+			Ejections: []outlier.Ejection{{Target: outlier.Target{ID: "c"}, Remaining: time.Second, Age: time.Second}},
+		},
 	}
 }
 
@@ -78,6 +83,11 @@
 		Expect(got.LostAnswers[0].Age).To(Equal(time.Second + by))
 		Expect(got.Answers[0].Age).To(Equal(time.Second + by))
 		Expect(got.Backoffs[0].Remaining).To(Equal(time.Second - by))
+		Expect(got.Outliers.Counts[0].LastError).To(Equal(time.Second + by))
+		Expect(got.Outliers.Counts[1].LastError).To(BeNumerically("<", 0), "without an error")
+		Expect(got.Outliers.Ejections[0].Remaining).To(Equal(time.Second - by))
+		Expect(got.Outliers.Ejections[0].Age).To(Equal(time.Second + by))
+		Expect(original.Outliers.Ejections[0].Age).To(Equal(time.Second))
 		Expect(original.Quarantines[0].Remaining).To(Equal(time.Second), "the collector's state is unchanged")
 	})
 })
