--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"cmp"
 	"maps"
 	"net/http"
 	"slices"
@@ -92,7 +93,7 @@
 		return []Effect{&Refuse{Status: http.StatusServiceUnavailable, RetryAfter: left, Reason: reasonCrashes, Detail: s.quarantineDetail(r)}}
 	}
 	s.requests[req.ID] = r
-	send, reason := s.send(now, r)
+	send, reason := s.admit(now, r)
 	if send == nil {
 		delete(s.requests, req.ID)
 		refusal := &Refuse{Status: http.StatusServiceUnavailable, RetryAfter: jitter(s.retryAfter(now, r, reason), e.Random), Reason: reason}
@@ -197,8 +198,8 @@
 
 func (s *State) retryAfter(now model.Instant, r *request, reason string) time.Duration {
 	switch reason {
-	case reasonFull, reasonPromptBacklog:
-		return overloadRetryAfter
+	case reasonFull, reasonPromptBacklog, reasonReserved:
+		return cmp.Or(s.admissionRetryAfter(now, r), overloadRetryAfter)
 	case reasonUnreached:
 		return unreachedRetryAfter
 	case reasonLimited:
@@ -270,6 +271,9 @@
 	if t == nil {
 		return nil, s.noTargetReason(now, r)
 	}
+	if r.sends == 0 && !s.admitTarget(now, r, t) {
+		return nil, reasonReserved
+	}
 	return []fleet.Hop{{Target: t.ID, Address: t.Address}}, ""
 }
 
--- /dev/null
+++ b/internal/priorityadmission/limits.go
@@ -0,0 +1,96 @@
+package priorityadmission
+
+import (
+	"math"
+	"time"
+
+	"tamarackreach/internal/model"
+)
+
+// headroom returns for how many requests capacity is reserved: those that arrive at a rate
+// within the reaction time, or in the time that one is in flight where that is shorter, and two
+// standard deviations of a Poisson process.
+func (s *service) headroom(now model.Instant, perSecond float64) float64 {
+	hold := reaction.Seconds()
+	if ended := s.ended.over(now, servedWindow); ended >= 1 {
+		hold = min(hold, s.stay.over(now, servedWindow)/ended)
+	}
+	expected := perSecond * hold
+	return expected + 2*math.Sqrt(expected)
+}
+
+// reserved returns the fraction of a capacity that a headroom takes; 0 where it is unlimited.
+func reserved(headroom, capacity float64) float64 {
+	if capacity <= 0 {
+		return 0
+	}
+	return min(headroom/capacity, maxReserved)
+}
+
+// wait returns the predicted wait of a request at its own priority: the prompts that are at
+// least as urgent, and the more urgent ones that arrive until the first event and are served
+// before it (the waiting time of a queue with priorities).
+func (l Limits) wait(r Request) time.Duration {
+	queue := l.Ahead * float64(r.Queue)
+	urgent := 0.0
+	if r.Capacity.Copies > 0 {
+		urgent = min(l.Urgent/r.Capacity.Copies*r.PromptTime.Seconds(), maxUrgentUse)
+	}
+	return time.Duration((float64(r.Prefill)+queue)/(1-urgent)) - r.Prefill
+}
+
+const (
+	// minRetryAfter and maxRetryAfter bound the Retry-After before it is multiplied by a random
+	// factor from 0.5 to 1.5, so that the product is between 250 ms and 10 s.
+	minRetryAfter, maxRetryAfter = 500 * time.Millisecond, 6600 * time.Millisecond
+	// fewRequests is added to the requests from which a backlog is computed, so that the first
+	// refusals after a start give no long Retry-After.
+	fewRequests = 4
+	// timeLeftFraction bounds the Retry-After before the random factor: callers honour it up to
+	// a third of their remaining time.
+	timeLeftFraction = 1.0 / 3 / 1.5
+)
+
+// RetryAfter returns the Retry-After of a refused request, before a random factor from 0.5 to
+// 1.5. It rises with the backlog of the request's priority, which is the recent refusals
+// against the ends of requests. It is 0 where the kinds of the service do not differ.
+func (c *Controller) RetryAfter(now model.Instant, id model.ServiceID, class Class, timeLeft time.Duration) time.Duration {
+	s, p := c.lookup(id, class.Priority)
+	if s == nil {
+		return 0
+	}
+	refused, ended := p.tally.refused.over(now, servedWindow), p.ended.over(now, servedWindow)
+	backlog := refused / (refused + ended + fewRequests)
+	after := min(max(time.Duration(backlog*float64(servedWindow)), minRetryAfter), maxRetryAfter)
+	return min(after, time.Duration(timeLeftFraction*float64(timeLeft)))
+}
+
+// Figures are the counts of one priority of a service.
+type Figures struct {
+	Service  model.ServiceID
+	Priority int
+	// Admitted and Refused count requests since the process started.
+	Admitted, Refused uint64
+	// Headroom is the number of requests for which capacity is reserved against this priority.
+	Headroom float64
+	// WorkspacesOver is the number of workspaces over their share.
+	WorkspacesOver int
+}
+
+// Figures returns the counts of all priorities of a service, the most urgent first. vms is the
+// number of VMs that receive its requests.
+func (c *Controller) Figures(now model.Instant, id model.ServiceID, vms int) []Figures {
+	s := c.services[id]
+	if s == nil {
+		return nil
+	}
+	out := make([]Figures, 0, len(s.priorities))
+	for _, p := range s.priorities {
+		limits := s.limits(now, Request{VMs: vms}, p, false)
+		out = append(out, Figures{
+			Service: id, Priority: p.priority, Admitted: p.admitted, Refused: p.denied,
+			Headroom: s.headroom(now, limits.Urgent), WorkspacesOver: p.workspaces.over,
+		})
+	}
+	return out
+}
