--- a/internal/director/admit.go
+++ b/internal/director/admit.go
@@ -220,7 +220,9 @@
 func (s *State) Admission(now model.Instant) []priorityadmission.Figures {
 	var out []priorityadmission.Figures
 	for _, id := range s.services() {
-		out = append(out, s.admission.Figures(now, id, s.admissionVMs(now))...)
+		if s.admission.Enabled(id) && s.config.Services[id] != nil {
+			out = append(out, s.admission.Figures(now, id, s.admissionVMs(now), s.capacity(now, s.config.Services[id]))...)
+		}
 	}
 	return out
 }
--- a/internal/priorityadmission/limits.go
+++ b/internal/priorityadmission/limits.go
@@ -1,30 +1,35 @@
 package priorityadmission
 
 import (
+	"cmp"
 	"math"
 	"time"
 
 	"tamarackreach/internal/model"
 )
 
-// headroom returns for how many requests capacity is reserved: those that arrive at a rate
-// within the reaction time, or in the time that one is in flight where that is shorter, and two
-// standard deviations of a Poisson process.
-func (s *service) headroom(now model.Instant, perSecond float64) float64 {
-	hold := reaction.Seconds()
+// headroom returns for how many requests of a capacity room is left: for those that arrive at a
+// rate within the reaction time, or in the time that one is in flight where that is shorter,
+// less those that end meanwhile when the capacity is used, and two standard deviations of a
+// Poisson process.
+func (s *service) headroom(now model.Instant, perSecond, capacity float64) float64 {
+	period, ending := reaction.Seconds(), 0.0
 	if ended := s.ended.over(now, servedWindow); ended >= 1 {
-		hold = min(hold, s.stay.over(now, servedWindow)/ended)
+		stay := max(s.stay.over(now, servedWindow)/ended, minStay.Seconds())
+		period = min(period, stay)
+		ending = capacity * period / stay
 	}
-	expected := perSecond * hold
-	return expected + 2*math.Sqrt(expected)
+	expected := perSecond * period
+	return max(expected-ending, 0) + 2*math.Sqrt(expected)
 }
 
-// reserved returns the fraction of a capacity that a headroom takes; 0 where it is unlimited.
-func reserved(headroom, capacity float64) float64 {
+// reserved returns the fraction of a capacity that is left for arrivals at a rate; 0 where it
+// is unlimited.
+func (s *service) reserved(now model.Instant, perSecond, capacity float64) float64 {
 	if capacity <= 0 {
 		return 0
 	}
-	return min(headroom/capacity, maxReserved)
+	return min(s.headroom(now, perSecond, capacity)/capacity, maxReserved)
 }
 
 // wait returns the predicted wait of a request at its own priority: the prompts that are at
@@ -78,18 +83,18 @@
 }
 
 // Figures returns the counts of all priorities of a service, the most urgent first. vms is the
-// number of VMs that receive its requests.
-func (c *Controller) Figures(now model.Instant, id model.ServiceID, vms int) []Figures {
+// number of VMs that receive its requests, and capacity that of its targets.
+func (c *Controller) Figures(now model.Instant, id model.ServiceID, vms int, capacity Capacity) []Figures {
 	s := c.services[id]
 	if s == nil {
 		return nil
 	}
 	out := make([]Figures, 0, len(s.priorities))
 	for _, p := range s.priorities {
-		limits := s.limits(now, Request{VMs: vms}, p, false)
+		limits := s.limits(now, Request{VMs: vms, Capacity: capacity}, p, false)
 		out = append(out, Figures{
 			Service: id, Priority: p.priority, Admitted: p.admitted, Refused: p.denied,
-			Headroom: s.headroom(now, limits.Urgent), WorkspacesOver: p.workspaces.over,
+			Headroom: s.headroom(now, limits.Urgent, cmp.Or(capacity.Slots, capacity.Cache)), WorkspacesOver: p.workspaces.over,
 		})
 	}
 	return out
--- a/internal/priorityadmission/priorityadmission.go
+++ b/internal/priorityadmission/priorityadmission.go
@@ -27,6 +27,8 @@
 	// which VMs learn of each other's load. Within it a refusal of less urgent requests does
 	// not yet show in the loads.
 	reaction = 400 * time.Millisecond
+	// minStay is the least mean time in flight that is assumed.
+	minStay = time.Millisecond
 	// maxReserved bounds the fraction of the capacity that is reserved.
 	maxReserved = 0.5
 	// maxUrgentUse bounds the fraction of the prefill capacity that more urgent arrivals are
@@ -112,6 +114,10 @@
 	Limits Limits
 	// Queue is the predicted wait of the request at its own priority.
 	Queue time.Duration
+	// Starved is true when the request's priority or workspace is served so seldom that the
+	// limits are those of the most urgent priority, and OverShare when its workspace is
+	// admitted more than its share.
+	Starved, OverShare bool
 }
 
 // InTime reports whether a first event after a prefill and a queue meets a latency goal, 0 for
@@ -278,7 +284,7 @@
 // Decide returns whether a request is admitted on a path. It changes no count.
 //
 // Invariant: of two requests on the same path, alike but for their priority, the more urgent is
-// admitted if the other is, unless its workspace is over its share.
+// admitted if the other is, unless the other is starved.
 func (c *Controller) Decide(now model.Instant, r Request) Verdict {
 	s, p := c.lookup(r.Service, r.Class.Priority)
 	if s == nil {
@@ -291,11 +297,11 @@
 	p.workspaces.update(now)
 	rank := p
 	w := p.workspaces.byID[r.Class.Workspace]
-	over := w != nil && p.workspaces.exceeds(now, w)
-	if s.starved(now, p, r.Class.Workspace) {
-		rank, over = s.priorities[0], false
+	v := Verdict{OverShare: w != nil && p.workspaces.exceeds(now, w)}
+	if v.Starved = s.starved(now, p, w); v.Starved {
+		rank, v.OverShare = s.priorities[0], false
 	}
-	v := Verdict{Limits: s.limits(now, r, rank, over)}
+	v.Limits = s.limits(now, r, rank, v.OverShare)
 	v.Queue = v.Limits.wait(r)
 	switch {
 	case r.Slots > 0 && r.Slots >= v.Limits.SlotsBelow, r.Cache > 0 && r.Cache > c.fullCache-v.Limits.CacheLeft:
@@ -322,13 +328,12 @@
 
 // starved reports whether a priority, or a workspace in it, is served so much less often than
 // all requests that it is admitted like the most urgent.
-func (s *service) starved(now model.Instant, p *priority, id model.WorkspaceID) bool {
+func (s *service) starved(now model.Instant, p *priority, w *workspace) bool {
 	all := s.all.served(now, 1)
 	served := p.tally.served(now, all)
 	if served < starvedShare*all {
 		return true
 	}
-	w := p.workspaces.byID[id]
 	return w != nil && w.tally.served(now, served) < starvedShare*all
 }
 
@@ -352,8 +357,7 @@
 	if admitted > 0 {
 		l.Ahead = ahead / admitted
 	}
-	headroom := s.headroom(now, l.Urgent)
-	l.SlotsBelow, l.CacheLeft = 1-reserved(headroom, r.Capacity.Slots), reserved(headroom, r.Capacity.Cache)
+	l.SlotsBelow, l.CacheLeft = 1-s.reserved(now, l.Urgent, r.Capacity.Slots), s.reserved(now, l.Urgent, r.Capacity.Cache)
 	return l
 }
 
