--- a/internal/director/admit.go
+++ b/internal/director/admit.go
@@ -141,12 +141,14 @@
 	request := s.admissionRequest(now, r)
 	verdict := s.decidePath(now, r, request, hops)
 	if verdict.Reason == priorityadmission.Reserved {
+		r.verdict = verdict
 		if hops = s.unreservedPath(now, r, candidates, verdict.Limits); hops == nil {
 			return nil, reasonReserved
 		}
 		r.predicted = s.timeToFirstEvent(now, r, hops)
 		verdict = s.decidePath(now, r, request, hops)
 	}
+	r.verdict = verdict
 	r.predicted.Queue = verdict.Queue
 	switch {
 	case verdict.Admit:
@@ -203,8 +205,8 @@
 	}
 	request := s.admissionRequest(now, r)
 	request.Slots = slotUse(s.load(now, t).Requests, max(t.Slots, 1))
-	verdict := s.admission.Decide(now, request)
-	return verdict.Admit || verdict.Limits.Urgent == 0
+	r.verdict = s.admission.Decide(now, request)
+	return r.verdict.Admit || r.verdict.Limits.Urgent == 0
 }
 
 // slotUse returns the fraction of slots in use; 0 where they are not limited.
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -146,6 +146,8 @@
 	retryReserved bool
 	// predicted is the time to the first event on the path chosen last.
 	predicted Prediction
+	// verdict is the last decision on its admission.
+	verdict priorityadmission.Verdict
 	// answerStarted is true once the caller has received the start of an answer.
 	answerStarted bool
 	// waits counts the Wait effects of the request.
--- a/internal/priorityadmission/limits.go
+++ b/internal/priorityadmission/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"time"
 
@@ -70,6 +71,12 @@
 	return min(after, time.Duration(timeLeftFraction*float64(timeLeft)))
 }
 
+// String returns the limits that were applied, for the log.
+func (v Verdict) String() string {
+	return fmt.Sprintf("slots below %.2f, cache left %.2f, %.1f more urgent requests a second, starved %t, over its share %t",
+		v.Limits.SlotsBelow, v.Limits.CacheLeft, v.Limits.Urgent, v.Starved, v.OverShare)
+}
+
 // Figures are the counts of one priority of a service.
 type Figures struct {
 	Service  model.ServiceID
@@ -91,6 +98,7 @@
 	}
 	out := make([]Figures, 0, len(s.priorities))
 	for _, p := range s.priorities {
+		p.workspaces.update(now)
 		limits := s.limits(now, Request{VMs: vms, Capacity: capacity}, p, false)
 		out = append(out, Figures{
 			Service: id, Priority: p.priority, Admitted: p.admitted, Refused: p.denied,
