--- a/internal/director/admit.go
+++ b/internal/director/admit.go
@@ -190,11 +190,7 @@
 			c.FirstHopCost = math.Inf(1)
 		}
 	}
-	hops := s.findPath(r, candidates, func(c *candidate) bool { return c.usable && !c.full })
-	if hops == nil {
-		hops = s.findPath(r, candidates, func(c *candidate) bool { return (c.usable || c.target.reportedSinceFault(now)) && !c.full })
-	}
-	return hops
+	return s.findInRotation(now, r, candidates)
 }
 
 // admitTarget reports whether a request is admitted to the least loaded target of a plain
