Overflow to other zones before the home zone is late

Cause: a path in another zone costs 3 ms per decode step more, and the load of the home zone raises its cost only above 60% occupancy, so that requests overflow late and all at once, on loads that are up to 2 s old.

Change: VMs state the rate at which requests arrive for each service. Where the demand of a zone exceeds what its targets serve, a share of its requests, drawn by their random numbers, prefers another zone, in proportion to the capacity that is spare there. State older than 2 s does not count.

--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -49,6 +49,8 @@
 	// Relay is the address and the secret of the relay that the sender offers.
 	Relay    []string `json:"relay,omitempty"`
 	InFlight int      `json:"in_flight,omitempty"`
+	// Demand is the demand for services at the sender; absent when it is not known.
+	Demand *demand `json:"demand,omitempty"`
 	// Copies is the address and the secret of the sender's copies of the store's tables, and
 	// StoreFailing true when its own last call to the store failed.
 	Copies       []string `json:"copies,omitempty"`
@@ -190,7 +192,7 @@
 		Suspects: make(map[model.TargetID]suspicion, len(peerState.Suspects)),
 	}
 	message.Zone, message.Isolated, message.Unreachable, message.InFlight = peerState.Zone, peerState.Isolated, peerState.Unreachable, peerState.InFlight
-	message.StoreFailing = peerState.StoreFailing
+	message.StoreFailing, message.Demand = peerState.StoreFailing, encodeDemand(peerState.Demand)
 	if peerState.Copies.Address != "" {
 		message.Copies = []string{peerState.Copies.Address, peerState.Copies.Secret}
 	}
@@ -239,7 +241,7 @@
 	}
 	out.Zone, out.Isolated, out.Unreachable, out.InFlight = m.Zone, m.Isolated, m.Unreachable, m.InFlight
 	out.Age = time.Duration(m.AgeMs) * time.Millisecond
-	out.StoreFailing = m.StoreFailing
+	out.StoreFailing, out.Demand = m.StoreFailing, m.Demand.decode()
 	if len(m.Copies) == 2 {
 		out.Copies = membership.Endpoint{Address: m.Copies[0], Secret: m.Copies[1]}
 	}
--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -92,6 +92,7 @@
 		return []Effect{&Refuse{Status: http.StatusServiceUnavailable, RetryAfter: left, Reason: reasonCrashes, Detail: s.quarantineDetail(r)}}
 	}
 	s.requests[req.ID] = r
+	s.countDemand(now, r)
 	send, reason := s.send(now, r)
 	if send == nil {
 		delete(s.requests, req.ID)
@@ -240,6 +241,7 @@
 	r.hops, r.diverted, r.awaitingFirst, r.sentAt = hops, false, true, now
 	first := s.targets[hops[0].Target]
 	relay := s.relayFor(now, r, first)
+	s.countOverflow(now, r, first)
 	r.sends++
 	r.sentTo = first.incarnation()
 	s.adjustLoad(r, 1)
@@ -348,11 +350,11 @@
 }
 
 // leastLoadedTarget returns the target with the lowest load, with a penalty for
-// other zones. Targets that may have run the request come after all others, and
+// other zones than the preferred one. Targets that may have run the request come after all others, and
 // targets under suspicion last.
 func (s *State) leastLoadedTarget(now model.Instant, r *request) *target {
 	var best *target
-	bestScore := 0.0
+	bestScore, preferred := 0.0, s.preferredZone(now, r)
 	for _, t := range s.byService[r.service.ID] {
 		if !t.serving(now) || !s.mayStartOn(now, t) {
 			continue
@@ -363,7 +365,7 @@
 		}
 		load := s.load(now, t)
 		score := float64(load.Requests) / float64(max(t.Slots, 1))
-		if t.Zone != s.settings.Zone {
+		if t.Zone != preferred {
 			score += remoteZonePenalty
 		}
 		if unreached {
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -33,6 +33,7 @@
 	}
 	var effects []Effect
 	if e.Delivered && !e.Failure {
+		s.recordStay(now, r)
 		effects = s.clearAnswered(now, r)
 	}
 	if e.Delivered {
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -256,6 +256,9 @@
 	// connections there.
 	Relay    Relay
 	InFlight int
+	// Demand is the rate at which requests for each service arrive at the VM, in requests per
+	// second; nil when it is not known.
+	Demand map[model.ServiceID]float64
 }
 
 // Suspicion is a VM's suspicion that a target is faulty.
--- a/internal/director/path.go
+++ b/internal/director/path.go
@@ -70,20 +70,23 @@
 // why there is none.
 func (s *State) choosePath(now model.Instant, r *request) ([]fleet.Hop, string) {
 	candidates := s.candidates(now, r)
-	hops := s.findPath(r, candidates, func(c *candidate) bool { return c.usable && !c.full })
+	hops := s.findPath(now, r, candidates, func(c *candidate) bool { return c.usable && !c.full })
 	if hops == nil {
-		hops = s.findPath(r, candidates, func(c *candidate) bool { return (c.usable || c.target.reportedSinceFault(now)) && !c.full })
+		hops = s.findPath(now, r, candidates, func(c *candidate) bool { return (c.usable || c.target.reportedSinceFault(now)) && !c.full })
 	}
 	if hops == nil && r.sends > 0 {
 		// The request was admitted before; a full path is better than none.
-		hops = s.findPath(r, candidates, func(c *candidate) bool { return c.usable || c.target.reportedSinceFault(now) })
+		hops = s.findPath(now, r, candidates, func(c *candidate) bool { return c.usable || c.target.reportedSinceFault(now) })
 	}
 	if hops == nil {
 		return nil, s.noPathReason(now, r, candidates)
 	}
 	r.predicted = s.timeToFirstEvent(now, r, hops)
+	s.recordQueue(now, r, hops)
 	if r.sends == 0 && !r.predicted.inTime(r.route.LatencyGoal) {
-		return nil, reasonPromptBacklog
+		if hops = s.otherZonePath(now, r, candidates); hops == nil {
+			return nil, reasonPromptBacklog
+		}
 	}
 	return hops, ""
 }
@@ -126,14 +129,14 @@
 
 // findPath returns the cheapest path over the candidates that admit accepts, nil
 // without one.
-func (s *State) findPath(r *request, candidates []candidate, admit func(*candidate) bool) []fleet.Hop {
+func (s *State) findPath(now model.Instant, r *request, candidates []candidate, admit func(*candidate) bool) []fleet.Hop {
 	holders := make([]paths.Holder, 0, len(candidates))
 	for i := range candidates {
 		if admit(&candidates[i]) {
 			holders = append(holders, candidates[i].Holder)
 		}
 	}
-	hops, _, ok := paths.Find(holders, r.service.Engine.Layers, s.settings.Zone, pathCosts)
+	hops, _, ok := paths.Find(holders, r.service.Engine.Layers, s.preferredZone(now, r), pathCosts)
 	if !ok {
 		return nil
 	}
@@ -150,7 +153,7 @@
 		unreached = unreached || candidates[i].unreached && candidates[i].usable
 		limited = limited || candidates[i].limited && candidates[i].usable && candidates[i].target.Held.First == 0
 	}
-	if s.findPath(r, candidates, func(c *candidate) bool { return c.usable }) != nil {
+	if s.findPath(now, r, candidates, func(c *candidate) bool { return c.usable }) != nil {
 		switch {
 		case limited:
 			return cmp.Or(s.notTakenReason(now, r.service.ID), reasonLimited)
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -109,7 +109,8 @@
 	// fail to reach.
 	unreachedByPeers int
 	// relayed counts the connections that this VM relays for others.
-	relayed int
+	relayed  int
+	overflow overflow
 }
 
 // request is a client attempt in flight.
@@ -187,7 +188,7 @@
 		effects = append(s.budgetChanges, effects...)
 		s.budgetChanges = nil
 	}
-	return effects
+	return s.takeOverflowChanges(effects)
 }
 
 func (s *State) apply(now model.Instant, e Event) []Effect {
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -85,6 +85,8 @@
 	// requests that this VM sends through it.
 	relayFailedAt   model.Instant
 	relayedFromHere int
+	// demand is the demand for each service there, in requests per second; nil when unknown.
+	demand map[model.ServiceID]float64
 }
 
 // updatePeer replaces what is known of another VM by its last message.
@@ -95,7 +97,7 @@
 		s.peers[e.VM] = p
 	}
 	p.receivedAt, p.zone, p.isolated, p.relay, p.inFlight = now.Add(-e.Age), e.Zone, e.Isolated, e.Relay, e.InFlight
-	p.relay.VM = e.VM
+	p.relay.VM, p.demand = e.VM, e.Demand
 	s.unreachedByPeers -= len(p.unreachable)
 	p.unreachable = make(map[model.TargetID]bool, len(e.Unreachable))
 	for _, id := range e.Unreachable {
@@ -449,7 +451,7 @@
 		VM: s.settings.VM, Zone: s.settings.Zone, Process: s.settings.Process, Uptime: now.Sub(s.startedAt), Loads: map[model.TargetID]Load{}, Suspects: map[model.TargetID]Suspicion{},
 		Paces: map[model.TargetID]float64{}, Crashes: s.recentCrashes(now), Quarantines: s.quarantines(now),
 		LostAnswers: s.sentLostAnswers(now), Answers: s.sentAnswers(now), Limits: s.sentLimits(now), Backoffs: s.sentBackoffs(now), Leaving: s.sentLeaving(),
-		Isolated: s.Isolated(), Unreachable: s.sentUnreachable(), Signs: s.sentSigns(now), Relay: s.offered(), InFlight: len(s.requests) + s.relayed,
+		Isolated: s.Isolated(), Unreachable: s.sentUnreachable(), Signs: s.sentSigns(now), Relay: s.offered(), InFlight: len(s.requests) + s.relayed, Demand: s.sentDemand(now),
 	}
 	if s.config != nil {
 		out.Config = s.config.Version
