--- a/internal/director/overflow_simulation_test.go
+++ b/internal/director/overflow_simulation_test.go
@@ -31,6 +31,8 @@
 	// digestInterval is the interval of the digests, and digestDelay the age of one when it is
 	// applied; both 0 for the usual 400 ms without delay.
 	digestInterval, digestDelay time.Duration
+	// messageInterval is the interval of messages within a zone; 0 for the usual 200 ms.
+	messageInterval time.Duration
 	// cutFrom is when digests end; 0 for never.
 	cutFrom time.Duration
 	// earlier has VMs state no demand, as earlier builds do.
@@ -86,6 +88,9 @@
 		overflowScenario: scenario, random: rand.New(rand.NewPCG(scenario.seed, 9)), now: model.Instant(time.Hour),
 		targets: map[model.TargetID]*overflowTarget{}, due: map[int][]func(){},
 	}
+	if o.messageInterval == 0 {
+		o.messageInterval = 200 * time.Millisecond
+	}
 	if o.digestInterval == 0 {
 		o.digestInterval = 400 * time.Millisecond
 	}
@@ -150,7 +155,7 @@
 // each zone digests to the others.
 func (o *overflowSimulation) exchange() {
 	for i, from := range o.fronts {
-		if (o.elapsed+time.Duration(i)*simulationStep)%(200*time.Millisecond) == 0 {
+		if (o.elapsed+time.Duration(i*29)*simulationStep)%o.messageInterval == 0 {
 			state := o.stateOf(from)
 			for _, to := range o.fronts {
 				if to != from && to.zone == from.zone {
