--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -92,7 +92,6 @@
 		return []Effect{&Refuse{Status: http.StatusServiceUnavailable, RetryAfter: left, Reason: reasonCrashes, Detail: s.quarantineDetail(r)}}
 	}
 	s.requests[req.ID] = r
-	s.countDemand(now, r)
 	send, reason := s.send(now, r)
 	if send == nil {
 		delete(s.requests, req.ID)
@@ -234,6 +233,7 @@
 // send chooses the path of the next send of a request, or returns the reason
 // why there is none.
 func (s *State) send(now model.Instant, r *request) (*Send, string) {
+	s.countDemand(now, r)
 	hops, reason := s.choose(now, r)
 	if hops == nil {
 		return nil, reason
--- a/internal/director/overflow.go
+++ b/internal/director/overflow.go
@@ -61,9 +61,11 @@
 	return o
 }
 
-// countDemand counts a request that has arrived for a service.
+// countDemand counts a request that has arrived for a service, before its first send.
 func (s *State) countDemand(now model.Instant, r *request) {
-	s.overflowOf(r.service.ID).demand.Count(now)
+	if r.sends == 0 {
+		s.overflowOf(r.service.ID).demand.Count(now)
+	}
 }
 
 // recordStay records the time for which a request stayed at its targets.
