--- a/internal/controller/digest_test.go
+++ b/internal/controller/digest_test.go
@@ -19,7 +19,7 @@
 	digest := zonedigest.Digest{
 		Zone: "b", Sender: "vm-1", Loads: loadview.Loads{"t": {Requests: 3, TokenLayers: 1e5, Waiting: 2, First: 1}},
 		Members: []zonedigest.Member{
-			{State: director.PeerState{VM: "vm-1", Zone: "b", Process: 7, Uptime: time.Hour, Isolated: true, Suspects: map[model.TargetID]director.Suspicion{"s": {Remaining: time.Second}}}},
+			{State: director.PeerState{VM: "vm-1", Zone: "b", Process: 7, Uptime: time.Hour, Isolated: true, Demand: map[model.ServiceID]float64{"llm": 12.5}, Suspects: map[model.TargetID]director.Suspicion{"s": {Remaining: time.Second}}}},
 			{State: director.PeerState{VM: "vm-2", Zone: "b", Relay: director.Relay{VM: "vm-2", Address: "10.1.0.40:7340", Secret: "8f3a"}, Suspects: map[model.TargetID]director.Suspicion{}}, Age: 150 * time.Millisecond},
 		},
 	}
@@ -93,7 +93,7 @@
 		c := zonedigest.NewCollector()
 		var own director.PeerState
 		for i := range 34 {
-			own = director.PeerState{VM: model.NodeID(jsonName("front-zone", i)), Zone: "b", Loads: map[model.TargetID]director.Load{}, Suspects: map[model.TargetID]director.Suspicion{}, Signs: map[model.TargetID]director.Sign{}}
+			own = director.PeerState{VM: model.NodeID(jsonName("front-zone", i)), Zone: "b", Demand: map[model.ServiceID]float64{"llm": 12.34, "orders": 101.25}, Loads: map[model.TargetID]director.Load{}, Suspects: map[model.TargetID]director.Suspicion{}, Signs: map[model.TargetID]director.Sign{}}
 			for k := range 1000 {
 				own.Loads[model.TargetID(jsonName("i", k*7919))] = director.Load{Requests: 1 + (k*i)%120, TokenLayers: float64(k * 7919 % 1e6), First: k % 7}
 			}
--- a/internal/controller/message_test.go
+++ b/internal/controller/message_test.go
@@ -38,6 +38,7 @@
 			Copies:       membership.Endpoint{Address: "10.1.0.40:7341", Secret: "9e2c"},
 			Backoffs:     []director.Backoff{{VM: "vm-2", Target: "t11", Born: 1796374390000, Remaining: 2500 * time.Millisecond}},
 			Leaving:      map[model.TargetID]int64{"t12": 1796374390000},
+			Demand:       map[model.ServiceID]float64{"llm": 55.25, "orders": 0.01},
 		}
 		text, err := json.Marshal(encodePeerState(peerState))
 		Expect(err).NotTo(HaveOccurred())
@@ -46,6 +47,29 @@
 		Expect(message.received()).To(Equal(peerState))
 	})
 
+	// Guards against zones that send requests to each other because of a demand that no VM has,
+	// and against an idle VM that is taken for one of an earlier build.
+	DescribeTable("reads a demand that is in range, and tells none from an unknown one",
+		func(field string, want map[model.ServiceID]float64) {
+			var message peerMessage
+			Expect(json.Unmarshal([]byte(`{"vm":"vm-1"`+field+`}`), &message)).To(Succeed())
+			Expect(message.received().Demand).To(Equal(want))
+		},
+		Entry("absent", ``, nil),
+		Entry("null", `,"demand":null`, nil),
+		Entry("none", `,"demand":{}`, map[model.ServiceID]float64{}),
+		Entry("some", `,"demand":{"llm":150}`, map[model.ServiceID]float64{"llm": 1.5}),
+		Entry("negative", `,"demand":{"llm":150,"orders":-1}`, nil),
+		Entry("too large", `,"demand":{"llm":100000001}`, nil),
+		Entry("of no service", `,"demand":{"":1}`, nil),
+	)
+
+	It("states the demand of a VM that has none", func() {
+		text, err := json.Marshal(encodePeerState(director.PeerState{VM: "vm-1", Demand: map[model.ServiceID]float64{}}))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(ContainSubstring(`"demand":{}`))
+	})
+
 	// Pattern: a VM has requests on every target of a large zone.
 	It("fits into a datagram with load on a thousand targets, many of which are not reached", func() {
 		peerState := director.PeerState{VM: "front-zone-a-12", Loads: map[model.TargetID]director.Load{}, Signs: map[model.TargetID]director.Sign{}}
--- a/internal/frontdaemon/retries_test.go
+++ b/internal/frontdaemon/retries_test.go
@@ -46,3 +46,18 @@
 		Expect(total).To(Equal(2 + 1 + 7 + 3 + 10 + 4.5 + 2))
 	})
 })
+
+var _ = Describe("the metrics of the overflow", func() {
+	It("have a series for each service and zone", func() {
+		registry := prometheus.NewPedanticRegistry()
+		registry.MustRegister(&overflowCollector{read: func() []director.Overflow {
+			return []director.Overflow{{Service: "llm", Zone: "a", Demand: 60, Capacity: 50}, {Service: "llm", Zone: "b", Share: 0.25, Sent: 7}}
+		}})
+		families, err := registry.Gather()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(families).To(HaveLen(4))
+		for _, family := range families {
+			Expect(family.GetMetric()).To(HaveLen(2), family.GetName())
+		}
+	})
+})
