--- a/internal/controller/message_test.go
+++ b/internal/controller/message_test.go
@@ -44,6 +44,7 @@
 				Good:      map[outlier.Group][2]int{{Service: "s"}: {3, 4}, {Service: "s", Later: true}: {0, 6}},
 				Ejections: []outlier.Ejection{{Target: outlier.Target{ID: "t14", StartedMs: 1796374390000}, Level: 3, Remaining: time.Second, Age: 600 * time.Millisecond}},
 			},
+			Demand: map[model.ServiceID]float64{"llm": 55.25, "orders": 0.01},
 		}
 		text, err := json.Marshal(encodePeerState(peerState))
 		Expect(err).NotTo(HaveOccurred())
@@ -52,6 +53,29 @@
 		Expect(message.received()).To(Equal(peerState))
 	})
 
+	// Guards against zones that send requests to each other because of a demand that no VM has,
+	// and against an idle VM that is taken for one of an earlier build.
+	DescribeTable("reads a demand that is in range, and tells none from an unknown one",
+		func(field string, want map[model.ServiceID]float64) {
+			var message peerMessage
+			Expect(json.Unmarshal([]byte(`{"vm":"vm-1"`+field+`}`), &message)).To(Succeed())
+			Expect(message.received().Demand).To(Equal(want))
+		},
+		Entry("absent", ``, nil),
+		Entry("null", `,"demand":null`, nil),
+		Entry("none", `,"demand":{}`, map[model.ServiceID]float64{}),
+		Entry("some", `,"demand":{"llm":150}`, map[model.ServiceID]float64{"llm": 1.5}),
+		Entry("negative", `,"demand":{"llm":150,"orders":-1}`, nil),
+		Entry("too large", `,"demand":{"llm":100000001}`, nil),
+		Entry("of no service", `,"demand":{"":1}`, nil),
+	)
+
+	It("states the demand of a VM that has none", func() {
+		text, err := json.Marshal(encodePeerState(director.PeerState{VM: "vm-1", Demand: map[model.ServiceID]float64{}}))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(ContainSubstring(`"demand":{}`))
+	})
+
 	// Pattern: a VM has requests on every target of a large zone.
 	It("fits into a datagram with load on a thousand targets, many of which are not reached", func() {
 		peerState := director.PeerState{VM: "front-zone-a-12", Loads: map[model.TargetID]director.Load{}, Signs: map[model.TargetID]director.Sign{}}
--- a/internal/director/admit_export_test.go
+++ b/internal/director/admit_export_test.go
@@ -34,9 +34,9 @@
 		return []fleet.Hop{{Target: t.ID, Address: t.Address}}, ""
 	}
 	candidates := s.candidates(now, r)
-	hops := s.findPath(r, candidates, func(c *candidate) bool { return c.usable && !c.full })
+	hops := s.findPath(now, r, candidates, func(c *candidate) bool { return c.usable && !c.full })
 	if hops == nil {
-		hops = s.findPath(r, candidates, func(c *candidate) bool { return (c.usable || c.target.reportedSinceFault(now)) && !c.full })
+		hops = s.findPath(now, r, candidates, func(c *candidate) bool { return (c.usable || c.target.reportedSinceFault(now)) && !c.full })
 	}
 	if hops == nil {
 		return nil, s.noPathReason(now, r, candidates)
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -263,6 +263,9 @@
 	InFlight int
 	// Outliers are the VM's results of targets that answer with errors.
 	Outliers outlier.Observations
+	// Demand is the rate at which requests for each service arrive at the VM, in requests per
+	// second; nil when it is not known.
+	Demand map[model.ServiceID]float64
 }
 
 // Suspicion is a VM's suspicion that a target is faulty.
--- a/internal/director/outliers.go
+++ b/internal/director/outliers.go
@@ -194,19 +194,19 @@
 		}
 	}
 	hops := s.findWithCapacity(now, r, inRotation)
-	if hops != nil || len(inRotation) == len(candidates) || s.onlyFull(r, inRotation) {
+	if hops != nil || len(inRotation) == len(candidates) || s.onlyFull(now, r, inRotation) {
 		return hops
 	}
 	return s.findWithCapacity(now, r, candidates)
 }
 
 // onlyFull reports whether the candidates would serve a request if they had capacity.
-func (s *State) onlyFull(r *request, candidates []candidate) bool {
+func (s *State) onlyFull(now model.Instant, r *request, candidates []candidate) bool {
 	free := slices.Clone(candidates)
 	for i := range free {
 		free[i].FirstHopCost = 0
 	}
-	return s.findPath(r, free, func(c *candidate) bool { return c.usable && !c.unreached }) != nil
+	return s.findPath(now, r, free, func(c *candidate) bool { return c.usable && !c.unreached }) != nil
 }
 
 // retryFutile reports whether the next send of a request would pass through a target that
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -117,6 +117,7 @@
 	relayed int
 	// outliers are the targets that answer with errors more often than the others.
 	outliers *outlier.Tracker
+	overflow overflow
 }
 
 // request is a client attempt in flight.
@@ -202,7 +203,7 @@
 		effects = append(s.budgetChanges, effects...)
 		s.budgetChanges = nil
 	}
-	return effects
+	return s.takeOverflowChanges(effects)
 }
 
 func (s *State) apply(now model.Instant, e Event) []Effect {
