tamarackctl route: a dry run of a decision

The VM answers on its status listener where a request would be routed now, by the functions that decide for requests; nothing is sent or counted.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -64,6 +64,7 @@
 		{"losses", "count by cause, zone and time how requests ended: losses -log FILES", lossesFlags},
 		{"explain", "show how a request was routed: explain REQUEST, or explain -log FILES REQUEST once it has ended", explainFlags},
 		{"placement", "show which target of tamarack-front holds which layers, and the holes: placement -status ADDRESS", vmStatusFlags(printPlacement)},
+		{"route", "show where an entry VM would route a request now, and why: route -status ADDRESS -host HOST -path PATH", routeFlags},
 		{"check", "check files of tamarack-front: check -settings FILE -deploy FILE", checkFlags},
 		{"keys", "make a test CA and node keys: keys -dir DIR NODE...", keysFlags},
 	}
@@ -137,6 +138,9 @@
 	if errors.Is(err, errUsage) {
 		return ExitUsage
 	}
+	if errors.Is(err, errRefused) {
+		return ExitRefused
+	}
 	f, ok := rpc.FaultOf(err)
 	switch {
 	case ok && f.Kind.String() == "FAULT_KIND_IN_DOUBT":
--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -91,6 +91,10 @@
 	if left := s.quarantineLeft(now, r); left > 0 {
 		return []Effect{&Refuse{Status: http.StatusServiceUnavailable, RetryAfter: left, Reason: reasonCrashes, Detail: s.quarantineDetail(r)}}
 	}
+	if e.inspect != nil {
+		e.inspect(r)
+		return nil
+	}
 	s.requests[req.ID] = r
 	send, reason := s.send(now, r)
 	if send == nil {
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -63,6 +63,8 @@
 	// Random is uniform in [0,1); it chooses between split services and jitters
 	// Refuse.RetryAfter.
 	Random float64
+	// inspect receives the request in a dry run, in place of a path for it; nil otherwise.
+	inspect func(*request)
 }
 
 // Outcome is how a send to a target ended.
--- a/internal/frontdaemon/daemon.go
+++ b/internal/frontdaemon/daemon.go
@@ -126,6 +126,7 @@
 		mux := http.NewServeMux()
 		mux.Handle("/", d.metrics.Handler())
 		mux.HandleFunc("GET "+StatusPath, d.status)
+		mux.HandleFunc("POST "+RoutePath, d.dryRun)
 		if err := d.serve(ctx, &http.Server{Handler: mux, ReadHeaderTimeout: headerReadTimeout}, d.options.MetricsAddress); err != nil {
 			return err
 		}
