--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -99,20 +99,25 @@
 	send, reason := s.send(now, r)
 	if send == nil {
 		delete(s.requests, req.ID)
-		refusal := &Refuse{Status: http.StatusServiceUnavailable, RetryAfter: jitter(s.retryAfter(now, r, reason), e.Random), Reason: reason}
-		switch reason {
-		case reasonMissingLayer, reasonNoTarget, reasonUnreached:
-			refusal.Detail = s.unusableDetail(now, r.service.ID)
-		case reasonPromptBacklog:
-			refusal.Detail = "first event predicted after " + r.predicted.Prefill.String() + ", plus " + r.predicted.Queue.String() + " of queued prompts"
-		}
-		return []Effect{refusal}
+		return []Effect{s.refuseFirst(now, r, reason, e.Random)}
 	}
 	s.budget.CountFirstAttempt(now, r.service.ID)
 	s.checkBudgetRestored(now, r.service.ID)
 	return append(s.startTrial(now, r), send)
 }
 
+// refuseFirst answers a request for which there is no path at its arrival.
+func (s *State) refuseFirst(now model.Instant, r *request, reason string, random float64) *Refuse {
+	refusal := &Refuse{Status: http.StatusServiceUnavailable, RetryAfter: jitter(s.retryAfter(now, r, reason), random), Reason: reason}
+	switch reason {
+	case reasonMissingLayer, reasonNoTarget, reasonUnreached:
+		refusal.Detail = s.unusableDetail(now, r.service.ID)
+	case reasonPromptBacklog:
+		refusal.Detail = "first event predicted after " + r.predicted.Prefill.String() + ", plus " + r.predicted.Queue.String() + " of queued prompts"
+	}
+	return refusal
+}
+
 // mayOutliveProcess reports whether a request that arrives now may still be
 // running when the process ends.
 func (s *State) mayOutliveProcess(now model.Instant, route *fleet.Route) bool {
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -144,7 +144,7 @@
 		return s.failRequest(now, r, e, http.StatusBadGateway, reasonCrashes) // quarantined while it waited
 	}
 	reason := "the retry budget is spent"
-	if s.retryFutile(now, r) {
+	if !r.retryReserved && s.retryFutile(now, r) {
 		reason = reasonFailing
 	} else if r.retryReserved || s.reserveRetry(now, r, e.Outcome) {
 		var send *Send
--- a/internal/director/dryrun.go
+++ b/internal/director/dryrun.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"net/http"
 
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
@@ -126,10 +125,7 @@
 	out := DryRunService{Service: r.service.ID, Candidates: s.dryRunCandidates(now, r)}
 	hops, reason := s.chooseUnchanged(now, r)
 	if hops == nil {
-		out.Refusal = dryRunRefusal(&Refuse{
-			Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: jitter(s.retryAfter(now, r, reason), noJitter),
-			Detail: s.unusableDetail(now, r.service.ID),
-		})
+		out.Refusal = dryRunRefusal(s.refuseFirst(now, r, reason, noJitter))
 		return out
 	}
 	out.Admitted = true
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -23,10 +23,10 @@
 	return outlier.Target{ID: model.TargetID(fmt.Sprint("t", i)), StartedMs: 1}
 }
 
-func tracker(vm model.NodeID, targets int) *outlier.Tracker {
+func tracker(vm model.NodeID) *outlier.Tracker {
 	t := outlier.New(vm)
 	var members []outlier.Member
-	for i := range targets {
+	for i := range 4 {
 		members = append(members, outlier.Member{Target: targetOf(i), Capacity: 6})
 	}
 	t.SetTargets(map[model.ServiceID][]outlier.Member{"s": members})
@@ -39,25 +39,26 @@
 	}
 }
 
-func standing(t *outlier.Tracker, now model.Instant, target int) outlier.Standing {
-	return t.Standing(now, targetOf(target), true)
+// standing is that of the target that fails.
+func standing(t *outlier.Tracker, now model.Instant) outlier.Standing {
+	return t.Standing(now, targetOf(0), true)
 }
 
 var _ = Describe("a target that answers with errors", func() {
 	It("is not ejected for two errors of two results, nor without good results of others", func() {
-		t := tracker("vm-1", 4)
+		t := tracker("vm-1")
 		for i := 1; i < 4; i++ {
 			record(t, start, i, 20, true)
 		}
 		record(t, start, 0, 2, false)
-		Expect(standing(t, start, 0)).To(Equal(outlier.InRotation))
-		alone := tracker("vm-1", 4)
+		Expect(standing(t, start)).To(Equal(outlier.InRotation))
+		alone := tracker("vm-1")
 		record(alone, start, 0, 5, false)
-		Expect(standing(alone, start, 0)).To(Equal(outlier.InRotation))
+		Expect(standing(alone, start)).To(Equal(outlier.InRotation))
 	})
 
 	It("is ejected for twice as long each time, until two trials in a row succeed", func() {
-		t := tracker("vm-1", 4)
+		t := tracker("vm-1")
 		for i := 1; i < 4; i++ {
 			record(t, start, i, 20, true)
 		}
@@ -65,35 +66,35 @@
 		now, first := start, time.Duration(0)
 		for range 2 {
 			ejectedAt := now
-			Expect(standing(t, now, 0)).To(Equal(outlier.Ejected))
-			for standing(t, now, 0) == outlier.Ejected {
+			Expect(standing(t, now)).To(Equal(outlier.Ejected))
+			for standing(t, now) == outlier.Ejected {
 				now = now.Add(10 * time.Millisecond)
 			}
 			Expect(now.Sub(ejectedAt)).To(BeNumerically(">=", max(400*time.Millisecond, 2*first)))
 			first = 400 * time.Millisecond
 			t.BeginTrial(now, targetOf(0))
-			Expect(standing(t, now, 0)).To(Equal(outlier.Ejected), "one trial at a time")
+			Expect(standing(t, now)).To(Equal(outlier.Ejected), "one trial at a time")
 			record(t, now, 0, 1, false)
 		}
-		for standing(t, now, 0) == outlier.Ejected {
+		for standing(t, now) == outlier.Ejected {
 			now = now.Add(10 * time.Millisecond)
 		}
 		record(t, now, 0, 1, true)
-		Expect(standing(t, now, 0)).To(Equal(outlier.TrialDue))
+		Expect(standing(t, now)).To(Equal(outlier.TrialDue))
 		record(t, now, 0, 1, true)
-		Expect(standing(t, now, 0)).To(Equal(outlier.InRotation))
+		Expect(standing(t, now)).To(Equal(outlier.InRotation))
 		record(t, now, 0, 2, false)
-		Expect(standing(t, now, 0)).To(Equal(outlier.InRotation), "errors before the return do not count")
+		Expect(standing(t, now)).To(Equal(outlier.InRotation), "errors before the return do not count")
 	})
 
 	It("is judged by the results of all VMs, and a row that is not stated again expires", func() {
-		vms := []*outlier.Tracker{tracker("vm-1", 4), tracker("vm-2", 4), tracker("vm-3", 4)}
+		vms := []*outlier.Tracker{tracker("vm-1"), tracker("vm-2"), tracker("vm-3")}
 		for _, t := range vms {
 			for i := 1; i < 4; i++ {
 				record(t, start, i, 5, true)
 			}
 			record(t, start, 0, 2, false)
-			Expect(standing(t, start, 0)).To(Equal(outlier.InRotation))
+			Expect(standing(t, start)).To(Equal(outlier.InRotation))
 		}
 		vms[0].Adopt(start, "vm-2", vms[1].Observations(start))
 		expired := start.Add(2500 * time.Millisecond)
@@ -101,12 +102,12 @@
 		Expect(vms[0].RecentErrorRate(expired, targetOf(0))).To(BeZero())
 		vms[2].Adopt(start, "vm-1", vms[0].Observations(start))
 		vms[2].Adopt(start, "vm-2", vms[1].Observations(start))
-		Expect(standing(vms[2], start, 0)).To(Equal(outlier.Ejected))
+		Expect(standing(vms[2], start)).To(Equal(outlier.Ejected))
 	})
 
 	// Guards against VMs that keep an ejection alive by passing it on to each other.
 	It("is not stated by a VM that adopted its ejection, nor adopted after a good response", func() {
-		t, other := tracker("vm-1", 4), tracker("vm-2", 4)
+		t, other := tracker("vm-1"), tracker("vm-2")
 		for i := 1; i < 4; i++ {
 			record(t, start, i, 20, true)
 		}
@@ -115,16 +116,16 @@
 		Expect(stated.Ejections).To(HaveLen(1))
 		later := start.Add(100 * time.Millisecond)
 		other.Adopt(later, "vm-1", stated.Delayed(100*time.Millisecond))
-		Expect(standing(other, later, 0)).To(Equal(outlier.Ejected))
+		Expect(standing(other, later)).To(Equal(outlier.Ejected))
 		Expect(other.Observations(later).Ejections).To(BeEmpty())
-		third := tracker("vm-3", 4)
+		third := tracker("vm-3")
 		record(third, start.Add(50*time.Millisecond), 0, 1, true)
 		third.Adopt(later, "vm-1", stated.Delayed(100*time.Millisecond))
-		Expect(standing(third, later, 0)).To(Equal(outlier.InRotation))
+		Expect(standing(third, later)).To(Equal(outlier.InRotation))
 	})
 
 	It("is unknown in another incarnation", func() {
-		t := tracker("vm-1", 4)
+		t := tracker("vm-1")
 		for i := 1; i < 4; i++ {
 			record(t, start, i, 20, true)
 		}
@@ -137,7 +138,7 @@
 	})
 
 	It("is not judged by impossible figures of another VM", func() {
-		t := tracker("vm-1", 4)
+		t := tracker("vm-1")
 		for i := 1; i < 4; i++ {
 			record(t, start, i, 20, true)
 		}
