--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -92,20 +92,24 @@
 	if left := s.quarantineLeft(now, r); left > 0 {
 		return []Effect{&Refuse{Status: http.StatusServiceUnavailable, RetryAfter: left, Reason: reasonCrashes, Detail: s.quarantineDetail(r)}}
 	}
+	if e.inspect != nil {
+		e.inspect(r)
+		return nil
+	}
 	s.requests[req.ID] = r
 	send, reason := s.admit(now, r)
 	if send == nil {
 		delete(s.requests, req.ID)
-		return []Effect{s.refusal(now, r, reason)}
+		return []Effect{s.refuseFirst(now, r, reason, e.Random)}
 	}
 	s.budget.CountFirstAttempt(now, r.service.ID)
 	s.checkBudgetRestored(now, r.service.ID)
 	return append(s.startTrial(now, r), send)
 }
 
-// refusal answers a request that arrived and is not sent.
-func (s *State) refusal(now model.Instant, r *request, reason string) *Refuse {
-	refusal := &Refuse{Status: http.StatusServiceUnavailable, RetryAfter: jitter(s.retryAfter(now, r, reason), r.random), Reason: reason}
+// refuseFirst answers a request that arrived and is not sent.
+func (s *State) refuseFirst(now model.Instant, r *request, reason string, random float64) *Refuse {
+	refusal := &Refuse{Status: http.StatusServiceUnavailable, RetryAfter: jitter(s.retryAfter(now, r, reason), random), Reason: reason}
 	switch reason {
 	case reasonMissingLayer, reasonNoTarget, reasonUnreached:
 		refusal.Detail = s.unusableDetail(now, r.service.ID)
