--- a/internal/director/overflow.go
+++ b/internal/director/overflow.go
@@ -163,6 +163,10 @@
 	if stay <= 0 {
 		return nil
 	}
+	demands := s.zoneDemands(now, service.ID)
+	if len(demands) < 2 {
+		return nil
+	}
 	capacities := s.zoneCapacities(now, service)
 	if capacities[s.settings.Zone] == nil {
 		capacities[s.settings.Zone] = &zoneCapacity{}
@@ -170,12 +174,11 @@
 	if len(capacities) < 2 {
 		return nil
 	}
-	demands := s.zoneDemands(now, service.ID)
 	var out []zoneoverflow.ZoneState
 	for _, zone := range slices.Sorted(maps.Keys(capacities)) {
 		d, c := demands[zone], capacities[zone]
 		if d == nil || d.reporting == 0 {
-			continue // no VM there, or the VMs of an earlier build, which state no demand
+			continue // no VM there, or VMs of an earlier build, which state no demand
 		}
 		rate, used := c.perSecond(stay)
 		if zone == s.settings.Zone && now.Sub(o.queueAt) < firstEventExpiry {
--- a/internal/frontdaemon/overflow.go
+++ b/internal/frontdaemon/overflow.go
@@ -17,6 +17,14 @@
 		"Requests of this VM that were sent to another zone because of that share.", []string{"service", "zone"}, nil)
 )
 
+// registerOverflowMetrics registers what the VM sends to other zones, and why.
+func (d *Daemon) registerOverflowMetrics() {
+	d.metrics.Register(&overflowCollector{read: func() (overflows []director.Overflow) {
+		d.reducer.Read(func(s *director.State) { overflows = s.Overflows() })
+		return overflows
+	}})
+}
+
 // overflowCollector collects the overflow to other zones at scrape time.
 type overflowCollector struct {
 	read func() []director.Overflow
--- a/internal/frontdaemon/status.go
+++ b/internal/frontdaemon/status.go
@@ -152,10 +152,7 @@
 		d.reducer.Read(func(s *director.State) { budgets = s.RetryBudgets(bootclock.Now()) })
 		return budgets
 	}})
-	m.Register(&overflowCollector{read: func() (overflows []director.Overflow) {
-		d.reducer.Read(func(s *director.State) { overflows = s.Overflows() })
-		return overflows
-	}})
+	d.registerOverflowMetrics()
 	if d.options.DroppedLines != nil {
 		m.Counter("tamarack_log_lines_dropped_total", "Log lines dropped to bound their volume.",
 			func() float64 { return float64(d.options.DroppedLines()) })
