Bound what clients can make an entry VM hold

Nothing bounded the bodies, heads and connections of clients: 25 bodies of the largest legal size took a process over its memory.

An account, whose size follows memory-mb, is charged before a body is read; the head decides first. Bodies have the deadline of their request, and a stalled one is cancelled where another needs its place. Connections have a bound from max-fds and memory-mb; at the bound a stalled or idle one is closed. Heads are charged by bytes and lines while they are read. Go's memory limit is set from memory-mb.

--- a/cmd/tamarack-front/main.go
+++ b/cmd/tamarack-front/main.go
@@ -36,6 +36,7 @@
 		fmt.Println("settings are valid")
 		return
 	}
+	frontdaemon.LimitMemory(settings)
 	telemetry.SetUpLogs("tamarack-front", string(settings.VM))
 	sink := logsink.New(os.Stdout)
 	logrus.SetOutput(sink)
--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -56,34 +56,11 @@
 
 func (s *State) requestArrived(now model.Instant, e RequestArrived) []Effect {
 	req := e.Request
-	if s.config == nil {
-		return refuse(http.StatusServiceUnavailable, jitter(unconfirmedRetryAfter, e.Random), "no configuration is known yet")
-	}
-	if s.requests[req.ID] != nil {
-		return refuse(http.StatusBadRequest, 0, "the id belongs to a request that is being served")
-	}
-	route := s.route(req.Host, req.Path)
-	if route == nil {
-		if s.stale(now) {
-			return refuse(http.StatusServiceUnavailable, jitter(unconfirmedRetryAfter, e.Random), "no route, and the configuration is not confirmed")
-		}
-		return refuse(http.StatusNotFound, 0, "no route matches host and path in configuration "+version(s.config.Version))
-	}
-	if s.mayOutliveProcess(now, route) {
-		return refuse(http.StatusServiceUnavailable, jitter(stoppingRetryAfter, e.Random), "the VM is stopping; the request would be cut")
-	}
-	workspace, denial := s.authorize(now, route, req, e.Random)
-	if denial != nil {
-		return []Effect{denial}
-	}
-	arrivedAt := now
-	if e.At != 0 {
-		arrivedAt = e.At
-	}
-	r := &request{Request: req, route: route, workspace: workspace, random: e.Random, expiresAt: arrivedAt.Add(timeoutFor(req, route))}
-	if r.expiresAt <= now {
-		return refuse(http.StatusRequestTimeout, 0, "the time of the request ended before its body was read")
+	route, workspace, refusal := s.checkHead(now, e)
+	if refusal != nil {
+		return []Effect{refusal}
 	}
+	r := &request{Request: req, route: route, workspace: workspace, random: e.Random, expiresAt: expiryOf(now, e, route)}
 	r.service = s.config.Services[chooseService(route.Split, e.Random)]
 	if r.service == nil {
 		return refuse(http.StatusServiceUnavailable, jitter(unconfirmedRetryAfter, e.Random), "the route's service is not in the configuration")
--- a/internal/frontdaemon/daemon.go
+++ b/internal/frontdaemon/daemon.go
@@ -73,6 +73,7 @@
 	relay      *relay.Server
 	controller *controller.Controller
 	metrics    *ingress.Metrics
+	limits     *limits
 	// lastSettingsText is the content of the settings file at the last check, or the
 	// error of reading it.
 	lastSettingsText []byte
@@ -98,12 +99,14 @@
 	state := director.New(settings)
 	d := &Daemon{
 		settings: s, options: options, reducer: ingress.NewReducer(state), pool: upstream.NewPoolOver(options.Dial),
-		metrics: ingress.NewMetrics(),
+		metrics: ingress.NewMetrics(), limits: newLimits(s),
 	}
 	d.relay = newRelay(settings.Relay.Secret, d.reducer, options.Dial)
 	d.controller = controller.New(s, d.reducer, options.Dial)
 	d.ingress = ingress.New(d.reducer, d.pool, d.controller.Probe, d.metrics)
+	d.ingress.SetAccount(d.limits.account)
 	d.registerMetrics()
+	d.registerLimitMetrics()
 	return d
 }
 
@@ -114,12 +117,15 @@
 	defer cancel()
 	server := &http.Server{
 		Handler: d.ingress, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: ingress.ConnContext,
+		WriteTimeout: clientWriteTimeout, ConnContext: ingress.ConnContext,
 	}
-	if err := d.serve(ctx, server, d.settings.ClientAddress); err != nil {
+	if err := d.serveClients(ctx, server, d.settings.ClientAddress, d.limits.budget.Connections, &d.limits.clients); err != nil {
 		return err
 	}
-	if err := d.serve(ctx, &http.Server{Handler: d.ingress.Ready(), ReadHeaderTimeout: headerReadTimeout}, d.settings.ReadyAddress); err != nil {
+	ready := &http.Server{
+		Handler: d.ingress.Ready(), ReadTimeout: readyTimeout, WriteTimeout: readyTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	if err := d.serveClients(ctx, ready, d.settings.ReadyAddress, d.limits.budget.ReadyConnections, &d.limits.ready); err != nil {
 		return err
 	}
 	if d.options.MetricsAddress != "" {
@@ -223,6 +229,7 @@
 	}{
 		{"VM", old.VM != updated.VM}, {"zone", old.Zone != updated.Zone}, {"client address", old.ClientAddress != updated.ClientAddress},
 		{"ready address", old.ReadyAddress != updated.ReadyAddress}, {"IP", old.IP != updated.IP}, {"peer port", old.PeerPort != updated.PeerPort},
+		{"memory", old.MemoryMB != updated.MemoryMB}, {"descriptors", old.MaxFiles != updated.MaxFiles},
 	} {
 		if f.changed {
 			names = append(names, f.name)
--- a/internal/ingress/buffer_test.go
+++ b/internal/ingress/buffer_test.go
@@ -18,7 +18,7 @@
 		requests := make([]responseBuffer, 4)
 		for i := range requests {
 			requests[i].buffers = &all
-			_, err := requests[i].readAll(bytes.NewReader(body))
+			_, err := requests[i].readAll(bytes.NewReader(body), -1)
 			if i < 3 {
 				Expect(err).NotTo(HaveOccurred())
 				continue
@@ -33,9 +33,9 @@
 
 	It("hold one response up to its limit", func() {
 		one := responseBuffer{buffers: &buffers{}}
-		_, err := one.readAll(bytes.NewReader(make([]byte, maxResponseBytes+1)))
+		_, err := one.readAll(bytes.NewReader(make([]byte, maxResponseBytes+1)), -1)
 		Expect(err).To(MatchError(errResponseTooLarge))
-		content, err := one.readAll(iotest.OneByteReader(strings.NewReader("whole")))
+		content, err := one.readAll(iotest.OneByteReader(strings.NewReader("whole")), -1)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(content).To(BeEquivalentTo("whole"))
 	})
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"tamarackreach/internal/bootclock"
+	"tamarackreach/internal/clientlimit"
 	"tamarackreach/internal/director"
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
@@ -37,11 +38,22 @@
 	probe   Prober
 	metrics *Metrics
 	buffers buffers
+	account *clientlimit.Account
 }
 
-// New returns a handler that sends requests over pool.
+// New returns a handler that sends requests over pool, with the default limits on what callers
+// make it hold.
 func New(r *Reducer, pool *upstream.Pool, probe Prober, m *Metrics) *RequestHandler {
-	return &RequestHandler{reducer: r, pool: pool, probe: probe, metrics: m}
+	h := &RequestHandler{reducer: r, pool: pool, probe: probe, metrics: m}
+	h.SetAccount(clientlimit.NewAccount(clientlimit.BudgetFor(0, 0).HeldBytes))
+	return h
+}
+
+// SetAccount sets the account of bytes held for callers. It must be called before the first
+// request.
+func (h *RequestHandler) SetAccount(a *clientlimit.Account) {
+	h.account = a
+	h.buffers.account = a
 }
 
 const (
@@ -74,6 +86,8 @@
 	firstReceived time.Time
 	progressed    bool
 	buffer        responseBuffer
+	body          bodyReader
+	conn          clientConnection
 	// failure is true when the response delivered is a failure of the target.
 	failure bool
 	// lastEventID is the id of the last whole event forwarded to the caller.
@@ -105,44 +119,39 @@
 	arrivedAt := bootclock.Now()
 	request, err := platform.DecodeRequest(r)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		h.refuseHead(w, r, err)
 		return
 	}
 	a := &activeRequest{handler: h, response: newResponse(w, r), r: r, request: request, started: time.Now()}
+	a.conn = connectionOf(r)
 	a.buffer.buffers = &h.buffers
+	a.body.account, a.body.conn = h.account, a.conn
 	defer a.buffer.release()
+	defer a.body.release()
 	a.log = logrus.WithField("request", request.ID)
-	var limit int64 = defaultMaxBodyBytes
-	h.reducer.Read(func(s *director.State) {
-		if c := s.Config(); c != nil && c.Limits.MaxBodyBytes > 0 {
-			limit = c.Limits.MaxBodyBytes
-		}
-	})
-	request.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err != nil {
-		status := http.StatusBadRequest
-		var tooLong *http.MaxBytesError
-		if errors.As(err, &tooLong) {
-			status = http.StatusRequestEntityTooLarge
-		}
-		http.Error(w, "the body cannot be read: "+err.Error(), status)
+	arrived := director.RequestArrived{Request: a.request, At: arrivedAt, Random: rand.Float64()}
+	if !a.receive(&arrived) {
 		return
 	}
-	a.run(arrivedAt)
+	a.run(arrived)
 	a.response.complete()
 }
 
-// run serves the request, whose head was read at arrivedAt, until it is answered or
-// refused, or the caller disconnects.
-func (a *activeRequest) run(arrivedAt model.Instant) {
+// run serves the request, whose body was read, until it is answered or refused, or the caller
+// disconnects.
+func (a *activeRequest) run(arrived director.RequestArrived) {
 	defer a.recoverPanic()
-	effects := a.handler.reducer.Step(director.RequestArrived{Request: a.request, At: arrivedAt, Random: rand.Float64()})
+	effects := a.handler.reducer.Step(arrived)
 	for {
 		switch e := effects[len(effects)-1].(type) {
 		case *director.Refuse:
 			a.refuse(e)
 			return
 		case *director.Send:
+			if !a.conn.Forwarding() {
+				a.finish(false, "closed before it was sent")
+				panic(http.ErrAbortHandler)
+			}
 			ended := a.send(e)
 			if ended == nil {
 				a.finish(true, "answered")
@@ -221,6 +230,7 @@
 	case a.response.kept != nil:
 		a.writeWhole(a.response.kept)
 	default:
+		a.setLocalWriteDeadline()
 		a.response.writeLocal(a.request.ID, e.Status, e.RetryAfter, e.Reason)
 	}
 }
@@ -417,7 +427,7 @@
 }
 
 func (a *activeRequest) forwardWhole(e *director.Send, x *upstream.Exchange) (director.Outcome, bool) {
-	body, err := a.buffer.readAll(x.Response.Body)
+	body, err := a.buffer.readAll(x.Response.Body, x.Response.ContentLength)
 	if err != nil {
 		a.log.WithError(err).WithField("status", x.Response.StatusCode).Info("response incomplete; discarded")
 		return a.lossOutcome(), false
