Client limits: silent and pipelining connections give way at the bound

At the bound, silent clients held new connections up for half a second each, and pipelining clients, which are never idle, without an end. Heads now have 50 ms while their place is needed, a pipelining client yields the processor between requests and is closed after a response, and the rest of a refused body is discarded only up to the limit of the configuration.

--- a/internal/clientlimit/account.go
+++ b/internal/clientlimit/account.go
@@ -33,7 +33,7 @@
 	// ProgressBytes is the number of bytes after which a body counts as progressing. A client
 	// that sends single bytes makes no progress.
 	ProgressBytes = 16 << 10
-	// StallTime is how long a head or a body may make no progress while its place is needed:
+	// StallTime is how long a body may make no progress while its place is needed:
 	// several round trips between zones, and one retransmission of a lost segment.
 	StallTime = 500 * time.Millisecond
 	// sharePercent is the part of the account that the large bodies of one workspace may hold
--- a/internal/clientlimit/budget.go
+++ b/internal/clientlimit/budget.go
@@ -26,9 +26,9 @@
 	fileReservePercent = 25
 	// clientFilePercent is the part of the other descriptors for connections of clients. Each
 	// may need one to a target; the rest is for the store, other VMs and the relay.
-	clientFilePercent = 45
+	clientFilePercent = 40
 	// readyPart divides the connections of clients: the ready listener takes one part beside.
-	readyPart = 16
+	readyPart = 8
 	// minConnections keeps a machine with very low limits usable.
 	minConnections = 16
 )
@@ -59,6 +59,6 @@
 	connections = max(connections, minConnections)
 	return Budget{
 		GoBytes: memory * goPercent / 100, HeldBytes: memory * heldPercent / 100,
-		Connections: connections, ReadyConnections: max(connections/readyPart, minConnections/2),
+		Connections: connections, ReadyConnections: max(connections/readyPart, minConnections),
 	}
 }
--- a/internal/clientlimit/connections.go
+++ b/internal/clientlimit/connections.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"tamarackreach/internal/model"
 )
@@ -26,6 +27,11 @@
 	Closing
 )
 
+// headStallTime is how long a client may take for a head while the connection is needed. A
+// usual head arrives in one piece with the connection; a longer time would let silent clients
+// delay the others at the bound.
+const headStallTime = 50 * time.Millisecond
+
 // Connection describes a client's connection.
 type Connection struct {
 	Phase Phase
@@ -33,18 +39,23 @@
 	Since model.Instant
 	// Used is true once a request was read from it.
 	Used bool
+	// Pipelined is true once a request was read together with the one before.
+	Pipelined bool
 	// Address is the client's, without its port.
 	Address string
 }
 
 // rank orders the connections that may be closed, 0 for those that may not.
 func (c *Connection) rank(now model.Instant) int {
-	stalled := now.Sub(c.Since) >= StallTime
+	lasted := now.Sub(c.Since)
 	switch {
-	case c.Phase == ReadingHead && stalled, c.Phase == ReadingBody && stalled, c.Phase == Idle && !c.Used && stalled:
+	case c.Phase == ReadingHead && lasted >= headStallTime, c.Phase == Idle && !c.Used && lasted >= headStallTime,
+		c.Phase == ReadingBody && lasted >= StallTime:
 		return 1
 	case c.Phase == Idle && c.Used:
 		return 2
+	case (c.Phase == Serving || c.Phase == Forwarded) && c.Pipelined:
+		return 3
 	}
 	return 0
 }
@@ -53,7 +64,8 @@
 // those that stall in a head or a body or have sent nothing, then idle ones that callers may
 // use again, each the longest first. Where there are several addresses, those of an address
 // with more than half of the connections come first. Connections whose request is being
-// decided on or was forwarded are not among them.
+// decided on or was forwarded are not among them, except those that pipeline requests, last:
+// these are to be closed after the present response.
 func Choose(now model.Instant, connections []Connection, n int) []int {
 	counts := map[string]int{}
 	for i := range connections {
@@ -71,7 +83,7 @@
 			continue
 		}
 		if counts[c.Address] <= len(connections)/2 {
-			rank += 2 // after both ranks of the address that holds most
+			rank += 3 // after all ranks of the address that holds most
 		}
 		candidates = append(candidates, candidate{index: i, rank: rank, since: c.Since})
 	}
--- a/internal/frontdaemon/clientconn.go
+++ b/internal/frontdaemon/clientconn.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -152,7 +153,10 @@
 	phase    atomic.Uint32
 	since    atomic.Int64
 	used     atomic.Bool
-	removed  sync.Once
+	// pipelined is true once a request was read together with the one before, and retired once
+	// the connection is to be closed after the present response.
+	pipelined, retired atomic.Bool
+	removed            sync.Once
 	// headBytes and headLines count what was read of the present head, and charged is its
 	// reservation; only the server's goroutine of the connection uses them.
 	headBytes, headLines int
@@ -173,13 +177,17 @@
 
 func (c *clientConn) describe() clientlimit.Connection {
 	return clientlimit.Connection{
-		Phase: clientlimit.Phase(c.phase.Load()), Since: model.Instant(c.since.Load()), Used: c.used.Load(), Address: c.address,
+		Phase: clientlimit.Phase(c.phase.Load()), Since: model.Instant(c.since.Load()), Used: c.used.Load(), Pipelined: c.pipelined.Load() && !c.retired.Load(), Address: c.address,
 	}
 }
 
 // evict closes the connection if it is still in a phase, and idle if it was. The reader of a
-// body gets an error instead, and answers.
+// body gets an error instead, and answers; a connection with a request is closed after its
+// response.
 func (c *clientConn) evict(p clientlimit.Phase) bool {
+	if p == clientlimit.Serving || p == clientlimit.Forwarded {
+		return c.retired.CompareAndSwap(false, true)
+	}
 	if p == clientlimit.Idle && c.unread() || !c.change(p, clientlimit.Closing) {
 		return false
 	}
@@ -299,10 +307,18 @@
 	case http.StateActive: // the head has been read
 		if !c.change(clientlimit.ReadingHead, clientlimit.Serving) {
 			c.change(clientlimit.Idle, clientlimit.Serving)
+			// The request was read together with the one before: the client does not wait
+			// for responses, and must not keep the processor from the others.
+			c.pipelined.Store(true)
+			runtime.Gosched()
 		}
 	case http.StateIdle:
 		c.releaseHead()
 		c.used.Store(true)
+		if c.retired.Load() {
+			_ = c.TCPConn.Close() // the next read gets the error
+			return
+		}
 		if clientlimit.Phase(c.phase.Load()) != clientlimit.Closing {
 			c.enter(clientlimit.Idle)
 		}
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -187,17 +187,17 @@
 	}
 	var head director.HeadDecision
 	a.handler.reducer.Read(func(s *director.State) { head = s.DecideHead(bootclock.Now(), *e) })
-	if head.Refusal != nil {
-		a.refuseUnread(head.Refusal, "")
-		return false
-	}
 	limit := head.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	if head.Refusal != nil {
+		a.refuseUnread(head.Refusal, limit, "")
+		return false
+	}
 	if a.r.ContentLength > limit {
 		err := &http.MaxBytesError{Limit: limit}
-		a.refuseUnread(&director.Refuse{Status: http.StatusRequestEntityTooLarge, Reason: reasonUnread + err.Error()}, "")
+		a.refuseUnread(&director.Refuse{Status: http.StatusRequestEntityTooLarge, Reason: reasonUnread + err.Error()}, limit, "")
 		return false
 	}
 	return a.readBody(&head, limit, e.Random)
@@ -214,7 +214,7 @@
 		err = errStalled
 	}
 	if err != nil {
-		a.refuseBody(err, random)
+		a.refuseBody(err, limit, random)
 		return false
 	}
 	// The server reads on while the request is served, and would take the deadline for the
@@ -225,7 +225,7 @@
 }
 
 // refuseBody answers a request whose body could not be read.
-func (a *activeRequest) refuseBody(err error, random float64) {
+func (a *activeRequest) refuseBody(err error, limit int64, random float64) {
 	var tooLong *http.MaxBytesError
 	refusal := &director.Refuse{Status: http.StatusBadRequest, Reason: reasonUnread + err.Error()}
 	retryAfter := time.Duration(float64(fullRetryAfter) * (0.5 + random))
@@ -238,13 +238,13 @@
 		refusal = &director.Refuse{Status: http.StatusRequestTimeout, Reason: reasonBodyLate}
 	}
 	a.body.release()
-	a.refuseUnread(refusal, err.Error())
+	a.refuseUnread(refusal, limit, err.Error())
 }
 
 // refuseUnread refuses a request whose body was not read to its end. A small body is then
 // read by the server, so that the connection can be used again; otherwise the connection is
-// closed, after the rest of the body was discarded for a limited time.
-func (a *activeRequest) refuseUnread(e *director.Refuse, detail string) {
+// closed, after the rest of a body of legal size was discarded for a limited time.
+func (a *activeRequest) refuseUnread(e *director.Refuse, limit int64, detail string) {
 	if e.Detail == "" {
 		e.Detail = detail
 	}
@@ -258,8 +258,10 @@
 	if err := a.response.flush(); err != nil || a.r.Header.Get("Expect") != "" || detail == reasonStalled {
 		return // the caller is gone, waits for the answer before it sends the body, or sends nothing
 	}
-	// An error ends the discarding; the connection is closed in any case.
-	_, _ = io.Copy(io.Discard, a.r.Body)
+	if a.r.ContentLength <= limit {
+		// An error ends the discarding; the connection is closed in any case.
+		_, _ = io.Copy(io.Discard, io.LimitReader(a.r.Body, limit))
+	}
 }
 
 func (a *activeRequest) setReadDeadline(t time.Time) {
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -68,6 +68,8 @@
 	// read the response. The connection is closed then, since a caller that reads
 	// nothing would keep the request in flight without end.
 	writeGrace = 500 * time.Millisecond
+	// readyBodyTime bounds the reading of a body that is sent with a readiness check.
+	readyBodyTime = 100 * time.Millisecond
 )
 
 // activeRequest is the state of a request while it is served.
@@ -467,7 +469,13 @@
 // Ready returns a handler that answers 200 while the VM accepts new connections and
 // 503 otherwise.
 func (h *RequestHandler) Ready() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			// A check has no body. The server reads the rest of one before it closes the
+			// connection, which must not take long.
+			w.Header().Set("Connection", "close")
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readyBodyTime)) // an error means a closed connection
+		}
 		ready := false
 		h.reducer.Read(func(s *director.State) { ready = s.Ready(bootclock.Now()) })
 		if !ready {
