--- a/internal/doccheck/boundary_test.go
+++ b/internal/doccheck/boundary_test.go
@@ -72,7 +72,7 @@
 	It("describes every metric in docs/OPERATIONS.md", func() {
 		page := read("docs/OPERATIONS.md")
 		names := 0
-		for _, file := range []string{"internal/ingress/metrics.go", "internal/frontdaemon/status.go"} {
+		for _, file := range []string{"internal/ingress/metrics.go", "internal/frontdaemon/status.go", "internal/frontdaemon/limits.go"} {
 			for _, name := range regexp.MustCompile(`"(tamarack_[a-z_]+)"`).FindAllStringSubmatch(read(file), -1) {
 				names++
 				Expect(page).To(ContainSubstring("`" + name[1] + "`"))
--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"tamarackreach/internal/bootclock"
+	"tamarackreach/internal/clientlimit"
 	"tamarackreach/internal/director"
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/ingress"
@@ -43,6 +44,11 @@
 
 // startIngressFor starts a router whose one target has an address.
 func startIngressFor(address string) string {
+	return startLimitedIngress(address, clientlimit.NewAccount(64<<20))
+}
+
+// startLimitedIngress starts such a router with an account of what callers hold.
+func startLimitedIngress(address string, account *clientlimit.Account) string {
 	state := director.New(director.Settings{
 		VM: "vm-1", Zone: "a", ConfigApply: 2 * time.Second,
 		Retries: retrybudget.Settings{Ratio: 1, Slack: 100, Window: 10 * time.Second},
@@ -65,7 +71,9 @@
 	}}})
 	metrics := ingress.NewMetrics()
 	mux := http.NewServeMux()
-	mux.Handle("/", ingress.New(reducer, upstream.NewPool(), func([]director.Effect) {}, metrics))
+	handler := ingress.New(reducer, upstream.NewPool(), func([]director.Effect) {}, metrics)
+	handler.SetAccount(account)
+	mux.Handle("/", handler)
 	mux.Handle("/metrics", metrics.Handler())
 	server := httptest.NewUnstartedServer(mux)
 	server.Config.ConnContext = ingress.ConnContext
