--- a/internal/director/overflow.go
+++ b/internal/director/overflow.go
@@ -19,6 +19,8 @@
 	overflowInterval = 100 * time.Millisecond
 	// firstEventExpiry is how long the predicted queue of a request counts as observed.
 	firstEventExpiry = 500 * time.Millisecond
+	// demandUnits is the number of units of a demand in one request per second.
+	demandUnits = 1000
 	// maxSentDemands bounds the services whose demand a message states.
 	maxSentDemands = 64
 	// overflowSeed distinguishes the draw of a zone from the other uses of a request's random
@@ -185,7 +187,7 @@
 			used = max(used, o.queue)
 		}
 		out = append(out, zoneoverflow.ZoneState{
-			Zone: zone, Age: now.Sub(d.newest), Demand: d.perSecond * float64(d.vms) / float64(d.reporting), Capacity: rate, Used: used,
+			Zone: zone, Age: now.Sub(d.newest), Demand: d.perSecond(), Capacity: rate, Used: used,
 		})
 	}
 	return out
@@ -193,17 +195,26 @@
 
 // zoneDemand is the demand that the VMs of a zone state.
 type zoneDemand struct {
-	perSecond float64
+	// own is that of this VM, and others the sum of the others' in units of 1/demandUnits:
+	// a sum of integers does not depend on the order of the VMs.
+	own    float64
+	others int64
 	// vms is the number of VMs whose last message counts, and reporting the number of those
 	// that state their demand.
 	vms, reporting int
 	newest         model.Instant
 }
 
+// perSecond returns the demand of the zone in requests per second, with that of the VMs that
+// state none as the mean of the others.
+func (d *zoneDemand) perSecond() float64 {
+	return (d.own + float64(d.others)/demandUnits) * float64(d.vms) / float64(d.reporting)
+}
+
 // zoneDemands returns the demand for a service in each zone.
 func (s *State) zoneDemands(now model.Instant, id model.ServiceID) map[model.AvailabilityZone]*zoneDemand {
 	out := map[model.AvailabilityZone]*zoneDemand{
-		s.settings.Zone: {perSecond: s.overflowOf(id).demand.At(now), vms: 1, reporting: 1, newest: now},
+		s.settings.Zone: {own: s.overflowOf(id).demand.At(now), vms: 1, reporting: 1, newest: now},
 	}
 	for _, p := range s.peers {
 		if p.zone == "" || now.Sub(p.receivedAt) > zoneoverflow.Expiry {
@@ -218,7 +229,7 @@
 		d.newest = max(d.newest, p.receivedAt)
 		if p.demand != nil {
 			d.reporting++
-			d.perSecond += p.demand[id]
+			d.others += int64(p.demand[id] * demandUnits)
 		}
 	}
 	return out
--- a/internal/director/overflow_simulation_test.go
+++ b/internal/director/overflow_simulation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"tamarackreach/internal/director"
@@ -37,7 +38,10 @@
 	cutFrom time.Duration
 	// earlier has VMs state no demand, as earlier builds do.
 	earlier bool
-	seed    uint64
+	// halfEarlier has every second VM be of an earlier build: it states no demand, and ignores
+	// that of the others.
+	halfEarlier bool
+	seed        uint64
 }
 
 // overflowTarget is a target that prefills prompts in order.
@@ -159,7 +163,7 @@
 			state := o.stateOf(from)
 			for _, to := range o.fronts {
 				if to != from && to.zone == from.zone {
-					to.state.Step(o.now, state)
+					to.state.Step(o.now, o.readBy(to, state))
 				}
 			}
 		}
@@ -180,7 +184,12 @@
 		o.after(o.digestDelay, func() {
 			for _, to := range o.fronts {
 				if to.zone != z {
-					to.state.Step(o.now, digest)
+					read := digest
+					read.Members = nil
+					for _, m := range digest.Members {
+						read.Members = append(read.Members, o.readBy(to, m))
+					}
+					to.state.Step(o.now, read)
 				}
 			}
 		})
@@ -189,7 +198,15 @@
 
 func (o *overflowSimulation) stateOf(vm *overflowVM) director.PeerState {
 	state := vm.state.OwnPeerState(o.now)
-	if o.earlier {
+	if o.earlier || o.halfEarlier && slices.Index(o.fronts, vm)%2 == 1 {
+		state.Demand = nil
+	}
+	return state
+}
+
+// readBy returns what a VM reads of a state.
+func (o *overflowSimulation) readBy(vm *overflowVM, state director.PeerState) director.PeerState {
+	if o.halfEarlier && slices.Index(o.fronts, vm)%2 == 1 {
 		state.Demand = nil
 	}
 	return state
@@ -272,9 +289,15 @@
 	return sum
 }
 
+// settleTime is the time for which messages may be old, and the time constants of the demand
+// and of a falling share, with one second to spare: until then, shares follow the demand.
+const settleTime = 5 * time.Second
+
 // shareDeviation returns the mean share of the requests of zone a that were sent elsewhere
-// in each second, its standard deviation, and the one that independent draws would have.
-func (o *overflowSimulation) shareDeviation(from, to int) (mean, deviation, ofDraws float64) {
+// in each second of the settled peak, its standard deviation, and the one that independent
+// draws would have.
+func (o *overflowSimulation) shareDeviation() (mean, deviation, ofDraws float64) {
+	from, to := int((o.peakFrom+settleTime)/time.Second), int(o.peakTo/time.Second)
 	sum := o.over(from, to)
 	mean = float64(sum.remote) / float64(sum.arrived)
 	for _, s := range o.seconds[from:to] {
--- a/internal/director/overflow_test.go
+++ b/internal/director/overflow_test.go
@@ -12,13 +12,7 @@
 )
 
 var _ = Describe("a demand that grows in one zone within seconds", func() {
-	const (
-		calmSeconds, peakEnd, end = 6, 24, 30
-		// settledSeconds is the time for which messages may be old, and the time constants of
-		// the demand and of a falling share, with one second to spare: until then, shares
-		// follow the demand.
-		settledSeconds = calmSeconds + 5
-	)
+	const calmSeconds, peakEnd, end = 6, 24, 30
 	prefill := overflowScenario{
 		heads: [3]int{2, 5, 5}, slots: 192, vms: 13, base: [3]float64{55, 60, 60}, peak: 180, peakFrom: calmSeconds * time.Second, peakTo: peakEnd * time.Second,
 		messageInterval: time.Second,
@@ -37,8 +31,8 @@
 				before := newOverflowSimulation(scenario).run(end * time.Second)
 				scenario.earlier = false
 				after := newOverflowSimulation(scenario).run(end * time.Second)
-				_, deviationBefore, _ := before.shareDeviation(settledSeconds, peakEnd)
-				share, deviation, ofDraws := after.shareDeviation(settledSeconds, peakEnd)
+				_, deviationBefore, _ := before.shareDeviation()
+				share, deviation, ofDraws := after.shareDeviation()
 				detail := fmt.Sprintf("seed %d: late %d, refused %d, rejected %d, deviation %.3f before; late %d, refused %d, rejected %d, share %.2f, deviation %.3f after, %.3f of independent draws",
 					seed, before.late, before.refused, before.rejected, deviationBefore, after.late, after.refused, after.rejected, share, deviation, ofDraws)
 				GinkgoWriter.Println(detail)
@@ -60,6 +54,26 @@
 		Entry("slots, most digests lost", slots, 1900*time.Millisecond, time.Duration(0)),
 	)
 
+	// Pattern: an upgrade. Guards against VMs of this build that overflow for the demand of
+	// those of an earlier one, and leave the home zone idle.
+	It("is served no worse while half of the VMs run an earlier build", func() {
+		scenario, failedBefore, failedHalf := slots, 0, 0
+		for seed := range uint64(3) {
+			scenario.seed, scenario.earlier, scenario.halfEarlier = seed, true, false
+			before := newOverflowSimulation(scenario).run(peakEnd * time.Second)
+			scenario.earlier, scenario.halfEarlier = false, true
+			half := newOverflowSimulation(scenario).run(peakEnd * time.Second)
+			failedBefore, failedHalf = failedBefore+before.late+before.refused, failedHalf+half.late+half.refused
+			_, deviationBefore, _ := before.shareDeviation()
+			_, deviation, _ := half.shareDeviation()
+			GinkgoWriter.Printf("half: seed %d: late %d, refused %d, rejected %d, deviation %.3f before; late %d, refused %d, rejected %d, deviation %.3f\n",
+				seed, before.late, before.refused, before.rejected, deviationBefore, half.late, half.refused, half.rejected, deviation)
+			Expect(deviation).To(BeNumerically("<", deviationBefore))
+			Expect(half.over(0, calmSeconds).remote).To(BeZero())
+		}
+		Expect(failedHalf).To(BeNumerically("<=", failedBefore))
+	})
+
 	// Guards against traffic between zones, which is charged, on days of normal load.
 	It("changes no choice while the targets of each zone suffice", func() {
 		for seed := range uint64(3) {
@@ -72,6 +86,25 @@
 		}
 	})
 
+	It("ends when the digests of the other zones do, 2 s later", func() {
+		cut := slots
+		cut.cutFrom = (calmSeconds + 5) * time.Second
+		o := newOverflowSimulation(cut).run(cut.cutFrom)
+		sent := func() (sum uint64) {
+			for _, vm := range o.fronts {
+				for _, overflow := range vm.state.Overflows() {
+					sum += overflow.Sent
+				}
+			}
+			return sum
+		}
+		Expect(sent()).To(BeNumerically(">", 20))
+		o.run(cut.cutFrom + 2*time.Second)
+		until := sent()
+		o.run(peakEnd * time.Second)
+		Expect(sent()).To(Equal(until))
+	})
+
 	// Guards against zones that send each other what none of them can serve.
 	It("changes no choice while all zones have more than they can serve", func() {
 		full := overflowScenario{heads: [3]int{1, 1, 1}, slots: 24, base: [3]float64{70, 70, 70}}
