--- /dev/null
+++ b/internal/priorityadmission/export_test.go
@@ -0,0 +1,4 @@
+package priorityadmission
+
+// FairLevel exports fairLevel.
+var FairLevel = fairLevel
