Director: admit requests by priority and workspace

Cause: choosePath and leastLoadedTarget admit all kinds alike, and Retry-After is a constant.

Change: admit.go passes arrivals, decisions and ends to priorityadmission, and asks it for the chosen path, then for a path over the targets that leave the reserved capacity free.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"cmp"
 	"maps"
 	"net/http"
 	"slices"
@@ -92,23 +93,30 @@
 		return []Effect{&Refuse{Status: http.StatusServiceUnavailable, RetryAfter: left, Reason: reasonCrashes, Detail: s.quarantineDetail(r)}}
 	}
 	s.requests[req.ID] = r
-	send, reason := s.send(now, r)
+	send, reason := s.admit(now, r)
 	if send == nil {
 		delete(s.requests, req.ID)
-		refusal := &Refuse{Status: http.StatusServiceUnavailable, RetryAfter: jitter(s.retryAfter(now, r, reason), e.Random), Reason: reason}
-		switch reason {
-		case reasonMissingLayer, reasonNoTarget, reasonUnreached:
-			refusal.Detail = s.unusableDetail(now, r.service.ID)
-		case reasonPromptBacklog:
-			refusal.Detail = "first event predicted after " + r.predicted.Prefill.String() + ", plus " + r.predicted.Queue.String() + " of queued prompts"
-		}
-		return []Effect{refusal}
+		return []Effect{s.refusal(now, r, reason)}
 	}
 	s.budget.CountFirstAttempt(now, r.service.ID)
 	s.checkBudgetRestored(now, r.service.ID)
 	return append(s.startTrial(now, r), send)
 }
 
+// refusal answers a request that arrived and is not sent.
+func (s *State) refusal(now model.Instant, r *request, reason string) *Refuse {
+	refusal := &Refuse{Status: http.StatusServiceUnavailable, RetryAfter: jitter(s.retryAfter(now, r, reason), r.random), Reason: reason}
+	switch reason {
+	case reasonMissingLayer, reasonNoTarget, reasonUnreached:
+		refusal.Detail = s.unusableDetail(now, r.service.ID)
+	case reasonReserved:
+		refusal.Detail = r.verdict.String()
+	case reasonPromptBacklog:
+		refusal.Detail = "first event predicted after " + r.predicted.Prefill.String() + ", plus " + r.predicted.Queue.String() + " of queued prompts"
+	}
+	return refusal
+}
+
 // mayOutliveProcess reports whether a request that arrives now may still be
 // running when the process ends.
 func (s *State) mayOutliveProcess(now model.Instant, route *fleet.Route) bool {
@@ -197,8 +205,8 @@
 
 func (s *State) retryAfter(now model.Instant, r *request, reason string) time.Duration {
 	switch reason {
-	case reasonFull, reasonPromptBacklog:
-		return overloadRetryAfter
+	case reasonFull, reasonPromptBacklog, reasonReserved:
+		return cmp.Or(s.admissionRetryAfter(now, r), overloadRetryAfter)
 	case reasonUnreached:
 		return unreachedRetryAfter
 	case reasonLimited:
@@ -270,6 +278,9 @@
 	if t == nil {
 		return nil, s.noTargetReason(now, r)
 	}
+	if r.sends == 0 && !s.admitTarget(now, r, t) {
+		return nil, reasonReserved
+	}
 	return []fleet.Hop{{Target: t.ID, Address: t.Address}}, ""
 }
 
--- a/internal/director/path.go
+++ b/internal/director/path.go
@@ -82,10 +82,10 @@
 		return nil, s.noPathReason(now, r, candidates)
 	}
 	r.predicted = s.timeToFirstEvent(now, r, hops)
-	if r.sends == 0 && !r.predicted.inTime(r.route.LatencyGoal) {
-		return nil, reasonPromptBacklog
+	if r.sends > 0 {
+		return hops, ""
 	}
-	return hops, ""
+	return s.admitPath(now, r, candidates, hops)
 }
 
 // candidates returns the holders of layers that serve the request's service.
@@ -228,14 +228,19 @@
 
 // occupancy returns the fraction of a target's KV cache that a load takes.
 func occupancy(engine *fleet.Engine, t *target, load Load) float64 {
-	free := engine.Hardware[t.Kind].MemoryMB - float64(t.Held.Len())*engine.LayerMB
-	capacity := free / engine.KVMBPerTokenLayer()
+	capacity := cacheTokenLayers(engine, t)
 	if capacity <= 0 {
 		return math.Inf(1)
 	}
 	return load.TokenLayers / capacity
 }
 
+// cacheTokenLayers returns the size of a target's KV cache in tokens times layers.
+func cacheTokenLayers(engine *fleet.Engine, t *target) float64 {
+	free := engine.Hardware[t.Kind].MemoryMB - float64(t.Held.Len())*engine.LayerMB
+	return free / engine.KVMBPerTokenLayer()
+}
+
 // layerCost predicts the time of one layer in a decode step at normal speed, in
 // milliseconds, including a share of the queued prefill at the target. used is the
 // target's occupancy.
--- a/internal/director/retries.go
+++ b/internal/director/retries.go
@@ -109,6 +109,7 @@
 		s.budget.Release(now, r.service.ID)
 	}
 	delete(s.requests, r.ID)
+	s.admissionEnded(now, r)
 }
 
 // checkBudgetRestored records when an exhausted budget has room again.
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -9,6 +9,7 @@
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/loadview"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/priorityadmission"
 	"tamarackreach/internal/retrybudget"
 	"tamarackreach/internal/targetlimit"
 )
@@ -62,6 +63,9 @@
 	targetsRead bool
 	requests    map[model.RequestID]*request
 	peers       map[model.NodeID]*peer
+	// admission orders requests by priority and workspace, on the capacities of the services.
+	admission  *priorityadmission.Controller
+	capacities map[model.ServiceID]*serviceCapacity
 	// loads are the loads of the other VMs.
 	loads *loadview.View
 	// listedVMs is the number of VMs registered in the store; 0 while it is unknown.
@@ -142,6 +146,8 @@
 	retryReserved bool
 	// predicted is the time to the first event on the path chosen last.
 	predicted Prediction
+	// verdict is the last decision on its admission.
+	verdict priorityadmission.Verdict
 	// answerStarted is true once the caller has received the start of an answer.
 	answerStarted bool
 	// waits counts the Wait effects of the request.
@@ -171,6 +177,7 @@
 		settings: s, targets: map[model.TargetID]*target{}, byAddress: map[string]*target{},
 		byService: map[model.ServiceID][]*target{}, requests: map[model.RequestID]*request{},
 		peers: map[model.NodeID]*peer{}, loads: loadview.New(), budget: retrybudget.New(s.Retries),
+		admission: priorityadmission.New(fullOccupancy, firstEventInTime), capacities: map[model.ServiceID]*serviceCapacity{},
 		crashRecords: map[Cause]*crashRecord{}, retries: map[model.ServiceID]*serviceRetries{},
 		peerLostAnswers: map[model.NodeID]*peerAnswers{}, answeredParts: newAnsweredParts(), limits: targetlimit.New(), backoffs: map[backoffKey]backoff{}, leaving: map[incarnation]model.Instant{},
 	}
@@ -325,6 +332,7 @@
 			s.workspaceByKey[key] = w
 		}
 	}
+	s.admission.Configure(now, admissionKinds(e.Config))
 	effects := s.checkRegistrations()
 	s.rebuildIndexes()
 	return append(effects, &StateChanged{What: "configuration in force", Subject: version(e.Config.Version)})
