--- a/internal/frontdaemon/status.go
+++ b/internal/frontdaemon/status.go
@@ -10,6 +10,7 @@
 	"tamarackreach/internal/bootclock"
 	"tamarackreach/internal/controller"
 	"tamarackreach/internal/director"
+	"tamarackreach/internal/priorityadmission"
 )
 
 // StatusPath is the path on the metrics address that serves Status as JSON.
@@ -18,6 +19,10 @@
 // registerRefusalMetrics registers what the VM withholds from targets.
 func (d *Daemon) registerRefusalMetrics(state func(func(*director.State) float64) func() float64) {
 	m := d.metrics
+	m.Register(&admissionCollector{read: func() (figures []priorityadmission.Figures) {
+		d.reducer.Read(func(s *director.State) { figures = s.Admission(bootclock.Now()) })
+		return figures
+	}})
 	m.Gauge("tamarack_parts_quarantined", "Parts of prompts that are refused because they crash targets.",
 		state(func(s *director.State) float64 { parts, _ := s.Quarantined(); return float64(parts) }))
 	m.Gauge("tamarack_contents_quarantined", "Contents of requests that are refused because they crash targets.",
