--- a/internal/priorityadmission/limits.go
+++ b/internal/priorityadmission/limits.go
@@ -34,15 +34,15 @@
 }
 
 // wait returns the predicted wait of a request at its own priority: the prompts that are at
-// least as urgent, and the more urgent ones that arrive until the first event and are served
-// before it (the waiting time of a queue with priorities).
+// least as urgent, and the more urgent ones that arrive in the meantime and are served before it
+// (the waiting time of a queue with priorities). Without a queue it is 0, so that a request is
+// admitted to an idle target whatever the rate of the others.
 func (l Limits) wait(r Request) time.Duration {
-	queue := l.Ahead * float64(r.Queue)
 	urgent := 0.0
 	if r.Capacity.Copies > 0 {
 		urgent = min(l.Urgent/r.Capacity.Copies*r.PromptTime.Seconds(), maxUrgentUse)
 	}
-	return time.Duration((float64(r.Prefill)+queue)/(1-urgent)) - r.Prefill
+	return time.Duration(l.Ahead * float64(r.Queue) / (1 - urgent))
 }
 
 const (
