--- a/internal/controller/digest_test.go
+++ b/internal/controller/digest_test.go
@@ -11,6 +11,7 @@
 	"tamarackreach/internal/ingress"
 	"tamarackreach/internal/loadview"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/outlier"
 	"tamarackreach/internal/zonedigest"
 	"tamarackreach/platform"
 )
@@ -88,7 +89,7 @@
 	)
 
 	// Pattern: 34 VMs of a zone, each with load on all of its targets, during a crash that all
-	// of them suspect.
+	// of them suspect, while more targets answer with errors than a VM states.
 	It("fits into a datagram for the largest zone", func() {
 		c := zonedigest.NewCollector()
 		var own director.PeerState
@@ -100,11 +101,23 @@
 			for k := range 40 {
 				own.Suspects[model.TargetID(jsonName("i", k*7919))] = director.Suspicion{Remaining: time.Duration(i*k) * time.Millisecond, Age: time.Second}
 			}
+			for k := range 16 {
+				faulty := outlier.Target{ID: model.TargetID(jsonName("i", (50+k)*7919)), StartedMs: 1796374390000 + int64(k*977)}
+				own.Outliers.Counts = append(own.Outliers.Counts, outlier.Count{
+					Target: faulty, Results: outlier.Tallies{{Errors: i * k % 5, Results: 5 + i%7}, {Errors: i * k % 9, Results: 20 + i*k%13}}, LastError: time.Duration(i*k*31%4000) * time.Millisecond,
+				})
+				faulty.ID += "0"
+				own.Outliers.Ejections = append(own.Outliers.Ejections, outlier.Ejection{
+					Target: faulty, Level: 1 + i*k%4, Remaining: time.Duration(i*k*17%3200) * time.Millisecond, Age: time.Duration(i*k*13%3200) * time.Millisecond,
+				})
+			}
+			own.Outliers.Good = map[outlier.Group][2]int{{Service: "llm"}: {i, 3 * i}, {Service: "llm", Later: true}: {2 * i, 5 * i}}
 			c.Put(model.Instant(1), own)
 		}
 		d := c.Digest(model.Instant(1), own)
 		text, err := encodeDigest(&d, 1)
 		Expect(err).NotTo(HaveOccurred())
+		AddReportEntry("bytes", len(text))
 		Expect(len(text)).To(BeNumerically("<", maxMessageBytes))
 	})
 })
--- a/internal/controller/golden_test.go
+++ b/internal/controller/golden_test.go
@@ -13,6 +13,7 @@
 
 	"tamarackreach/internal/director"
 	"tamarackreach/internal/model"
+	"tamarackreach/internal/outlier"
 	"tamarackreach/internal/placementlease"
 	"tamarackreach/internal/targetlimit"
 )
@@ -79,9 +80,10 @@
 	It("are written: the state of a VM, with fields that they skip", func() {
 		state := protocol0State()
 		state.StoreFailing, state.Copies.Address, state.Age = true, "10.1.0.40:7341", time.Second
+		state.Outliers.Ejections = []outlier.Ejection{{Target: outlier.Target{ID: "t13", StartedMs: 1}, Level: 1, Remaining: time.Second}}
 		message := encodePeerState(state)
 		message.Urgent, message.AgeMs = true, 3
-		expectReadable(encode(message), protocol0("state"), "copies", "store_failing", "urgent", "age_ms")
+		expectReadable(encode(message), protocol0("state"), "copies", "store_failing", "urgent", "age_ms", "outliers")
 	})
 
 	It("are answered: a query of the state of the store", func() {
