--- a/internal/director/outlier_simulation_test.go
+++ b/internal/director/outlier_simulation_test.go
@@ -283,8 +283,25 @@
 		Expect(s.sends["o003"]).To(BeNumerically(">", s.sends["o004"]/2))
 	})
 
-	// Guards against a service that is taken out of rotation by its own errors, and against
-	// retries that spend the budget on targets that all fail.
+	It("are ejected in a service that has errors of its own", func() {
+		s := newOutlierSimulation(20, "/r/x", plainTargets(10))
+		s.errorRate = func(id model.TargetID, at time.Duration) float64 {
+			if id == "o001" && at > 25*time.Second {
+				return 1
+			}
+			return 0.14
+		}
+		s.run(25*time.Second, 200)
+		Expect(s.ejections).To(BeZero())
+		own := float64(s.lost+s.refused) / float64(s.requests)
+		s.errors, s.requests0, s.lost, s.refused = map[model.TargetID]int{}, s.requests, 0, 0
+		s.run(20*time.Second, 200)
+		report(s)
+		Expect(s.maxOut).To(Equal(1))
+		Expect(float64(s.lost+s.refused)/float64(s.requests-s.requests0)-own).To(BeNumerically("<", 0.01), "requests lost to the outlier")
+	})
+
+	// Guards against a service that its own errors take out of rotation.
 	It("stay in rotation when all fail", func() {
 		s := newOutlierSimulation(20, "/r/x", plainTargets(10))
 		s.errorRate = func(model.TargetID, time.Duration) float64 { return 1 }
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -87,6 +87,21 @@
 		Expect(standing(t, now)).To(Equal(outlier.InRotation), "errors before the return do not count")
 	})
 
+	It("gets a trial that may not be repeated only after it waited for one that may", func() {
+		t := tracker("vm-1")
+		for i := 1; i < 4; i++ {
+			record(t, start, i, 20, true)
+		}
+		record(t, start, 0, 5, false)
+		now := start
+		for standing(t, now) == outlier.Ejected {
+			now = now.Add(10 * time.Millisecond)
+		}
+		Expect(t.Standing(now.Add(900*time.Millisecond), targetOf(0), false)).To(Equal(outlier.Ejected))
+		Expect(t.Standing(now.Add(time.Second), targetOf(0), false)).To(Equal(outlier.TrialDue))
+		Expect(t.Standing(now.Add(20*time.Second), targetOf(0), false)).To(Equal(outlier.InRotation), "no request needs it")
+	})
+
 	It("is judged by the results of all VMs, and a row that is not stated again expires", func() {
 		vms := []*outlier.Tracker{tracker("vm-1"), tracker("vm-2"), tracker("vm-3")}
 		for _, t := range vms {
