Outlier detection: a target whose trial is due is chosen as if it had never failed

The penalty for failing targets also applied to targets on trial: no trial began while others were idle, and the ejection was forgotten after 10 s. The test of a recovered target now requires trials, and fails without the change.

--- a/internal/director/outlier_simulation_test.go
+++ b/internal/director/outlier_simulation_test.go
@@ -275,6 +275,7 @@
 		s.run(10*time.Second, 200)
 		for _, vm := range s.vms {
 			Expect(vm.state.EjectedTargets(s.now)).To(BeEmpty())
+			Expect(vm.state.OutlierCounts().Trials).To(BeNumerically(">=", 2), "an ejection that ends without trials is forgotten")
 		}
 		s.sends, s.ejections = map[model.TargetID]int{}, 0
 		s.run(10*time.Second, 200)
--- a/internal/director/outliers.go
+++ b/internal/director/outliers.go
@@ -147,12 +147,15 @@
 
 // ejectionPenalty returns the penalty in the ranking of plain targets.
 func (s *State) ejectionPenalty(now model.Instant, r *request, t *target) float64 {
+	id := t.outlierTarget()
 	switch {
 	case s.ejected(now, r, t):
 		return ejectedPenalty
 	case r.sends > 0:
-		return retryErrorWeight * s.outliers.RecentErrorRate(now, t.outlierTarget())
-	case s.outliers.Failing(now, t.outlierTarget()):
+		return retryErrorWeight * s.outliers.RecentErrorRate(now, id)
+	case s.outliers.Standing(now, id, r.route.Repeatable()) == outlier.TrialDue:
+		return 0 // a trial ends the ejection or extends it
+	case s.outliers.Failing(now, id):
 		return failingPenalty
 	}
 	return 0
