--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -320,6 +320,7 @@
 		return
 	}
 	r.answerStarted = true
+	s.recordFirst(now, r)
 	s.recordContact(now, r)
 	for _, hop := range r.hops {
 		if t := s.targets[hop.Target]; t != nil {
@@ -347,12 +348,11 @@
 	return prompt + meanAnswerFraction*answer
 }
 
-// leastLoadedTarget returns the target with the lowest load, with a penalty for
-// other zones. Targets that may have run the request come after all others, and
+// leastLoadedTarget returns the target with the lowest estimated load, or one that is
+// similar, with a penalty for other zones. Targets that may have run the request come after all others, and
 // targets under suspicion last.
 func (s *State) leastLoadedTarget(now model.Instant, r *request) *target {
-	var best *target
-	bestScore := 0.0
+	choice := s.newChoice(now, r)
 	for _, t := range s.byService[r.service.ID] {
 		if !t.serving(now) || !s.mayStartOn(now, t) {
 			continue
@@ -361,8 +361,7 @@
 		if unreached && s.relayTo(now, r, t) == nil {
 			continue
 		}
-		load := s.load(now, t)
-		score := float64(load.Requests) / float64(max(t.Slots, 1))
+		score := 0.0
 		if t.Zone != s.settings.Zone {
 			score += remoteZonePenalty
 		}
@@ -375,11 +374,9 @@
 		if now < t.suspectedUntil {
 			score += suspectPenalty
 		}
-		if best == nil || score < bestScore {
-			best, bestScore = t, score
-		}
+		choice.score(t, s.estimatedLoad(now, t), score)
 	}
-	return best
+	return choice.target()
 }
 
 const (
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -36,6 +36,7 @@
 		effects = s.clearAnswered(now, r)
 	}
 	if e.Delivered {
+		s.recordStay(now, r)
 		for _, hop := range r.hops {
 			if t := s.targets[hop.Target]; t != nil {
 				t.completed(now, r.sentAt)
--- a/internal/director/path.go
+++ b/internal/director/path.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -91,7 +90,7 @@
 // candidates returns the holders of layers that serve the request's service.
 func (s *State) candidates(now model.Instant, r *request) []candidate {
 	engine := r.service.Engine
-	noise := rand.New(rand.NewPCG(math.Float64bits(r.random), uint64(r.sends)))
+	choice := s.newChoice(now, r)
 	limitReached := s.targetLimitReached(now, r)
 	var out []candidate
 	for _, t := range s.byService[r.service.ID] {
@@ -101,8 +100,9 @@
 		if limitReached && t.Held.First == 0 && !slices.Contains(r.possibleRuns, t.incarnation()) {
 			continue // the target limit is reached: only earlier targets may be the first hop
 		}
-		load := s.load(now, t)
+		load := s.estimatedLoad(now, t)
 		used := occupancy(engine, t, load)
+		load = choice.spread(t, load)
 		limited, firstCost := !s.mayStartOn(now, t), firstHopCost(load, t.Slots)
 		unreached := false
 		if t.Held.First == 0 && !s.reaches(t) && s.runsUnreached(now, t) {
@@ -115,7 +115,7 @@
 		out = append(out, candidate{
 			Holder: paths.Holder{
 				ID: t.ID, Address: t.Address, Zone: t.Zone, Layers: t.Held,
-				CostPerLayer: layerCost(engine, t, load, used) * t.slowness(now) * (1 - costNoise + 2*costNoise*noise.Float64()),
+				CostPerLayer: choice.layerHolderCost(engine, t, load, used),
 				FirstHopCost: firstCost,
 			},
 			target: t, usable: t.usable(now), full: used > fullOccupancy, limited: limited, unreached: unreached,
@@ -211,7 +211,7 @@
 	var prefill, queue float64
 	for _, hop := range hops {
 		t := s.targets[hop.Target]
-		load := s.load(now, t)
+		load := s.estimatedLoad(now, t)
 		pass := engine.PassMs(engine.Hardware[t.Kind], hop.Layers.Len(), float64(load.Requests)) * t.slowness(now)
 		prefill += pass * max(float64(r.PromptTokens)/engine.PrefillChunkTokens, 1)
 		queue = max(queue, pass*float64(load.Waiting)*meanPromptPasses(engine))
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -63,7 +63,8 @@
 	requests    map[model.RequestID]*request
 	peers       map[model.NodeID]*peer
 	// loads are the loads of the other VMs.
-	loads *loadview.View
+	loads   *loadview.View
+	balance balance
 	// listedVMs is the number of VMs registered in the store; 0 while it is unknown.
 	listedVMs int
 	budget    *retrybudget.Budget
@@ -170,7 +171,7 @@
 	return &State{
 		settings: s, targets: map[model.TargetID]*target{}, byAddress: map[string]*target{},
 		byService: map[model.ServiceID][]*target{}, requests: map[model.RequestID]*request{},
-		peers: map[model.NodeID]*peer{}, loads: loadview.New(), budget: retrybudget.New(s.Retries),
+		peers: map[model.NodeID]*peer{}, loads: loadview.New(), balance: newBalance(), budget: retrybudget.New(s.Retries),
 		crashRecords: map[Cause]*crashRecord{}, retries: map[model.ServiceID]*serviceRetries{},
 		peerLostAnswers: map[model.NodeID]*peerAnswers{}, answeredParts: newAnsweredParts(), limits: targetlimit.New(), backoffs: map[backoffKey]backoff{}, leaving: map[incarnation]model.Instant{},
 	}
@@ -179,6 +180,7 @@
 // Step applies an event and returns its effects; an effect for the request of the
 // event comes last.
 func (s *State) Step(now model.Instant, e Event) []Effect {
+	s.balance.steps++
 	if s.startedAt == 0 {
 		s.startedAt = now
 	}
--- a/internal/director/targets.go
+++ b/internal/director/targets.go
@@ -50,8 +50,13 @@
 	neededAt model.Instant
 	// consecutiveFaults counts faults in a row; each doubles the next suspicion.
 	consecutiveFaults int
-	// ownLoad is the load that this VM puts on the target.
+	// ownLoad is the load that this VM puts on the target, and others that of the other VMs.
 	ownLoad Load
+	others  *loadview.Sum
+	// group is the targets that could serve the same.
+	group *loadGroup
+	// joinedAt is when the incarnation was first listed; 0 for one of the first read.
+	joinedAt model.Instant
 	// reportRequestedAt is when the target's report was last requested.
 	reportRequestedAt model.Instant
 	// superseded is true when another incarnation answered at the target's address:
@@ -166,6 +171,10 @@
 func (s *State) targetListed(now model.Instant, t *fleet.Target, e *TargetsRead, known bool) Effect {
 	var change Effect
 	old, row := s.targets[t.ID], e.Rows[t.ID]
+	started := int64(0)
+	if old != nil {
+		started = old.StartedMs
+	}
 	if known && s.restore.outdated(now, row) && !old.drainsBy(t) {
 		// The row is from the older copy: what was known before is newer.
 		if old == nil {
@@ -176,6 +185,9 @@
 		change = s.updateTarget(now, t, row)
 	}
 	current := s.targets[t.ID]
+	if known && (old == nil || started != current.StartedMs) {
+		current.joinedAt = now
+	}
 	current.listed, current.listedIn = e.ConfirmedAt, e.Newest.Era
 	return change
 }
@@ -246,6 +258,7 @@
 	for _, list := range s.byService {
 		slices.SortFunc(list, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	s.regroup()
 }
 
 // drainsBy reports whether a row of any age states that the known incarnation drains.
@@ -375,7 +388,7 @@
 
 // applyPeer applies the message of another VM.
 func (s *State) applyPeer(now model.Instant, e PeerState) []Effect {
-	s.loads.SetVM(now, e.VM, e.Zone, e.Loads)
+	s.loads.SetVM(now, e.VM, e.Zone, s.plausible(now, e))
 	return s.applyState(now, e)
 }
 
@@ -436,10 +449,10 @@
 	return effects
 }
 
-// load returns the load of all VMs on a target, as far as it is known.
+// load returns the load of all VMs on a target as it was last stated.
 func (s *State) load(now model.Instant, t *target) Load {
 	s.loads.Expire(now)
-	return t.ownLoad.Plus(*s.loads.Sum(t.ID))
+	return t.ownLoad.Plus(s.loads.Sum(t.ID).Load)
 }
 
 // OwnPeerState returns the state for other VMs: own loads, suspicions, slowdowns,
--- a/internal/director/zonestate.go
+++ b/internal/director/zonestate.go
@@ -23,17 +23,19 @@
 	}
 	var effects []Effect
 	members := make([]model.NodeID, 0, len(e.Members))
+	ages := time.Duration(0)
 	for _, m := range e.Members {
 		if m.VM == s.settings.VM {
 			continue
 		}
 		members = append(members, m.VM)
+		ages += max(m.Age, 0)
 		if p := s.peers[m.VM]; p != nil && p.receivedAt >= now.Add(-m.Age) {
 			continue // the VM's own message is newer
 		}
 		effects = append(effects, s.applyState(now, m)...)
 	}
-	s.loads.SetZone(now, e.Zone, members, e.Loads)
+	s.loads.SetZone(now, e.Zone, members, ages/time.Duration(max(len(members), 1)), e.Loads)
 	return effects
 }
 
--- a/internal/loadview/loadview.go
+++ b/internal/loadview/loadview.go
@@ -3,6 +3,7 @@
 package loadview
 
 import (
+	"math"
 	"time"
 
 	"tamarackreach/internal/model"
@@ -32,13 +33,39 @@
 	}
 }
 
+// Times returns a part of a load, or a multiple, with counts rounded to the nearest.
+func (l Load) Times(factor float64) Load {
+	count := func(n int) int { return int(math.Round(float64(n) * factor)) }
+	return Load{Requests: count(l.Requests), TokenLayers: l.TokenLayers * factor, Waiting: count(l.Waiting), First: count(l.First)}
+}
+
+// NotNegative returns a copy of loads without negative counts.
+func NotNegative(loads Loads) Loads {
+	out := make(Loads, len(loads))
+	for id, l := range loads {
+		out[id] = Load{Requests: max(l.Requests, 0), TokenLayers: max(l.TokenLayers, 0), Waiting: max(l.Waiting, 0), First: max(l.First, 0)}
+	}
+	return out
+}
+
 // Loads are loads by target.
 type Loads map[model.TargetID]Load
 
+// Sum is the load of other VMs on a target.
+type Sum struct {
+	Load
+	// StatedMs is the sum over the requests of when they were stated, in milliseconds of the
+	// receiver's clock. It is an integer, so that additions and subtractions leave no
+	// rounding errors.
+	StatedMs int64
+}
+
 // source is what a VM or a zone last stated.
 type source struct {
 	receivedAt model.Instant
-	loads      Loads
+	// statedMs is when the loads were stated, as a mean over the VMs of a zone.
+	statedMs int64
+	loads    Loads
 }
 
 // zone is the last digest of a zone.
@@ -55,22 +82,22 @@
 type View struct {
 	vms   map[model.NodeID]*source
 	zones map[model.AvailabilityZone]*zone
-	sums  map[model.TargetID]*Load
+	sums  map[model.TargetID]*Sum
 	// nextExpiry is when the oldest load expires; 0 without loads.
 	nextExpiry model.Instant
 }
 
 // New returns a view without loads.
 func New() *View {
-	return &View{vms: map[model.NodeID]*source{}, zones: map[model.AvailabilityZone]*zone{}, sums: map[model.TargetID]*Load{}}
+	return &View{vms: map[model.NodeID]*source{}, zones: map[model.AvailabilityZone]*zone{}, sums: map[model.TargetID]*Sum{}}
 }
 
 // Sum returns the sum of the loads on a target. It stays valid, and current after Expire,
 // until Forget.
-func (v *View) Sum(id model.TargetID) *Load {
+func (v *View) Sum(id model.TargetID) *Sum {
 	sum := v.sums[id]
 	if sum == nil {
-		sum = &Load{}
+		sum = &Sum{}
 		v.sums[id] = sum
 	}
 	return sum
@@ -90,22 +117,23 @@
 	if z := v.zones[in]; z != nil && z.members[vm] {
 		return
 	}
-	v.vms[vm] = &source{receivedAt: now, loads: loads}
-	v.add(now, loads)
+	v.vms[vm] = &source{receivedAt: now, statedMs: milliseconds(now), loads: loads}
+	v.add(v.vms[vm])
 }
 
 // SetZone replaces the loads of a zone by those in a digest, which contains those of its
-// members.
-func (v *View) SetZone(now model.Instant, in model.AvailabilityZone, members []model.NodeID, loads Loads) {
+// members. age is the mean time since the members stated them.
+func (v *View) SetZone(now model.Instant, in model.AvailabilityZone, members []model.NodeID, age time.Duration, loads Loads) {
 	v.Expire(now)
 	v.removeZone(in)
-	z := &zone{source: source{receivedAt: now, loads: loads}, members: make(map[model.NodeID]bool, len(members))}
+	stated := milliseconds(now.Add(-max(age, 0)))
+	z := &zone{source: source{receivedAt: now, statedMs: stated, loads: loads}, members: make(map[model.NodeID]bool, len(members))}
 	for _, vm := range members {
 		v.removeVM(vm)
 		z.members[vm] = true
 	}
 	v.zones[in] = z
-	v.add(now, loads)
+	v.add(&z.source)
 }
 
 // Expire discards the loads that are too old to count.
@@ -130,6 +158,18 @@
 	}
 }
 
+// Any reports whether loads of another VM count, also if they are zero.
+func (v *View) Any(now model.Instant) bool {
+	v.Expire(now)
+	return len(v.vms) > 0 || len(v.zones) > 0
+}
+
+// Staters returns the number of VMs whose loads count by their own messages.
+func (v *View) Staters(now model.Instant) int {
+	v.Expire(now)
+	return len(v.vms)
+}
+
 // VMs returns the number of VMs whose loads count.
 func (v *View) VMs(now model.Instant) int {
 	v.Expire(now)
@@ -146,34 +186,39 @@
 	}
 }
 
-func (v *View) add(now model.Instant, loads Loads) {
-	v.expireLater(now)
-	for id, l := range loads {
+// milliseconds returns an instant as a whole number of milliseconds.
+func milliseconds(at model.Instant) int64 { return int64(at) / int64(time.Millisecond) }
+
+func (v *View) add(from *source) {
+	v.expireLater(from.receivedAt)
+	for id, l := range from.loads {
 		sum := v.Sum(id)
-		*sum = sum.Plus(l)
+		sum.Load = sum.Plus(l)
+		sum.StatedMs += int64(l.Requests) * from.statedMs
 	}
 }
 
-func (v *View) subtract(loads Loads) {
-	for id, l := range loads {
+func (v *View) subtract(from *source) {
+	for id, l := range from.loads {
 		sum := v.Sum(id)
-		*sum = sum.Plus(Load{Requests: -l.Requests, TokenLayers: -l.TokenLayers, Waiting: -l.Waiting, First: -l.First})
+		sum.Load = sum.Plus(Load{Requests: -l.Requests, TokenLayers: -l.TokenLayers, Waiting: -l.Waiting, First: -l.First})
+		sum.StatedMs -= int64(l.Requests) * from.statedMs
 		if sum.Requests == 0 {
-			*sum = Load{} // discards rounding errors of TokenLayers
+			sum.Load = Load{} // discards rounding errors of TokenLayers
 		}
 	}
 }
 
 func (v *View) removeVM(vm model.NodeID) {
 	if s := v.vms[vm]; s != nil {
-		v.subtract(s.loads)
+		v.subtract(s)
 		delete(v.vms, vm)
 	}
 }
 
 func (v *View) removeZone(name model.AvailabilityZone) {
 	if z := v.zones[name]; z != nil {
-		v.subtract(z.loads)
+		v.subtract(&z.source)
 		delete(v.zones, name)
 	}
 }
--- a/internal/loadview/loadview_test.go
+++ b/internal/loadview/loadview_test.go
@@ -39,7 +39,7 @@
 	It("discards what is too old, each source at its own time", func() {
 		v := loadview.New()
 		v.SetVM(start, "vm-1", "a", requests(3))
-		v.SetZone(start.Add(time.Second), "b", []model.NodeID{"vm-2"}, requests(4))
+		v.SetZone(start.Add(time.Second), "b", []model.NodeID{"vm-2"}, 0, requests(4))
 		Expect(sum(v, start.Add(loadview.Expiry))).To(Equal(7))
 		Expect(sum(v, start.Add(loadview.Expiry+1))).To(Equal(4))
 		Expect(v.VMs(start.Add(loadview.Expiry + 1))).To(Equal(1))
@@ -51,7 +51,7 @@
 	It("counts a VM once that is in a digest and sends messages itself", func() {
 		v := loadview.New()
 		v.SetVM(start, "vm-1", "b", requests(3))
-		v.SetZone(start, "b", []model.NodeID{"vm-1", "vm-2"}, requests(7))
+		v.SetZone(start, "b", []model.NodeID{"vm-1", "vm-2"}, 0, requests(7))
 		Expect(sum(v, start)).To(Equal(7))
 		v.SetVM(start, "vm-1", "b", requests(3))
 		v.SetVM(start, "vm-3", "b", requests(2))
@@ -61,6 +61,20 @@
 		Expect(sum(v, later)).To(Equal(3), "the digest has expired")
 	})
 
+	// Guards against an age that drifts when loads of a digest are replaced or expire.
+	It("dates each load by its own source", func() {
+		v := loadview.New()
+		ms := func(at model.Instant) int64 { return int64(at) / int64(time.Millisecond) }
+		v.SetVM(start, "vm-1", "a", requests(3))
+		v.SetZone(start.Add(time.Second), "b", []model.NodeID{"vm-2"}, 300*time.Millisecond, requests(4))
+		Expect(v.Sum("t").StatedMs).To(Equal(3*ms(start) + 4*(ms(start)+700)))
+		v.SetVM(start.Add(time.Second), "vm-1", "a", requests(1))
+		Expect(v.Sum("t").StatedMs).To(Equal(ms(start) + 1000 + 4*(ms(start)+700)))
+		v.Expire(start.Add(time.Hour))
+		Expect(v.Sum("t").StatedMs).To(BeZero())
+		Expect(v.Any(start.Add(time.Hour))).To(BeFalse())
+	})
+
 	It("keeps the sum of a target that other VMs still use", func() {
 		v := loadview.New()
 		v.SetVM(start, "vm-1", "a", requests(3))
