--- a/internal/director/load_simulation_requests_test.go
+++ b/internal/director/load_simulation_requests_test.go
@@ -129,30 +129,37 @@
 }
 
 func (s *loadSimulation) runStream(r *loadRequest, e *director.Send) {
-	for i, hop := range e.Hops {
-		t := s.targets[hop.Target]
-		t.running++
-		if i == 0 {
-			t.first++
-		}
+	if !r.live() {
+		return
 	}
+	s.adjust(e.Hops, 1)
+	r.vm.streams[r] = func() { s.adjust(e.Hops, -1) }
 	s.after(loadPrefillTime, func() {
 		if r.live() {
 			s.step(r.vm, director.AnswerStarted{ID: r.id})
 		}
 	})
 	s.after(3*time.Second+time.Duration(s.random.Float64()*float64(time.Second)), func() {
-		for i, hop := range e.Hops {
-			t := s.targets[hop.Target]
-			t.running--
-			if i == 0 {
-				t.first--
-			}
+		if r.live() {
+			s.adjust(e.Hops, -1)
+			delete(r.vm.streams, r)
+			s.finish(r)
 		}
-		s.finish(r)
 	})
 }
 
+// adjust adds a stream to the targets of its path when sign is 1, and subtracts it when sign
+// is -1.
+func (s *loadSimulation) adjust(hops []fleet.Hop, sign int) {
+	for i, hop := range hops {
+		t := s.targets[hop.Target]
+		t.running += sign
+		if i == 0 {
+			t.first += sign
+		}
+	}
+}
+
 func (s *loadSimulation) finish(r *loadRequest) {
 	if r.live() {
 		s.step(r.vm, director.RequestFinished{ID: r.id, Delivered: true})
--- a/internal/director/load_simulation_test.go
+++ b/internal/director/load_simulation_test.go
@@ -105,6 +105,8 @@
 	statedAt  []model.Instant
 	statedSum time.Duration
 	stated    int
+	// streams ends each stream that runs for the VM on its targets.
+	streams map[*loadRequest]func()
 }
 
 // loadTarget is a target with slots; a plain one has a queue.
@@ -125,11 +127,13 @@
 	start, now model.Instant
 	events     loadEvents
 	seq        uint64
-	random     *rand.Rand
-	config     *fleet.Config
-	vms        []*loadVM
-	targets    map[model.TargetID]*loadTarget
-	plain      []*loadTarget
+	// random is for messages and answers, arriving for arrivals and restarts: they are the same
+	// whatever the decisions.
+	random, arriving *rand.Rand
+	config           *fleet.Config
+	vms              []*loadVM
+	targets          map[model.TargetID]*loadTarget
+	plain            []*loadTarget
 	// groups are the targets of a zone that hold the same layers.
 	groups    [][]*loadTarget
 	groupOf   map[model.TargetID][]*loadTarget
@@ -143,7 +147,7 @@
 
 func runLoads(sc loadScenario) loadFigures {
 	s := &loadSimulation{
-		loadScenario: sc, start: model.Instant(time.Hour), now: model.Instant(time.Hour), random: rand.New(rand.NewPCG(sc.seed, 1)),
+		loadScenario: sc, start: model.Instant(time.Hour), now: model.Instant(time.Hour), random: rand.New(rand.NewPCG(sc.seed, 1)), arriving: rand.New(rand.NewPCG(sc.seed, 2)),
 		config: config(7), targets: map[model.TargetID]*loadTarget{}, groupOf: map[model.TargetID][]*loadTarget{},
 	}
 	s.addTargets()
@@ -164,7 +168,7 @@
 	s.arrivals(float64(sc.zones*loadHolders*loadStreamSlots)*sc.streamLoad/loadStreamTime.Seconds(), "/s/x")
 	s.every(loadSampleInterval, 0, s.sample)
 	if sc.restartEvery > 0 {
-		s.every(sc.restartEvery, sc.restartEvery, func() { s.startVM(s.vms[s.random.IntN(len(s.vms))]) })
+		s.every(sc.restartEvery, sc.restartEvery, func() { s.startVM(s.vms[s.arriving.IntN(len(s.vms))]) })
 	}
 	if sc.rejoinAt > 0 {
 		s.after(sc.rejoinAt, s.rejoin)
@@ -248,18 +252,22 @@
 	}
 	var next func()
 	next = func() {
-		s.arrive(s.vms[s.random.IntN(len(s.vms))], path)
-		s.after(time.Duration(s.random.ExpFloat64()/perSecond*1e9), next)
+		s.arrive(s.vms[s.arriving.IntN(len(s.vms))], path)
+		s.after(time.Duration(s.arriving.ExpFloat64()/perSecond*1e9), next)
 	}
-	s.after(time.Duration(s.random.ExpFloat64()/perSecond*1e9), next)
+	s.after(time.Duration(s.arriving.ExpFloat64()/perSecond*1e9), next)
 }
 
 func (s *loadSimulation) measuring() bool { return s.now >= s.start.Add(s.warmUp) }
 
-// startVM starts a VM's process; that of an earlier one ends, and its requests go on at the
-// targets.
+// startVM starts a VM's process; an earlier one ends, and its connections with it, so that
+// the targets end their streams.
 func (s *loadSimulation) startVM(vm *loadVM) {
 	s.processes++
+	for _, end := range vm.streams {
+		end()
+	}
+	vm.streams = map[*loadRequest]func(){}
 	vm.state = director.New(director.Settings{
 		VM: vm.id, Zone: vm.zone, Process: s.processes, ConfigApply: 2 * time.Second, Revoke: 5 * time.Second, Stall: 2500 * time.Millisecond,
 		Retries: retrybudget.Settings{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
