--- a/internal/director/estimate.go
+++ b/internal/director/estimate.go
@@ -46,6 +46,8 @@
 	mean  Load
 	total float64
 	age   time.Duration
+	// settled is the mean over the targets that are not in slow start.
+	settled Load
 	// noise is the random number of the group in the choice with the number choice.
 	noise  float64
 	choice uint64
@@ -104,19 +106,23 @@
 }
 
 func (g *loadGroup) sum(now model.Instant) {
-	var sum loadview.Sum
-	serving := 0
+	var sum, settled loadview.Sum
+	usable, settledCount := 0, 0
 	for _, t := range g.targets {
 		sum.Load = sum.Plus(t.others.Load)
 		sum.StatedMs += t.others.StatedMs
-		if t.usable(now) {
-			serving++
+		if !t.usable(now) {
+			continue
+		}
+		usable++
+		if t.starting(now) == 0 {
+			settled.Load = settled.Plus(t.others.Load)
+			settledCount++
 		}
 	}
-	n := float64(max(serving, 1))
-	share := func(count int) int { return int(math.Round(float64(count) / n)) }
 	g.total, g.age = float64(sum.Requests), 0
-	g.mean = Load{Requests: share(sum.Requests), TokenLayers: sum.TokenLayers / n, Waiting: share(sum.Waiting), First: share(sum.First)}
+	g.mean = sum.Times(1 / float64(max(usable, 1)))
+	g.settled = settled.Times(1 / float64(max(settledCount, 1)))
 	if sum.Requests > 0 {
 		g.age = max(0, now.Sub(model.Instant(sum.StatedMs/int64(sum.Requests)*int64(time.Millisecond))))
 	}
@@ -212,17 +218,25 @@
 	return g.started(now, t, load)
 }
 
+// starting returns the part of slow start that is left: 1 when the target has just joined or
+// recovered, 0 when slow start is over.
+func (t *target) starting(now model.Instant) float64 {
+	since := max(t.joinedAt, t.suspectedUntil)
+	if elapsed := now.Sub(since); since != 0 && elapsed < slowStart {
+		return 1 - max(0, elapsed.Seconds()/slowStart.Seconds())
+	}
+	return 0
+}
+
 // started returns the load of a target with what slow start adds to it.
 func (g *loadGroup) started(now model.Instant, t *target, load Load) Load {
-	since := max(t.joinedAt, t.suspectedUntil)
-	elapsed := now.Sub(since)
-	if since == 0 || elapsed >= slowStart {
+	left := t.starting(now)
+	if left == 0 {
 		return load
 	}
-	left := 1 - max(0, elapsed.Seconds()/slowStart.Seconds())
-	raise := func(count, mean int) int { return max(count, int(left*float64(mean))) }
-	load.Requests, load.First = raise(load.Requests, g.mean.Requests), raise(load.First, g.mean.First)
-	load.Waiting = raise(load.Waiting, g.mean.Waiting)
+	least := g.settled.Times(left)
+	load.Requests, load.First = max(load.Requests, least.Requests), max(load.First, least.First)
+	load.Waiting = max(load.Waiting, least.Waiting)
 	return load
 }
 
--- a/internal/director/load_balance_test.go
+++ b/internal/director/load_balance_test.go
@@ -23,6 +23,9 @@
 		sc.plainLoad, sc.streamLoad, sc.restartEvery = 0.2, 0.2, 0
 		out[fmt.Sprint("low-", vms)] = sc
 	}
+	medium := out["high-79"]
+	medium.streamLoad = 0.7
+	out["medium-79"] = medium
 	spreadOut := out["high-79"]
 	spreadOut.plainZones = []model.AvailabilityZone{"a", "b", "c"}
 	out["zones-79"] = spreadOut
