Merge load balancing with stale load data

Admission and overflow use the estimated loads and leave out targets out of rotation; one mean stay of requests serves the estimate and the capacity of zones.

--- a/internal/director/admit.go
+++ b/internal/director/admit.go
@@ -117,7 +117,7 @@
 	tokenLayers, engine := 0.0, service.Engine
 	for _, t := range s.byService[service.ID] {
 		switch {
-		case !t.usable(now):
+		case !t.usable(now) || s.outOfRotation(now, t):
 		case engine == nil:
 			c.Slots += float64(max(t.Slots, 1))
 		case t.Held.Len() > 0:
@@ -168,7 +168,7 @@
 	engine := r.service.Engine
 	for i, hop := range hops {
 		t := s.targets[hop.Target]
-		load := s.load(now, t)
+		load := s.estimatedLoad(now, t)
 		if i == 0 {
 			request.Slots = slotUse(load.First, t.Slots)
 		}
@@ -184,7 +184,7 @@
 func (s *State) unreservedPath(now model.Instant, r *request, candidates []candidate, limits priorityadmission.Limits) []fleet.Hop {
 	for i := range candidates {
 		c := &candidates[i]
-		load := s.load(now, c.target)
+		load := s.estimatedLoad(now, c.target)
 		c.full = c.full || occupancy(r.service.Engine, c.target, load) > fullOccupancy-limits.CacheLeft
 		if slotUse(load.First, c.target.Slots) >= limits.SlotsBelow {
 			c.FirstHopCost = math.Inf(1)
@@ -200,7 +200,7 @@
 		return true
 	}
 	request := s.admissionRequest(now, r)
-	request.Slots = slotUse(s.load(now, t).Requests, max(t.Slots, 1))
+	request.Slots = slotUse(s.estimatedLoad(now, t).Requests, max(t.Slots, 1))
 	r.verdict = s.admission.Decide(now, request)
 	return r.verdict.Admit || r.verdict.Limits.Urgent == 0
 }
--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -231,6 +231,7 @@
 	first := s.targets[hops[0].Target]
 	relay := s.relayFor(now, r, first)
 	s.countOverflow(now, r, first)
+	s.recordLoadAge(now, first)
 	r.sends++
 	r.sentTo = first.incarnation()
 	r.resultCounted = false
@@ -316,6 +317,7 @@
 		return nil
 	}
 	r.answerStarted = true
+	s.recordFirst(now, r)
 	s.recordContact(now, r)
 	for _, hop := range r.hops {
 		if t := s.targets[hop.Target]; t != nil {
@@ -344,12 +346,11 @@
 	return prompt + meanAnswerFraction*answer
 }
 
-// leastLoadedTarget returns the target with the lowest load, with a penalty for
-// other zones than the preferred one. Targets that may have run the request come after all others, and
-// targets under suspicion last.
+// leastLoadedTarget returns the target with the lowest estimated load, or one that is
+// similar, with a penalty for other zones than the preferred one. Targets that may have run
+// the request come after all others, and targets under suspicion last.
 func (s *State) leastLoadedTarget(now model.Instant, r *request) *target {
-	var best *target
-	bestScore, preferred := 0.0, s.preferredZone(now, r)
+	choice, preferred := s.newChoice(now, r), s.preferredZone(now, r)
 	for _, t := range s.byService[r.service.ID] {
 		if !t.serving(now) || !s.mayStartOn(now, t) {
 			continue
@@ -358,8 +359,7 @@
 		if unreached && s.relayTo(now, r, t) == nil {
 			continue
 		}
-		load := s.load(now, t)
-		score := float64(load.Requests) / float64(max(t.Slots, 1))
+		score := 0.0
 		if t.Zone != preferred {
 			score += remoteZonePenalty
 		}
@@ -373,11 +373,9 @@
 		if now < t.suspectedUntil {
 			score += suspectPenalty
 		}
-		if best == nil || score < bestScore {
-			best, bestScore = t, score
-		}
+		choice.score(t, s.estimatedLoad(now, t), score)
 	}
-	return best
+	return choice.target()
 }
 
 const (
--- a/internal/director/dryrun.go
+++ b/internal/director/dryrun.go
@@ -59,7 +59,7 @@
 	Target model.TargetID         `json:"target"`
 	Zone   model.AvailabilityZone `json:"zone"`
 	Held   model.LayerRange       `json:"held"`
-	// Requests, Waiting and First are the load of all VMs, as far as it is known, and
+	// Requests, Waiting and First are the estimated load of all VMs, and
 	// LoadAgeMs the age of the oldest statement of another VM in it, -1 without one.
 	Requests  int   `json:"requests"`
 	Waiting   int   `json:"waiting"`
@@ -142,17 +142,20 @@
 	return out
 }
 
-// chooseUnchanged chooses a path and keeps what a failed search records: it would have the
-// targets under suspicion probed.
+// chooseUnchanged chooses a path and keeps what the search records: a failed one would have
+// the targets under suspicion probed, and the predicted queue counts for the overflow.
 func (s *State) chooseUnchanged(now model.Instant, r *request) ([]fleet.Hop, string) {
 	needed := map[*target]model.Instant{}
 	for _, t := range s.byService[r.service.ID] {
 		needed[t] = t.neededAt
 	}
+	before := *s.overflowOf(r.service.ID)
 	defer func() {
 		for t, at := range needed {
 			t.neededAt = at
 		}
+		o := s.overflowOf(r.service.ID)
+		o.queue, o.queueAt = before.queue, before.queueAt
 	}()
 	return s.choose(now, r)
 }
@@ -167,7 +170,7 @@
 	}
 	out := []DryRunCandidate{}
 	for _, t := range s.byService[r.service.ID] {
-		load := s.load(now, t)
+		load := s.estimatedLoad(now, t)
 		c := DryRunCandidate{
 			Target: t.ID, Zone: t.Zone, Held: t.Held, Requests: load.Requests, Waiting: load.Waiting, First: load.First, Slots: t.Slots,
 			LoadAgeMs: -1, Excluded: s.excluded(now, r, t, considered[t]),
@@ -212,7 +215,7 @@
 	add(!s.reaches(t) && s.runsUnreached(now, t) && s.relayTo(now, r, t) == nil, "not reached by this VM or a relay")
 	if c != nil {
 		add(c.full, "KV cache is full")
-		add(t.Held.First == 0 && t.Slots > 0 && s.load(now, t).First >= t.Slots, "no free slot as first hop")
+		add(t.Held.First == 0 && t.Slots > 0 && s.estimatedLoad(now, t).First >= t.Slots, "no free slot as first hop")
 	}
 	return out
 }
--- a/internal/director/outliers.go
+++ b/internal/director/outliers.go
@@ -145,6 +145,11 @@
 	return false
 }
 
+// outOfRotation reports whether a target gets no requests but trials because of its errors.
+func (s *State) outOfRotation(now model.Instant, t *target) bool {
+	return s.outliers.Standing(now, t.outlierTarget(), false) == outlier.Ejected
+}
+
 // ejectionPenalty returns the penalty in the ranking of plain targets.
 func (s *State) ejectionPenalty(now model.Instant, r *request, t *target) float64 {
 	id := t.outlierTarget()
--- a/internal/director/overflow.go
+++ b/internal/director/overflow.go
@@ -38,7 +38,6 @@
 // serviceOverflow is the demand for a service at this VM, and its overflow.
 type serviceOverflow struct {
 	demand zoneoverflow.Rate
-	stay   zoneoverflow.Stay
 	plan   zoneoverflow.Plan
 	// expiresAt is when the plan is to be computed again: after overflowInterval, or when the
 	// state of a zone becomes too old.
@@ -70,11 +69,6 @@
 	}
 }
 
-// recordStay records the time for which a request stayed at its targets.
-func (s *State) recordStay(now model.Instant, r *request) {
-	s.overflowOf(r.service.ID).stay.Add(now.Sub(r.sentAt))
-}
-
 // recordQueue records the predicted queue on a path that begins in the home zone.
 func (s *State) recordQueue(now model.Instant, r *request, hops []fleet.Hop) {
 	goal := r.route.LatencyGoal
@@ -161,7 +155,7 @@
 // overflowZones returns the states of the zones with targets of a service whose demand is
 // known; none where the service has targets in one zone only, or its capacity is unknown.
 func (s *State) overflowZones(now model.Instant, service *fleet.Service, o *serviceOverflow) []zoneoverflow.ZoneState {
-	stay := o.stay.Mean()
+	stay := s.stayOf(service.ID).whole.Mean()
 	if stay <= 0 {
 		return nil
 	}
--- a/internal/director/zonecapacity.go
+++ b/internal/director/zonecapacity.go
@@ -34,7 +34,7 @@
 func (s *State) zoneCapacities(now model.Instant, service *fleet.Service) map[model.AvailabilityZone]*zoneCapacity {
 	out := map[model.AvailabilityZone]*zoneCapacity{}
 	for _, t := range s.byService[service.ID] {
-		if !t.usable(now) || t.Zone != s.settings.Zone && !s.reaches(t) || service.Engine != nil && t.Held.Len() == 0 {
+		if !t.usable(now) || s.outOfRotation(now, t) || t.Zone != s.settings.Zone && !s.reaches(t) || service.Engine != nil && t.Held.Len() == 0 {
 			continue
 		}
 		c := out[t.Zone]
@@ -45,7 +45,7 @@
 			}
 			out[t.Zone] = c
 		}
-		c.add(t, s.load(now, t), t.slowness(now), s.backoffLeft(now, s.settings.VM, t) > 0)
+		c.add(t, s.estimatedLoad(now, t), t.slowness(now), s.backoffLeft(now, s.settings.VM, t) > 0)
 	}
 	return out
 }
--- a/internal/zoneoverflow/mean.go
+++ b/internal/zoneoverflow/mean.go
@@ -7,13 +7,9 @@
 	"tamarackreach/internal/model"
 )
 
-const (
-	// rateTime is the time constant of Rate: a demand that doubles is to show within a
-	// second, and the noise of some tens of requests per second is to stay below a tenth.
-	rateTime = time.Second
-	// stayWeight is the weight of one request in Stay.
-	stayWeight = 0.05
-)
+// rateTime is the time constant of Rate: a demand that doubles is to show within a
+// second, and the noise of some tens of requests per second is to stay below a tenth.
+const rateTime = time.Second
 
 // Rate is the moving mean of a rate of arrivals.
 type Rate struct {
@@ -31,20 +27,3 @@
 func (r *Rate) At(now model.Instant) float64 {
 	return r.perSecond * math.Exp(-max(now.Sub(r.at), 0).Seconds()/rateTime.Seconds())
 }
-
-// Stay is the moving mean of the time for which requests stay at their targets.
-type Stay struct {
-	mean  time.Duration
-	known int
-}
-
-// Add adds a request.
-func (s *Stay) Add(took time.Duration) {
-	s.known++
-	// The first requests count the same, so that the very first does not remain the mean.
-	weight := max(stayWeight, 1/float64(s.known))
-	s.mean += time.Duration(float64(took-s.mean) * weight)
-}
-
-// Mean returns the mean; 0 before the first request.
-func (s *Stay) Mean() time.Duration { return s.mean }
--- a/internal/zoneoverflow/zoneoverflow_test.go
+++ b/internal/zoneoverflow/zoneoverflow_test.go
@@ -145,17 +145,4 @@
 		Expect(r.At(now.Add(10 * time.Second))).To(BeNumerically("<", 0.01))
 		Expect(r.At(now.Add(-time.Second))).To(BeNumerically("<=", 101))
 	})
-
-	It("take the stay of the first requests, and do not follow a single one later", func() {
-		var s zoneoverflow.Stay
-		Expect(s.Mean()).To(BeZero())
-		s.Add(time.Second)
-		s.Add(3 * time.Second)
-		Expect(s.Mean()).To(Equal(2 * time.Second))
-		for range 100 {
-			s.Add(2 * time.Second)
-		}
-		s.Add(20 * time.Second)
-		Expect(s.Mean()).To(BeNumerically("<", 3*time.Second))
-	})
 })
