--- a/internal/director/zonecapacity.go
+++ b/internal/director/zonecapacity.go
@@ -45,7 +45,7 @@
 			}
 			out[t.Zone] = c
 		}
-		c.add(t, s.estimatedLoad(now, t), t.slowness(now), s.backoffLeft(now, s.settings.VM, t) > 0)
+		c.add(t, s.load(now, t), t.slowness(now), s.backoffLeft(now, s.settings.VM, t) > 0)
 	}
 	return out
 }
