--- a/internal/controller/fuzz_test.go
+++ b/internal/controller/fuzz_test.go
@@ -35,6 +35,7 @@
 		}
 		f.Add(out.Bytes())
 	}
+	f.Add([]byte(`{"vm":"vm-3","zone":"a","outliers":{"c":{"t":[1,30,1,2,3,4]},"g":{"s":[1,2,3,4]},"e":{"t":[1,1,400,10]}}}`))
 	f.Add([]byte{hintKind, 7})
 	f.Add([]byte{hintKind})
 	f.Fuzz(func(t *testing.T, text []byte) { receiveAny(t, text) })
