--- a/internal/director/estimate_test.go
+++ b/internal/director/estimate_test.go
@@ -18,6 +18,7 @@
 	"high-4":  {plainSpread: 0.189, streamSpread: 0.0448},
 	"high-79": {plainSpread: 1.190, streamSpread: 0.0569, plainAvoidable: 329, streamAvoidable: 40},
 	"low-4":   {plainSpread: 0.117, streamSpread: 0.0305},
+	"alone-1": {plainSpread: 0.107, streamSpread: 0.0146},
 }
 
 func figuresOf(name string) (sum loadFigures) {
@@ -54,6 +55,15 @@
 		Expect(f.plainAvoidable + f.streamAvoidable).To(BeZero())
 	})
 
+	// The runs before and after are the same; the bounds allow for the last digit of costs on
+	// another processor.
+	It("changes nothing with a single VM", func() {
+		f, earlier := figuresOf("alone-1"), earlierFigures["alone-1"]
+		Expect(f.plainSpread).To(BeNumerically("~", earlier.plainSpread, 0.002))
+		Expect(f.streamSpread).To(BeNumerically("~", earlier.streamSpread, 0.0005))
+		Expect(f.plainAvoidable + f.streamAvoidable + f.plainRefused + f.streamRefused).To(BeZero())
+	})
+
 	It("makes nothing worse with four VMs at low load", func() {
 		f, earlier := figuresOf("low-4"), earlierFigures["low-4"]
 		Expect(f.plainSpread).To(BeNumerically("<=", earlier.plainSpread))
--- a/internal/director/load_balance_test.go
+++ b/internal/director/load_balance_test.go
@@ -23,6 +23,9 @@
 		sc.plainLoad, sc.streamLoad, sc.restartEvery = 0.2, 0.2, 0
 		out[fmt.Sprint("low-", vms)] = sc
 	}
+	alone := out["high-4"]
+	alone.vms, alone.zones = 1, 1
+	out["alone-1"] = alone
 	medium := out["high-79"]
 	medium.streamLoad = 0.7
 	out["medium-79"] = medium
