Client limits: refusals are complete at once, readiness checks do not wait for bodies

A refusal was framed by chunks and ended only after the rest of the body was discarded, up to a second later; it now states its length. A refused connection may be closed after 200 ms where it is needed.

--- a/internal/clientlimit/clientlimit_test.go
+++ b/internal/clientlimit/clientlimit_test.go
@@ -131,9 +131,9 @@
 			conn(Forwarded, time.Hour, "a"), conn(Serving, time.Hour, "a"), conn(Idle, time.Minute, "a"), conn(Idle, time.Hour, "a"),
 			conn(ReadingHead, time.Second, "a"), conn(ReadingBody, time.Minute, "a"), conn(ReadingHead, headStallTime-1, "a"),
 			conn(ReadingBody, StallTime-1, "a"), conn(Closing, time.Hour, "a"), {Phase: Idle, Since: now - model.Instant(time.Second/2), Address: "a"},
-			pipelining,
+			pipelining, conn(Refused, refusedTime, "a"), conn(Refused, refusedTime-1, "a"),
 		}
-		Expect(Choose(now, connections, 100)).To(Equal([]int{5, 4, 9, 3, 2, 10}))
+		Expect(Choose(now, connections, 100)).To(Equal([]int{5, 4, 9, 11, 3, 2, 10}))
 		Expect(Choose(now, connections, 1)).To(Equal([]int{5}))
 	})
 
--- a/internal/clientlimit/connections.go
+++ b/internal/clientlimit/connections.go
@@ -23,6 +23,8 @@
 	ReadingBody
 	// Forwarded connections have a request that was sent to a target.
 	Forwarded
+	// Refused connections were answered with a refusal; the rest of their body is discarded.
+	Refused
 	// Closing connections have been chosen to be closed.
 	Closing
 )
@@ -32,6 +34,10 @@
 // delay the others at the bound.
 const headStallTime = 50 * time.Millisecond
 
+// refusedTime is how long a refused client has for reading the refusal while its connection is
+// needed: a few round trips between zones.
+const refusedTime = 200 * time.Millisecond
+
 // Connection describes a client's connection.
 type Connection struct {
 	Phase Phase
@@ -50,7 +56,7 @@
 	lasted := now.Sub(c.Since)
 	switch {
 	case c.Phase == ReadingHead && lasted >= headStallTime, c.Phase == Idle && !c.Used && lasted >= headStallTime,
-		c.Phase == ReadingBody && lasted >= StallTime:
+		c.Phase == ReadingBody && lasted >= StallTime, c.Phase == Refused && lasted >= refusedTime:
 		return 1
 	case c.Phase == Idle && c.Used:
 		return 2
@@ -61,7 +67,7 @@
 }
 
 // Choose returns the indices of at most n connections to close in favour of new ones: first
-// those that stall in a head or a body or have sent nothing, then idle ones that callers may
+// those that stall in a head or a body, have sent nothing or were refused, then idle ones that callers may
 // use again, each the longest first. Where there are several addresses, those of an address
 // with more than half of the connections come first. Connections whose request is being
 // decided on or was forwarded are not among them, except those that pipeline requests, last:
--- a/internal/frontdaemon/clientconn.go
+++ b/internal/frontdaemon/clientconn.go
@@ -292,6 +292,12 @@
 	return c.change(clientlimit.ReadingBody, clientlimit.Serving)
 }
 
+// Refused records that a refusal was written and that the connection will be closed.
+func (c *clientConn) Refused() {
+	c.since.Store(int64(bootclock.Now()))
+	c.change(clientlimit.Serving, clientlimit.Refused)
+}
+
 // Forwarding reports whether the request may be sent to a target.
 func (c *clientConn) Forwarding() bool {
 	return c.change(clientlimit.Serving, clientlimit.Forwarded) || clientlimit.Phase(c.phase.Load()) == clientlimit.Forwarded
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -49,6 +49,8 @@
 	BodyBegins()
 	BodyProgressed()
 	BodyEnds() bool
+	// Refused records that a refusal was written and that the connection will be closed.
+	Refused()
 	// Forwarding reports whether the request may be sent to a target: the connection is not
 	// closed in favour of another one afterwards.
 	Forwarding() bool
@@ -60,6 +62,7 @@
 func (noConnection) BodyBegins()      {}
 func (noConnection) BodyProgressed()  {}
 func (noConnection) BodyEnds() bool   { return true }
+func (noConnection) Refused()         {}
 func (noConnection) Forwarding() bool { return true }
 
 func connectionOf(r *http.Request) clientConnection {
@@ -255,7 +258,9 @@
 	}
 	a.response.w.Header().Set("Connection", "close")
 	a.refuse(e)
-	if err := a.response.flush(); err != nil || a.r.Header.Get("Expect") != "" || detail == reasonStalled {
+	err := a.response.flush()
+	a.conn.Refused()
+	if err != nil || a.r.Header.Get("Expect") != "" || detail == reasonStalled {
 		return // the caller is gone, waits for the answer before it sends the body, or sends nothing
 	}
 	if a.r.ContentLength <= limit {
--- a/internal/ingress/body_test.go
+++ b/internal/ingress/body_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"time"
 
@@ -14,6 +16,8 @@
 	. "github.com/onsi/gomega"
 
 	"tamarackreach/internal/clientlimit"
+	"tamarackreach/internal/director"
+	"tamarackreach/internal/ingress"
 )
 
 // startSigningTarget starts a target that signs the length of the body as its answer.
@@ -60,8 +64,9 @@
 			{"/none", "Transfer-Encoding: chunked\r\n", http.StatusNotFound},
 			{"/r/x", "Content-Length: 4194305\r\n", http.StatusRequestEntityTooLarge},
 		} {
-			resp, _ := readAnswer(post(dialIngress(url), c.path, "q", c.fields, ""))
+			resp, text := readAnswer(post(dialIngress(url), c.path, "q", c.fields, ""))
 			Expect(resp.StatusCode).To(Equal(c.status))
+			Expect(resp.ContentLength).To(BeEquivalentTo(len(text)), "complete before the rest of the body is discarded")
 			Expect(resp.Close).To(BeTrue())
 		}
 		Expect(account.Held()).To(BeZero())
@@ -116,6 +121,23 @@
 		Eventually(account.Held).Should(BeZero())
 	})
 
+	// Guards against readiness checks that wait for the bodies of others, whose connections are
+	// few.
+	It("of a readiness check is not waited for", func() {
+		state := director.New(director.Settings{VM: "vm-1", Zone: "a"})
+		server := httptest.NewServer(ingress.New(ingress.NewReducer(state), nil, nil, ingress.NewMetrics()).Ready())
+		DeferCleanup(server.Close)
+		conn := dialIngress(server.URL)
+		Expect(conn.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+		from := post(conn, "/ready", "q1", legal, "x")
+		resp, text := readAnswer(from)
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(text).To(BeEmpty())
+		_, err := from.ReadByte()
+		Expect(err).To(HaveOccurred())
+		Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(BeFalse())
+	})
+
 	// Guards against chunks that are lost or reordered while the buffer grows.
 	It("may come in chunks of any size", func() {
 		account := clientlimit.NewAccount(64 << 20)
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -69,7 +69,7 @@
 	// nothing would keep the request in flight without end.
 	writeGrace = 500 * time.Millisecond
 	// readyBodyTime bounds the reading of a body that is sent with a readiness check.
-	readyBodyTime = 100 * time.Millisecond
+	readyBodyTime = 10 * time.Millisecond
 )
 
 // activeRequest is the state of a request while it is served.
@@ -470,20 +470,31 @@
 // 503 otherwise.
 func (h *RequestHandler) Ready() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ready := false
+		h.reducer.Read(func(s *director.State) { ready = s.Ready(bootclock.Now()) })
 		if r.ContentLength != 0 {
-			// A check has no body. The server reads the rest of one before it closes the
-			// connection, which must not take long.
 			w.Header().Set("Connection", "close")
-			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readyBodyTime)) // an error means a closed connection
+			w.Header().Set("Content-Length", "0")
 		}
-		ready := false
-		h.reducer.Read(func(s *director.State) { ready = s.Ready(bootclock.Now()) })
 		if !ready {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
+		if r.ContentLength != 0 {
+			closeSoon(w)
+		}
 	})
 }
 
+// closeSoon sends the response and closes the connection of a readiness check with a body. The
+// server would wait for the rest of the body, and then for the client to read, while other
+// checks need the connection. Errors mean that the connection is closed already.
+func closeSoon(w http.ResponseWriter) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(readyBodyTime))
+	_ = control.Flush()
+	panic(http.ErrAbortHandler)
+}
+
 // InFlight returns the number of requests in flight.
 func (h *RequestHandler) InFlight() int {
 	n := 0
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -154,6 +155,13 @@
 // is omitted. It must not be called after the response has started.
 func (r *response) writeLocal(id model.RequestID, status int, retryAfter time.Duration, reason string) {
 	r.started = true
-	platform.SetLocalResponseHeader(r.w.Header(), id, retryAfter)
-	http.Error(r.w, reason, status)
+	h := r.w.Header()
+	platform.SetLocalResponseHeader(h, id, retryAfter)
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("X-Content-Type-Options", "nosniff")
+	// With a length the response is complete once it is flushed, while the rest of the
+	// request's body is discarded.
+	h.Set("Content-Length", strconv.Itoa(len(reason)+1))
+	r.w.WriteHeader(status)
+	_, _ = io.WriteString(r.w, reason+"\n") // an error means that the caller is gone
 }
