--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -68,8 +68,6 @@
 	// read the response. The connection is closed then, since a caller that reads
 	// nothing would keep the request in flight without end.
 	writeGrace = 500 * time.Millisecond
-	// readyBodyTime bounds the reading of a body that is sent with a readiness check.
-	readyBodyTime = 10 * time.Millisecond
 )
 
 // activeRequest is the state of a request while it is served.
@@ -466,35 +464,6 @@
 	}
 }
 
-// Ready returns a handler that answers 200 while the VM accepts new connections and
-// 503 otherwise.
-func (h *RequestHandler) Ready() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ready := false
-		h.reducer.Read(func(s *director.State) { ready = s.Ready(bootclock.Now()) })
-		if r.ContentLength != 0 {
-			w.Header().Set("Connection", "close")
-			w.Header().Set("Content-Length", "0")
-		}
-		if !ready {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-		if r.ContentLength != 0 {
-			closeSoon(w)
-		}
-	})
-}
-
-// closeSoon sends the response and closes the connection of a readiness check with a body. The
-// server would wait for the rest of the body, and then for the client to read, while other
-// checks need the connection. Errors mean that the connection is closed already.
-func closeSoon(w http.ResponseWriter) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(readyBodyTime))
-	_ = control.Flush()
-	panic(http.ErrAbortHandler)
-}
-
 // InFlight returns the number of requests in flight.
 func (h *RequestHandler) InFlight() int {
 	n := 0
