--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -68,8 +68,6 @@
 	// read the response. The connection is closed then, since a caller that reads
 	// nothing would keep the request in flight without end.
 	writeGrace = 500 * time.Millisecond
-	// readyBodyTime bounds the reading of a body that is sent with a readiness check.
-	readyBodyTime = 100 * time.Millisecond
 )
 
 // activeRequest is the state of a request while it is served.
@@ -469,24 +467,6 @@
 	}
 }
 
-// Ready returns a handler that answers 200 while the VM accepts new connections and
-// 503 otherwise.
-func (h *RequestHandler) Ready() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ContentLength != 0 {
-			// A check has no body. The server reads the rest of one before it closes the
-			// connection, which must not take long.
-			w.Header().Set("Connection", "close")
-			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readyBodyTime)) // an error means a closed connection
-		}
-		ready := false
-		h.reducer.Read(func(s *director.State) { ready = s.Ready(bootclock.Now()) })
-		if !ready {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-}
-
 // InFlight returns the number of requests in flight.
 func (h *RequestHandler) InFlight() int {
 	n := 0
