--- a/internal/zoneoverflow/zoneoverflow_test.go
+++ b/internal/zoneoverflow/zoneoverflow_test.go
@@ -145,4 +145,16 @@
 		Expect(r.At(now.Add(10 * time.Second))).To(BeNumerically("<", 0.01))
 		Expect(r.At(now.Add(-time.Second))).To(BeNumerically("<=", 101))
 	})
+
+	// Guards against requests that overflow to zones whose VMs have just started: their mean of
+	// the demand rises for a second.
+	It("state the whole rate within half a second of the first arrival", func() {
+		var r zoneoverflow.Rate
+		at := model.Instant(time.Hour)
+		for range 25 {
+			r.Count(at)
+			at = at.Add(20 * time.Millisecond)
+		}
+		Expect(r.At(at)).To(BeNumerically("~", 50, 5))
+	})
 })
