Outlier detection: no trial while the VM could not retry its request

The spec 'lose under 1% of the requests: the only first hop of a zone' failed before; all specs of the detection pass.

--- a/internal/director/outliers.go
+++ b/internal/director/outliers.go
@@ -134,13 +134,15 @@
 }
 
 // ejected reports whether a target gets no send of a request while others can serve. Trials
-// are first sends: a retry is for the request, and spends the budget of others.
+// are first sends of requests that may be retried: a retry is for the request, and a trial
+// that fails without one loses it.
 func (s *State) ejected(now model.Instant, r *request, t *target) bool {
 	switch s.outliers.Standing(now, t.outlierTarget(), r.route.Repeatable()) {
 	case outlier.Ejected:
 		return true
 	case outlier.TrialDue:
-		return r.sends > 0
+		usage := s.budget.Usage(now, r.service.ID)
+		return r.sends > 0 || float64(usage.Spent+1) > usage.Limit
 	}
 	return false
 }
