--- a/internal/frontdaemon/status.go
+++ b/internal/frontdaemon/status.go
@@ -151,10 +151,7 @@
 		func() float64 { _, failed := d.controller.ContentWrites(); return float64(failed) })
 	m.Counter("tamarack_unsolicited_responses_total", "Connections to targets closed because bytes arrived that belong to no request in flight.",
 		func() float64 { return float64(d.pool.Unsolicited()) })
-	m.Counter("tamarack_target_connections_opened_total", "Connections opened to targets.",
-		func() float64 { opened, _ := d.pool.Counts(); return float64(opened) })
-	m.Counter("tamarack_target_connections_reused_total", "Sends over a connection that was kept.",
-		func() float64 { _, reused := d.pool.Counts(); return float64(reused) })
+	d.registerConnectionMetrics()
 	m.Register(&retryCollector{read: func() (budgets []director.RetryBudget) {
 		d.reducer.Read(func(s *director.State) { budgets = s.RetryBudgets(bootclock.Now()) })
 		return budgets
@@ -166,6 +163,15 @@
 	}
 }
 
+// registerConnectionMetrics registers the metrics of connections to targets.
+func (d *Daemon) registerConnectionMetrics() {
+	m := d.metrics
+	m.Counter("tamarack_target_connections_opened_total", "Connections opened to targets.",
+		func() float64 { opened, _ := d.pool.Counts(); return float64(opened) })
+	m.Counter("tamarack_target_connections_reused_total", "Sends over a connection that was kept.",
+		func() float64 { _, reused := d.pool.Counts(); return float64(reused) })
+}
+
 // registerRegistrationMetrics registers the metric of registrations that name no target to use.
 func (d *Daemon) registerRegistrationMetrics(state func(func(*director.State) float64) func() float64) {
 	d.metrics.Gauge("tamarack_registrations_invalid", "Rows of the targets' table that name no target to use: they do not decode, or contradict the configuration.",
