Placement: the planning state is kept for each service

With two services of different numbers of empty targets no layer was ever placed, and no request served: the number of targets and the time since it changed were fields of all services together, so that each one restarted the settling time of the other.

--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -46,6 +46,13 @@
 	targets     *targetClient
 	mu          sync.Mutex
 	unconfirmed map[model.TargetID]*unconfirmed
+	// plans is the planning state of each service.
+	plans map[model.ServiceID]*servicePlan
+}
+
+// servicePlan is the planning state of one service. Shared between services, a change of one
+// would keep the others from being planned.
+type servicePlan struct {
 	// stableMembers are the members for which the last plan had no order.
 	stableMembers []placement.Member
 	// targetCount is the number of targets, unchanged since countSince.
@@ -54,7 +61,7 @@
 }
 
 func newOrders(r *ingress.Reducer, targets *targetClient) *orders {
-	return &orders{reducer: r, targets: targets, unconfirmed: map[model.TargetID]*unconfirmed{}}
+	return &orders{reducer: r, targets: targets, unconfirmed: map[model.TargetID]*unconfirmed{}, plans: map[model.ServiceID]*servicePlan{}}
 }
 
 // reset discards the state from an earlier lease.
@@ -62,7 +69,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.unconfirmed = map[model.TargetID]*unconfirmed{}
-	o.targetCount, o.countSince, o.stableMembers = 0, 0, nil
+	o.plans = map[model.ServiceID]*servicePlan{}
 }
 
 func (o *orders) count() int {
@@ -77,29 +84,45 @@
 	var services []director.Placeable
 	o.reducer.Read(func(s *director.State) { services = s.Placeable(now) })
 	for i := range services {
-		if !o.readyToPlan(now, &services[i]) {
-			continue
+		plan := o.planOf(services[i].Service)
+		if o.readyToPlan(now, plan, &services[i]) {
+			o.place(ctx, now, plan, &services[i])
 		}
-		o.place(ctx, now, &services[i])
 	}
 }
 
+func (o *orders) planOf(id model.ServiceID) *servicePlan {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.plans[id] == nil {
+		o.plans[id] = &servicePlan{}
+	}
+	return o.plans[id]
+}
+
 // readyToPlan reports whether a service may be planned. While no target holds layers,
 // the number of targets must be unchanged for settleTime, or an order must be
 // pending.
-func (o *orders) readyToPlan(now model.Instant, p *director.Placeable) bool {
+func (o *orders) readyToPlan(now model.Instant, plan *servicePlan, p *director.Placeable) bool {
 	for _, t := range p.Targets {
 		if t.Held.Len() > 0 {
 			return true
 		}
 	}
-	if len(p.Targets) != o.targetCount {
-		o.targetCount, o.countSince = len(p.Targets), now
+	if len(p.Targets) != plan.targetCount {
+		plan.targetCount, plan.countSince = len(p.Targets), now
 	}
-	return now.Sub(o.countSince) >= settleTime || len(o.unconfirmed) > 0
+	return now.Sub(plan.countSince) >= settleTime || o.awaits(p)
+}
+
+// awaits reports whether an order to a target of a service is not confirmed.
+func (o *orders) awaits(p *director.Placeable) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.ContainsFunc(p.Targets, func(t fleet.Target) bool { return o.unconfirmed[t.ID] != nil })
 }
 
-func (o *orders) place(ctx context.Context, now model.Instant, p *director.Placeable) {
+func (o *orders) place(ctx context.Context, now model.Instant, state *servicePlan, p *director.Placeable) {
 	byID := make(map[model.TargetID]fleet.Target, len(p.Targets))
 	var members []placement.Member
 	var toConfirm []model.TargetID
@@ -121,7 +144,7 @@
 		members = append(members, m)
 	}
 	o.mu.Unlock()
-	plan := o.plan(p.Engine, members)
+	plan := state.plan(p.Engine, members)
 	var wait sync.WaitGroup
 	limit := make(chan struct{}, maxParallelOrders)
 	start := func(f func()) {
@@ -143,16 +166,16 @@
 
 // plan returns the orders for the members. It returns none while the members equal
 // those of a plan without orders.
-func (o *orders) plan(engine *fleet.Engine, members []placement.Member) []placement.Order {
-	if slices.Equal(members, o.stableMembers) {
+func (s *servicePlan) plan(engine *fleet.Engine, members []placement.Member) []placement.Order {
+	if slices.Equal(members, s.stableMembers) {
 		return nil
 	}
 	started := time.Now()
 	orders := placement.Plan(engine, members)
 	if len(orders) == 0 {
-		o.stableMembers = members
+		s.stableMembers = members
 	} else {
-		o.stableMembers = nil
+		s.stableMembers = nil
 		logrus.WithFields(logrus.Fields{
 			"targets": len(members), "orders": len(orders), "took_ms": time.Since(started).Milliseconds(),
 		}).Info("placement planned")
--- a/internal/director/placeable.go
+++ b/internal/director/placeable.go
@@ -11,6 +11,7 @@
 // Placeable is a service with a layered model and the targets that can be given
 // layers.
 type Placeable struct {
+	Service model.ServiceID
 	Engine  *fleet.Engine
 	Targets []fleet.Target
 	// Interruptible is true when every request of the service may be repeated, so
@@ -37,7 +38,7 @@
 	var out []Placeable
 	for _, id := range ids {
 		p := Placeable{
-			Engine: s.config.Services[id].Engine, Interruptible: s.interruptible(id), Slowness: map[model.TargetID]float64{},
+			Service: id, Engine: s.config.Services[id].Engine, Interruptible: s.interruptible(id), Slowness: map[model.TargetID]float64{},
 		}
 		for _, t := range s.byService[id] {
 			if !t.draining() && (t.missingSince == 0 || s.restore.pending(now)) && !s.down(now, t) {
