--- a/internal/ctl/platform.go
+++ b/internal/ctl/platform.go
@@ -64,24 +64,31 @@
 	}
 }
 
-func readStatus(s *session, address string) (*frontdaemon.Status, []byte, error) {
-	url := "http://" + address + frontdaemon.StatusPath
-	req, err := http.NewRequestWithContext(s.ctx, http.MethodGet, url, nil)
+// query sends a request to the metrics address of a VM and returns the status and the body of
+// the response, and the URL.
+func query(s *session, method, address, path string, body io.Reader) (status int, text []byte, url string, err error) {
+	url = "http://" + address + path
+	req, err := http.NewRequestWithContext(s.ctx, method, url, body)
 	if err != nil {
-		return nil, nil, errors.Mark(errors.Wrap(err, "-status must be host:port"), errUsage)
+		return 0, nil, url, errors.Mark(errors.Wrap(err, "-status must be host:port"), errUsage)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "the VM does not answer; name its metrics address with -status")
+		return 0, nil, url, errors.Wrap(err, "the VM does not answer; name its metrics address with -status")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxStatusBytes))
+	text, err = io.ReadAll(io.LimitReader(resp.Body, maxStatusBytes))
+	return resp.StatusCode, text, url, errors.Wrap(err, "the answer broke off; ask again")
+}
+
+func readStatus(s *session, address string) (*frontdaemon.Status, []byte, error) {
+	code, text, url, err := query(s, http.MethodGet, address, frontdaemon.StatusPath, http.NoBody)
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "the status broke off; ask again")
+		return nil, nil, err
 	}
 	var status frontdaemon.Status
-	if err := json.Unmarshal(text, &status); err != nil || resp.StatusCode != http.StatusOK {
-		return nil, nil, errors.Newf("%s answered %d and no status; is it the metrics address of a tamarack-front?", url, resp.StatusCode)
+	if err := json.Unmarshal(text, &status); err != nil || code != http.StatusOK {
+		return nil, nil, errors.Newf("%s answered %d and no status; is it the metrics address of a tamarack-front?", url, code)
 	}
 	return &status, text, nil
 }
--- a/internal/ctl/route.go
+++ b/internal/ctl/route.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"flag"
-	"io"
 	"net/http"
 	"strings"
 
@@ -60,28 +59,18 @@
 	return errors.Newf("%s: %s would answer %d, %s", remedy, run.VM, run.Refusal.Status, run.Refusal.Reason)
 }
 
-func readRoute(s *session, address string, query frontdaemon.RouteQuery) (*director.DryRun, []byte, error) {
-	body, err := json.Marshal(query)
+func readRoute(s *session, address string, asked frontdaemon.RouteQuery) (*director.DryRun, []byte, error) {
+	body, err := json.Marshal(asked)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "encode request")
 	}
-	url := "http://" + address + frontdaemon.RoutePath
-	req, err := http.NewRequestWithContext(s.ctx, http.MethodPost, url, bytes.NewReader(body))
+	code, text, url, err := query(s, http.MethodPost, address, frontdaemon.RoutePath, bytes.NewReader(body))
 	if err != nil {
-		return nil, nil, errors.Mark(errors.Wrap(err, "-status must be host:port"), errUsage)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "the VM does not answer; name its metrics address with -status")
-	}
-	defer func() { _ = resp.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxStatusBytes))
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "the answer broke off; ask again")
+		return nil, nil, err
 	}
 	var run director.DryRun
-	if err := json.Unmarshal(text, &run); err != nil || resp.StatusCode != http.StatusOK || run.VM == "" {
-		return nil, nil, errors.Newf("%s answered %d and no route; is it the metrics address of a tamarack-front of this build?", url, resp.StatusCode)
+	if err := json.Unmarshal(text, &run); err != nil || code != http.StatusOK || run.VM == "" {
+		return nil, nil, errors.Newf("%s answered %d and no route; is it the metrics address of a tamarack-front of this build?", url, code)
 	}
 	return &run, text, nil
 }
