--- a/review/_lab2/vm.go
+++ b/review/_lab2/vm.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -155,12 +154,6 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// logged reports whether the log of the VM has a text.
-func (v *vm) logged(text string) bool {
-	log, err := os.ReadFile(v.log.Name())
-	return err == nil && strings.Contains(string(log), text)
-}
-
 // metric returns a metric without labels, 0 where it cannot be read.
 func (v *vm) metric(name string) float64 {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -178,13 +171,3 @@
 	}
 	return 0
 }
-
-// free returns a free loopback address.
-func free() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
