--- a/review/_lab2/client.go
+++ b/review/_lab2/client.go
@@ -18,8 +18,10 @@
 	id, path string
 	vm       *vm
 	deadline time.Duration
-	sentAt   time.Time
-	endedAt  time.Time
+	// parts are the parts of the prompt, empty for none.
+	parts   string
+	sentAt  time.Time
+	endedAt time.Time
 	// status is 0 where the connection ended without a response; whole is true once the whole
 	// response was read.
 	status int
@@ -43,9 +45,12 @@
 	defer func() { _ = conn.Close() }()
 	a.sentAt = time.Now()
 	_ = conn.SetDeadline(a.sentAt.Add(a.deadline))
-	body := "{\"amount\":1}"
-	_, a.err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: ficu95.example\r\nTamarackreach-Attempt-Id: %s\r\nTamarackreach-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		a.path, a.id, a.deadline.Milliseconds(), len(body), body)
+	body, extra := "{\"amount\":1}", ""
+	if a.parts != "" {
+		extra = "Tamarackreach-Prompt-Prefix: " + a.parts + "\r\n"
+	}
+	_, a.err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: ficu95.example\r\nTamarackreach-Attempt-Id: %s\r\nTamarackreach-Deadline-Ms: %d\r\nContent-Length: %d\r\n%s\r\n%s",
+		a.path, a.id, a.deadline.Milliseconds(), len(body), extra, body)
 	if a.err != nil {
 		return
 	}
--- a/review/_lab2/runner.go
+++ b/review/_lab2/runner.go
@@ -53,7 +53,9 @@
 	beats    int
 	lastBeat time.Time
 	ended    bool
-	server   *http.Server
+	// away is true between a crash and the next start.
+	away   bool
+	server *http.Server
 	// serve answers requests; nil answers a short stream.
 	serve http.HandlerFunc
 }
@@ -94,6 +96,9 @@
 	if r.ended {
 		return false
 	}
+	if r.away {
+		return true
+	}
 	r.beats++
 	r.lastBeat = time.Now()
 	_ = r.lab.store.Put("servers", r.id, map[string]any{
