--- a/review/_lab2/longids.go
+++ b/review/_lab2/longids.go
@@ -100,7 +100,7 @@
 	return nil
 }
 
-// residentMB returns the resident memory of the process, in MB; 0 where it has ended.
+// residentMB returns the anonymous resident memory of the process, in MB; 0 where it has ended.
 func (v *vm) residentMB() int {
 	v.mu.Lock()
 	pid := v.process.Process.Pid
@@ -110,7 +110,7 @@
 		return 0
 	}
 	for line := range strings.Lines(string(status)) {
-		if value, found := strings.CutPrefix(line, "VmRSS:"); found {
+		if value, found := strings.CutPrefix(line, "RssAnon:"); found {
 			kb, _ := strconv.Atoi(strings.Fields(value)[0])
 			return kb >> 10
 		}
