Drain: a request is accepted by its deadline, not by its usual duration

Cause: a terminating VM accepted any plain request while two seconds of the grace were left, whatever its deadline, and a rejected request was sent again at any time. The drain ends 0.3 s before SIGKILL, so 1.7 s were left in fact.

Change: internal/drain decides.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"tamarackreach/internal/drain"
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
 )
@@ -29,13 +30,6 @@
 	// limitRetryAfter is the shortest Retry-After while targets take no more requests at the
 	// rates that they named: each second brings as many places as their rates.
 	limitRetryAfter = 250 * time.Millisecond
-	// drainStreamWindow is how long after the request to terminate a VM accepts new
-	// streams: a usual one ends well before the process is killed, eight seconds after
-	// the request.
-	drainStreamWindow = 2 * time.Second
-	// drainPlainMargin is how long before the end of the process a terminating VM
-	// stops accepting plain requests: several times the usual duration of one.
-	drainPlainMargin = 2 * time.Second
 	// stoppingRetryAfter is the Retry-After of a terminating VM: the caller's next
 	// connection goes to another VM.
 	stoppingRetryAfter = 100 * time.Millisecond
@@ -98,17 +92,9 @@
 	return refusal
 }
 
-// mayOutliveProcess reports whether a request that arrives now may still be
-// running when the process ends.
-func (s *State) mayOutliveProcess(now model.Instant, route *fleet.Route) bool {
-	if s.terminating == 0 {
-		return false
-	}
-	stopping := now.Sub(s.terminating)
-	if route.Kind == fleet.Stream {
-		return stopping > drainStreamWindow
-	}
-	return s.settings.Grace > 0 && stopping > s.settings.Grace-drainPlainMargin
+// drained returns what the drain of the process uses of a request.
+func drained(route *fleet.Route, expiresAt model.Instant) drain.Request {
+	return drain.Request{ExpiresAt: expiresAt, Stream: route.Kind == fleet.Stream, Repeatable: route.Repeatable()}
 }
 
 // timeoutFor returns the shorter of the caller's and the route's timeout.
@@ -179,6 +165,7 @@
 
 	reasonBackoff   = "the targets of the service requested a backoff"
 	reasonUnreached = "the VM does not reach the targets, and no other VM can relay the request"
+	reasonStopping  = "the VM is stopping"
 
 	reasonFull    = "the targets of the service are full"
 	reasonLimited = "the targets of the service have named limits, which are reached"
@@ -190,6 +177,8 @@
 		return cmp.Or(s.admissionRetryAfter(now, r), overloadRetryAfter)
 	case reasonUnreached:
 		return unreachedRetryAfter
+	case reasonStopping:
+		return stoppingRetryAfter
 	case reasonLimited:
 		return max(limitRetryAfter, s.limitWait(now, r.service.ID))
 	case reasonBackoff:
--- a/internal/director/precheck.go
+++ b/internal/director/precheck.go
@@ -59,14 +59,15 @@
 		}
 		return nil, nil, &Refuse{Status: http.StatusNotFound, Reason: "no route matches host and path in configuration " + version(s.config.Version)}
 	}
-	if s.mayOutliveProcess(now, route) {
-		return unavailable(stoppingRetryAfter, "the VM is stopping; the request would be cut")
+	expiresAt := expiryOf(now, e, route)
+	if !s.drain.Accepts(now, drained(route, expiresAt)) {
+		return unavailable(stoppingRetryAfter, reasonStopping)
 	}
 	workspace, denial := s.authorize(now, route, req, e.Random)
 	if denial != nil {
 		return nil, nil, denial
 	}
-	if expiryOf(now, e, route) <= now {
+	if expiresAt <= now {
 		return nil, nil, &Refuse{Status: http.StatusRequestTimeout, Reason: "the time of the request ended before its body was read"}
 	}
 	return route, workspace, nil
--- a/internal/director/relay.go
+++ b/internal/director/relay.go
@@ -34,7 +34,7 @@
 
 // offered returns the relay that this VM offers to others.
 func (s *State) offered() Relay {
-	if s.terminating != 0 || s.Isolated() {
+	if s.drain.Draining() || s.Isolated() {
 		return Relay{}
 	}
 	return s.settings.Relay
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"tamarackreach/internal/drain"
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/loadview"
 	"tamarackreach/internal/model"
@@ -108,9 +109,9 @@
 	lastAnswerAt  model.Instant
 	// crashRecords holds the causes of requests that were running on targets that crashed.
 	crashRecords map[Cause]*crashRecord
-	// terminating is when termination was requested; 0 before.
-	terminating model.Instant
-	links       links
+	// drain is that of the process once its termination was requested.
+	drain drain.Drain
+	links links
 	// unreachedByPeers is the number of targets in the last messages of other VMs that they
 	// fail to reach.
 	unreachedByPeers int
@@ -263,7 +264,7 @@
 	case SettingsChanged:
 		return s.settingsChanged(e.Settings)
 	case Terminating:
-		s.terminating = now
+		s.drain = drain.Start(now, s.settings.Grace)
 	default:
 		return s.stepLinks(now, e)
 	}
@@ -350,7 +351,7 @@
 
 // Ready reports whether the VM should take new connections.
 func (s *State) Ready(now model.Instant) bool {
-	return s.terminating == 0 && s.config != nil && s.targetsRead && !s.keysExpired(now)
+	return !s.drain.Draining() && s.config != nil && s.targetsRead && !s.keysExpired(now)
 }
 
 // revokeMargin is subtracted from Settings.Revoke to cover the steps between the
--- a/internal/frontdaemon/daemon.go
+++ b/internal/frontdaemon/daemon.go
@@ -17,6 +17,7 @@
 
 	"tamarackreach/internal/controller"
 	"tamarackreach/internal/director"
+	"tamarackreach/internal/drain"
 	"tamarackreach/internal/ingress"
 	"tamarackreach/internal/relay"
 	"tamarackreach/internal/retrybudget"
@@ -40,8 +41,6 @@
 	// detects within two seconds that it is not ready and directs connections to
 	// other VMs.
 	minDrainTime = 2500 * time.Millisecond
-	// killMargin is how long before SIGKILL the drain ends.
-	killMargin = 300 * time.Millisecond
 	// drainPollInterval is how often a draining VM checks whether requests are in
 	// flight.
 	drainPollInterval = 50 * time.Millisecond
@@ -246,7 +245,7 @@
 	d.reducer.Step(director.Terminating{})
 	server.SetKeepAlivesEnabled(false)
 	started := time.Now()
-	limit := d.settings.Bounds.Grace - killMargin
+	limit := drain.Window(d.settings.Bounds.Grace)
 	for time.Since(started) < limit {
 		time.Sleep(drainPollInterval)
 		if time.Since(started) > minDrainTime && d.ingress.InFlight() == 0 && d.relay.Active(relayIdleTime) == 0 {
