Drain: requests left at its end are answered

What callers saw: a request accepted before the SIGTERM and still in flight at the end of the drain lost its connection without an answer when the process exited. An answer that was being written at that moment could be lost as well, since the process exited as soon as no request was counted.

Change: when the drain expires the sends in flight are given up. The process then waits up to 150 ms for connections whose answers are being written; it ends 0.15 s before SIGKILL at the latest.

--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -110,6 +110,8 @@
 	mayHaveRun := len(r.possibleRuns) > 0
 	left := r.expiresAt.Sub(now)
 	switch {
+	case s.drain.Expired():
+		return s.failRequest(now, r, e, http.StatusGatewayTimeout, reasonStopping)
 	case e.Outcome == TimedOut || left < minTimeLeft:
 		return s.failRequest(now, r, e, http.StatusGatewayTimeout, "the time of the request is over")
 	case mayHaveRun && !r.route.Repeatable():
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -290,6 +290,10 @@
 // Terminating reports that termination of the process was requested.
 type Terminating struct{}
 
+// DrainExpired reports that the process ends shortly: requests in flight are answered now, and
+// none is sent any more.
+type DrainExpired struct{}
+
 func (ConfigRead) event()       {}
 func (TargetsRead) event()      {}
 func (StoreFailed) event()      {}
@@ -315,6 +319,7 @@
 func (VMsCounted) event()       {}
 func (SettingsChanged) event()  {}
 func (Terminating) event()      {}
+func (DrainExpired) event()     {}
 
 // Effect is an action for the driver.
 type Effect interface{ effect() }
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -265,6 +265,8 @@
 		return s.settingsChanged(e.Settings)
 	case Terminating:
 		s.drain = drain.Start(now, s.settings.Grace)
+	case DrainExpired:
+		s.drain.Expire()
 	default:
 		return s.stepLinks(now, e)
 	}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -33,7 +33,8 @@
 type Drain struct {
 	startedAt model.Instant
 	// endsAt is 0 where the grace is unknown.
-	endsAt model.Instant
+	endsAt  model.Instant
+	expired bool
 }
 
 // Start returns the drain of a process that was requested to terminate at now, and is killed
@@ -49,6 +50,12 @@
 // Draining reports whether the process was requested to terminate.
 func (d *Drain) Draining() bool { return d.startedAt != 0 }
 
+// Expire ends the drain: what is in flight is answered, and nothing is sent any more.
+func (d *Drain) Expire() { d.expired = true }
+
+// Expired reports whether the drain has ended.
+func (d *Drain) Expired() bool { return d.expired }
+
 // Request is what the decisions use of a request.
 type Request struct {
 	ExpiresAt  model.Instant
@@ -61,6 +68,8 @@
 	switch {
 	case !d.Draining():
 		return true
+	case d.expired:
+		return false
 	case d.endsAt == 0 && !r.Stream:
 		return true
 	}
@@ -70,7 +79,7 @@
 // Resends reports whether a request that a target rejected is sent again. One that may be
 // repeated is sent until the drain ends: a later failure costs its caller no more than a refusal.
 func (d *Drain) Resends(r Request) bool {
-	return !d.Draining() || r.Repeatable || d.endsAt == 0 || d.outlasts(r)
+	return !d.expired && (!d.Draining() || r.Repeatable || d.endsAt == 0 || d.outlasts(r))
 }
 
 // outlasts reports whether the process outlasts the deadline of a request.
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -66,6 +66,13 @@
 		Expect(d.Accepts(start.Add(3*time.Second), stream(0, time.Second))).To(BeFalse())
 	})
 
+	It("takes nothing after the drain", func() {
+		d := drain.Start(start, grace)
+		d.Expire()
+		Expect(d.Accepts(start, read(0, time.Millisecond))).To(BeFalse())
+		Expect(d.Resends(read(0, time.Millisecond))).To(BeFalse())
+	})
+
 	It("takes everything before termination", func() {
 		d := drain.Drain{}
 		Expect(d.Draining()).To(BeFalse())
--- a/internal/frontdaemon/daemon.go
+++ b/internal/frontdaemon/daemon.go
@@ -41,6 +41,9 @@
 	// detects within two seconds that it is not ready and directs connections to
 	// other VMs.
 	minDrainTime = 2500 * time.Millisecond
+	// lastAnswersTime is how long the process waits at its end for answers that are being
+	// written: within the time between the drain and SIGKILL.
+	lastAnswersTime = 150 * time.Millisecond
 	// drainPollInterval is how often a draining VM checks whether requests are in
 	// flight.
 	drainPollInterval = 50 * time.Millisecond
@@ -238,19 +241,33 @@
 	return names
 }
 
-// drain reports not ready at once and keeps serving, also as a relay. It returns when no
-// request is in flight after minDrainTime, or when the drain time has expired.
+// drain reports not ready at once and keeps serving, also as a relay, until no request is in
+// flight after minDrainTime, or until the drain time has expired: the requests that are left are
+// answered then, as such that may have run. It returns when all answers are written, or after
+// lastAnswersTime.
 func (d *Daemon) drain(server *http.Server) {
 	logrus.WithField("in_flight", d.ingress.InFlight()).Info("stopping")
 	d.reducer.Step(director.Terminating{})
 	server.SetKeepAlivesEnabled(false)
-	started := time.Now()
-	limit := drain.Window(d.settings.Bounds.Grace)
-	for time.Since(started) < limit {
+	if !d.idleWithin(drain.Window(d.settings.Bounds.Grace)) {
+		logrus.WithField("in_flight", d.ingress.InFlight()).Warn("drain time expired; requests in flight are answered as such that may have run")
+		d.ingress.Stop()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswersTime)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		logrus.WithError(err).WithField("in_flight", d.ingress.InFlight()).Warn("connections of callers are closed that are in use")
+	}
+}
+
+// idleWithin serves until no request is in flight after minDrainTime, and reports whether that
+// is so within limit.
+func (d *Daemon) idleWithin(limit time.Duration) bool {
+	for started := time.Now(); time.Since(started) < limit; {
 		time.Sleep(drainPollInterval)
 		if time.Since(started) > minDrainTime && d.ingress.InFlight() == 0 && d.relay.Active(relayIdleTime) == 0 {
-			return
+			return true
 		}
 	}
-	logrus.WithField("in_flight", d.ingress.InFlight()).Warn("drain time expired; requests in flight are aborted")
+	return false
 }
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -39,12 +39,16 @@
 	metrics *Metrics
 	buffers buffers
 	account *clientlimit.Account
+	// stopping ends when the sends in flight are to be given up, by stop.
+	stopping context.Context
+	stop     context.CancelFunc
 }
 
 // New returns a handler that sends requests over pool, with the default limits on what callers
 // make it hold.
 func New(r *Reducer, pool *upstream.Pool, probe Prober, m *Metrics) *RequestHandler {
 	h := &RequestHandler{reducer: r, pool: pool, probe: probe, metrics: m}
+	h.stopping, h.stop = context.WithCancel(context.Background())
 	h.SetAccount(clientlimit.NewAccount(clientlimit.BudgetFor(0, 0).HeldBytes))
 	return h
 }
@@ -56,6 +60,13 @@
 	h.buffers.account = a
 }
 
+// Stop gives up the sends in flight: each request whose response has not begun is answered, and
+// the others are broken off. The process ends shortly after.
+func (h *RequestHandler) Stop() {
+	h.reducer.Step(director.DrainExpired{})
+	h.stop()
+}
+
 const (
 	// defaultMaxBodyBytes limits a request body unless the configuration sets a limit.
 	defaultMaxBodyBytes = 4 << 20
@@ -248,6 +259,7 @@
 func (a *activeRequest) send(e *director.Send) *director.SendEnded {
 	ctx, cancel := context.WithTimeout(a.r.Context(), e.TimeLeft)
 	defer cancel()
+	defer context.AfterFunc(a.handler.stopping, cancel)()
 	sentAt := time.Now()
 	a.setWriteDeadline(sentAt.Add(e.TimeLeft + writeGrace))
 	a.lastReceived, a.diverted, a.streaming = sentAt, false, false
