Relay: a connection is in use until its target responds

What callers saw: a planned stop of a VM that relays for another one could cut a call on which a target had worked for more than a second; the sender then answered 502, as the call may have run.

Cause: the drain counted a relayed connection as idle when it had carried no byte for relayIdleTime (1 s), "longer than the usual answer of a plain service". The same assumption cut calls at the VM that accepts them.

Change: a connection is in use from the last byte of its sender until the target sends one, however long that takes; behind bytes of the target the time of 1 s stays. The drain remains bounded by the grace.

--- a/internal/frontdaemon/relay.go
+++ b/internal/frontdaemon/relay.go
@@ -20,8 +20,8 @@
 // relayKeepAlive detects senders whose machine has stopped within ten seconds.
 var relayKeepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 5}
 
-// relayIdleTime is how long a relayed connection is idle before it holds no request in flight:
-// longer than the usual answer of a plain service and the pauses of a stream.
+// relayIdleTime is how long a relayed connection is idle behind bytes of its target before it holds
+// no request in flight: longer than the pauses of a stream.
 const relayIdleTime = time.Second
 
 // relayAddress returns the address of this VM's relay: the port for messages between VMs,
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -242,6 +242,30 @@
 		Eventually(func() int { return f.server.Active(time.Minute) }).Should(BeZero())
 	})
 
+	// Guards against a relay whose VM ends during a planned stop while a target works on a
+	// relayed call for longer than the pauses of a stream.
+	It("counts a connection as active until its target responds", func() {
+		respond := make(chan bool)
+		f := startRelay(startTarget(func(conn net.Conn) {
+			_, _ = conn.Read(make([]byte, 1))
+			<-respond
+			_, _ = io.WriteString(conn, "y")
+			<-respond
+		}))
+		conn, err := f.dial()
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(conn, "x")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() int { return f.server.Active(0) }).Should(Equal(1))
+		Consistently(func() int { return f.server.Active(0) }, 100*time.Millisecond).Should(Equal(1))
+		respond <- true
+		_, err = conn.Read(make([]byte, 1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(f.server.Active(0)).To(BeZero())
+		Expect(f.server.Active(time.Minute)).To(Equal(1))
+		close(respond)
+	})
+
 	// Guards against memory and descriptors that other VMs use without end.
 	It("refuses connections beyond its bound at once", func() {
 		release := make(chan bool)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -49,33 +49,35 @@
 
 	mu    sync.Mutex
 	count int
-	// lastByteAt is when each open connection last carried a byte.
-	lastByteAt map[*relayed]time.Time
+	open  map[*relayed]struct{}
 }
 
 // relayed is a connection between a sender and a target.
 type relayed struct {
 	server         *Server
 	sender, target net.Conn
+	// lastByteAt is when the connection last carried a byte, and awaitsTarget whether that was
+	// one of the sender: a request without a response. The server's lock guards both.
+	lastByteAt   time.Time
+	awaitsTarget bool
 }
 
-// carried records that a connection has carried a byte.
-func (c *relayed) carried() {
+// carried records that a connection has carried a byte of the sender or of the target.
+func (c *relayed) carried(bySender bool) {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	if _, open := c.server.lastByteAt[c]; open {
-		c.server.lastByteAt[c] = time.Now()
-	}
+	c.lastByteAt, c.awaitsTarget = time.Now(), bySender
 }
 
-// Active returns the number of connections that carried a byte within a time: those that
-// senders keep for later requests do not.
+// Active returns the number of connections that hold a request: those whose target has not
+// responded to the last bytes of the sender, however long it works, and those that carried a byte
+// within a time. Connections that senders keep for later requests are not counted.
 func (s *Server) Active(within time.Duration) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	active := 0
-	for _, at := range s.lastByteAt {
-		if time.Since(at) <= within {
+	for c := range s.open {
+		if c.awaitsTarget || time.Since(c.lastByteAt) <= within {
 			active++
 		}
 	}
@@ -141,18 +143,18 @@
 		return
 	}
 	logrus.WithFields(logrus.Fields{"target": id, "sender": sender.RemoteAddr().String()}).Debug("relay connection opened")
-	s.open(sender, target).relay()
+	s.opened(sender, target).relay()
 }
 
-// open records an open connection.
-func (s *Server) open(sender, target net.Conn) *relayed {
+// opened records an open connection.
+func (s *Server) opened(sender, target net.Conn) *relayed {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.lastByteAt == nil {
-		s.lastByteAt = map[*relayed]time.Time{}
+	if s.open == nil {
+		s.open = map[*relayed]struct{}{}
 	}
-	c := &relayed{server: s, sender: sender, target: target}
-	s.lastByteAt[c] = time.Now()
+	c := &relayed{server: s, sender: sender, target: target, lastByteAt: time.Now()}
+	s.open[c] = struct{}{}
 	return c
 }
 
@@ -197,7 +199,7 @@
 	}
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	delete(c.server.lastByteAt, c)
+	delete(c.server.open, c)
 }
 
 // copyRequests passes on what the sender sends, as it is.
@@ -206,7 +208,7 @@
 	for {
 		n, err := c.sender.Read(buffer)
 		if n > 0 {
-			c.carried()
+			c.carried(true)
 			if _, err := c.target.Write(buffer[:n]); err != nil {
 				return err
 			}
@@ -225,7 +227,7 @@
 	for {
 		n, err := target.Read(buffer[2:])
 		if n > 0 {
-			c.carried()
+			c.carried(false)
 			binary.BigEndian.PutUint16(buffer, uint16(n))
 			if _, err := sender.Write(buffer[:2+n]); err != nil {
 				return err
