Upstream: a status that HTTP does not have is no response

What callers saw: a response with a status of 600 or above reached them as the answer to their request, signed by the target. Statuses below 100, such as 000, were rejected already.

Change: a status outside 100 to 599 counts as a lost response. What may be repeated is sent again, the rest is answered 502.

Evidence: of 24 specs "a response with an invalid status" the six of 600 and 999 failed before. The specs "a response whose head breaks off", which cut a head at each byte in three framings, pass before and after: no fault found there.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -144,14 +144,18 @@
 // one.
 const maxInformational = 5
 
-// readResponse reads the head of the final response; informational ones are dropped.
+// maxStatus is the highest status that a response may have.
+const maxStatus = 599
+
+// readResponse reads the head of the final response; informational ones are dropped. A status
+// outside the range of HTTP is an error: what has it is no response that a caller can use.
 func readResponse(r *bufio.Reader, method string) (*http.Response, error) {
 	for range maxInformational + 1 {
 		resp, err := http.ReadResponse(r, &http.Request{Method: method})
 		switch {
 		case err != nil:
 			return nil, err
-		case resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols:
+		case resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus || resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errors.Newf("response has the invalid status %d", resp.StatusCode)
 		case resp.StatusCode >= http.StatusOK:
 			return resp, nil
