Upstream: heads and events are bounded together, not only each by itself

What callers saw on similar systems: a faulty target sent bytes without end in a head or in a body, the process ran out of memory, and the requests of others ended with it.

Cause here: one head was bounded by 256 KiB and one event by 1 MiB, but not those of many requests. A target that stops just short of a limit and goes on with single bytes kept them all in memory until their deadlines.

--- a/internal/clientlimit/abusetest/front_test.go
+++ b/internal/clientlimit/abusetest/front_test.go
@@ -47,6 +47,7 @@
 	host   string
 	cmd    *exec.Cmd
 	log    string
+	store  *platformtest.Store
 	fleet  *platformtest.Fleet
 	idleMB float64
 	peak   atomic.Int64
@@ -87,7 +88,7 @@
 	store, err := platformtest.NewStore()
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { _ = store.Close() })
-	f := &front{host: platformtest.Host(200+runs%50, 1), fleet: platformtest.NewFleet(store), exited: make(chan struct{})}
+	f := &front{host: platformtest.Host(200+runs%50, 1), store: store, fleet: platformtest.NewFleet(store), exited: make(chan struct{})}
 	f.fleet.ReadBodies, f.fleet.Events, f.fleet.EventInterval = true, 20000, 20*time.Millisecond
 	DeferCleanup(f.fleet.Close)
 	Expect(store.Put("op", "config", config())).To(Succeed())
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -264,7 +264,7 @@
 	a.setWriteDeadline(sentAt.Add(e.TimeLeft + writeGrace))
 	a.lastReceived, a.diverted, a.streaming = sentAt, false, false
 	a.received, a.progressed = 0, false
-	a.position = streamPosition{known: !a.response.started || a.lastEventID == 0}
+	a.position = streamPosition{known: !a.response.started || a.lastEventID == 0, held: upstream.NewBuffer(&a.buffer)}
 	a.sends = e.Number
 	call := a.call(e)
 	call.ExpiresAt = e.ExpiresAt
@@ -376,7 +376,7 @@
 	}
 	call := &upstream.Call{
 		ID: a.request.ID, Target: e.Hops[0].Target, Address: e.Hops[0].Address, Relay: through, Method: a.r.Method, URI: a.r.RequestURI, Host: a.r.Host,
-		Header: platform.ForwardHeader(a.r.Header, send), Body: a.request.Body, SilenceInterval: silenceInterval, OnSilence: a.onSilence,
+		Header: platform.ForwardHeader(a.r.Header, send), Body: a.request.Body, Memory: &a.buffer, SilenceInterval: silenceInterval, OnSilence: a.onSilence,
 	}
 	if e.Route.Kind == fleet.Stream {
 		call.OnTrickle = a.onTrickle
--- a/internal/ingress/position.go
+++ b/internal/ingress/position.go
@@ -32,7 +32,7 @@
 	// advanced is true once the send has brought an event with data that the caller lacked.
 	advanced bool
 	// held holds the events without an id that precede the first id of a resumption.
-	held []byte
+	held upstream.Buffer
 }
 
 type eventDecision uint8
@@ -48,8 +48,10 @@
 func (p *streamPosition) decide(event *upstream.Event, lastEventID int64) (eventDecision, error) {
 	switch {
 	case !event.HasID && !p.known:
-		p.held = append(p.held, event.Bytes...)
-		if len(p.held) > maxHeldBytes {
+		if err := p.held.Append(event.Bytes); err != nil {
+			return 0, err
+		}
+		if p.held.Len() > maxHeldBytes {
 			return 0, errHeldTooLong
 		}
 		return skipEvent, nil
@@ -58,7 +60,8 @@
 	case event.HasID && event.ID < p.previous:
 		return 0, errEventOrder
 	case event.HasID && event.ID <= lastEventID:
-		p.known, p.behind, p.held, p.previous = true, event.ID < lastEventID, nil, event.ID
+		p.known, p.behind, p.previous = true, event.ID < lastEventID, event.ID
+		p.held.Release()
 		return skipEvent, nil
 	}
 	if event.HasID {
@@ -70,7 +73,7 @@
 
 // takeHeld returns the held events, which precede the next one to deliver.
 func (p *streamPosition) takeHeld() []byte {
-	held := p.held
-	p.held = nil
+	held := p.held.Bytes()
+	p.held.Release()
 	return held
 }
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -12,7 +12,8 @@
 
 // forwardStream forwards whole events to the caller as they arrive.
 func (a *activeRequest) forwardStream(e *director.Send, x *upstream.Exchange) (director.Outcome, bool) {
-	events := upstream.NewEventReader(x.Response.Body)
+	events := upstream.NewEventReader(x.Response.Body, &a.buffer)
+	defer events.Close()
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) && !a.position.advanced && x.Framing() == upstream.FramedByClosing {
--- a/internal/upstream/completeness_test.go
+++ b/internal/upstream/completeness_test.go
@@ -82,7 +82,7 @@
 		x, err := upstream.NewPool().Do(context.Background(), t.call())
 		Expect(err).NotTo(HaveOccurred())
 		defer x.Done(false)
-		events := upstream.NewEventReader(x.Response.Body)
+		events := upstream.NewEventReader(x.Response.Body, nil)
 		for err == nil {
 			_, err = events.Next()
 		}
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -20,14 +20,18 @@
 // whole one.
 type EventReader struct {
 	reader *bufio.Reader
-	event  []byte
+	event  Buffer
 }
 
-// NewEventReader returns a reader of the events in body.
-func NewEventReader(body io.Reader) *EventReader {
-	return &EventReader{reader: bufio.NewReaderSize(body, readBufferBytes)}
+// NewEventReader returns a reader of the events in body, of which it holds one within a memory;
+// nil is no bound but that of an event. Close must be called after the last event.
+func NewEventReader(body io.Reader, memory Memory) *EventReader {
+	return &EventReader{reader: bufio.NewReaderSize(body, readBufferBytes), event: NewBuffer(memory)}
 }
 
+// Close returns the memory of the event.
+func (e *EventReader) Close() { e.event.Release() }
+
 // Event is a whole event; Bytes is valid until the next call of Next.
 type Event struct {
 	Bytes []byte
@@ -42,30 +46,32 @@
 
 // Next returns the next whole event. io.EOF means that the stream ended between
 // two events; ErrResponseMerged means that a second response follows; any other error
-// means that it was interrupted.
+// means that it was interrupted, or that the event is too long for the memory.
 func (e *EventReader) Next() (Event, error) {
 	var out Event
-	e.event = e.event[:0]
+	e.event.Reset()
 	lineStart, check := 0, headCheck{}
 	for {
 		part, err := e.reader.ReadSlice('\n') // a part of the line if it exceeds the buffer
-		e.event = append(e.event, part...)
-		if len(e.event) > maxEventBytes {
+		if appendErr := e.event.Append(part); appendErr != nil {
+			return out, appendErr
+		}
+		if e.event.Len() > maxEventBytes {
 			return out, ErrEventTooLong
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(e.event) > 0 {
+			if errors.Is(err, io.EOF) && e.event.Len() > 0 {
 				return out, io.ErrUnexpectedEOF
 			}
 			return out, err
 		}
-		line := bytes.TrimRight(e.event[lineStart:], "\r\n")
-		lineStart = len(e.event)
+		line := bytes.TrimRight(e.event.Bytes()[lineStart:], "\r\n")
+		lineStart = e.event.Len()
 		if len(line) == 0 {
-			out.Bytes, out.MoreBuffered = e.event, e.eventBuffered()
+			out.Bytes, out.MoreBuffered = e.event.Bytes(), e.eventBuffered()
 			return out, nil
 		}
 		if check.secondResponse(line) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -51,6 +51,9 @@
 	Body   []byte
 	// ExpiresAt is the deadline of the request; 0 when it has none.
 	ExpiresAt model.Instant
+	// Memory is charged for the head of the response, which may outlive the exchange; nil is no
+	// bound.
+	Memory Memory
 	// SilenceInterval is the time without received bytes after which OnSilence is
 	// called; while no byte arrives, it is called again at that interval.
 	SilenceInterval time.Duration
@@ -95,13 +98,13 @@
 			written <- platform.WriteRequest(conn, call.Method, call.URI, call.Host, call.Header, call.Body)
 		}()
 	}
-	conn.headLeft = maxHeadBytes
+	conn.headLeft, conn.head = maxHeadBytes, headMemory{memory: call.Memory}
 	//nolint:bodyclose // the caller reads the body and calls Done, which closes the connection
 	resp, err := readResponse(conn.reader, call.Method)
-	if err != nil && conn.headLeft == 0 {
-		err = errors.CombineErrors(ErrHeadTooLong, err)
+	if err != nil && conn.headError != nil {
+		err = errors.CombineErrors(conn.headError, err)
 	}
-	conn.headLeft = -1
+	conn.headLeft, conn.headError = -1, nil
 	if err != nil {
 		return x, errors.Wrap(err, "cannot read a response")
 	}
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -15,7 +15,7 @@
 	f.Add([]byte("id: 1\r\ndata: a\r\n\r\nid: x\ndata"))
 	f.Add([]byte("\n\n\n"))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		events := upstream.NewEventReader(bytes.NewReader(body))
+		events := upstream.NewEventReader(bytes.NewReader(body), nil)
 		var joined []byte
 		for {
 			event, err := events.Next()
--- a/internal/upstream/merged_test.go
+++ b/internal/upstream/merged_test.go
@@ -18,7 +18,7 @@
 // readEvents returns the concatenated events of a stream and the error that ends it.
 func readEvents(body io.Reader) (string, error) {
 	var joined strings.Builder
-	events := upstream.NewEventReader(body)
+	events := upstream.NewEventReader(body, nil)
 	for {
 		event, err := events.Next()
 		if err != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -84,6 +84,10 @@
 	// headLeft is the number of bytes that may still be read of a response's head; negative
 	// while a body is read.
 	headLeft int
+	// head is what the memory was charged for the head that is read.
+	head headMemory
+	// headError is why the reading of the head ended before the head did; nil without a reason.
+	headError error
 	// reused is true from the second request on.
 	reused bool
 	// requests holds the ids of the requests that the connection has carried.
@@ -92,8 +96,8 @@
 
 // Read implements io.Reader for the buffered reader.
 func (c *connection) Read(p []byte) (int, error) {
-	if c.headLeft == 0 {
-		return 0, ErrHeadTooLong
+	if c.headError != nil {
+		return 0, c.headError
 	}
 	for {
 		err := c.SetReadDeadline(time.Now().Add(c.silenceInterval))
@@ -104,9 +108,7 @@
 			return 0, errors.Wrap(err, "cannot set the read deadline")
 		}
 		n, err := c.Conn.Read(p)
-		if c.headLeft > 0 {
-			c.headLeft = max(c.headLeft-n, 0)
-		}
+		c.countHead(p[:n])
 		var timeout net.Error
 		if errors.Is(err, io.EOF) && c.wasReset() {
 			return n, errReset
@@ -123,6 +125,20 @@
 	}
 }
 
+// countHead counts bytes against the limits of a response's head while it is read.
+func (c *connection) countHead(part []byte) {
+	if c.headLeft < 0 {
+		return
+	}
+	c.headLeft = max(c.headLeft-len(part), 0)
+	switch {
+	case c.headLeft == 0:
+		c.headError = ErrHeadTooLong
+	case !c.head.read(part):
+		c.headError = ErrMemoryFull
+	}
+}
+
 // trickled calls onTrickle after a read of n bytes, if it is due.
 func (c *connection) trickled(n int) error {
 	if n == 0 || c.onTrickle == nil || time.Since(c.trickleAt) < c.silenceInterval {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -290,7 +290,7 @@
 
 var _ = Describe("EventReader", func() {
 	It("returns whole events with their ids", func() {
-		e := upstream.NewEventReader(strings.NewReader("id: 1\ndata: a\n\nversion: 2\nid: 2\ndata: b\n\n"))
+		e := upstream.NewEventReader(strings.NewReader("id: 1\ndata: a\n\nversion: 2\nid: 2\ndata: b\n\n"), nil)
 		first, err := e.Next()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(first.Bytes)).To(Equal("id: 1\ndata: a\n\n"))
@@ -303,7 +303,7 @@
 	})
 
 	It("distinguishes an end inside an event from the end of the stream", func() {
-		e := upstream.NewEventReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"))
+		e := upstream.NewEventReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"), nil)
 		_, err := e.Next()
 		Expect(err).NotTo(HaveOccurred())
 		_, err = e.Next()
@@ -313,7 +313,7 @@
 	// Guards against an event that is delivered in two parts, or with an id from its
 	// data: a resumed stream would then repeat or skip a part of it.
 	DescribeTable("finds the end and the id of an event whose line fills its buffer", func(stream string) {
-		event, err := upstream.NewEventReader(strings.NewReader(stream)).Next()
+		event, err := upstream.NewEventReader(strings.NewReader(stream), nil).Next()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(event.Bytes).To(HaveLen(len(stream)))
 		Expect(event.ID).To(BeEquivalentTo(7))
@@ -324,10 +324,10 @@
 
 	It("accepts lines longer than its buffer and limits the size of an event", func() {
 		long := "id: 1\ndata: " + strings.Repeat("x", 20000) + "\n\n"
-		event, err := upstream.NewEventReader(strings.NewReader(long)).Next()
+		event, err := upstream.NewEventReader(strings.NewReader(long), nil).Next()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(event.Bytes)).To(Equal(long))
-		_, err = upstream.NewEventReader(strings.NewReader(strings.Repeat("x", 2<<20))).Next()
+		_, err = upstream.NewEventReader(strings.NewReader(strings.Repeat("x", 2<<20)), nil).Next()
 		Expect(err).To(Equal(upstream.ErrEventTooLong))
 	})
 })
