Ingress: the rest of a rejection is not awaited

What callers saw: a request that a target rejected, as not executed, without ending the body of the rejection was kept until its deadline and answered 504, as one that may have run.

Cause: the body was read to its end, up to 16 MiB, so that its connection could be used again, and the deadline then replaced the outcome.

Change: up to 64 KiB are read while bytes arrive without a pause of 150 ms. Then the request goes on as rejected, and the connection is closed. A deadline that ends meanwhile leaves the request rejected.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -73,6 +73,9 @@
 	// silenceInterval is the time without data after which the reducer is notified:
 	// twice the usual gap between two events of a stream.
 	silenceInterval = 150 * time.Millisecond
+	// maxRejectionBytes limits how much of a rejection's body is read, so that its connection can
+	// be used again.
+	maxRejectionBytes = 64 << 10
 	// maxResponseBytes limits a non-streaming response, which is buffered whole.
 	maxResponseBytes = 16 << 20
 	// writeGrace is how long after the deadline of a request its caller may take to
@@ -119,6 +122,8 @@
 	lastReceived    time.Time
 	timeToFirstByte time.Duration
 	diverted        bool
+	// rejected is true once the target has declared that it did not run the send.
+	rejected bool
 	// answeredBy is the send whose head the caller's response has; zero for a response
 	// of the router.
 	answeredBy source
@@ -251,6 +256,9 @@
 // errResponseTooLarge means that a response exceeds maxResponseBytes.
 var errResponseTooLarge = errors.New("response exceeds 16 MiB; use a streaming route for larger ones")
 
+// errRejectionUnread ends the reading of a rejection's body.
+var errRejectionUnread = errors.New("body of a rejection is not awaited; connection closed")
+
 // errDiverted cancels a send that the reducer diverts to another path.
 var errDiverted = errors.New("send cancelled: request diverted to another path")
 
@@ -262,7 +270,7 @@
 	defer context.AfterFunc(a.handler.stopping, cancel)()
 	sentAt := time.Now()
 	a.setWriteDeadline(sentAt.Add(e.TimeLeft + writeGrace))
-	a.lastReceived, a.diverted, a.streaming = sentAt, false, false
+	a.lastReceived, a.diverted, a.rejected, a.streaming = sentAt, false, false, false
 	a.received, a.progressed = 0, false
 	a.position = streamPosition{known: !a.response.started || a.lastEventID == 0, held: upstream.NewBuffer(&a.buffer)}
 	a.sends = e.Number
@@ -285,7 +293,7 @@
 	if outcome == 0 {
 		return nil
 	}
-	if x.Sent && ctx.Err() != nil && a.r.Context().Err() == nil {
+	if x.Sent && outcome != director.Rejected && ctx.Err() != nil && a.r.Context().Err() == nil {
 		outcome = director.TimedOut
 	}
 	if a.diverted {
@@ -377,24 +385,30 @@
 	call := &upstream.Call{
 		ID: a.request.ID, Target: e.Hops[0].Target, Address: e.Hops[0].Address, Relay: through, Method: a.r.Method, URI: a.r.RequestURI, Host: a.r.Host,
 		Header: platform.ForwardHeader(a.r.Header, send), Body: a.request.Body, Memory: &a.buffer, SilenceInterval: silenceInterval, OnSilence: a.onSilence,
-	}
-	if e.Route.Kind == fleet.Stream {
-		call.OnTrickle = a.onTrickle
+		OnTrickle: func() error { return a.onTrickle(e.Route.Kind) },
 	}
 	return call
 }
 
-// onTrickle treats a stream as silent whose bytes complete no event.
-func (a *activeRequest) onTrickle() error {
-	if time.Since(a.lastReceived) < silenceInterval {
+// onTrickle treats a stream as silent whose bytes complete no event, and ends the reading of a
+// rejection that goes on.
+func (a *activeRequest) onTrickle(kind fleet.RequestKind) error {
+	switch {
+	case a.rejected:
+		return errRejectionUnread
+	case kind != fleet.Stream || time.Since(a.lastReceived) < silenceInterval:
 		return nil
 	}
 	return a.onSilence()
 }
 
 // onSilence notifies the reducer that no data arrives from the target. It returns
-// errDiverted when the reducer cancels the send.
+// errDiverted when the reducer cancels the send. It ends the reading of a rejection at once: its
+// request need not wait for the rest.
 func (a *activeRequest) onSilence() error {
+	if a.rejected {
+		return errRejectionUnread
+	}
 	if a.unresumable {
 		return nil
 	}
@@ -420,7 +434,8 @@
 	case err != nil:
 		return a.lossOutcome(), false
 	case x.Head.NotExecuted:
-		_, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, maxResponseBytes))
+		a.rejected = true
+		_, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, maxRejectionBytes))
 		return director.Rejected, err == nil
 	}
 	success := x.Response.StatusCode/100 == 2
