Targetclient: messages of services and engines have a limit

What callers saw on similar systems: a faulty target sent without end and the process ran out of memory.

Cause here: the connect client of tamarack-entry read responses and messages of any length into memory.

Change: a message is limited to 4 MiB, as those of callers are, and the head of a response to 256 KiB. A call whose response is longer is in doubt, and a stream is resumed.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -19,6 +19,8 @@
 	dialTimeout       = time.Second
 	idleTimeout       = 90 * time.Second
 	readHeaderTimeout = 5 * time.Second
+	// maxResponseHeaderBytes limits the head of a response, with the details of a fault.
+	maxResponseHeaderBytes = 256 << 10
 )
 
 func protocols() *http.Protocols {
@@ -45,6 +47,8 @@
 		Protocols:       p,
 		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		IdleConnTimeout: idleTimeout,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
 
--- a/internal/targetclient/call.go
+++ b/internal/targetclient/call.go
@@ -13,8 +13,12 @@
 	"tamarackreach/internal/event"
 )
 
+// maxMessageBytes limits a message of a target: the response of a service, as long as the longest
+// request of a caller, or a token or report of an engine, which are much shorter.
+const maxMessageBytes = 4 << 20
+
 func newEngineClient(client *http.Client, address string) tamarackv1connect.EngineServiceClient {
-	return tamarackv1connect.NewEngineServiceClient(client, "http://"+address)
+	return tamarackv1connect.NewEngineServiceClient(client, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 // Call sends a call to a service in the background and posts its outcome.
@@ -70,7 +74,7 @@
 }
 
 func invoke(ctx context.Context, client *http.Client, effect event.SendCall) (*connect.Response[tamarackv1.InvokeResponse], error) {
-	service := tamarackv1connect.NewPlainServiceClient(client, "http://"+effect.Address)
+	service := tamarackv1connect.NewPlainServiceClient(client, "http://"+effect.Address, connect.WithReadMaxBytes(maxMessageBytes))
 	return service.Invoke(ctx, connect.NewRequest(&tamarackv1.InvokeRequest{
 		Method:         string(effect.Method),
 		Body:           effect.Body,
--- a/internal/targetclient/targetclient.go
+++ b/internal/targetclient/targetclient.go
@@ -55,7 +55,7 @@
 }
 
 func (c *Client) engine(address string) tamarackv1connect.EngineServiceClient {
-	return tamarackv1connect.NewEngineServiceClient(c.pool(address), "http://"+address)
+	return newEngineClient(c.pool(address), address)
 }
 
 // Retire makes new streams to a target use new connections.
