--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -53,14 +53,14 @@
 		d := drain.Start(start, grace)
 		Expect(d.Resends(request)).To(Equal(sent))
 	},
-		Entry("a payment whose deadline ends in time", pay(0, 7*time.Second), true),
-		Entry("no payment whose deadline ends after the process", pay(0, 8*time.Second), false),
-		Entry("a read", read(0, 30*time.Second), true),
+		Entry("a payment whose deadline ends in time", pay(3*time.Second, 4*time.Second), true),
+		Entry("no payment whose deadline ends after the process", pay(4*time.Second, 4*time.Second), false),
+		Entry("a read", read(4*time.Second, 30*time.Second), true),
 	)
 
 	It("takes plain requests, and streams for a while, where its grace is unknown", func() {
 		d := drain.Start(start, 0)
-		Expect(d.Accepts(start.Add(time.Minute), pay(0, time.Hour))).To(BeTrue())
+		Expect(d.Accepts(start.Add(time.Minute), pay(time.Minute, time.Hour))).To(BeTrue())
 		Expect(d.Resends(pay(0, time.Hour))).To(BeTrue())
 		Expect(d.Accepts(start.Add(time.Second), stream(0, time.Hour))).To(BeTrue())
 		Expect(d.Accepts(start.Add(3*time.Second), stream(0, time.Second))).To(BeFalse())
