--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -23,18 +23,17 @@
 
 // Pattern: callers use open connections to a process that terminates until it is gone.
 var _ = Describe("a terminating process", func() {
-	pay := func(at, left time.Duration) drain.Request { return drain.Request{ExpiresAt: start.Add(at + left)} }
-	read := func(at, left time.Duration) drain.Request {
-		return drain.Request{ExpiresAt: start.Add(at + left), Repeatable: true}
-	}
-	stream := func(at, left time.Duration) drain.Request {
-		return drain.Request{ExpiresAt: start.Add(at + left), Stream: true, Repeatable: true}
+	pay, read, stream := drain.Request{}, drain.Request{Repeatable: true}, drain.Request{Stream: true, Repeatable: true}
+	// until returns a request whose deadline ends some time after the start of the drain.
+	until := func(r drain.Request, end time.Duration) drain.Request {
+		r.ExpiresAt = start.Add(end)
+		return r
 	}
 
 	// Guards against a request that is taken by its usual duration and cut while a target runs it.
-	DescribeTable("accepts", func(request func(at, left time.Duration) drain.Request, at, left time.Duration, accepted bool) {
+	DescribeTable("accepts", func(r drain.Request, at, left time.Duration, accepted bool) {
 		d := drain.Start(start, grace)
-		Expect(d.Accepts(start.Add(at), request(at, left))).To(Equal(accepted))
+		Expect(d.Accepts(start.Add(at), until(r, at+left))).To(Equal(accepted))
 	},
 		Entry("a payment whose deadline ends in time", pay, 3*time.Second, 4*time.Second, true),
 		Entry("no payment whose deadline ends after the process", pay, 5500*time.Millisecond, 4*time.Second, false),
@@ -53,31 +52,31 @@
 		d := drain.Start(start, grace)
 		Expect(d.Resends(request)).To(Equal(sent))
 	},
-		Entry("a payment whose deadline ends in time", pay(3*time.Second, 4*time.Second), true),
-		Entry("no payment whose deadline ends after the process", pay(4*time.Second, 4*time.Second), false),
-		Entry("a read", read(4*time.Second, 30*time.Second), true),
+		Entry("a payment whose deadline ends in time", until(pay, 7*time.Second), true),
+		Entry("no payment whose deadline ends after the process", until(pay, 8*time.Second), false),
+		Entry("a read", until(read, 30*time.Second), true),
 	)
 
 	It("takes plain requests, and streams for a while, where its grace is unknown", func() {
 		d := drain.Start(start, 0)
-		Expect(d.Accepts(start.Add(time.Minute), pay(time.Minute, time.Hour))).To(BeTrue())
-		Expect(d.Resends(pay(0, time.Hour))).To(BeTrue())
-		Expect(d.Accepts(start.Add(time.Second), stream(0, time.Hour))).To(BeTrue())
-		Expect(d.Accepts(start.Add(3*time.Second), stream(0, time.Second))).To(BeFalse())
+		Expect(d.Accepts(start.Add(time.Minute), until(pay, time.Hour))).To(BeTrue())
+		Expect(d.Resends(until(pay, time.Hour))).To(BeTrue())
+		Expect(d.Accepts(start.Add(time.Second), until(stream, time.Hour))).To(BeTrue())
+		Expect(d.Accepts(start.Add(3*time.Second), until(stream, time.Second))).To(BeFalse())
 	})
 
 	It("takes nothing after the drain", func() {
 		d := drain.Start(start, grace)
 		d.Expire()
-		Expect(d.Accepts(start, read(0, time.Millisecond))).To(BeFalse())
-		Expect(d.Resends(read(0, time.Millisecond))).To(BeFalse())
+		Expect(d.Accepts(start, until(read, time.Millisecond))).To(BeFalse())
+		Expect(d.Resends(until(read, time.Millisecond))).To(BeFalse())
 	})
 
 	It("takes everything before termination", func() {
 		d := drain.Drain{}
 		Expect(d.Draining()).To(BeFalse())
-		Expect(d.Accepts(start, pay(0, time.Hour))).To(BeTrue())
-		Expect(d.Resends(pay(0, time.Hour))).To(BeTrue())
+		Expect(d.Accepts(start, until(pay, time.Hour))).To(BeTrue())
+		Expect(d.Resends(until(pay, time.Hour))).To(BeTrue())
 	})
 
 	DescribeTable("drains until shortly before it is killed", func(grace, window time.Duration) {
