Drain: no request is accepted once the last one has ended

What callers saw: a request that arrived between the last look at the requests in flight and the exit of the process, up to 200 ms, was accepted and cut.

Change: the drain ends in the reducer, in one step with the check that no request is in flight. A request that arrives later is refused as not run, and its answer is awaited like the others.

Evidence: spec "refuses calls once it has ended its drain, which no request in flight allows"; before, the end of the drain was known to the daemon alone.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"tamarackreach/internal/drain"
 	"tamarackreach/internal/fleet"
 	"tamarackreach/internal/model"
 )
@@ -92,11 +91,6 @@
 	return refusal
 }
 
-// drained returns what the drain of the process uses of a request.
-func drained(route *fleet.Route, expiresAt model.Instant) drain.Request {
-	return drain.Request{ExpiresAt: expiresAt, Stream: route.Kind == fleet.Stream, Repeatable: route.Repeatable()}
-}
-
 // timeoutFor returns the shorter of the caller's and the route's timeout.
 func timeoutFor(req *fleet.Request, route *fleet.Route) time.Duration {
 	switch {
--- a/internal/director/drain_test.go
+++ b/internal/director/drain_test.go
@@ -41,6 +41,21 @@
 		Expect(refusal.RetryAfter).To(BeNumerically("~", 100*time.Millisecond, 50*time.Millisecond))
 	})
 
+	// Guards against a call that is accepted between the last look at the requests in flight and
+	// the end of the process.
+	It("refuses calls once it has ended its drain, which no request in flight allows", func() {
+		h.state.Step(h.now, director.Terminating{})
+		id, e := h.arrive("/p/x")
+		expectSend(e)
+		h.state.Step(h.now, director.DrainPolled{})
+		Expect(h.state.Drained()).To(BeFalse())
+		h.state.Step(h.now, director.RequestFinished{ID: id, Delivered: true})
+		h.state.Step(h.now, director.DrainPolled{})
+		Expect(h.state.Drained()).To(BeTrue())
+		_, e = h.arrive("/p/x")
+		Expect(expectRefusal(e).Status).To(Equal(http.StatusServiceUnavailable))
+	})
+
 	// Guards against a call that was accepted before and is sent again shortly before the end.
 	It("does not send a rejected call again whose deadline ends after the process", func() {
 		h.advance(2500 * time.Millisecond)
--- a/internal/director/event.go
+++ b/internal/director/event.go
@@ -290,6 +290,9 @@
 // Terminating reports that termination of the process was requested.
 type Terminating struct{}
 
+// DrainPolled ends the drain if no request is in flight.
+type DrainPolled struct{}
+
 // DrainExpired reports that the process ends shortly: requests in flight are answered now, and
 // none is sent any more.
 type DrainExpired struct{}
@@ -319,6 +322,7 @@
 func (VMsCounted) event()       {}
 func (SettingsChanged) event()  {}
 func (Terminating) event()      {}
+func (DrainPolled) event()      {}
 func (DrainExpired) event()     {}
 
 // Effect is an action for the driver.
--- a/internal/director/precheck.go
+++ b/internal/director/precheck.go
@@ -60,7 +60,7 @@
 		return nil, nil, &Refuse{Status: http.StatusNotFound, Reason: "no route matches host and path in configuration " + version(s.config.Version)}
 	}
 	expiresAt := expiryOf(now, e, route)
-	if !s.drain.Accepts(now, drained(route, expiresAt)) {
+	if !s.drain.Accepts(now, drainRequest(route, expiresAt)) {
 		return unavailable(stoppingRetryAfter, reasonStopping)
 	}
 	workspace, denial := s.authorize(now, route, req, e.Random)
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -263,10 +263,8 @@
 		s.vmsCounted(now, e)
 	case SettingsChanged:
 		return s.settingsChanged(e.Settings)
-	case Terminating:
-		s.drain = drain.Start(now, s.settings.Grace)
-	case DrainExpired:
-		s.drain.Expire()
+	case Terminating, DrainPolled, DrainExpired:
+		s.stepDrain(now, e)
 	default:
 		return s.stepLinks(now, e)
 	}
--- a/internal/frontdaemon/daemon.go
+++ b/internal/frontdaemon/daemon.go
@@ -249,7 +249,7 @@
 	logrus.WithField("in_flight", d.ingress.InFlight()).Info("stopping")
 	d.reducer.Step(director.Terminating{})
 	server.SetKeepAlivesEnabled(false)
-	if !d.idleWithin(drain.Window(d.settings.Bounds.Grace)) {
+	if !d.drainedWithin(drain.Window(d.settings.Bounds.Grace)) {
 		logrus.WithField("in_flight", d.ingress.InFlight()).Warn("drain time expired; requests in flight are answered as such that may have run")
 		d.ingress.Stop()
 	}
@@ -260,12 +260,12 @@
 	}
 }
 
-// idleWithin serves until no request is in flight after minDrainTime, and reports whether that
+// drainedWithin serves until no request is in flight after minDrainTime, and reports whether that
 // is so within limit.
-func (d *Daemon) idleWithin(limit time.Duration) bool {
+func (d *Daemon) drainedWithin(limit time.Duration) bool {
 	for started := time.Now(); time.Since(started) < limit; {
 		time.Sleep(drainPollInterval)
-		if time.Since(started) > minDrainTime && d.ingress.InFlight() == 0 && d.relay.Active(relayIdleTime) == 0 {
+		if time.Since(started) > minDrainTime && d.relay.Active(relayIdleTime) == 0 && d.ingress.Drained() {
 			return true
 		}
 	}
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -60,6 +60,14 @@
 	h.buffers.account = a
 }
 
+// Drained ends the drain if no request is in flight, and reports whether it has ended. A request
+// that arrives later is refused as not run.
+func (h *RequestHandler) Drained() (drained bool) {
+	h.reducer.Step(director.DrainPolled{})
+	h.reducer.Read(func(s *director.State) { drained = s.Drained() })
+	return drained
+}
+
 // Stop gives up the sends in flight: each request whose response has not begun is answered, and
 // the others are broken off. The process ends shortly after.
 func (h *RequestHandler) Stop() {
