Upstream: an idle connection holds nothing of its last request

Cause: a connection in the pool kept the functions that its last exchange was called with, and with them that request and its body, which no account counted any more: with bodies of max-body-bytes the idle connections could hold several times the memory for bodies until they were used again or swept.

Change: the functions, and the charge of the head, are dropped when the connection goes back to the pool.

Evidence: spec "holds nothing of a request behind its idle connection" fails before (the request is still reachable after a collection) and passes.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -104,7 +104,7 @@
 	if err != nil && conn.headError != nil {
 		err = errors.CombineErrors(conn.headError, err)
 	}
-	conn.headLeft, conn.headError = -1, nil
+	conn.headLeft, conn.headError, conn.head = -1, nil, headMemory{}
 	if err != nil {
 		return x, errors.Wrap(err, "cannot read a response")
 	}
--- a/internal/upstream/memory_test.go
+++ b/internal/upstream/memory_test.go
@@ -4,7 +4,11 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
+	"runtime"
 	"strings"
+	"time"
+	"weak"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -54,6 +58,36 @@
 		Expect(m.held).To(BeNumerically("<=", 8<<10))
 	})
 
+	// Guards against idle connections that keep the bodies of the requests that they carried,
+	// which no account counts any more.
+	It("holds nothing of a request behind its idle connection", func() {
+		t := serve(func(_ int64, conn net.Conn, r *http.Request) bool {
+			echo(conn, r, r.Header.Get("Tamarackreach-Attempt-Id"))
+			return true
+		})
+		p := upstream.NewPool()
+		send := func() weak.Pointer[[1 << 20]byte] {
+			body := new([1 << 20]byte)
+			call := t.callWithID("first")
+			call.OnSilence = func() error { _ = body[0]; return nil }
+			call.OnTrickle = call.OnSilence
+			x, err := p.Do(context.Background(), call)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, x.Response.Body)
+			Expect(err).NotTo(HaveOccurred())
+			x.Done(true)
+			return weak.Make(body)
+		}
+		collected := send()
+		Eventually(func() any { runtime.GC(); return collected.Value() }, 2*time.Second).Should(BeNil())
+		_, reused := p.Counts()
+		Expect(reused).To(BeZero())
+		_, err := exchange(p, t.callWithID("second"))
+		Expect(err).NotTo(HaveOccurred())
+		_, reused = p.Counts()
+		Expect(reused).To(Equal(1), "the connection was kept")
+	})
+
 	It("bounds the heads of responses, and costs nothing for a usual one", func() {
 		head := "HTTP/1.1 200 OK\r\nTamarackreach-Attempt-Id: endless\r\nContent-Length: 0\r\n"
 		send := func(fields string, m *memory) error {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -277,6 +277,7 @@
 		return
 	}
 	c.expiresAt = time.Now().Add(keep)
+	c.onSilence, c.onTrickle = nil, nil // they refer to the request, and so to its body
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[address] = append(p.idle[address], c)
