Drain: requests are accepted while load balancers may still choose the VM

Cause: refused requests that may not be repeated and have long deadlines from the SIGTERM on. A caller that is led back to the same VM within the two seconds in which load balancers notice would be refused twice, for a call that usually takes milliseconds. Concluded, not measured: the deployments in force have no such deadlines.

Later the deadline decides.

--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -147,7 +147,7 @@
 	if !s.mayResend(now, r) {
 		return s.failRequest(now, r, e, http.StatusBadGateway, reasonCrashes) // quarantined while it waited
 	}
-	if !s.drain.Resends(drainRequest(r.route, r.expiresAt)) {
+	if !s.drain.Resends(now, drainRequest(r.route, r.expiresAt)) {
 		return s.failRequest(now, r, e, http.StatusBadGateway, reasonStopping)
 	}
 	reason := "the retry budget is spent"
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -1,9 +1,9 @@
 // Package drain decides which requests a terminating process still takes. The process is killed
-// when its grace ends; a request in flight then has no answer, and its caller cannot know whether
-// it has run.
+// when its grace ends; a request in flight then has no answer of its target, and its caller cannot
+// know whether it has run.
 //
-// Invariant: a request that may not be repeated is sent to a target only if its deadline ends
-// before the process does.
+// Invariant: once load balancers have had the time to notice, a request is accepted only if its
+// deadline ends before the process does; before that, it has most of the grace to run.
 package drain
 
 import (
@@ -19,9 +19,9 @@
 	// answerMargin is how long before the end of the drain the deadline of a request must end:
 	// the answer that the deadline brings about still has to reach its caller.
 	answerMargin = 200 * time.Millisecond
-	// rotationDelay is the time in which load balancers notice that the process is not ready.
-	// Requests that may be repeated are taken until then, whatever their deadlines: a usual one
-	// ends well before the process.
+	// rotationDelay is the time in which load balancers notice that the process is not ready. A
+	// caller that is refused until then may be led back here, while a usual request, accepted, ends
+	// well before the process.
 	rotationDelay = 2 * time.Second
 )
 
@@ -73,15 +73,18 @@
 	case d.endsAt == 0 && !r.Stream:
 		return true
 	}
-	return d.outlasts(r) || r.Repeatable && now.Sub(d.startedAt) <= rotationDelay
+	return d.inRotation(now) || d.outlasts(r)
 }
 
 // Resends reports whether a request that a target rejected is sent again. One that may be
 // repeated is sent until the drain ends: a later failure costs its caller no more than a refusal.
-func (d *Drain) Resends(r Request) bool {
-	return !d.expired && (!d.Draining() || r.Repeatable || d.endsAt == 0 || d.outlasts(r))
+func (d *Drain) Resends(now model.Instant, r Request) bool {
+	return !d.expired && (!d.Draining() || d.endsAt == 0 || r.Repeatable || d.inRotation(now) || d.outlasts(r))
 }
 
+// inRotation reports whether load balancers may still choose the process.
+func (d *Drain) inRotation(now model.Instant) bool { return now.Sub(d.startedAt) <= rotationDelay }
+
 // outlasts reports whether the process outlasts the deadline of a request.
 func (d *Drain) outlasts(r Request) bool {
 	return d.endsAt != 0 && r.ExpiresAt <= d.endsAt.Add(-answerMargin)
