--- a/internal/ingress/odd_head_test.go
+++ b/internal/ingress/odd_head_test.go
@@ -12,9 +12,10 @@
 	. "github.com/onsi/gomega"
 )
 
-// startRawTarget starts a target that answers every request with bytes of its own and then ends
-// the connection in order. It returns its address and the number of requests that it has read.
-func startRawTarget(respond func(id string) string) (address string, requests *atomic.Int64) {
+// startRawTarget starts a target that answers the one request of each connection by respond, and
+// then ends the connection in order. It returns its address and the number of requests that it has
+// read.
+func startRawTarget(respond func(conn net.Conn, id string)) (address string, requests *atomic.Int64) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(listener.Close)
@@ -32,7 +33,7 @@
 					return
 				}
 				requests.Add(1)
-				_, _ = io.WriteString(conn, respond(req.Header.Get("Tamarackreach-Attempt-Id"))) // an error shows at the caller
+				respond(conn, req.Header.Get("Tamarackreach-Attempt-Id"))
 			}()
 		}
 	}()
@@ -58,9 +59,9 @@
 	for _, status := range []string{"000", "001", "099", "-01", "+20", "101", "600", "999"} {
 		for _, path := range []string{"/p/x", "/r/x", "/s/x"} {
 			It(fmt.Sprintf("is no answer: %s to %s", status, path), func() {
-				address, requests := startRawTarget(func(id string) string {
+				address, requests := startRawTarget(func(conn net.Conn, id string) {
 					const body = "id: 1\ndata: x\n\n"
-					return fmt.Sprintf("HTTP/1.1 %s Odd\r\nTamarackreach-Attempt-Id: %s\r\n%s: odd\r\nContent-Length: %d\r\n\r\n%s", status, id, signature, len(body), body)
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Odd\r\nTamarackreach-Attempt-Id: %s\r\n%s: odd\r\nContent-Length: %d\r\n\r\n%s", status, id, signature, len(body), body) // an error shows at the caller
 				})
 				resp, body, err := fromTarget(address, path)
 				Expect(err).NotTo(HaveOccurred())
@@ -91,7 +92,9 @@
 					return fmt.Sprintf("HTTP/1.1 200 OK\r\nTamarackreach-Attempt-Id: %s\r\n%s: run\r\n%s\r\n", id, signature, field)
 				}
 				var length atomic.Int64
-				address, _ := startRawTarget(func(id string) string { return head(id)[:length.Load()] })
+				address, _ := startRawTarget(func(conn net.Conn, id string) {
+					_, _ = io.WriteString(conn, head(id)[:length.Load()]) // an error shows at the caller
+				})
 				url := startIngressFor(address)
 				for n := range len(head("q2")) {
 					length.Store(int64(n))
--- a/internal/ingress/rejection_test.go
+++ b/internal/ingress/rejection_test.go
@@ -16,30 +16,14 @@
 // Guards against a request that a target has rejected and that waits for the rest of the
 // rejection's body until its deadline, and is answered then as one that may have run.
 var _ = DescribeTable("a rejection whose body does not end is passed on at once", func(path, framing string, interval time.Duration, block string) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }() // the scripted end
-				req, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, err = fmt.Fprintf(conn, "HTTP/1.1 503 Full\r\nTamarackreach-Attempt-Id: %s\r\nTamarackreach-Not-Executed: 1\r\n%s\r\n", req.Header.Get("Tamarackreach-Attempt-Id"), framing)
-				for err == nil {
-					_, err = io.WriteString(conn, block)
-					time.Sleep(interval)
-				}
-			}()
+	address, _ := startRawTarget(func(conn net.Conn, id string) {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 503 Full\r\nTamarackreach-Attempt-Id: %s\r\nTamarackreach-Not-Executed: 1\r\n%s\r\n", id, framing)
+		for err == nil {
+			_, err = io.WriteString(conn, block)
+			time.Sleep(interval)
 		}
-	}()
-	conn := dialIngress(startIngressFor(listener.Addr().String()))
+	})
+	conn := dialIngress(startIngressFor(address))
 	started := time.Now()
 	writeRequest(conn, path, 4500)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
