Soak: a planned stop leaves no call without an answer that a target ran

The soak stopped VMs by SIGTERM and did not look at the calls that this cut. It now reports a call without an answer that a sound target ran, if its VM was stopping meanwhile and nothing else disturbed the VM, the store or the target. VMs of an earlier build are left out, since those before this change cut calls.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -28,6 +28,8 @@
 	drained map[string]time.Time
 	// restoresOnly is true when the store's restores were the only faults.
 	restoresOnly bool
+	// earlierBuild is true when an earlier build of the program ran on some VMs.
+	earlierBuild bool
 	// served is when every VM first served every kind of request.
 	served time.Time
 
@@ -56,6 +58,7 @@
 	r.checkDeadlines()
 	r.checkCrashes()
 	r.checkDrains()
+	r.checkStops()
 	if r.restoresOnly {
 		r.checkUnaffected()
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -279,7 +279,7 @@
 func (r *run) check() {
 	evidence := &records{
 		started: r.started, calls: r.callers.calls, arrivals: r.fleet.Arrivals(), ends: r.fleet.Ends(),
-		removed: r.keys.removed, spans: r.spans.all(), drained: r.drained, restoresOnly: r.RestoresOnly, served: r.served,
+		removed: r.keys.removed, spans: r.spans.all(), drained: r.drained, restoresOnly: r.RestoresOnly, earlierBuild: r.Earlier != "", served: r.served,
 	}
 	for _, v := range r.vms {
 		evidence.vms = append(evidence.vms, v.name)
--- a/internal/soak/spans.go
+++ b/internal/soak/spans.go
@@ -25,16 +25,21 @@
 	spans []span
 }
 
-// begin records the start of a fault and returns the function that records its end.
-func (l *spanLog) begin(subject string) (end func()) {
+// begin records the start of a fault, with one time for all its subjects, and returns the function
+// that records its end.
+func (l *spanLog) begin(subjects ...string) (end func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	i := len(l.spans)
-	l.spans = append(l.spans, span{subject: subject, from: time.Now()})
+	first, from := len(l.spans), time.Now()
+	for _, subject := range subjects {
+		l.spans = append(l.spans, span{subject: subject, from: from})
+	}
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.spans[i].to = time.Now()
+		for i := range subjects {
+			l.spans[first+i].to = time.Now()
+		}
 	}
 }
 
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -102,9 +102,13 @@
 func (v *vm) signal(s syscall.Signal) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if (s == syscall.SIGTERM || s == syscall.SIGKILL) && v.endSpan == nil {
-		endFault, endRestart := v.spans.begin(v.name), v.spans.begin(restartOf(v.name))
-		v.endSpan = func() { endFault(); endRestart() }
+	switch {
+	case s == syscall.SIGTERM && v.endSpan == nil:
+		v.endSpan = v.spans.begin(v.name, restartOf(v.name), stopOf(v.name))
+	case s == syscall.SIGKILL && v.endSpan == nil:
+		v.endSpan = v.spans.begin(v.name, restartOf(v.name))
+	case s == syscall.SIGKILL:
+		v.spans.begin(killOf(v.name))()
 	}
 	_ = v.process.Signal(s) // fails if the process has exited; supervise restarts it
 }
