--- a/scripts/count_tests.sh
+++ b/scripts/count_tests.sh
@@ -39,6 +39,12 @@
 	' | sort -u
 }
 
+# details prints the beginning of what each failed spec reported, so that a known failure that
+# shows rarely can be traced from the output of the run that it failed in.
+details() {
+	sed 's/\x1b\[[0-9;]*m//g' "$log" | awk '/^ *\[FAILED\] / { left = 12 } left-- > 0 { print substr($0, 1, 400) }' | head -n 200
+}
+
 # listed returns success for a failure line that contains a name in KNOWN-RED.txt.
 listed() {
 	sed -n 's/^test: \([^|]*[^| ]\) *|.*/\1/p' KNOWN-RED.txt 2>/dev/null | while IFS= read -r name; do
@@ -48,6 +54,7 @@
 
 if [ "$code" -ne 0 ]; then
 	failures
+	details
 	unlisted=$(failures | while IFS= read -r line; do listed "$line" || echo "$line"; done | wc -l)
 	if [ "$known" = 0 ] || [ "$unlisted" -gt 0 ] || [ "$(failures | wc -l)" = 0 ]; then
 		tail -n 200 "$log"
