--- a/internal/frontdaemon/daemon.go
+++ b/internal/frontdaemon/daemon.go
@@ -243,14 +243,14 @@
 
 // drain reports not ready at once and keeps serving, also as a relay, until no request is in
 // flight after minDrainTime, or until the drain time has expired: the requests that are left are
-// answered then, as such that may have run. It returns when all answers are written, or after
+// answered 504 then, since they may have run. It returns when all answers are written, or after
 // lastAnswersTime.
 func (d *Daemon) drain(server *http.Server) {
 	logrus.WithField("in_flight", d.ingress.InFlight()).Info("stopping")
 	d.reducer.Step(director.Terminating{})
 	server.SetKeepAlivesEnabled(false)
 	if !d.drainedWithin(drain.Window(d.settings.Bounds.Grace)) {
-		logrus.WithField("in_flight", d.ingress.InFlight()).Warn("drain time expired; requests in flight are answered as such that may have run")
+		logrus.WithField("in_flight", d.ingress.InFlight()).Warn("drain time expired; requests in flight are answered 504, since they may have run")
 		d.ingress.Stop()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), lastAnswersTime)
