--- a/review/_lab3/main.go
+++ b/review/_lab3/main.go
@@ -39,6 +39,7 @@
 	"dark":      poisonThatSilences,
 	"last-hop":  poisonOfLastHop,
 	"first-hop": poisonOfFirstHop,
+	"revoke":    revokeLastTenant,
 }
 
 func main() {
