--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,4 @@
 # not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/tamarack-front ] && [ -x target/review-3/lab ] || { echo "build the deploy file and review/build-3.sh first"; exit 2; }
-exec target/review-3/lab -case query -record review/12/record.txt
+exec target/review-3/lab -case revoke -record review/12/record.txt
