--- a/review/_lab3/main.go
+++ b/review/_lab3/main.go
@@ -40,6 +40,7 @@
 	"last-hop":  poisonOfLastHop,
 	"first-hop": poisonOfFirstHop,
 	"revoke":    revokeLastTenant,
+	"drill":     addDuringDrill,
 }
 
 func main() {
--- a/review/_lab3/store.go
+++ b/review/_lab3/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -29,7 +30,13 @@
 	mu      sync.Mutex
 	rows    map[string]row
 	version uint64
-	changes []row
+	// changes are those since the version discarded, which is where the present era began.
+	changes   []row
+	discarded uint64
+	// era is stated in all answers and rises by one with each restore; away is true while the
+	// store answers 503.
+	era     uint64
+	away    bool
 	started time.Time
 	server  *http.Server
 	address string
@@ -44,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{rows: map[string]row{}, started: time.Now(), address: listener.Addr().String(), record: record}
+	s := &store{rows: map[string]row{}, era: 1, started: time.Now(), address: listener.Addr().String(), record: record}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /rows-get", s.get)
 	mux.HandleFunc("GET /rows-feed", s.feed)
@@ -116,17 +123,63 @@
 	return rowsAnswer{Rows: rows, Version: s.version, NowMs: time.Since(s.started).Milliseconds()}
 }
 
-func writeJSON(w http.ResponseWriter, status int, value any) {
+// writeJSON answers a call with the era in which it was done.
+func writeJSON(w http.ResponseWriter, era uint64, status int, value any) {
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Store-Era", "1")
+	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(value) // the caller may be gone
 }
 
+// storeCopy is a copy of the store.
+type storeCopy struct {
+	rows    map[string]row
+	version uint64
+}
+
+// copy returns a copy of the store as it is now.
+func (s *store) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{rows: maps.Clone(s.rows), version: s.version}
+}
+
+// leave has the store answer 503 until it is restored.
+func (s *store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+}
+
+// restore has the store come back from a copy: what was written since is gone, and versions are
+// given out again.
+func (s *store) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.version, s.changes, s.discarded = maps.Clone(c.rows), c.version, nil, c.version
+	s.era++
+	s.away = false
+}
+
+// isAway answers 503 while the store is away; the caller holds the lock, which isAway releases then.
+func (s *store) isAway(w http.ResponseWriter) bool {
+	if !s.away {
+		return false
+	}
+	era := s.era
+	s.mu.Unlock()
+	writeJSON(w, era, http.StatusServiceUnavailable, map[string]any{})
+	return true
+}
+
 func (s *store) get(w http.ResponseWriter, r *http.Request) {
 	const page = 500
 	q := r.URL.Query()
 	s.mu.Lock()
+	if s.isAway(w) {
+		return
+	}
+	era := s.era
 	rows := []row{}
 	for _, row := range s.rows {
 		if row.Table == q.Get("table") && row.Part == q.Get("part") && row.Key >= q.Get("from") && (q.Get("to") == "" || row.Key < q.Get("to")) {
@@ -137,7 +190,7 @@
 	answer := s.answer(rows[:min(len(rows), page)])
 	answer.MorePages = len(rows) > page
 	s.mu.Unlock()
-	writeJSON(w, http.StatusOK, answer)
+	writeJSON(w, era, http.StatusOK, answer)
 }
 
 func (s *store) feed(w http.ResponseWriter, r *http.Request) {
@@ -150,11 +203,19 @@
 	}
 	for end := time.Now().Add(time.Duration(waitMs) * time.Millisecond); ; time.Sleep(5 * time.Millisecond) {
 		s.mu.Lock()
+		if s.isAway(w) {
+			return
+		}
+		era, gone := s.era, after < s.discarded || after > s.version
 		rows := slices.DeleteFunc(slices.Clone(s.changes), func(r row) bool { return r.Table != q.Get("table") || r.Version <= after })
 		answer := s.answer(rows)
 		s.mu.Unlock()
+		if gone {
+			writeJSON(w, era, http.StatusGone, map[string]any{})
+			return
+		}
 		if len(rows) > 0 || time.Now().After(end) {
-			writeJSON(w, http.StatusOK, answer)
+			writeJSON(w, era, http.StatusOK, answer)
 			return
 		}
 		if r.Context().Err() != nil {
@@ -175,11 +236,15 @@
 	}
 	time.Sleep(5 * time.Millisecond) // tx-ms
 	s.mu.Lock()
+	if s.isAway(w) {
+		return
+	}
+	era := s.era
 	for _, want := range tx.Precondition {
 		if s.rows[want.id()].Version != want.Version {
 			answer := s.answer([]row{})
 			s.mu.Unlock()
-			writeJSON(w, http.StatusPreconditionFailed, answer)
+			writeJSON(w, era, http.StatusPreconditionFailed, answer)
 			return
 		}
 	}
@@ -196,5 +261,5 @@
 		<-r.Context().Done() // the connection delivers nothing further
 		return
 	}
-	writeJSON(w, http.StatusOK, answer)
+	writeJSON(w, era, http.StatusOK, answer)
 }
