Keys: an empty list of workspaces removes all keys

Cause: authorize took a configuration without workspaces for a deployment without keys, and the decoder did not tell a missing list from an empty one. Ruled out by the VMs' logs: an older configuration in use; all four had the new version in force within 10 ms of its acknowledgement.

Change: Config.AllowAnonymous states that there is no list at all; only then does a request without a key run. An empty list, or one whose value is null, holds no keys. Related path: a key that is sent although there is no list is refused, so that dropping the list revives no removed key. The log line "configuration in force" says when no key is needed, or none is valid.

Why it works: access now follows from what the configuration states, and the zero value of the new field requires keys, so that a list that is lost on the way refuses rather than admits.

--- a/internal/director/arrive.go
+++ b/internal/director/arrive.go
@@ -110,9 +110,9 @@
 // is required.
 //
 // Invariant: a request with a key is accepted only on a configuration that was
-// read less than the revocation bound ago.
+// read less than the revocation bound ago, and that holds the key.
 func (s *State) authorize(now model.Instant, route *fleet.Route, req *fleet.Request, random float64) (*fleet.Workspace, *Refuse) {
-	if len(s.config.Workspaces) == 0 || route.Public {
+	if route.Public || s.config.AllowAnonymous && !req.HasKey {
 		return nil, nil
 	}
 	if s.keysExpired(now) {
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -138,10 +138,15 @@
 
 // arrive sends a request and returns its id and the last effect.
 func (h *harness) arrive(path string) (model.RequestID, director.Effect) {
+	return h.arriveWithKey(path, "key")
+}
+
+// arriveWithKey sends a request with a key, or with none for "".
+func (h *harness) arriveWithKey(path, key string) (model.RequestID, director.Effect) {
 	h.requests++
 	id := model.RequestID(fmt.Sprint("q", h.requests))
 	return id, lastEffect(h.state.Step(h.now, director.RequestArrived{Request: &fleet.Request{
-		ID: id, Method: "POST", Host: "h", Path: path, Key: "key", HasKey: true, Deadline: 20 * time.Second, PromptTokens: 800, AnswerTokens: 200,
+		ID: id, Method: "POST", Host: "h", Path: path, Key: key, HasKey: key != "", Deadline: 20 * time.Second, PromptTokens: 800, AnswerTokens: 200,
 	}, Random: float64(h.requests%97) / 97}))
 }
 
@@ -218,6 +223,32 @@
 		Expect(expectRefusal(e).Status).To(Equal(http.StatusUnauthorized))
 	})
 
+	// Guards against a configuration without a key that opens the routes.
+	It("refuses every key and none once the last workspace is removed", func() {
+		h.read()
+		h.config = config(8)
+		h.config.Workspaces = nil
+		h.read()
+		_, e := h.arrive("/r/x")
+		Expect(expectRefusal(e).Status).To(Equal(http.StatusUnauthorized))
+		_, e = h.arriveWithKey("/r/x", "")
+		Expect(expectRefusal(e).Status).To(Equal(http.StatusUnauthorized))
+		_, e = h.arriveWithKey("/r/open/x", "")
+		expectSend(e)
+	})
+
+	// Guards against a removed key that is accepted because no key is needed any more.
+	It("needs no key where there is no list of workspaces, and refuses those that it gets", func() {
+		h.read()
+		h.config = config(8)
+		h.config.Workspaces, h.config.AllowAnonymous = nil, true
+		h.read()
+		_, e := h.arriveWithKey("/r/x", "")
+		Expect(expectSend(e).Workspace).To(BeEmpty())
+		_, e = h.arrive("/r/x")
+		Expect(expectRefusal(e).Status).To(Equal(http.StatusUnauthorized))
+	})
+
 	It("never reverts to an older configuration", func() {
 		h.read()
 		h.config = config(6)
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -346,7 +346,18 @@
 	s.admission.Configure(now, admissionKinds(e.Config))
 	effects := s.checkRegistrations()
 	s.rebuildIndexes()
-	return append(effects, &StateChanged{What: "configuration in force", Subject: version(e.Config.Version)})
+	return append(effects, &StateChanged{What: "configuration in force", Subject: version(e.Config.Version), Detail: s.accessDetail()})
+}
+
+// accessDetail describes who may send requests, where no key gives access.
+func (s *State) accessDetail() string {
+	switch {
+	case s.config.AllowAnonymous:
+		return "it has no list of workspaces; requests need no key"
+	case len(s.workspaceByKey) == 0:
+		return "its workspaces have no keys; only public routes are served"
+	}
+	return ""
 }
 
 // Ready reports whether the VM should take new connections.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -193,6 +193,9 @@
 	Services   map[model.ServiceID]*Service
 	Limits     Limits
 	Workspaces []Workspace
+	// AllowAnonymous is true when the configuration has no list of workspaces, so that
+	// requests need no key. An empty list removes all keys instead.
+	AllowAnonymous bool
 }
 
 // TargetState is the state in a target's registration.
