Crash attribution: metrics of what became of lost answers

Nothing told, from outside a VM, a crash that was never attributed to a request from one that an answer had cleared: only quarantines are logged. tamarack_lost_answers_total counts the answers lost to parts and contents by what became of them (crashed, answered, expired), and tamarack_crashes_cleared_total the crashes that an answer cleared.

--- a/internal/director/cause.go
+++ b/internal/director/cause.go
@@ -217,12 +217,12 @@
 	released := c.quarantined() && c.decided && (at > c.lostAt || !s.crashesSuffice(now, part, c))
 	switch {
 	case released:
-		c.clear()
+		s.clearRecord(part, c)
 		s.learned++
 		s.markOwn(part)
 		return causeReleased(part, string(peer)+" has received an answer on it")
 	case at > c.lostAt && !c.quarantined():
-		c.clear()
+		s.clearRecord(part, c)
 	}
 	return nil
 }
--- a/internal/director/crashrecord.go
+++ b/internal/director/crashrecord.go
@@ -258,7 +258,7 @@
 		return nil
 	}
 	released := c.quarantined()
-	c.clear()
+	s.clearRecord(cause, c)
 	if !released {
 		return nil
 	}
--- a/internal/director/lostanswer.go
+++ b/internal/director/lostanswer.go
@@ -126,7 +126,9 @@
 // dropLostAnswers drops the lost answers to a cause that was answered. Those of other
 // VMs are kept, since the next message repeats them, and not inherited.
 func (s *State) dropLostAnswers(cause Cause) {
+	before := len(s.lostAnswers)
 	s.lostAnswers = slices.DeleteFunc(s.lostAnswers, func(l lostAnswer) bool { return l.cause == cause })
+	s.attribution(cause).Answered += uint64(before - len(s.lostAnswers))
 	for _, p := range s.peerLostAnswers {
 		for i := range p.lost {
 			p.lost[i].answered = p.lost[i].answered || p.lost[i].cause == cause
@@ -238,7 +240,9 @@
 	for _, l := range s.lostAnswers {
 		switch {
 		case now.Sub(l.at) > l.window():
+			s.attribution(l.cause).Expired++
 		case s.hasCrashed(now, &l):
+			s.attribution(l.cause).Crashed++
 			if change := s.recordCrash(now, l.cause, l.ran, l.at, !l.inherited); change != nil {
 				effects = append(effects, change)
 				s.learned++
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -109,6 +109,8 @@
 	lastAnswerAt  model.Instant
 	// crashRecords holds the causes of requests that were running on targets that crashed.
 	crashRecords map[Cause]*crashRecord
+	// partAttribution and contentAttribution count what became of lost answers.
+	partAttribution, contentAttribution Attribution
 	// drain is that of the process once its termination was requested.
 	drain drain.Drain
 	links links
--- a/internal/frontdaemon/status.go
+++ b/internal/frontdaemon/status.go
@@ -127,6 +127,10 @@
 		state(missingLayers))
 	d.registerRefusalMetrics(state)
 	d.registerOutlierMetrics(state)
+	d.metrics.Register(&attributionCollector{read: func() (parts, contents director.Attribution) {
+		d.reducer.Read(func(s *director.State) { parts, contents = s.Attributions() })
+		return parts, contents
+	}})
 	d.registerRegistrationMetrics(state)
 	d.registerReachMetrics(state)
 	d.registerPeerMetrics(state)
