--- a/internal/frontdaemon/status.go
+++ b/internal/frontdaemon/status.go
@@ -27,6 +27,10 @@
 		state(func(s *director.State) float64 { parts, _ := s.Quarantined(); return float64(parts) }))
 	m.Gauge("tamarack_contents_quarantined", "Contents of requests that are refused because they crash targets.",
 		state(func(s *director.State) float64 { _, contents := s.Quarantined(); return float64(contents) }))
+	m.Register(&attributionCollector{read: func() (parts, contents director.Attribution) {
+		d.reducer.Read(func(s *director.State) { parts, contents = s.Attributions() })
+		return parts, contents
+	}})
 	m.Gauge("tamarack_targets_limited", "Targets that have named a rate limit that is in force.",
 		state(func(s *director.State) float64 { return float64(s.LimitedTargets()) }))
 }
@@ -127,10 +131,6 @@
 		state(missingLayers))
 	d.registerRefusalMetrics(state)
 	d.registerOutlierMetrics(state)
-	d.metrics.Register(&attributionCollector{read: func() (parts, contents director.Attribution) {
-		d.reducer.Read(func(s *director.State) { parts, contents = s.Attributions() })
-		return parts, contents
-	}})
 	d.registerRegistrationMetrics(state)
 	d.registerReachMetrics(state)
 	d.registerPeerMetrics(state)
