Crash attribution: a failed trial counts for the narrower causes of its request

Where only the content of all requests of a path was refused, a harmful request with fewer than three crashes of its own could take every trial, each of which failed and prolonged the refusal of the others (20 s, 5 min, an hour). Its lost answer now counts for its own query, method or prompt too, so that it is refused alone afterwards. A second cause of a request asks for no second probe of its target.

--- a/internal/director/attribution.go
+++ b/internal/director/attribution.go
@@ -21,10 +21,3 @@
 	}
 	return &s.contentAttribution
 }
-
-// clearRecord ends the quarantine of a cause that was answered; its crashes so far do not count
-// any more.
-func (s *State) clearRecord(cause Cause, c *crashRecord) {
-	s.attribution(cause).Cleared += uint64(len(c.crashed) - c.cleared)
-	c.clear()
-}
--- a/internal/director/crashrecord.go
+++ b/internal/director/crashrecord.go
@@ -270,6 +270,13 @@
 	return causeReleased(cause, "it was answered")
 }
 
+// clearRecord ends the quarantine of a cause that was answered; its crashes so far do not count
+// any more.
+func (s *State) clearRecord(cause Cause, c *crashRecord) {
+	s.attribution(cause).Cleared += uint64(len(c.crashed) - c.cleared)
+	c.clear()
+}
+
 // quarantinedCauses returns the crash records of the causes of a request that are
 // quarantined.
 func (s *State) quarantinedCauses(r *request) map[Cause]*crashRecord {
--- a/internal/director/identity_test.go
+++ b/internal/director/identity_test.go
@@ -115,4 +115,41 @@
 		expectRefused(badQuery)
 		answer(harmless)
 	})
+
+	// Guards against harmless requests that are refused for an hour because the harmful one, which
+	// has not crashed enough targets by itself, fails every trial of all with the path.
+	It("is refused alone once a trial of all of them has failed with it", func() {
+		crash(lose(func(r *fleet.Request) { r.Query = "item=other" }))
+		for range 2 {
+			crash(lose(badQuery))
+		}
+		expectRefused(harmless)
+		h.advance(10 * time.Second) // the VM has its turn now
+		h.read()
+		crash(lose(badQuery))
+		h.advance(20 * time.Second)
+		h.read()
+		crash(lose(badQuery))
+		expectRefused(badQuery)
+		answer(harmless)
+		answer(harmless)
+		expectRefused(badQuery)
+	})
+
+	// Guards against a connection for each cause of a request, of which every one costs its target.
+	It("has its target probed once", func() {
+		target := lose(badQuery)
+		probes := 0
+		for range 20 {
+			for _, e := range h.state.Step(h.now, director.ProbeDue{Lead: true}) {
+				if probe, ok := e.(*director.ProbeConnection); ok {
+					Expect(probe.Target).To(Equal(target))
+					probes++
+					h.state.Step(h.now, director.ConnectionProbed{Target: target, Accepted: true})
+				}
+			}
+			h.advance(250 * time.Millisecond)
+		}
+		Expect(probes).To(Equal(1))
+	})
 })
--- a/internal/director/lostanswer.go
+++ b/internal/director/lostanswer.go
@@ -91,6 +91,7 @@
 		return nil
 	}
 	if s.onTrial(now, r) {
+		s.addNarrowLostAnswers(now, r)
 		return s.failTrial(now, r)
 	}
 	learned, stored := false, false
@@ -111,6 +112,18 @@
 	return nil
 }
 
+// addNarrowLostAnswers keeps the lost answer of a trial for the causes of the request that are
+// narrower than its content and not refused. A request that fails every trial of its content
+// would otherwise have all others with the content refused for longer and longer.
+func (s *State) addNarrowLostAnswers(now model.Instant, r *request) {
+	contents, quarantined := r.contentCauses(), s.quarantinedCauses(r)
+	for _, cause := range contents[:len(contents)-1] {
+		if quarantined[cause] == nil {
+			s.addLostAnswer(lostAnswer{cause: cause, ran: r.sentTo, at: now})
+		}
+	}
+}
+
 func (s *State) addLostAnswer(l lostAnswer) {
 	known := slices.IndexFunc(s.lostAnswers, func(k lostAnswer) bool { return k.same(&l) && k.inherited == l.inherited && k.observer == l.observer })
 	switch {
