Crash attribution: one cause for the prompt and the method of a request without a body

Streams without a body are sent with POST, so that each had a cause for its method beside those for its prompt and its content, and all streams shared it.

--- a/internal/director/cause.go
+++ b/internal/director/cause.go
@@ -71,12 +71,12 @@
 	if r.Query != "" {
 		narrow("query", r.Query)
 	}
-	if r.Method != r.usualMethod() {
+	switch {
+	case r.Prompt != "" && len(r.Body) == 0:
+		narrow("prompt", r.Method, string(r.Model), r.Prompt)
+	case r.Method != r.usualMethod():
 		narrow("method", r.Method)
 	}
-	if r.Prompt != "" && len(r.Body) == 0 {
-		narrow("prompt", string(r.Model), r.Prompt)
-	}
 	r.contents = append(r.contents, ContentCause(content))
 	return r.contents
 }
