Tests of the ingress: their configurations say how callers are admitted

Three configurations of internal/ingress had neither workspaces nor the statement that none are needed, and their callers send a key or none. Since an empty list removes all keys these callers were refused, and a spec waited for ever. The configurations now hold the key and admit callers without one; no expectation changes.

The suite ended by the time limit of go test, without a list of its failures, and count_tests.sh took the run for a good one: it looked for "panic:" at the beginning of a line only. A package that fails without listing a failure now is a failure by itself.

--- a/internal/ingress/histories_test.go
+++ b/internal/ingress/histories_test.go
@@ -128,7 +128,10 @@
 
 func historyConfig(maxTargets int) *fleet.Config {
 	route := fleet.Route{Host: "h", Timeout: 5 * time.Second, MaxTargets: maxTargets, Split: []fleet.WeightedService{{Service: "desk", Weight: 1}}}
-	config := &fleet.Config{Version: 1, Services: map[model.ServiceID]*fleet.Service{"desk": {ID: "desk"}}}
+	config := &fleet.Config{
+		Version: 1, Services: map[model.ServiceID]*fleet.Service{"desk": {ID: "desk"}},
+		Workspaces: []fleet.Workspace{{ID: "ws", Keys: []string{"key"}}}, AllowAnonymous: true,
+	}
 	for _, r := range []fleet.Route{
 		{Name: "read", Prefix: "/r/", Kind: fleet.Idempotent},
 		{Name: "pay", Prefix: "/p/", Kind: fleet.NonIdempotent},
--- a/internal/ingress/panic_test.go
+++ b/internal/ingress/panic_test.go
@@ -27,7 +27,8 @@
 				Name: "read", Host: "h", Prefix: "/r/", Kind: fleet.Idempotent, Timeout: time.Second, MaxTargets: 2,
 				Split: []fleet.WeightedService{{Service: "desk", Weight: 1}},
 			}},
-			Services: map[model.ServiceID]*fleet.Service{"desk": {ID: "desk"}},
+			Services:       map[model.ServiceID]*fleet.Service{"desk": {ID: "desk"}},
+			AllowAnonymous: true,
 		}})
 		reducer.Step(director.TargetsRead{Targets: []*fleet.Target{{
 			ID: "o1", Service: "desk", Address: "nowhere", Zone: "a", State: fleet.TargetReady, Slots: 6,
--- a/internal/ingress/start_test.go
+++ b/internal/ingress/start_test.go
@@ -40,6 +40,8 @@
 			{Name: "stream", Host: "h", Prefix: "/s/", Kind: fleet.Stream, Resumable: true, Timeout: 5 * time.Second, MaxTargets: 2, Split: split},
 		},
 		Services: map[model.ServiceID]*fleet.Service{"desk": {ID: "desk"}},
+		// Callers of the specs send the key or none.
+		Workspaces: []fleet.Workspace{{ID: "ws", Keys: []string{"key"}}}, AllowAnonymous: true,
 	}})
 	reducer.Step(director.TargetsRead{Targets: []*fleet.Target{{
 		ID: "o1", Service: "desk", Address: address, Zone: "a", State: fleet.TargetReady, Slots: 6,
--- a/scripts/count_tests.sh
+++ b/scripts/count_tests.sh
@@ -28,13 +28,15 @@
 failed=$((spec_failed + go_failed - suites_failed))
 
 # failures prints one line for each failed spec and test function, and for each
-# package that did not build, panicked or timed out.
+# package that did not build, panicked or timed out, or failed without a list of its failures.
 failures() {
 	sed 's/\x1b\[[0-9;]*m//g' "$log" | awk '
 		/^=== RUN/ { run = $3 }
 		/^Running Suite/ { suite[run] = 1 }
-		/^ *\[(FAIL|PANICKED|TIMEDOUT)\] / { print }
-		/^--- FAIL: / && !($3 in suite) { print }
+		/^ *\[(FAIL|PANICKED|TIMEDOUT)\] / { print; listed = 1 }
+		/^--- FAIL: / { listed = 1; if (!($3 in suite)) print }
+		/^FAIL\ttamarackreach\// && !listed { print "package failed without a list of failures: " $2 }
+		/^(ok|FAIL|\?) *\ttamarackreach\// { listed = 0 }
 		/\[(build|setup) failed\]/ || /^panic: / { print }
 	' | sort -u
 }
