--- a/scripts/count_tests.sh
+++ b/scripts/count_tests.sh
@@ -47,6 +47,22 @@
 	sed 's/\x1b\[[0-9;]*m//g' "$log" | awk '/^ *\[FAILED\] / { left = 12 } left-- > 0 { print substr($0, 1, 400) }' | head -n 200
 }
 
+# hung prints where the goroutines of a package's tests were when the package timed out, so that a
+# test that rarely hangs can be traced from the output of the run that it hung in.
+hung() {
+	awk '
+		/^panic: test timed out/ { stacks = 1; print }
+		/^FAIL\ttamarackreach\// && stacks { print; stacks = 0 }
+		stacks && /^goroutine / { header = $0; function_name = "" }
+		stacks && /^[a-zA-Z].*\(.*\)$/ { function_name = $0 }
+		stacks && /^\t.*\/(internal|platform|e2e|cmd)\/.*\.go:[0-9]+/ {
+			if (header != "") print header
+			header = ""
+			print "  " substr(function_name, 1, 160) " " $1
+		}
+	' "$log" | head -n 400
+}
+
 # listed returns success for a failure line that contains a name in KNOWN-RED.txt.
 listed() {
 	sed -n 's/^test: \([^|]*[^| ]\) *|.*/\1/p' KNOWN-RED.txt 2>/dev/null | while IFS= read -r name; do
@@ -60,6 +76,10 @@
 	unlisted=$(failures | while IFS= read -r line; do listed "$line" || echo "$line"; done | wc -l)
 	if [ "$known" = 0 ] || [ "$unlisted" -gt 0 ] || [ "$(failures | wc -l)" = 0 ]; then
 		tail -n 200 "$log"
+		hung
+		# Again at the end, since the beginning of a long output may not be kept.
+		echo "failures that KNOWN-RED.txt does not list:"
+		failures | while IFS= read -r line; do listed "$line" || echo "$line"; done
 		echo "$passed passed, $failed failed"
 		exit 1
 	fi
