Tests of the ingress: what is never answered fails its spec, not the package

A whole run ended with internal/ingress stopped by go test after 600 s; its output names no spec. Requests, connections and servers of these specs had no bound of time, so that one answer that is missing stops the package without a trace.

Tried on a handler that sleeps.

--- a/internal/ingress/body_test.go
+++ b/internal/ingress/body_test.go
@@ -28,7 +28,7 @@
 		w.Header().Set("Tamarackreach-Attempt-Id", r.Header.Get("Tamarackreach-Attempt-Id"))
 		_, _ = fmt.Fprint(w, len(body))
 	}))
-	DeferCleanup(target.Close)
+	DeferCleanup(closeServer, target)
 	return target.Listener.Addr().String()
 }
 
@@ -126,7 +126,7 @@
 	It("of a readiness check is not waited for", func() {
 		state := director.New(director.Settings{VM: "vm-1", Zone: "a"})
 		server := httptest.NewServer(ingress.New(ingress.NewReducer(state), nil, nil, ingress.NewMetrics()).Ready())
-		DeferCleanup(server.Close)
+		DeferCleanup(closeServer, server)
 		conn := dialIngress(server.URL)
 		Expect(conn.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
 		from := post(conn, "/ready", "q1", legal, "x")
--- a/internal/ingress/connect_test.go
+++ b/internal/ingress/connect_test.go
@@ -22,7 +22,7 @@
 	name, err := unix.Getsockname(fd)
 	Expect(err).NotTo(HaveOccurred())
 	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(name.(*unix.SockaddrInet4).Port))
-	conn, err := net.Dial("tcp4", address)
+	conn, err := dial(address)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(conn.Close)
 	return address
--- a/internal/ingress/histories_test.go
+++ b/internal/ingress/histories_test.go
@@ -90,7 +90,9 @@
 	handler := ingress.New(reducer, upstream.NewPool(), func([]director.Effect) {}, ingress.NewMetrics())
 	server := httptest.NewServer(handler)
 	h.call(server.Listener.Addr().String())
-	server.Close() // waits for the handlers
+	if err := closeServer(server); err != nil {
+		return nil, err
+	}
 	h.inFlight = handler.InFlight()
 	targets.mu.Lock()
 	defer targets.mu.Unlock()
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -29,6 +28,7 @@
 func TestIngress(t *testing.T) {
 	RegisterFailHandler(Fail)
 	logrus.SetOutput(GinkgoWriter)
+	http.DefaultClient.Timeout = specBound
 	RunSpecs(t, "ingress")
 }
 
@@ -239,7 +239,7 @@
 	})
 
 	It("does not run a request smuggled inside the body of another", func() {
-		conn, err := net.Dial("tcp4", s.client)
+		conn, err := dial(s.client)
 		Expect(err).NotTo(HaveOccurred())
 		defer func() { _ = conn.Close() }()
 		_, err = fmt.Fprintf(conn, "POST /p/x HTTP/1.1\r\nHost: h\r\nTamarackreach-Attempt-Id: outer\r\nAuthorization: Token key\r\n"+
--- a/internal/ingress/response_test.go
+++ b/internal/ingress/response_test.go
@@ -30,7 +30,7 @@
 		w.Header().Set(signature, "run-"+strconv.Itoa(sends))
 		respond(sends, w, r)
 	}))
-	DeferCleanup(target.Close)
+	DeferCleanup(closeServer, target)
 	return startIngressFor(target.Listener.Addr().String())
 }
 
@@ -51,7 +51,7 @@
 
 // dialIngress opens a connection to the ingress at a URL.
 func dialIngress(url string) net.Conn {
-	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	conn, err := dial(strings.TrimPrefix(url, "http://"))
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(conn.Close)
 	return conn
--- a/internal/ingress/start_test.go
+++ b/internal/ingress/start_test.go
@@ -55,6 +55,6 @@
 	server := httptest.NewUnstartedServer(mux)
 	server.Config.ConnContext = ingress.ConnContext
 	server.Start()
-	DeferCleanup(server.Close)
+	DeferCleanup(closeServer, server)
 	return server.URL
 }
