--- a/internal/attribution/attribution_test.go
+++ b/internal/attribution/attribution_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -166,6 +167,19 @@
 		Expect(decision(2.1, harmful)).To(Equal(attribution.Hold))
 	})
 
+	It("has the VMs try in turn, and none at the end of a turn", func() {
+		for n := range 3 {
+			crash(l, float64(n), fmt.Sprint("t", n), harmful)
+		}
+		ends := 2.1 + 10 // seconds, after the third answer was lost
+		for turn, tries := range [][]float64{{0, 1, 4, 5}, {2, 3}} {
+			for _, since := range []float64{0, 1, 1.5, 2, 3, 3.5, 4, 5, 5.5} {
+				v := l.Verdict(at(ends+since+0.05), []attribution.Cause{harmful}, attribution.Turn{Index: turn, Count: 2})
+				Expect(v.Decision == attribution.Try).To(Equal(slices.Contains(tries, since)), "VM %d, %v s", turn, since)
+			}
+		}
+	})
+
 	It("counts sends that are overdue on targets without a sign of life", func() {
 		crash(l, 0, "t0", harmful)
 		for n := range 2 {
