Crash attribution: records that cannot be read are skipped

An end that this build does not know indexed beyond the table of effects: the new spec panicked before. Records by a clock that is not known were skipped already; the spec covers them too. The two loops over the lives of targets and VMs are one.

--- a/internal/attribution/attribution_test.go
+++ b/internal/attribution/attribution_test.go
@@ -328,6 +328,17 @@
 		Expect(decision(1+attribution.ConfirmWindow.Seconds(), harmful)).To(Equal(attribution.Allow))
 	})
 
+	// Guards against a panic on the record of a later build, or of a writer whose clock is not known.
+	It("skips records that it cannot read", func() {
+		by, unknown := attribution.Observer{VM: "vm-2"}, attribution.Observer{VM: "vm-3"}
+		l.Merge(at(1), 0, &attribution.Evidence{By: by, At: at(1), Sends: []attribution.Send{
+			{ID: attribution.SendID{By: by, Number: 1}, Causes: []attribution.Cause{harmful}, SentAt: at(0), End: 200, EndedAt: at(1)},
+			{ID: attribution.SendID{By: unknown, Number: 1}, Causes: []attribution.Cause{harmful}, SentAt: at(0), End: attribution.Lost, EndedAt: at(1)},
+			{ID: attribution.SendID{By: by, Number: 2}, Causes: []attribution.Cause{harmful}, SentAt: at(0), End: attribution.Lost, EndedAt: at(1)},
+		}})
+		Expect(l.Export(at(1), attribution.MaxSends).Sends).To(HaveLen(1))
+	})
+
 	It("stays bounded whatever other VMs send", func() {
 		e := attribution.Evidence{By: attribution.Observer{VM: "vm-2"}, At: at(1)}
 		for n := range uint64(3 * attribution.MaxSends) {
--- a/internal/attribution/ledger.go
+++ b/internal/attribution/ledger.go
@@ -131,8 +131,8 @@
 	for _, sent := range e.Sends {
 		k := l.sends[sent.ID]
 		switch {
-		case !l.dates(sent.ID.By):
-			continue
+		case !l.dates(sent.ID.By), sent.End >= ends:
+			continue // by an unknown clock, or with an end that a later build knows
 		case sent.ID.By == l.self, k != nil && k.End >= sent.End:
 			continue // known, or forgotten by its writer
 		case k != nil:
@@ -245,10 +245,7 @@
 		}
 	}
 	l.boundTargets()
-	for _, f := range l.targets {
-		writers[f.Ended.By], writers[f.Alive.By], writers[f.Silent.By] = true, true, true
-	}
-	for _, f := range l.vms {
+	for _, f := range slices.Concat(slices.Collect(maps.Values(l.targets)), slices.Collect(maps.Values(l.vms))) {
 		writers[f.Ended.By], writers[f.Alive.By], writers[f.Silent.By] = true, true, true
 	}
 	maps.DeleteFunc(l.offsets, func(vm Observer, _ time.Duration) bool { return !writers[vm] })
